--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,889 @@
+// Package decide holds the decisions of a railrelay gateway, all in this file.
+//
+// How it is invoked: New makes a Gateway for one instance from an Actor, a seed
+// and a plain map of settings; an adapter then calls the methods of Gate, each
+// with the time since the start, and the Gateway acts through its Actor before
+// it returns. Both are in interface.go, plain state types in state.go, the
+// ordered due times in due.go and the generator in pcg.go. Nothing here blocks,
+// reads a clock, or knows what wire is in front of it.
+//
+// The ordinary path follows Gargamel (docs/design.md): Take puts loads in a
+// chain per table group (join, lead, linkEnded) and the rest in a queue per
+// resource group; release takes them out in arrival order; pick draws an
+// engine; submit is the only way to an engine and asks allowed, which holds
+// the rules on what may be sent; answer is the only way to a final answer.
+package decide
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+)
+
+const (
+	chainWindow    = 10 * time.Second // a chain ended this recently goes on at its engine
+	threadsPerCore = 2.0              // all gateways together
+	pressedAt      = 3.0              // latency over its best that counts as pressure
+	tick           = 100 * time.Millisecond
+	duesTag        = 0
+	tickTag        = 1
+)
+
+// New starts an instance.
+func New(act Actor, seed uint64, given map[string]string) *Gateway {
+	f := facts(given)
+	g := &Gateway{act: act, facts: f, rng: newPCG(seed), byID: map[string]*engine{},
+		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
+	for i := range int(f.num("groups", 0)) {
+		at := "group." + strconv.Itoa(i) + "."
+		g.groups = append(g.groups, &resourceGroup{index: i,
+			value: f.num(at+"value", 1), lateShare: f.num(at+"late-share", 0), stretch: f.num(at+"stretch", 0),
+			target: f.span(at+"target", time.Second), timeout: f.span(at+"timeout", 10*time.Second),
+			threads: max(1, facts{"n": f.item("threads", i, "1")}.num("n", 1)),
+			effect:  f[at+"effect"], scope: f[at+"scope"], window: f.span(at+"window", 0),
+			inOrder: f.yes(at + "in-order"), load: f.item("loads", i, "") == "true",
+			waits: f.item("waits", i, "") == "true", locations: f.list(at + "locations"),
+			kinds: f.list(at + "kinds")})
+	}
+	g.ranked = slices.Clone(g.groups)
+	g.act.Wake(tick, tickTag)
+	if f["list.how"] == "asked" {
+		g.subscribe()
+	}
+	return g
+}
+
+// ---- the list of engines
+
+func (g *Gateway) ListBegins(now time.Duration, whole bool) {
+	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, true
+}
+
+func (g *Gateway) ListEngine(id string, location, kind, cell int, state EngineState,
+	started time.Duration, fresh bool) {
+	e := g.byID[id]
+	if e == nil {
+		cores := facts{"n": g.facts.item("kind.cores", kind, "")}.num("n", 8)
+		e = &engine{id: id, cores: max(1, cores), heardAt: g.now, slow: 1}
+		g.byID[id], g.engines = e, append(g.engines, e)
+	}
+	g.listing[e] = true
+	e.location, e.kind, e.cell, e.state = location, kind, cell, state
+	if fresh && started != e.started {
+		// a new process under a known id: what was learned of the old one is void
+		e.started, e.slow, e.silent, e.report, e.heardAt = started, 1, false, nil, g.now
+		e.coldUntil = max(e.coldUntil, started+g.facts.span("cold.span", 0))
+		e.loadSeen = nil
+	}
+}
+
+func (g *Gateway) ListEnds() {
+	for _, e := range g.engines {
+		if g.whole && !g.listing[e] {
+			e.state = Gone
+		}
+	}
+	g.step()
+}
+
+// ListRefused: the old list holds; asking again soon keeps the drain rule's
+// "hasn't asked" clock from running out, whatever the asking is worth.
+func (g *Gateway) ListRefused(now time.Duration) {
+	g.now, g.subscribed = now, false
+	g.step()
+}
+
+func (g *Gateway) subscribe() {
+	g.askedAt = g.now
+	g.act.Subscribe()
+}
+
+// ---- queries
+
+func (g *Gateway) Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
+	work time.Duration, memoryMB float64) {
+	g.now = now
+	if group < 0 || group >= len(g.groups) {
+		g.act.Kill(id)
+		return
+	}
+	rg := g.groups[group]
+	g.seq++
+	q := &query{id: id, rg: rg, tables: tables, key: key, work: work.Seconds(), memory: memoryMB, seq: g.seq,
+		takenAt: now, deadline: now + budget, priority: -1}
+	g.queries[id] = q
+	if work > 0 && !g.facts.yes("answers.cost") {
+		rg.work.add(work.Seconds(), 200)
+	}
+	q.aim = now + rg.target + seconds(rg.stretch*g.lone(q))
+	g.decayRate()
+	g.workRate += rg.work.or(rg.target.Seconds() / 2 * rg.threads)
+	g.taken = append(g.taken, now)
+	g.probeLeft = min(g.probeLeft+0.25, 4)
+	// the guard of rule 1: whatever else goes wrong, the answer is out in time
+	guard := 2 * g.facts.span("tick", 5*time.Millisecond)
+	g.at(q.deadline-guard, func() { g.giveUp(q) })
+	g.at(q.aim, func() { g.setTerms(q) })
+	if rg.inOrder && key >= 0 {
+		line := g.keys[key]
+		if line == nil {
+			line = &keyLine{}
+			g.keys[key] = line
+		}
+		line.line = append(line.line, q)
+		if line.line[0] != q {
+			g.step()
+			return
+		}
+	}
+	g.begin(q)
+	g.step()
+}
+
+// begin puts a query whose turn it is on its way.
+func (g *Gateway) begin(q *query) {
+	if q.over || q.begunWay {
+		return
+	}
+	if line := g.keys[q.key]; q.rg.inOrder && line != nil && g.now < line.restUntil {
+		g.at(line.restUntil, func() { g.begin(q) })
+		return
+	}
+	q.begunWay = true
+	if q.rg.load {
+		g.join(q)
+	} else {
+		g.enqueue(q)
+	}
+}
+
+// join is the paper's classifier: a load goes behind the running link of its
+// table group, or leads a chain.
+func (g *Gateway) join(q *query) {
+	c := g.chains[q.tables]
+	if c == nil {
+		c = &chain{}
+		g.chains[q.tables] = c
+	}
+	q.chain = c
+	if c.link == nil {
+		g.lead(c, q)
+		return
+	}
+	c.held = append(c.held, q)
+	// held as long as a fresh chain could still bring it home in time
+	wait := max(500*time.Millisecond, q.aim-g.now-seconds(1.5*g.expect(q)))
+	g.at(g.now+wait, func() {
+		if i := slices.Index(c.held, q); i >= 0 {
+			c.held = slices.Delete(c.held, i, i+1)
+			c.link = q
+			g.enqueue(q)
+		}
+	})
+}
+
+func (g *Gateway) lead(c *chain, q *query) {
+	c.link = q
+	if c.engine != nil && c.ended && g.now-c.endedAt < chainWindow && g.hasRoom(c.engine, q) && g.submit(q, c.engine) {
+		return
+	}
+	g.enqueue(q)
+}
+
+func (g *Gateway) linkEnded(q *query) {
+	c := q.chain
+	if c == nil {
+		return
+	}
+	if i := slices.Index(c.held, q); i >= 0 {
+		c.held = slices.Delete(c.held, i, i+1)
+	}
+	if c.link != q {
+		return
+	}
+	c.link, c.ended, c.endedAt = nil, true, g.now
+	if len(c.held) > 0 {
+		next := c.held[0]
+		c.held = c.held[1:]
+		g.lead(c, next)
+	}
+}
+
+func (g *Gateway) enqueue(q *query) {
+	if q.next == nil {
+		q.next = func(e *engine) bool { return g.submit(q, e) }
+	}
+	l := q.rg.queue
+	i := len(l)
+	for i > 0 && l[i-1].seq > q.seq {
+		i--
+	}
+	q.rg.queue = slices.Insert(l, i, q)
+}
+
+// release lets held queries go, the resource group with the most value for its
+// work first, each in arrival order. A head that no engine may take whatever
+// its room is passed over: it must not hold up those that one may.
+func (g *Gateway) release() {
+	for _, rg := range g.ranked {
+		for i := 0; i < len(rg.queue); {
+			q := rg.queue[i]
+			if !q.over && g.hopeless(q, len(rg.queue) > i+1) {
+				g.giveUp(q)
+			}
+			if q.over {
+				if j := slices.Index(rg.queue, q); j >= 0 {
+					rg.queue = slices.Delete(rg.queue, j, j+1)
+				}
+				continue
+			}
+			e, barred := g.pick(q)
+			if e == nil && !barred {
+				break
+			}
+			if e == nil || !q.next(e) {
+				i++
+				continue
+			}
+			rg.queue = slices.Delete(rg.queue, i, i+1)
+		}
+	}
+}
+
+// hopeless: work that can't earn its keep is given up before it takes an
+// engine's time from work that can.
+func (g *Gateway) hopeless(q *query, backlog bool) bool {
+	lone := seconds(g.lone(q))
+	if g.now+lone/2 > q.deadline {
+		return true
+	}
+	return backlog && g.now+lone > q.aim
+}
+
+// ---- which engine
+
+func (g *Gateway) ready(e *engine) bool {
+	return e.state == On && !e.silent && g.now >= e.restUntil
+}
+
+// pick draws one engine at random, odds in step with the room thought to be
+// there. barred says that the rules, not room, leave none.
+func (g *Gateway) pick(q *query) (found *engine, barred bool) {
+	var clear, blocked []*engine
+	barred = true
+	for _, e := range g.engines {
+		if e.state != On || !g.allowed(q, e) {
+			continue
+		}
+		barred = false
+		if !g.hasRoom(e, q) {
+			continue
+		}
+		if (q.rg.waits || q.rg.load) && g.loadRuns(e, q.tables) || e == q.avoid {
+			blocked = append(blocked, e)
+		} else {
+			clear = append(clear, e)
+		}
+	}
+	if len(clear) == 0 {
+		clear = blocked
+	}
+	var total float64
+	rooms := make([]float64, len(clear))
+	for i, e := range clear {
+		rooms[i] = g.room(e)
+		total += rooms[i]
+	}
+	x := g.rng.float() * total
+	for i, e := range clear {
+		if x -= rooms[i]; x < 0 || i == len(clear)-1 {
+			return e, false
+		}
+	}
+	return nil, barred
+}
+
+// loadRuns: a load of these tables is known to run there, one's own or one
+// that a note told of.
+func (g *Gateway) loadRuns(e *engine, tables int64) bool {
+	for _, s := range e.out {
+		if s.q.rg.load && s.q.tables == tables {
+			return true
+		}
+	}
+	return g.now < e.loadSeen[tables]
+}
+
+// hasRoom: the thread bound, which binds only under pressure.
+func (g *Gateway) hasRoom(e *engine, q *query) bool {
+	if !g.ready(e) {
+		return false
+	}
+	bound := threadsPerCore * e.cores * g.ownShare()
+	return len(e.out) == 0 || e.threads+q.rg.threads <= bound || !g.pressed(e)
+}
+
+func (g *Gateway) pressed(e *engine) bool {
+	if e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt {
+		return true
+	}
+	if e.report == nil || g.now-e.reportAt > 3*time.Second {
+		return g.threadsOn(e) > threadsPerCore*e.cores
+	}
+	r := e.report
+	return r["line"] > 0 || r["memory"] > 0.95 || r["disks"] > 0.95 || g.threadsOn(e) > threadsPerCore*e.cores
+}
+
+func (g *Gateway) ownShare() float64 {
+	n := max(1, g.facts.num("gateways", 1))
+	return min(1, max(0.25/n, g.share.or(1/n)))
+}
+
+// threadsOn guesses the threads of all gateways on an engine: from its report
+// where that tells, else as if the others did as this one does.
+func (g *Gateway) threadsOn(e *engine) float64 {
+	own, count, on := 0.0, 0, 0.0
+	for _, x := range g.engines {
+		if x.state == On {
+			own, count, on = own+x.threads, count+len(x.out), on+1
+		}
+	}
+	if held, told := e.report["held"]; told && g.now-e.reportAt < 3*time.Second {
+		each := 1.5
+		if count > 0 {
+			each = own / float64(count)
+		}
+		return e.threads + each*max(0, held-e.ownAtReport)
+	}
+	return e.threads + own/max(1, on)*(1/g.ownShare()-1)
+}
+
+func (g *Gateway) room(e *engine) float64 {
+	full := threadsPerCore * e.cores
+	free := max(0.02, 1-g.threadsOn(e)/full)
+	return full * free * free / e.slow
+}
+
+// ---- what it takes
+
+// lone is the time a query should take alone, in seconds.
+func (g *Gateway) lone(q *query) float64 {
+	work := q.work
+	if work <= 0 {
+		work = q.rg.work.or(q.rg.target.Seconds() / 2 * q.rg.threads)
+	}
+	return work / q.rg.threads
+}
+
+// expect is the time it should take as things are, in seconds.
+func (g *Gateway) expect(q *query) float64 { return g.lone(q) * max(1, q.rg.stretchy.or(1)) }
+
+func (g *Gateway) left(q *query) float64 { return (q.deadline - g.now).Seconds() }
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+func (g *Gateway) decayRate() {
+	g.workRate *= math.Exp(-(g.now - g.rateAt).Seconds() / 4)
+	g.rateAt = g.now
+}
+
+// learn takes one ratio of time taken to time alone, of a submission at e.
+func (g *Gateway) learn(s *submission, ratio float64) {
+	rg := s.q.rg
+	rg.stretchy.add(min(ratio, 20), 60)
+	if rg.floor == 0 {
+		rg.floor = ratio
+	}
+	if ratio < rg.floor {
+		rg.floor += (ratio - rg.floor) * 0.2
+	} else {
+		rg.floor += (ratio - rg.floor) * 0.01
+	}
+	rg.floor = max(rg.floor, 0.01)
+	s.e.slow += (min(10, max(0.3, ratio/rg.floor)) - s.e.slow) * 0.1
+}
+
+// ---- the rules on what may be sent, all in one place
+
+func (g *Gateway) allowed(q *query, e *engine) bool {
+	rg, f := q.rg, g.facts
+	switch {
+	case q.over || g.now >= q.deadline || len(q.subs) >= int(f.num("submissions.most", 1)):
+		return false // 1
+	case e.state != On:
+		return false // 3: not even within the grace
+	case q.out > 0 && !f.yes("may.copy"):
+		return false // 2
+	case len(rg.locations) > 0 && !slices.Contains(rg.locations, strconv.Itoa(e.location)):
+		return false // 6
+	case len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
+		return false // 6
+	}
+	for _, s := range q.subs { // 2
+		switch {
+		case s.ended && s.outcome.neverRan():
+		case rg.effect == "read-only":
+		case rg.effect != "tokened" || g.now-s.at >= rg.window:
+			return false
+		case rg.scope == "location" && s.e.location != e.location || rg.scope == "cell" && s.e.cell != e.cell:
+			return false
+		case rg.scope != "all" && rg.scope != "location" && rg.scope != "cell" && s.e != e:
+			return false
+		}
+	}
+	if rg.inOrder && q.key >= 0 { // 5
+		line := g.keys[q.key]
+		if line == nil || line.line[0] != q || g.now < line.restUntil && line.restBy != q {
+			return false
+		}
+	}
+	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
+		most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
+		if float64(within(&g.extras, g.now-span)+1) > most {
+			return false
+		}
+	}
+	return g.now >= e.coldUntil || g.coldSum(e)+g.usual(rg) <= g.coldMost(e) // 4
+}
+
+// within drops what came before a time and counts the rest.
+func within(l *[]time.Duration, since time.Duration) int {
+	i := sort.Search(len(*l), func(i int) bool { return (*l)[i] >= since })
+	*l = (*l)[i:]
+	return len(*l)
+}
+
+func (g *Gateway) usual(rg *resourceGroup) float64 {
+	return rg.work.or(rg.target.Seconds() / 2 * rg.threads)
+}
+
+func (g *Gateway) coldSum(e *engine) (sum float64) {
+	span := g.facts.span("cold.window", time.Second)
+	for len(e.coldSent) > 0 && e.coldSent[0].at <= g.now-span {
+		e.coldSent = e.coldSent[1:]
+	}
+	for _, s := range e.coldSent {
+		sum += s.work
+	}
+	return sum
+}
+
+// coldMost is this gateway's part of what a cold engine stands in any window.
+// If each gateway sends it well under what an even spread of its own traffic
+// would, all together stay under, however unevenly traffic lies among them; an
+// even part of the engine's cores bounds it when hardly any engine is left.
+func (g *Gateway) coldMost(e *engine) float64 {
+	f, on := g.facts, 0.0
+	for _, x := range g.engines {
+		if x.state == On {
+			on++
+		}
+	}
+	g.decayRate()
+	even := g.workRate / 4 / max(1, on)
+	part := 1.5 * 0.85 * e.cores / max(1, f.num("gateways", 1))
+	return 0.55 * f.num("cold.multiple", 1) * f.num("cold.from", 0.2) * min(even, part) *
+		f.span("cold.window", time.Second).Seconds()
+}
+
+// submit is the only way to an engine.
+func (g *Gateway) submit(q *query, e *engine) bool {
+	if !g.allowed(q, e) {
+		return false
+	}
+	g.setTerms(q)
+	s := &submission{q: q, e: e, try: len(q.subs), at: g.now, threads: q.rg.threads, noted: g.now}
+	s.then = g.afterEnd
+	if s.try > 0 {
+		g.extras = append(g.extras, g.now)
+	}
+	if g.now < e.coldUntil {
+		e.coldSent = append(e.coldSent, sent{g.now, g.usual(q.rg)})
+	}
+	if len(e.out) == 0 {
+		e.heardAt = max(e.heardAt, g.now)
+	}
+	q.subs, q.out = append(q.subs, s), q.out+1
+	e.out, e.threads = append(e.out, s), e.threads+s.threads
+	if q.chain != nil && q.chain.link == q {
+		q.chain.engine, q.chain.ended = e, false
+	}
+	g.act.Submit(q.id, e.id, q.deadline-g.now)
+	return true
+}
+
+// setTerms gives the priority by value for the work, and the least once the
+// target runtime has passed; the grant only where asking for much costs nothing.
+func (g *Gateway) setTerms(q *query) {
+	if q.over {
+		return
+	}
+	prio, grant := 1, 0
+	if g.facts.yes("may.prioritise") {
+		prio = max(0, 3-slices.Index(g.ranked, q.rg))
+		if g.now >= q.aim {
+			prio = 0
+		}
+	}
+	if g.facts.yes("may.grant") && g.facts["memory.short"] == "swap" {
+		grant = int(g.facts.num("grant.most", 0) * g.facts.num("kind.memory", 0))
+	}
+	if prio != q.priority || grant != q.grant {
+		q.priority, q.grant = prio, grant
+		g.act.Terms(q.id, prio, grant)
+	}
+}
+
+// ---- what comes back
+
+func (g *Gateway) submission(id string, try int) *submission {
+	q := g.queries[id]
+	if q == nil || try < 0 || try >= len(q.subs) || q.subs[try].ended {
+		return nil
+	}
+	return q.subs[try]
+}
+
+func (g *Gateway) Ended(now time.Duration, id string, try int, outcome Outcome, took time.Duration, over bool,
+	work time.Duration, memoryMB float64, report map[string]float64) {
+	g.now = now
+	s := g.submission(id, try)
+	if s == nil {
+		return
+	}
+	q, e := s.q, s.e
+	s.ended, s.outcome, q.out = true, outcome, q.out-1
+	e.out = slices.DeleteFunc(e.out, func(x *submission) bool { return x == s })
+	e.threads -= s.threads
+	if outcome != Cancelled && outcome != TimedOut && outcome != NeverSent {
+		g.heard(e)
+	}
+	g.reported(e, report)
+	if outcome == Finished {
+		if work > 0 {
+			q.work = work.Seconds()
+			q.rg.work.add(q.work, 200)
+		}
+		if memoryMB > 0 {
+			q.rg.need.add(memoryMB, 200)
+		}
+		if !s.stuck && (q.work > 0 || !g.facts.yes("answers.cost")) {
+			g.learn(s, took.Seconds()/g.lone(q))
+		}
+	}
+	if outcome.mayLinger() && q.rg.inOrder && q.key >= 0 && g.keys[q.key] != nil {
+		line := g.keys[q.key]
+		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
+	}
+	if over || outcome == Finished {
+		g.finish(q)
+	} else if !q.over {
+		s.then(s)
+	}
+	g.settle(q)
+	g.step()
+}
+
+// afterEnd is what an end other than an answer leads to.
+func (g *Gateway) afterEnd(s *submission) {
+	q, e := s.q, s.e
+	switch s.outcome {
+	case Full:
+		// a full refusal: pressure, and a short rest for others to be tried first
+		e.fullAt, e.restUntil = g.now, g.now+250*time.Millisecond
+	case Unreachable:
+		e.restUntil = g.now + time.Second
+	case Reset:
+		e.restUntil = g.now + 500*time.Millisecond
+	}
+	q.avoid = e
+	if q.out == 0 {
+		g.again(q)
+	}
+}
+
+// again makes a further submission if the time left exceeds what it should
+// take and the rules leave one, or gives the query up at once.
+func (g *Gateway) again(q *query) {
+	if q.over {
+		return
+	}
+	if len(q.subs) > 0 && (g.left(q) <= g.expect(q) || !g.mayRepeat(q)) {
+		g.giveUp(q)
+		return
+	}
+	if !slices.Contains(q.rg.queue, q) {
+		g.enqueue(q)
+	}
+}
+
+// mayRepeat: some engine could still get it under the rules, now or later.
+func (g *Gateway) mayRepeat(q *query) bool {
+	if len(q.subs) >= int(g.facts.num("submissions.most", 1)) {
+		return false
+	}
+	for _, s := range q.subs {
+		if !(s.ended && s.outcome.neverRan()) && q.rg.effect != "read-only" &&
+			(q.rg.effect != "tokened" || g.now-s.at >= q.rg.window) {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp gives the final answer at once: a deferral where trying again is
+// harmless, else a kill.
+func (g *Gateway) giveUp(q *query) {
+	if q.over || q.begun {
+		return
+	}
+	harmless := true
+	for _, s := range q.subs {
+		if !(s.ended && s.outcome.neverRan()) && q.rg.effect != "read-only" &&
+			(q.rg.effect != "tokened" || q.rg.scope != "all" || g.now-s.at >= q.rg.window) {
+			harmless = false
+		}
+	}
+	if harmless {
+		var back time.Duration
+		if g.facts.yes("may.name-return") {
+			back = g.facts.span("return.most", 0)
+		}
+		g.act.Defer(q.id, back)
+	} else {
+		g.act.Kill(q.id)
+	}
+	g.finish(q)
+	g.settle(q)
+}
+
+// finish marks the end; work still out for it is called off where that helps.
+func (g *Gateway) finish(q *query) {
+	if q.over {
+		return
+	}
+	q.over = true
+	if g.facts.yes("may.cancel") {
+		for _, s := range q.subs {
+			if !s.ended {
+				g.act.Cancel(q.id, s.try)
+			}
+		}
+	}
+}
+
+// settle passes the turn on once a query is over and nothing of it is out.
+func (g *Gateway) settle(q *query) {
+	if !q.over || q.out > 0 || g.queries[q.id] == nil {
+		return
+	}
+	delete(g.queries, q.id)
+	g.linkEnded(q)
+	if line := g.keys[q.key]; q.rg.inOrder && line != nil {
+		first := line.line[0] == q
+		line.line = slices.DeleteFunc(line.line, func(x *query) bool { return x == q })
+		if len(line.line) > 0 && first {
+			g.begin(line.line[0])
+		} else if len(line.line) == 0 && g.now >= line.restUntil {
+			delete(g.keys, q.key)
+		}
+	}
+}
+
+func (g *Gateway) Begun(now time.Duration, id string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		q.begun = true
+	}
+}
+
+func (g *Gateway) ClientLeft(now time.Duration, id string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		g.finish(q)
+		g.settle(q)
+		g.step()
+	}
+}
+
+func (g *Gateway) heard(e *engine) {
+	if e.silent {
+		// what comes back from silence may be a new process that the list
+		// doesn't name yet; it is warmed up as one, at the cost of some room
+		e.silent = false
+		e.coldUntil = max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
+		g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
+	}
+	e.heardAt = g.now
+}
+
+func (g *Gateway) reported(e *engine, report map[string]float64) {
+	if len(report) == 0 {
+		return
+	}
+	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out))
+	if held := report["held"]; held > 0 && len(e.out) > 0 {
+		g.share.add(min(1, float64(len(e.out))/held), 60)
+	}
+}
+
+func (g *Gateway) Probed(now time.Duration, id string, outcome Outcome, report map[string]float64) {
+	g.now = now
+	e := g.byID[id]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	if outcome == Finished {
+		g.heard(e)
+		g.reported(e, report)
+	}
+	g.step()
+}
+
+// Note: progress that is far behind what a fresh submission would need is a
+// bad plan, a slow or a crowded engine; all are met by moving the query, where
+// that stops the work left behind.
+func (g *Gateway) Note(now time.Duration, id string, try int, sign Sign, x float64) {
+	g.now = now
+	s := g.submission(id, try)
+	if s == nil {
+		return
+	}
+	g.heard(s.e)
+	s.noted = now
+	elapsed := (now - s.at).Seconds()
+	switch sign {
+	case WaitsForLoad:
+		s.stuck = true
+		if s.e.loadSeen == nil {
+			s.e.loadSeen = map[int64]time.Duration{}
+		}
+		s.e.loadSeen[s.q.tables] = now + g.facts.span("note.period", time.Second)*2
+		if !s.q.rg.load {
+			g.move(s, math.Inf(1))
+		}
+	case Progress:
+		if x > 0 {
+			g.move(s, elapsed*(1-x)/x)
+		}
+	}
+	g.step()
+}
+
+// move calls a submission off to make a fresh one, if what remains of it is
+// long against that.
+func (g *Gateway) move(s *submission, remains float64) {
+	q := s.q
+	fresh := g.expect(q)
+	if s.behind || q.over || q.rg.effect != "read-only" || !g.facts.yes("may.cancel") ||
+		remains < 3*fresh || g.left(q) <= fresh || !g.mayRepeat(q) {
+		return
+	}
+	s.behind = true
+	g.act.Cancel(q.id, s.try)
+}
+
+// ---- time
+
+func (g *Gateway) at(t time.Duration, do func()) { g.due.add(t, do) }
+
+// Woken runs what is due; the tick carries all periodic work.
+func (g *Gateway) Woken(now time.Duration, tag int) {
+	g.now = now
+	if tag == duesTag {
+		g.wakeAt = -1
+	} else {
+		g.act.Wake(tick, tickTag)
+		g.periodic()
+	}
+	g.step()
+}
+
+func (g *Gateway) step() {
+	for do, ok := g.due.next(g.now); ok; do, ok = g.due.next(g.now) {
+		do()
+	}
+	g.release()
+	if g.due.Len() > 0 {
+		if first := g.due.items[0].at; g.wakeAt < 0 || first < g.wakeAt {
+			g.wakeAt = first
+			g.act.Wake(max(0, first-g.now), duesTag)
+		}
+	}
+}
+
+func (g *Gateway) periodic() {
+	g.rank()
+	period := g.facts.span("note.period", 0)
+	for _, e := range g.engines {
+		e.slow += (1 - e.slow) * 0.01
+		// silence: nothing heard for longer than the quickest thing out should
+		// have needed to be heard of; covers machines gone silent, cut links
+		// and long stalls alike
+		for _, s := range e.out {
+			limit := seconds(0.6 + 3*g.expect(s.q))
+			if period > 0 {
+				limit = min(limit, period*3/2+300*time.Millisecond)
+			}
+			if !e.silent && e.state == On && g.now-max(s.at, e.heardAt) > limit {
+				e.silent = true
+				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
+			}
+		}
+		if e.silent {
+			for _, s := range slices.Clone(e.out) {
+				g.move(s, math.Inf(1))
+			}
+		}
+	}
+	g.probe()
+	if f := g.facts; f["list.how"] == "asked" && !g.subscribed &&
+		g.now-g.askedAt > min(time.Second, f.span("list.ask-within", time.Second)/2) {
+		g.subscribe()
+	}
+}
+
+// rank orders the resource groups by value for their work.
+func (g *Gateway) rank() {
+	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int {
+		x, y := a.value/g.usual(a), b.value/g.usual(b)
+		if x > y {
+			return -1
+		} else if x < y {
+			return 1
+		}
+		return a.index - b.index
+	})
+}
+
+// probe looks at the engine longest unseen, at most one look for a few queries
+// taken; a silent one is looked at until it answers.
+func (g *Gateway) probe() {
+	if !g.facts.yes("may.probe") {
+		return
+	}
+	var oldest *engine
+	for _, e := range g.engines {
+		if e.state != On || e.probing && g.now-e.probedAt < time.Second {
+			continue
+		}
+		if e.silent && g.now-e.probedAt > 500*time.Millisecond {
+			g.look(e)
+		} else if oldest == nil || e.probedAt < oldest.probedAt {
+			oldest = e
+		}
+	}
+	if oldest != nil && g.probeLeft >= 1 && g.now-oldest.probedAt > 300*time.Millisecond {
+		g.probeLeft--
+		g.look(oldest)
+	}
+}
+
+func (g *Gateway) look(e *engine) {
+	e.probing, e.probedAt = true, g.now
+	g.act.Probe(e.id)
+}
--- /dev/null
+++ b/decide/interface.go
@@ -0,0 +1,81 @@
+package decide
+
+import "time"
+
+// Actor is what the decisions act through. An adapter provides it for one
+// instance; ids are the ones that came in at the door.
+type Actor interface {
+	Submit(query, engine string, within time.Duration) // within 0: until the client gives up
+	Cancel(query string, try int)
+	Terms(query string, priority, grantMB int) // grant 0: the engine's own choice
+	Defer(query string, comeBack time.Duration)
+	Kill(query string)
+	Probe(engine string)
+	Subscribe()
+	Wake(in time.Duration, tag int)
+	Log(line string)
+}
+
+// Outcome says how a submission ended.
+type Outcome int
+
+const (
+	Finished    Outcome = iota
+	Errored             // answered with an error; may have run
+	Full                // turned away unseen
+	TimedOut            // may have run, may still run
+	Unreachable         // no connection; never ran
+	Reset               // connection lost; may have run
+	Cancelled           // may have run
+	NeverSent           // stopped at the door
+)
+
+// neverRan holds for the outcomes that prove it.
+func (o Outcome) neverRan() bool { return o == Full || o == Unreachable || o == NeverSent }
+
+// mayLinger holds for the outcomes after which the engine may still be at work.
+func (o Outcome) mayLinger() bool { return o == TimedOut || o == Reset || o == Cancelled }
+
+// EngineState is what the list says of an engine.
+type EngineState int
+
+const (
+	On EngineState = iota
+	Draining
+	Gone
+)
+
+// Sign is what a note on a running submission tells.
+type Sign int
+
+const (
+	Progress Sign = iota // x: share done
+	Spilling             // x: MB missing
+	WaitsForMemory
+	WaitsForLoad
+)
+
+// Gate is what comes in. Times are spans since the instance started; a report
+// maps an engine's load figures, in our words, to their values: "held" queries
+// in hand, "line" queries waiting for memory, "cores", "disks" shares busy,
+// "memory" share granted. Figures that the engine doesn't tell are not in it.
+type Gate interface {
+	// ListBegins opens what the list has to say; whole says that an engine
+	// left out is gone. ListEngine follows for each entry, then ListEnds.
+	ListBegins(now time.Duration, whole bool)
+	ListEngine(id string, location, kind, cell int, state EngineState, started time.Duration, fresh bool)
+	ListEnds()
+	ListRefused(now time.Duration)
+
+	Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
+		work time.Duration, memoryMB float64)
+	Note(now time.Duration, id string, try int, sign Sign, x float64)
+	Ended(now time.Duration, id string, try int, outcome Outcome, took time.Duration, over bool,
+		work time.Duration, memoryMB float64, report map[string]float64)
+	Begun(now time.Duration, id string)
+	ClientLeft(now time.Duration, id string)
+	Probed(now time.Duration, engine string, outcome Outcome, report map[string]float64)
+	Woken(now time.Duration, tag int)
+}
+
+var _ Gate = (*Gateway)(nil)
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,193 @@
+package decide
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// facts maps names to values, as the adapter handed them over at the start.
+type facts map[string]string
+
+func (f facts) num(name string, absent float64) float64 {
+	if x, err := strconv.ParseFloat(f[name], 64); err == nil {
+		return x
+	}
+	return absent
+}
+
+func (f facts) span(name string, absent time.Duration) time.Duration {
+	if x, err := strconv.ParseFloat(f[name], 64); err == nil {
+		return time.Duration(x * float64(time.Millisecond))
+	}
+	return absent
+}
+
+func (f facts) yes(name string) bool { return f[name] == "true" || f[name] == "1" }
+
+func (f facts) list(name string) []string {
+	if f[name] == "" {
+		return nil
+	}
+	return strings.Split(f[name], ",")
+}
+
+// item is one place of a list that has a value for each resource group or kind.
+func (f facts) item(name string, i int, absent string) string {
+	if l := f.list(name); i >= 0 && i < len(l) {
+		return l[i]
+	}
+	return absent
+}
+
+// mean is a running average that forgets.
+type mean struct {
+	value float64
+	count float64
+}
+
+func (m *mean) add(x, most float64) {
+	m.count = min(m.count+1, most)
+	m.value += (x - m.value) / m.count
+}
+
+func (m *mean) or(absent float64) float64 {
+	if m.count == 0 {
+		return absent
+	}
+	return m.value
+}
+
+// resourceGroup is a kind of query, with what has been learned of it.
+type resourceGroup struct {
+	index                int
+	value, lateShare     float64
+	target, timeout      time.Duration
+	stretch              float64
+	threads              float64
+	effect               string // read-only, tokened, mutating
+	scope                string // all, location, cell
+	window               time.Duration
+	inOrder, load, waits bool
+	locations, kinds     []string
+
+	work     mean    // seconds of all threads, as told or estimated
+	stretchy mean    // time taken over time alone
+	floor    float64 // the best of it
+	need     mean    // MB
+	queue    []*query
+}
+
+// engine is one executor as this gateway sees it.
+type engine struct {
+	id                   string
+	location, kind, cell int
+	state                EngineState
+	cores                float64
+	coldUntil            time.Duration
+
+	out         []*submission
+	threads     float64 // own, out
+	slow        float64 // time taken over the best
+	started     time.Duration
+	loadSeen    map[int64]time.Duration // tables a load was noted on, until when
+	ownAtReport float64
+	heardAt     time.Duration
+	silent      bool
+	restUntil   time.Duration // refused or unreachable: left alone until then
+	fullAt      time.Duration
+	probedAt    time.Duration
+	probing     bool
+	report      map[string]float64
+	reportAt    time.Duration
+	coldSent    []sent
+}
+
+// sent is work that went to a cold engine.
+type sent struct {
+	at   time.Duration
+	work float64
+}
+
+// query is one thing taken, until its one final answer.
+type query struct {
+	id                    string
+	rg                    *resourceGroup
+	tables, key           int64
+	work                  float64 // estimated seconds of all threads, 0: none
+	memory                float64
+	seq                   uint64
+	takenAt, deadline     time.Duration
+	aim                   time.Duration
+	subs                  []*submission
+	out                   int
+	over, begun, begunWay bool
+	priority, grant       int
+	mayHaveRunAt          time.Duration
+	mayHaveRunOn          *engine
+	avoid                 *engine
+	chain                 *chain
+	next                  func(*engine) bool // what to do once an engine is found for it
+}
+
+// submission is one sending of a query to an engine.
+type submission struct {
+	q       *query
+	e       *engine
+	try     int
+	at      time.Duration
+	threads float64
+	ended   bool
+	behind  bool // found far behind, being moved
+	stuck   bool // noted as waiting for a load
+	noted   time.Duration
+	outcome Outcome
+	then    func(*submission) // what its end leads to
+}
+
+// chain is the line of loads of one table group at this gateway.
+type chain struct {
+	link    *query
+	engine  *engine
+	endedAt time.Duration
+	ended   bool
+	held    []*query
+}
+
+// keyLine holds the queries of one key in the order taken.
+type keyLine struct {
+	line      []*query
+	restUntil time.Duration
+	restBy    *query
+}
+
+// Gateway is one controller's decisions and all it knows.
+type Gateway struct {
+	act   Actor
+	facts facts
+	rng   *pcg
+	now   time.Duration
+
+	engines []*engine // in the order first listed
+	byID    map[string]*engine
+	queries map[string]*query
+	groups  []*resourceGroup
+	ranked  []*resourceGroup // in the order in which they are served
+	chains  map[int64]*chain
+	keys    map[int64]*keyLine
+
+	due     dues
+	wakeAt  time.Duration // when the earliest wake asked for comes
+	listing map[*engine]bool
+	whole   bool
+
+	seq        uint64
+	taken      []time.Duration // for the submission budget
+	extras     []time.Duration
+	workRate   float64 // work taken, decaying
+	rateAt     time.Duration
+	share      mean // own queries over all, from reports
+	probeLeft  float64
+	askedAt    time.Duration
+	subscribed bool
+}
--- /dev/null
+++ b/internal/simwire/wire.go
@@ -0,0 +1,312 @@
+// Package simwire puts the bench's wire before the decisions: it parses a
+// line, renames what it says to the project's words, hands it over and writes
+// the actions. It decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+)
+
+// host holds the instances of this process and the lists they share.
+type host struct {
+	out   *bufio.Writer
+	gates map[int]*door
+	lists [16][][]string
+	clock float64
+}
+
+// door is one instance: its decisions and its start on the wire's clock.
+type door struct {
+	*host
+	i     int
+	epoch float64
+	gate  *decide.Gateway
+	dead  bool
+}
+
+// Run serves the wire until input ends.
+func Run(in io.Reader, out io.Writer) error {
+	h := &host{out: bufio.NewWriterSize(out, 1<<18), gates: map[int]*door{}}
+	r := bufio.NewReaderSize(in, 1<<20)
+	for n := 1; ; n++ {
+		line, err := r.ReadString('\n')
+		if err != nil && line == "" {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		f := strings.Split(strings.TrimRight(line, "\r\n"), "\t")
+		if f[0] == "ledger" {
+			n, err = h.ledger(r, f, n)
+		} else {
+			err = h.event(f)
+		}
+		if err != nil {
+			return fmt.Errorf("line %d: %q: %w", n, f[0], err)
+		}
+	}
+}
+
+func (h *host) ledger(r *bufio.Reader, f []string, n int) (int, error) {
+	c := fields{f: f}
+	slot, count := c.whole(1), c.whole(2)
+	if c.err != nil {
+		return n, c.err
+	}
+	if slot < 0 || slot >= len(h.lists) || count < 0 {
+		return n, fmt.Errorf("no such list: number %d of %d entries", slot, count)
+	}
+	h.lists[slot] = nil
+	for range count {
+		n++
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return n, fmt.Errorf("the list ends early: %w", err)
+		}
+		entry := strings.Split(strings.TrimRight(line, "\r\n"), "\t")
+		if entry[0] != "executor" || len(entry) < 7 {
+			return n, fmt.Errorf("not an entry of a list: %q", strings.Join(entry, " "))
+		}
+		h.lists[slot] = append(h.lists[slot], entry)
+	}
+	return n, nil
+}
+
+func (h *host) event(f []string) error {
+	c := fields{f: f}
+	switch f[0] {
+	case "round":
+		h.clock = c.num(1)
+		return c.err
+	case "go":
+		h.out.WriteString("eor\n")
+		return h.out.Flush()
+	case "", "ledger", "executor":
+		return errors.New("not an event")
+	}
+	i := c.whole(1)
+	if c.err != nil {
+		return c.err
+	}
+	switch f[0] {
+	case "start":
+		d := &door{host: h, i: i, epoch: h.clock}
+		seed, err := strconv.ParseUint(c.text(2), 10, 64)
+		if err != nil {
+			return fmt.Errorf("no seed: %w", err)
+		}
+		names := rename(f[3:])
+		h.gates[i] = d
+		return d.guard(func() { d.gate = decide.New(d, seed, names) })
+	case "kill":
+		delete(h.gates, i)
+		return nil
+	}
+	d := h.gates[i]
+	if d == nil {
+		return fmt.Errorf("instance %d has not started", i)
+	}
+	if d.dead {
+		return nil
+	}
+	var err error
+	if broke := d.guard(func() { err = d.hand(f[0], &c) }); broke != nil {
+		return broke
+	}
+	return err
+}
+
+// guard turns a panic of the decisions into the wire's word for it.
+func (d *door) guard(f func()) error {
+	defer func() {
+		if p := recover(); p != nil {
+			d.dead = true
+			text := strings.NewReplacer("\n", " ", "\t", " ").Replace(fmt.Sprint(p))
+			d.act("die", text)
+		}
+	}()
+	f()
+	return nil
+}
+
+func (d *door) hand(name string, c *fields) error {
+	now := ms(d.clock - d.epoch)
+	switch name {
+	case "membership":
+		return d.list(now, c)
+	case "new_request":
+		options := c.whole(3)
+		key := int64(-1)
+		if c.given(5) {
+			key = int64(c.num(5))
+		}
+		var work time.Duration
+		if options&1 != 0 && c.given(7) {
+			work = ms(c.num(7))
+		}
+		id, rg, budget, tables, mem := c.text(2), c.whole(8), ms(c.num(9)), int64(c.num(4)), c.num(10)
+		if c.err == nil {
+			d.gate.Take(now, id, rg, budget, tables, key, work, mem)
+		}
+	case "heartbeat":
+		x, what := c.num(3), c.whole(4)
+		sign := decide.Progress
+		switch {
+		case what == 2:
+			sign = decide.Spilling
+		case what == 3 && x == 1:
+			sign = decide.WaitsForMemory
+		case what == 3:
+			sign = decide.WaitsForLoad
+		case what != 1:
+			return c.err
+		}
+		id, try := c.text(2), c.whole(6)
+		if c.err == nil {
+			d.gate.Note(now, id, try, sign, x)
+		}
+	case "attempt_end":
+		outcome, ok := outcomes[c.text(5)]
+		if !ok && c.err == nil {
+			return fmt.Errorf("unknown outcome %q", c.text(5))
+		}
+		var note int64
+		if c.given(8) {
+			note = int64(c.num(8))
+		}
+		id, try, took, over := c.text(2), c.whole(3), ms(c.num(6)), c.whole(7) == 1
+		report := c.report(9)
+		if c.err == nil {
+			d.gate.Ended(now, id, try, outcome, took, over,
+				time.Duration(note/4096)*time.Millisecond, float64(note%4096*4), report)
+		}
+	case "timed_out_client":
+		if id := c.text(2); c.err == nil {
+			d.gate.ClientLeft(now, id)
+		}
+	case "timeout_fired":
+		if tag := c.whole(2); c.err == nil {
+			d.gate.Woken(now, tag)
+		}
+	case "head_received":
+		if id := c.text(2); c.err == nil {
+			d.gate.Begun(now, id)
+		}
+	case "memo":
+	case "probed":
+		outcome, ok := outcomes[c.text(3)]
+		if !ok && c.err == nil {
+			return fmt.Errorf("unknown outcome %q", c.text(3))
+		}
+		engine, report := c.text(2), c.report(5)
+		if c.err == nil {
+			d.gate.Probed(now, engine, outcome, report)
+		}
+	default:
+		return errors.New("unknown event")
+	}
+	return c.err
+}
+
+func (d *door) list(now time.Duration, c *fields) error {
+	scope := c.text(2)
+	if scope == "refused" {
+		d.gate.ListRefused(now)
+		return c.err
+	}
+	if scope != "changes" && scope != "all" && scope != "remembered" {
+		return fmt.Errorf("unknown scope %q", scope)
+	}
+	slot := c.whole(3)
+	if c.err != nil {
+		return c.err
+	}
+	if slot < 0 || slot >= len(d.lists) {
+		return fmt.Errorf("no such list: %d", slot)
+	}
+	d.gate.ListBegins(now, scope != "changes")
+	for _, entry := range d.lists[slot] {
+		e := fields{f: entry}
+		state, ok := states[e.text(5)]
+		if !ok {
+			return fmt.Errorf("unknown state %q", e.text(5))
+		}
+		var started time.Duration
+		fresh := e.given(7) && e.num(7) != 0
+		if fresh {
+			started = ms(e.num(7) - d.epoch)
+		}
+		id, location, kind, cell := e.text(1), e.whole(2), e.whole(3), e.whole(4)
+		if e.err != nil {
+			return e.err
+		}
+		d.gate.ListEngine(id, location, kind, cell, state, started, fresh)
+	}
+	d.gate.ListEnds()
+	return nil
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// fields reads the parts of a line; the first fault stays in err.
+type fields struct {
+	f   []string
+	err error
+}
+
+func (c *fields) given(k int) bool { return k < len(c.f) && c.f[k] != "-" && c.f[k] != "" }
+
+func (c *fields) text(k int) string {
+	if k >= len(c.f) {
+		c.fault(fmt.Errorf("part %d is missing", k))
+		return ""
+	}
+	return c.f[k]
+}
+
+func (c *fields) num(k int) float64 {
+	if !c.given(k) && k < len(c.f) {
+		return 0
+	}
+	x, err := strconv.ParseFloat(c.text(k), 64)
+	if err != nil {
+		c.fault(fmt.Errorf("part %d is not a number: %q", k, c.text(k)))
+	}
+	return x
+}
+
+func (c *fields) whole(k int) int { return int(c.num(k)) }
+
+func (c *fields) fault(err error) {
+	if c.err == nil {
+		c.err = err
+	}
+}
+
+func (c *fields) report(k int) map[string]float64 {
+	if !c.given(k) {
+		return nil
+	}
+	report := map[string]float64{}
+	for pair := range strings.SplitSeq(c.f[k], ",") {
+		name, value, _ := strings.Cut(pair, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			c.fault(fmt.Errorf("part %d is not a load report: %q", k, c.f[k]))
+			return nil
+		}
+		if ours, ok := figures[name]; ok {
+			report[ours] = x
+		}
+	}
+	return report
+}
