--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"math"
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 )
@@ -38,15 +37,7 @@
 	g := &Gateway{act: act, facts: f, rng: newPCG(seed), byID: map[string]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
-		at := "group." + strconv.Itoa(i) + "."
-		g.groups = append(g.groups, &resourceGroup{index: i,
-			value: f.num(at+"value", 1), lateShare: f.num(at+"late-share", 0), stretch: f.num(at+"stretch", 0),
-			target: f.span(at+"target", time.Second), timeout: f.span(at+"timeout", 10*time.Second),
-			threads: max(1, facts{"n": f.item("threads", i, "1")}.num("n", 1)),
-			effect:  f[at+"effect"], scope: f[at+"scope"], window: f.span(at+"window", 0),
-			inOrder: f.yes(at + "in-order"), load: f.item("loads", i, "") == "true",
-			waits: f.item("waits", i, "") == "true", locations: f.list(at + "locations"),
-			kinds: f.list(at + "kinds")})
+		g.groups = append(g.groups, newGroup(f, i))
 	}
 	g.ranked = slices.Clone(g.groups)
 	g.act.Wake(tick, tickTag)
@@ -56,44 +47,13 @@
 	return g
 }
 
-// ---- the list of engines
+// ---- engines coming and going
 
-func (g *Gateway) ListBegins(now time.Duration, whole bool) {
-	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, true
-}
-
-func (g *Gateway) ListEngine(id string, location, kind, cell int, state EngineState,
-	started time.Duration, fresh bool) {
-	e := g.byID[id]
-	if e == nil {
-		cores := facts{"n": g.facts.item("kind.cores", kind, "")}.num("n", 8)
-		e = &engine{id: id, cores: max(1, cores), heardAt: g.now, slow: 1}
-		g.byID[id], g.engines = e, append(g.engines, e)
-	}
-	g.listing[e] = true
-	e.location, e.kind, e.cell, e.state = location, kind, cell, state
-	if fresh && started != e.started {
-		// a new process under a known id: what was learned of the old one is void
-		e.started, e.slow, e.silent, e.report, e.heardAt = started, 1, false, nil, g.now
-		e.coldUntil = max(e.coldUntil, started+g.facts.span("cold.span", 0))
-		e.loadSeen = nil
-	}
-}
-
-func (g *Gateway) ListEnds() {
-	for _, e := range g.engines {
-		if g.whole && !g.listing[e] {
-			e.state = Gone
-		}
-	}
-	g.step()
-}
-
-// ListRefused: the old list holds; asking again soon keeps the drain rule's
-// "hasn't asked" clock from running out, whatever the asking is worth.
-func (g *Gateway) ListRefused(now time.Duration) {
-	g.now, g.subscribed = now, false
-	g.step()
+// restarted: a new process under a known id; what was learned of the old one is
+// void, and by rule 4 it is cold from when it started, not from when we hear.
+func (g *Gateway) restarted(e *engine, started time.Duration) {
+	e.started, e.slow, e.silent, e.report, e.loadSeen, e.heardAt = started, 1, false, nil, nil, g.now
+	e.coldUntil = max(e.coldUntil, started+g.facts.span("cold.span", 0))
 }
 
 func (g *Gateway) subscribe() {
@@ -103,44 +63,25 @@
 
 // ---- queries
 
-func (g *Gateway) Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
-	work time.Duration, memoryMB float64) {
-	g.now = now
-	if group < 0 || group >= len(g.groups) {
-		g.act.Kill(id)
-		return
-	}
-	rg := g.groups[group]
-	g.seq++
-	q := &query{id: id, rg: rg, tables: tables, key: key, work: work.Seconds(), memory: memoryMB, seq: g.seq,
-		takenAt: now, deadline: now + budget, priority: -1}
-	g.queries[id] = q
-	if work > 0 && !g.facts.yes("answers.cost") {
-		rg.work.add(work.Seconds(), 200)
+// take sets the guards and starts a query on its way, or behind its key.
+func (g *Gateway) take(q *query) {
+	rg := q.rg
+	if q.work > 0 && !g.facts.yes("answers.cost") {
+		rg.work.add(q.work, 200)
 	}
-	q.aim = now + rg.target + seconds(rg.stretch*g.lone(q))
+	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
 	g.decayRate()
-	g.workRate += rg.work.or(rg.target.Seconds() / 2 * rg.threads)
-	g.taken = append(g.taken, now)
+	g.workRate += g.usual(rg)
 	g.probeLeft = min(g.probeLeft+0.25, 4)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
-	guard := 2 * g.facts.span("tick", 5*time.Millisecond)
-	g.at(q.deadline-guard, func() { g.giveUp(q) })
+	g.at(q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
 	g.at(q.aim, func() { g.setTerms(q) })
-	if rg.inOrder && key >= 0 {
-		line := g.keys[key]
-		if line == nil {
-			line = &keyLine{}
-			g.keys[key] = line
-		}
-		line.line = append(line.line, q)
-		if line.line[0] != q {
-			g.step()
+	if line := g.line(q); line != nil {
+		if line.line = append(line.line, q); line.line[0] != q {
 			return
 		}
 	}
 	g.begin(q)
-	g.step()
 }
 
 // begin puts a query whose turn it is on its way.
@@ -148,7 +89,7 @@
 	if q.over || q.begunWay {
 		return
 	}
-	if line := g.keys[q.key]; q.rg.inOrder && line != nil && g.now < line.restUntil {
+	if line := g.line(q); line != nil && g.now < line.restUntil {
 		g.at(line.restUntil, func() { g.begin(q) })
 		return
 	}
@@ -383,8 +324,6 @@
 
 func (g *Gateway) left(q *query) float64 { return (q.deadline - g.now).Seconds() }
 
-func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
-
 func (g *Gateway) decayRate() {
 	g.workRate *= math.Exp(-(g.now - g.rateAt).Seconds() / 4)
 	g.rateAt = g.now
@@ -434,11 +373,8 @@
 			return false
 		}
 	}
-	if rg.inOrder && q.key >= 0 { // 5
-		line := g.keys[q.key]
-		if line == nil || line.line[0] != q || g.now < line.restUntil && line.restBy != q {
-			return false
-		}
+	if l := g.line(q); l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q) {
+		return false // 5
 	}
 	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
 		most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
@@ -449,13 +385,6 @@
 	return g.now >= e.coldUntil || g.coldSum(e)+g.usual(rg) <= g.coldMost(e) // 4
 }
 
-// within drops what came before a time and counts the rest.
-func within(l *[]time.Duration, since time.Duration) int {
-	i := sort.Search(len(*l), func(i int) bool { return (*l)[i] >= since })
-	*l = (*l)[i:]
-	return len(*l)
-}
-
 func (g *Gateway) usual(rg *resourceGroup) float64 {
 	return rg.work.or(rg.target.Seconds() / 2 * rg.threads)
 }
@@ -539,33 +468,16 @@
 
 // ---- what comes back
 
-func (g *Gateway) submission(id string, try int) *submission {
-	q := g.queries[id]
-	if q == nil || try < 0 || try >= len(q.subs) || q.subs[try].ended {
-		return nil
-	}
-	return q.subs[try]
-}
-
-func (g *Gateway) Ended(now time.Duration, id string, try int, outcome Outcome, took time.Duration, over bool,
-	work time.Duration, memoryMB float64, report map[string]float64) {
-	g.now = now
-	s := g.submission(id, try)
-	if s == nil {
-		return
+// ended learns from how a submission ended and does what was left for that.
+func (g *Gateway) ended(s *submission, took time.Duration, over bool, work, memoryMB float64) {
+	q := s.q
+	if s.outcome != Cancelled && s.outcome != TimedOut && s.outcome != NeverSent {
+		g.heard(s.e)
 	}
-	q, e := s.q, s.e
-	s.ended, s.outcome, q.out = true, outcome, q.out-1
-	e.out = slices.DeleteFunc(e.out, func(x *submission) bool { return x == s })
-	e.threads -= s.threads
-	if outcome != Cancelled && outcome != TimedOut && outcome != NeverSent {
-		g.heard(e)
-	}
-	g.reported(e, report)
-	if outcome == Finished {
+	if s.outcome == Finished {
 		if work > 0 {
-			q.work = work.Seconds()
-			q.rg.work.add(q.work, 200)
+			q.work = work
+			q.rg.work.add(work, 200)
 		}
 		if memoryMB > 0 {
 			q.rg.need.add(memoryMB, 200)
@@ -574,17 +486,15 @@
 			g.learn(s, took.Seconds()/g.lone(q))
 		}
 	}
-	if outcome.mayLinger() && q.rg.inOrder && q.key >= 0 && g.keys[q.key] != nil {
-		line := g.keys[q.key]
+	if line := g.line(q); line != nil && s.outcome.mayLinger() {
 		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
 	}
-	if over || outcome == Finished {
+	if over || s.outcome == Finished {
 		g.finish(q)
 	} else if !q.over {
 		s.then(s)
 	}
 	g.settle(q)
-	g.step()
 }
 
 // afterEnd is what an end other than an answer leads to.
@@ -682,33 +592,15 @@
 	}
 	delete(g.queries, q.id)
 	g.linkEnded(q)
-	if line := g.keys[q.key]; q.rg.inOrder && line != nil {
+	if line := g.line(q); line != nil {
 		first := line.line[0] == q
 		line.line = slices.DeleteFunc(line.line, func(x *query) bool { return x == q })
 		if len(line.line) > 0 && first {
 			g.begin(line.line[0])
-		} else if len(line.line) == 0 && g.now >= line.restUntil {
-			delete(g.keys, q.key)
 		}
 	}
 }
 
-func (g *Gateway) Begun(now time.Duration, id string) {
-	g.now = now
-	if q := g.queries[id]; q != nil {
-		q.begun = true
-	}
-}
-
-func (g *Gateway) ClientLeft(now time.Duration, id string) {
-	g.now = now
-	if q := g.queries[id]; q != nil {
-		g.finish(q)
-		g.settle(q)
-		g.step()
-	}
-}
-
 func (g *Gateway) heard(e *engine) {
 	if e.silent {
 		// what comes back from silence may be a new process that the list
@@ -730,48 +622,24 @@
 	}
 }
 
-func (g *Gateway) Probed(now time.Duration, id string, outcome Outcome, report map[string]float64) {
-	g.now = now
-	e := g.byID[id]
-	if e == nil {
-		return
-	}
-	e.probing = false
-	if outcome == Finished {
-		g.heard(e)
-		g.reported(e, report)
-	}
-	g.step()
-}
-
-// Note: progress that is far behind what a fresh submission would need is a
-// bad plan, a slow or a crowded engine; all are met by moving the query, where
-// that stops the work left behind.
-func (g *Gateway) Note(now time.Duration, id string, try int, sign Sign, x float64) {
-	g.now = now
-	s := g.submission(id, try)
-	if s == nil {
-		return
-	}
+// noted: progress far behind what a fresh submission would need is a bad plan, a
+// slow or a crowded engine; all are met by moving the query, where that stops
+// the work left behind.
+func (g *Gateway) noted(s *submission, sign Sign, x float64) {
 	g.heard(s.e)
-	s.noted = now
-	elapsed := (now - s.at).Seconds()
-	switch sign {
-	case WaitsForLoad:
+	switch {
+	case sign == WaitsForLoad:
 		s.stuck = true
 		if s.e.loadSeen == nil {
 			s.e.loadSeen = map[int64]time.Duration{}
 		}
-		s.e.loadSeen[s.q.tables] = now + g.facts.span("note.period", time.Second)*2
+		s.e.loadSeen[s.q.tables] = g.now + g.facts.span("note.period", time.Second)*2
 		if !s.q.rg.load {
 			g.move(s, math.Inf(1))
 		}
-	case Progress:
-		if x > 0 {
-			g.move(s, elapsed*(1-x)/x)
-		}
+	case sign == Progress && x > 0:
+		g.move(s, (g.now-s.at).Seconds()*(1-x)/x)
 	}
-	g.step()
 }
 
 // move calls a submission off to make a fresh one, if what remains of it is
@@ -789,34 +657,8 @@
 
 // ---- time
 
-func (g *Gateway) at(t time.Duration, do func()) { g.due.add(t, do) }
-
-// Woken runs what is due; the tick carries all periodic work.
-func (g *Gateway) Woken(now time.Duration, tag int) {
-	g.now = now
-	if tag == duesTag {
-		g.wakeAt = -1
-	} else {
-		g.act.Wake(tick, tickTag)
-		g.periodic()
-	}
-	g.step()
-}
-
-func (g *Gateway) step() {
-	for do, ok := g.due.next(g.now); ok; do, ok = g.due.next(g.now) {
-		do()
-	}
-	g.release()
-	if g.due.Len() > 0 {
-		if first := g.due.items[0].at; g.wakeAt < 0 || first < g.wakeAt {
-			g.wakeAt = first
-			g.act.Wake(max(0, first-g.now), duesTag)
-		}
-	}
-}
-
 func (g *Gateway) periodic() {
+	g.act.Wake(tick, tickTag)
 	g.rank()
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.engines {
--- /dev/null
+++ b/decide/door.go
@@ -0,0 +1,170 @@
+package decide
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// This is the door: ids are turned into objects here and nowhere else, counts
+// are kept, and everything is handed on to decide.go.
+
+func (g *Gateway) ListBegins(now time.Duration, whole bool) {
+	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, true
+}
+
+func (g *Gateway) ListEngine(id string, location, kind, cell int, state EngineState,
+	started time.Duration, fresh bool) {
+	e := g.byID[id]
+	if e == nil {
+		e = &engine{id: id, heardAt: g.now, slow: 1}
+		g.byID[id], g.engines = e, append(g.engines, e)
+	}
+	g.listing[e] = true
+	e.location, e.kind, e.cell, e.state = location, kind, cell, state
+	e.cores = max(1, facts{"n": g.facts.item("kind.cores", kind, "")}.num("n", 0))
+	if fresh && started != e.started {
+		g.restarted(e, started)
+	}
+}
+
+func (g *Gateway) ListEnds() {
+	for _, e := range g.engines {
+		if g.whole && !g.listing[e] {
+			e.state = Gone
+		}
+	}
+	g.step()
+}
+
+func (g *Gateway) ListRefused(now time.Duration) {
+	g.now, g.subscribed = now, false
+	g.step()
+}
+
+func (g *Gateway) Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
+	work time.Duration, memoryMB float64) {
+	g.now = now
+	if group < 0 || group >= len(g.groups) {
+		g.act.Kill(id)
+		return
+	}
+	g.seq++
+	q := &query{id: id, rg: g.groups[group], tables: tables, key: key, work: work.Seconds(), memory: memoryMB,
+		seq: g.seq, takenAt: now, deadline: now + budget, priority: -1}
+	g.queries[id] = q
+	g.taken = append(g.taken, now)
+	g.take(q)
+	g.step()
+}
+
+func (g *Gateway) submission(id string, try int) *submission {
+	q := g.queries[id]
+	if q == nil || try < 0 || try >= len(q.subs) || q.subs[try].ended {
+		return nil
+	}
+	return q.subs[try]
+}
+
+func (g *Gateway) Ended(now time.Duration, id string, try int, outcome Outcome, took time.Duration, over bool,
+	work time.Duration, memoryMB float64, report map[string]float64) {
+	g.now = now
+	s := g.submission(id, try)
+	if s == nil {
+		return
+	}
+	s.ended, s.outcome = true, outcome
+	s.q.out--
+	s.e.out = slices.DeleteFunc(s.e.out, func(x *submission) bool { return x == s })
+	s.e.threads -= s.threads
+	g.reported(s.e, report)
+	g.ended(s, took, over, work.Seconds(), memoryMB)
+	g.step()
+}
+
+func (g *Gateway) Note(now time.Duration, id string, try int, sign Sign, x float64) {
+	g.now = now
+	if s := g.submission(id, try); s != nil {
+		g.noted(s, sign, x)
+		g.step()
+	}
+}
+
+func (g *Gateway) Begun(now time.Duration, id string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		q.begun = true
+	}
+}
+
+func (g *Gateway) ClientLeft(now time.Duration, id string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		g.finish(q)
+		g.settle(q)
+		g.step()
+	}
+}
+
+func (g *Gateway) Probed(now time.Duration, id string, outcome Outcome, report map[string]float64) {
+	g.now = now
+	e := g.byID[id]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	if outcome == Finished {
+		g.heard(e)
+		g.reported(e, report)
+	}
+	g.step()
+}
+
+func (g *Gateway) Woken(now time.Duration, tag int) {
+	g.now = now
+	if tag == duesTag {
+		g.wakeAt = -1
+	} else {
+		g.periodic()
+	}
+	g.step()
+}
+
+func (g *Gateway) at(t time.Duration, do func()) { g.due.add(t, do) }
+
+// step ends every call in: what is due is done, what can go is let go, and the
+// next due time is asked for.
+func (g *Gateway) step() {
+	for do, ok := g.due.next(g.now); ok; do, ok = g.due.next(g.now) {
+		do()
+	}
+	g.release()
+	if g.due.Len() > 0 {
+		if first := g.due.items[0].at; g.wakeAt < 0 || first < g.wakeAt {
+			g.wakeAt = first
+			g.act.Wake(max(0, first-g.now), duesTag)
+		}
+	}
+}
+
+// line is the order a query stands in by its key, nil if its group asks for none.
+func (g *Gateway) line(q *query) *keyLine {
+	if !q.rg.inOrder || q.key < 0 {
+		return nil
+	}
+	line := g.keys[q.key]
+	if line == nil {
+		line = &keyLine{}
+		g.keys[q.key] = line
+	}
+	return line
+}
+
+// within drops what came before a time and counts the rest.
+func within(l *[]time.Duration, since time.Duration) int {
+	i := sort.Search(len(*l), func(i int) bool { return (*l)[i] >= since })
+	*l = (*l)[i:]
+	return len(*l)
+}
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
--- a/decide/state.go
+++ b/decide/state.go
@@ -191,3 +191,14 @@
 	askedAt    time.Duration
 	subscribed bool
 }
+
+func newGroup(f facts, i int) *resourceGroup {
+	at := "group." + strconv.Itoa(i) + "."
+	return &resourceGroup{index: i,
+		value: f.num(at+"value", 0), lateShare: f.num(at+"late-share", 0), stretch: f.num(at+"stretch", 0),
+		target: f.span(at+"target", 0), timeout: f.span(at+"timeout", 0),
+		threads: max(1, facts{"n": f.item("threads", i, "")}.num("n", 0)),
+		effect:  f[at+"effect"], scope: f[at+"scope"], window: f.span(at+"window", 0),
+		inOrder: f.yes(at + "in-order"), load: f.item("loads", i, "") == "true",
+		waits: f.item("waits", i, "") == "true", locations: f.list(at + "locations"), kinds: f.list(at + "kinds")}
+}
