Call an engine silent only when a probe goes unanswered, cold after long silence only

Cause: on crowded engines one's own few queries were quiet for over a second, the engine was taken as lost and then as cold, and capacity went. Kept: it also covers cut links and long stalls; it may be late by half a second where an engine is truly gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -603,11 +603,13 @@
 
 func (g *Gateway) heard(e *engine) {
 	if e.silent {
-		// what comes back from silence may be a new process that the list
-		// doesn't name yet; it is warmed up as one, at the cost of some room
 		e.silent = false
-		e.coldUntil = max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
-		g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
+		if g.now-e.heardAt > 4*time.Second {
+			// what comes back from a long silence may be a new process that the list
+			// doesn't name yet; it is warmed up as one, at the cost of some room
+			e.coldUntil = max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
+			g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
+		}
 	}
 	e.heardAt = g.now
 }
@@ -671,10 +673,16 @@
 			if period > 0 {
 				limit = min(limit, period*3/2+300*time.Millisecond)
 			}
-			if !e.silent && e.state == On && g.now-max(s.at, e.heardAt) > limit {
-				e.silent = true
-				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
+			quiet := g.now - max(s.at, e.heardAt)
+			if e.silent || e.state != On || quiet <= limit {
+				continue
+			}
+			if g.facts.yes("may.probe") && quiet <= limit+500*time.Millisecond {
+				g.look(e) // a busy engine still answers this; only a stalled or lost one doesn't
+				continue
 			}
+			e.silent = true
+			g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
 		}
 		if e.silent {
 			for _, s := range slices.Clone(e.out) {
@@ -710,7 +718,7 @@
 	}
 	var oldest *engine
 	for _, e := range g.engines {
-		if e.state != On || e.probing && g.now-e.probedAt < time.Second {
+		if e.state != On {
 			continue
 		}
 		if e.silent && g.now-e.probedAt > 500*time.Millisecond {
@@ -726,6 +734,9 @@
 }
 
 func (g *Gateway) look(e *engine) {
+	if e.probing && g.now-e.probedAt < 300*time.Millisecond {
+		return
+	}
 	e.probing, e.probedAt = true, g.now
 	g.act.Probe(e.id)
 }
