--- a/decide/decide.go
+++ b/decide/decide.go
@@ -263,19 +263,21 @@
 	if !g.ready(e) {
 		return false
 	}
-	bound := threadsPerCore * e.cores * g.ownShare()
-	return len(e.out) == 0 || e.threads+q.rg.threads <= bound || !g.pressed(e)
+	share := g.ownShare()
+	fits := e.threads+q.rg.threads <= threadsPerCore*e.cores*share && e.memory+g.needs(q) <= e.ram*share
+	return len(e.out) == 0 || fits || !g.pressed(e)
 }
 
 func (g *Gateway) pressed(e *engine) bool {
 	if e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt {
 		return true
 	}
-	if e.report == nil || g.now-e.reportAt > 3*time.Second {
-		return g.threadsOn(e) > threadsPerCore*e.cores
+	threads := g.threadsOn(e)
+	if threads > threadsPerCore*e.cores || e.threads > 0 && e.memory*threads/e.threads > e.ram {
+		return true
 	}
 	r := e.report
-	return r["line"] > 0 || r["memory"] > 0.95 || r["disks"] > 0.95 || g.threadsOn(e) > threadsPerCore*e.cores
+	return g.now-e.reportAt < 3*time.Second && (r["line"] > 0 || r["memory"] > 0.95 || r["disks"] > 0.95)
 }
 
 func (g *Gateway) ownShare() float64 {
@@ -319,6 +321,14 @@
 	return work / q.rg.threads
 }
 
+// needs is the memory a query should need, in MB; 0 while nothing is known.
+func (g *Gateway) needs(q *query) float64 {
+	if q.memory > 0 {
+		return q.memory
+	}
+	return q.rg.need.or(0)
+}
+
 // expect is the time it should take as things are, in seconds.
 func (g *Gateway) expect(q *query) float64 { return g.lone(q) * max(1, q.rg.stretchy.or(1)) }
 
@@ -424,7 +434,7 @@
 		return false
 	}
 	g.setTerms(q)
-	s := &submission{q: q, e: e, try: len(q.subs), at: g.now, threads: q.rg.threads, noted: g.now}
+	s := &submission{q: q, e: e, try: len(q.subs), at: g.now, threads: q.rg.threads, memory: g.needs(q), noted: g.now}
 	s.then = g.afterEnd
 	if s.try > 0 {
 		g.extras = append(g.extras, g.now)
@@ -436,7 +446,7 @@
 		e.heardAt = max(e.heardAt, g.now)
 	}
 	q.subs, q.out = append(q.subs, s), q.out+1
-	e.out, e.threads = append(e.out, s), e.threads+s.threads
+	e.out, e.threads, e.memory = append(e.out, s), e.threads+s.threads, e.memory+s.memory
 	if q.chain != nil && q.chain.link == q {
 		q.chain.engine, q.chain.ended = e, false
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -23,6 +24,9 @@
 	g.listing[e] = true
 	e.location, e.kind, e.cell, e.state = location, kind, cell, state
 	e.cores = max(1, facts{"n": g.facts.item("kind.cores", kind, "")}.num("n", 0))
+	if e.ram = (facts{"n": g.facts.item("kind.memory", kind, "")}.num("n", 0)); e.ram <= 0 {
+		e.ram = math.Inf(1) // not told: no bound
+	}
 	if fresh && started != e.started {
 		g.restarted(e, started)
 	}
@@ -77,6 +81,7 @@
 	s.q.out--
 	s.e.out = slices.DeleteFunc(s.e.out, func(x *submission) bool { return x == s })
 	s.e.threads -= s.threads
+	s.e.memory -= s.memory
 	g.reported(s.e, report)
 	g.ended(s, took, over, work.Seconds(), memoryMB)
 	g.step()
--- a/decide/state.go
+++ b/decide/state.go
@@ -91,6 +91,8 @@
 	slow        float64 // time taken over the best
 	started     time.Duration
 	loadSeen    map[int64]time.Duration // tables a load was noted on, until when
+	memory      float64                 // own, out, MB
+	ram         float64
 	ownAtReport float64
 	heardAt     time.Duration
 	silent      bool
@@ -137,6 +139,7 @@
 	try     int
 	at      time.Duration
 	threads float64
+	memory  float64
 	ended   bool
 	behind  bool // found far behind, being moved
 	stuck   bool // noted as waiting for a load
