With a backlog, give up what can't meet its target at the present pace

Cause: held queries were let go with just the time they would need alone, and came late by the engines' real pace.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -201,7 +201,7 @@
 	if g.now+lone/2 > q.deadline {
 		return true
 	}
-	return backlog && g.now+lone > q.aim
+	return backlog && g.now+seconds(g.expect(q)) > q.aim
 }
 
 // ---- which engine
