Work that nothing can stop keeps its room until it should be done

Cause: where a time-out stops nothing, a timed-out report went on running while its room was given away. Kept as the truth about the engine; it may hold room too long where a query had in fact died.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,9 @@
 // void, and by rule 4 it is cold from when it started, not from when we hear.
 func (g *Gateway) restarted(e *engine, started time.Duration) {
 	e.started, e.slow, e.silent, e.report, e.loadSeen, e.heardAt = started, 1, false, nil, nil, g.now
+	for len(e.lingering) > 0 {
+		g.gone(e.lingering[0])
+	}
 	e.coldUntil = max(e.coldUntil, started+g.facts.span("cold.span", 0))
 }
 
@@ -250,9 +253,11 @@
 // loadRuns: a load of these tables is known to run there, one's own or one
 // that a note told of.
 func (g *Gateway) loadRuns(e *engine, tables int64) bool {
-	for _, s := range e.out {
-		if s.q.rg.load && s.q.tables == tables {
-			return true
+	for _, l := range [][]*submission{e.out, e.lingering} {
+		for _, s := range l {
+			if s.q.rg.load && s.q.tables == tables {
+				return true
+			}
 		}
 	}
 	return g.now < e.loadSeen[tables]
@@ -446,7 +451,8 @@
 		e.heardAt = max(e.heardAt, g.now)
 	}
 	q.subs, q.out = append(q.subs, s), q.out+1
-	e.out, e.threads, e.memory = append(e.out, s), e.threads+s.threads, e.memory+s.memory
+	e.out = append(e.out, s)
+	g.count(s, 1)
 	if q.chain != nil && q.chain.link == q {
 		q.chain.engine, q.chain.ended = e, false
 	}
@@ -496,6 +502,13 @@
 			g.learn(s, took.Seconds()/g.lone(q))
 		}
 	}
+	if (s.outcome == TimedOut || s.outcome == Cancelled) && !g.facts.yes("may.cancel") {
+		// nothing stops the work where nothing can be called off: it goes on
+		// taking its room until it should be done
+		g.count(s, 1)
+		s.e.lingering = append(s.e.lingering, s)
+		g.at(g.now+seconds(g.remains(s)), func() { g.gone(s) })
+	}
 	if line := g.line(q); line != nil && s.outcome.mayLinger() {
 		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
 	}
@@ -650,8 +663,18 @@
 			g.move(s, math.Inf(1))
 		}
 	case sign == Progress && x > 0:
-		g.move(s, (g.now-s.at).Seconds()*(1-x)/x)
+		s.share, s.shareAt = x, g.now
+		g.move(s, g.remains(s))
+	}
+}
+
+// remains is the time a submission should still take, by its last note of
+// progress or else by what was expected of it.
+func (g *Gateway) remains(s *submission) float64 {
+	if s.share <= 0 {
+		return max(1, g.expect(s.q)-(g.now-s.at).Seconds())
 	}
+	return (s.shareAt-s.at).Seconds()/s.share - (g.now - s.at).Seconds()
 }
 
 // move calls a submission off to make a fresh one, if what remains of it is
--- a/decide/door.go
+++ b/decide/door.go
@@ -80,13 +80,26 @@
 	s.ended, s.outcome = true, outcome
 	s.q.out--
 	s.e.out = slices.DeleteFunc(s.e.out, func(x *submission) bool { return x == s })
-	s.e.threads -= s.threads
-	s.e.memory -= s.memory
+	g.count(s, -1)
 	g.reported(s.e, report)
 	g.ended(s, took, over, work.Seconds(), memoryMB)
 	g.step()
 }
 
+// count adds what a submission takes to its engine, or takes it off.
+func (g *Gateway) count(s *submission, sign float64) {
+	s.e.threads += sign * s.threads
+	s.e.memory += sign * s.memory
+}
+
+// gone takes off what lingered on an engine after its end was told.
+func (g *Gateway) gone(s *submission) {
+	if i := slices.Index(s.e.lingering, s); i >= 0 {
+		s.e.lingering = slices.Delete(s.e.lingering, i, i+1)
+		g.count(s, -1)
+	}
+}
+
 func (g *Gateway) Note(now time.Duration, id string, try int, sign Sign, x float64) {
 	g.now = now
 	if s := g.submission(id, try); s != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,8 +87,9 @@
 	coldUntil            time.Duration
 
 	out         []*submission
-	threads     float64 // own, out
-	slow        float64 // time taken over the best
+	lingering   []*submission // ended for us, still at work there
+	threads     float64       // own, out
+	slow        float64       // time taken over the best
 	started     time.Duration
 	loadSeen    map[int64]time.Duration // tables a load was noted on, until when
 	memory      float64                 // own, out, MB
@@ -141,6 +142,8 @@
 	threads float64
 	memory  float64
 	ended   bool
+	share   float64 // done, by the last note
+	shareAt time.Duration
 	behind  bool // found far behind, being moved
 	stuck   bool // noted as waiting for a load
 	noted   time.Duration
