Rank resource groups by work corrected for estimates that are off by group

The best of time taken over time estimated shows the bias. May hurt where a group's best time is a lucky one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -400,8 +400,14 @@
 	return g.now >= e.coldUntil || g.coldSum(e)+g.usual(rg) <= g.coldMost(e) // 4
 }
 
+// usual is the work of a resource group's ordinary query. Estimates may be too
+// high or too low by group; the best of time taken over time estimated shows it.
 func (g *Gateway) usual(rg *resourceGroup) float64 {
-	return rg.work.or(rg.target.Seconds() / 2 * rg.threads)
+	work := rg.work.or(rg.target.Seconds() / 2 * rg.threads)
+	if rg.floor > 0 && !g.facts.yes("answers.cost") {
+		work *= rg.floor
+	}
+	return work
 }
 
 func (g *Gateway) coldSum(e *engine) (sum float64) {
