--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,7 @@
 	chainWindow    = 10 * time.Second // a chain ended this recently goes on at its engine
 	threadsPerCore = 2.0              // all gateways together
 	pressedAt      = 3.0              // latency over its best that counts as pressure
+	grantFirst     = 1.25             // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
 	duesTag        = 0
 	tickTag        = 1
@@ -37,7 +38,9 @@
 	g := &Gateway{act: act, facts: f, rng: newPCG(seed), byID: map[string]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
-		g.groups = append(g.groups, newGroup(f, i))
+		rg := newGroup(f, i)
+		rg.grantBy = grantFirst
+		g.groups = append(g.groups, rg)
 	}
 	g.ranked = slices.Clone(g.groups)
 	g.act.Wake(tick, tickTag)
@@ -481,6 +484,8 @@
 	}
 	if g.facts.yes("may.grant") && g.facts["memory.short"] == "swap" {
 		grant = int(g.facts.num("grant.most", 0) * g.facts.num("kind.memory", 0))
+	} else if g.facts.yes("may.grant") && q.memory > 0 {
+		grant = int(q.memory * q.rg.grantBy)
 	}
 	if prio != q.priority || grant != q.grant {
 		q.priority, q.grant = prio, grant
@@ -501,6 +506,9 @@
 			q.work = work
 			q.rg.work.add(work, 200)
 		}
+		if p := g.facts.span("note.period", 0); !s.spilt && p > 0 && took > p {
+			q.rg.grantBy = max(grantFirst, q.rg.grantBy*0.99) // a note would have told of a spill
+		}
 		if memoryMB > 0 {
 			q.rg.need.add(memoryMB, 200)
 		}
@@ -668,6 +676,9 @@
 		if !s.q.rg.load {
 			g.move(s, math.Inf(1))
 		}
+	case sign == Spilling && !s.spilt && x > 0.25*float64(s.q.grant) && !g.pressed(s.e):
+		s.spilt = true
+		s.q.rg.grantBy = min(4, s.q.rg.grantBy*1.05)
 	case sign == Progress && x > 0:
 		s.share, s.shareAt = x, g.now
 		g.move(s, g.remains(s))
--- a/decide/state.go
+++ b/decide/state.go
@@ -60,6 +60,7 @@
 
 // resourceGroup is a kind of query, with what has been learned of it.
 type resourceGroup struct {
+	grantBy              float64 // memory granted over memory estimated
 	index                int
 	value, lateShare     float64
 	target, timeout      time.Duration
@@ -135,6 +136,7 @@
 
 // submission is one sending of a query to an engine.
 type submission struct {
+	spilt   bool // noted as short of memory
 	q       *query
 	e       *engine
 	try     int
