--- a/decide/decide.go
+++ b/decide/decide.go
@@ -698,11 +698,20 @@
 // long against that.
 func (g *Gateway) move(s *submission, remains float64) {
 	q := s.q
-	fresh := g.expect(q)
+	fresh, far := g.expect(q), 3.0
+	if q.work <= 0 {
+		far = 6 // without an estimate a large query looks like a bad plan
+	}
 	if s.behind || q.over || q.rg.effect != "read-only" || !g.facts.yes("may.cancel") ||
-		remains < 3*fresh || g.left(q) <= fresh || !g.mayRepeat(q) {
+		remains < far*fresh || g.left(q) <= fresh || !g.mayRepeat(q) {
 		return
 	}
+	if q.work <= 0 && !math.IsInf(remains, 1) {
+		if q.moved {
+			return // slow twice: the query is large, not its plan bad
+		}
+		q.moved = true
+	}
 	s.behind = true
 	g.act.Cancel(q.id, s.try)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,6 +115,7 @@
 
 // query is one thing taken, until its one final answer.
 type query struct {
+	moved                 bool // once, for being slow
 	id                    string
 	rg                    *resourceGroup
 	tables, key           int64
