Gateways take turns at a cold engine, so that heavy queries reach it

Cause: a gateway's even part of a cold engine's budget never held one report or load, so engines fresh from a deploy idled for 15 s while warm ones held 19 queries. Turns follow the engine's start time, which every gateway is told; at most two touch any window. May hurt where clocks of gateways lie apart by more than a window.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,7 @@
 	for len(e.lingering) > 0 {
 		g.gone(e.lingering[0])
 	}
-	e.coldUntil = max(e.coldUntil, started+g.facts.span("cold.span", 0))
+	e.coldFrom, e.coldUntil = started, max(e.coldUntil, started+g.facts.span("cold.span", 0))
 }
 
 func (g *Gateway) subscribe() {
@@ -425,9 +425,10 @@
 }
 
 // coldMost is this gateway's part of what a cold engine stands in any window.
-// If each gateway sends it well under what an even spread of its own traffic
-// would, all together stay under, however unevenly traffic lies among them; an
-// even part of the engine's cores bounds it when hardly any engine is left.
+// Light work: well under what an even spread of its own traffic would send, so
+// that all together stay under however unevenly traffic lies among gateways.
+// Heavy work would seldom fit: gateways take turns by the engine's age, a
+// window each, so that at most two turns touch any window.
 func (g *Gateway) coldMost(e *engine) float64 {
 	f, on := g.facts, 0.0
 	for _, x := range g.engines {
@@ -435,11 +436,19 @@
 			on++
 		}
 	}
+	window, age := f.span("cold.window", time.Second), max(0, g.now-e.coldFrom)
+	from := f.num("cold.from", 0.2)
+	able := from + (1-from)*min(1, age.Seconds()/max(1, f.span("cold.span", 0).Seconds()))
+	limit := f.num("cold.multiple", 1) * able * 0.85 * e.cores * window.Seconds()
+	n := max(1, f.num("gateways", 1))
+	if n == 1 {
+		return 0.7 * limit
+	}
+	if turn := math.Mod(math.Floor(age.Seconds()/window.Seconds()), n); turn == f.num("own.number", 0) {
+		return 0.33 * limit
+	}
 	g.decayRate()
-	even := g.workRate / 4 / max(1, on)
-	part := 1.5 * 0.85 * e.cores / max(1, f.num("gateways", 1))
-	return 0.55 * f.num("cold.multiple", 1) * f.num("cold.from", 0.2) * min(even, part) *
-		f.span("cold.window", time.Second).Seconds()
+	return min(0.3*g.workRate/4/max(1, on)*window.Seconds(), 0.3*limit/n)
 }
 
 // submit is the only way to an engine.
@@ -644,7 +653,7 @@
 		if g.now-e.heardAt > 4*time.Second {
 			// what comes back from a long silence may be a new process that the list
 			// doesn't name yet; it is warmed up as one, at the cost of some room
-			e.coldUntil = max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
+			e.coldFrom, e.coldUntil = g.now, max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
 			g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,7 @@
 
 // engine is one executor as this gateway sees it.
 type engine struct {
+	coldFrom             time.Duration
 	id                   string
 	location, kind, cell int
 	state                EngineState
