--- a/decide/decide.go
+++ b/decide/decide.go
@@ -220,22 +220,26 @@
 // there. barred says that the rules, not room, leave none.
 func (g *Gateway) pick(q *query) (found *engine, barred bool) {
 	var clear, blocked []*engine
-	barred = true
+	barred, hold := true, false
 	for _, e := range g.engines {
 		if e.state != On || !g.allowed(q, e) {
 			continue
 		}
 		barred = false
-		if !g.hasRoom(e, q) {
-			continue
-		}
-		if (q.rg.waits || q.rg.load) && g.loadRuns(e, q.tables) || e == q.avoid {
+		locked := (q.rg.waits || q.rg.load) && g.loadRuns(e, q.tables)
+		switch room := g.hasRoom(e, q); {
+		case room && (locked || e == q.avoid):
 			blocked = append(blocked, e)
-		} else {
+		case room:
 			clear = append(clear, e)
+		case !locked && g.ready(e):
+			hold = true // better held for this one than standing still behind a load
 		}
 	}
 	if len(clear) == 0 {
+		if hold && len(blocked) > 0 {
+			return nil, true // it waits for a load, not for its turn: others may pass
+		}
 		clear = blocked
 	}
 	var total float64
