--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 const (
 	chainWindow    = 10 * time.Second // a chain ended this recently goes on at its engine
 	threadsPerCore = 2.0              // all gateways together
-	pressedAt      = 3.0              // latency over its best that counts as pressure
+	pressedAt      = 5.0              // latency over its best that counts as pressure
 	grantFirst     = 1.25             // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
 	duesTag        = 0
