--- a/decide/decide.go
+++ b/decide/decide.go
@@ -284,12 +284,11 @@
 	if e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt {
 		return true
 	}
-	threads := g.threadsOn(e)
-	if threads > threadsPerCore*e.cores || e.threads > 0 && e.memory*threads/e.threads > e.ram {
+	if g.filled(e) > 1 {
 		return true
 	}
 	r := e.report
-	return g.now-e.reportAt < 3*time.Second && (r["line"] > 0 || r["memory"] > 0.95 || r["disks"] > 0.95)
+	return g.now-e.reportAt < 3*time.Second && (r["line"] > 0 || r["disks"] > 0.95)
 }
 
 func (g *Gateway) ownShare() float64 {
@@ -297,29 +296,33 @@
 	return min(1, max(0.25/n, g.share.or(1/n)))
 }
 
-// threadsOn guesses the threads of all gateways on an engine: from its report
-// where that tells, else as if the others did as this one does.
-func (g *Gateway) threadsOn(e *engine) float64 {
-	own, count, on := 0.0, 0, 0.0
+// filled guesses how full an engine is with the work of all gateways, by threads
+// or by memory, whichever is nearer to its end: from its report where that
+// tells, else as if the others did as this one does. 1 is full.
+func (g *Gateway) filled(e *engine) float64 {
+	var threads, memory, count, on float64
 	for _, x := range g.engines {
 		if x.state == On {
-			own, count, on = own+x.threads, count+len(x.out), on+1
+			threads, memory, count, on = threads+x.threads, memory+x.memory, count+float64(len(x.out)), on+1
 		}
 	}
-	if held, told := e.report["held"]; told && g.now-e.reportAt < 3*time.Second {
-		each := 1.5
-		if count > 0 {
-			each = own / float64(count)
-		}
-		return e.threads + each*max(0, held-e.ownAtReport)
+	others := count / max(1, on) * (1/g.ownShare() - 1)
+	fresh := g.now-e.reportAt < 3*time.Second
+	if held, told := e.report["held"]; told && fresh {
+		others = max(0, held-e.ownAtReport)
+	}
+	count = max(1, count)
+	full := max((e.threads+others*max(1, threads/count))/(threadsPerCore*e.cores),
+		(e.memory+others*memory/count)/e.ram)
+	if fresh {
+		full = max(full, e.report["memory"])
 	}
-	return e.threads + own/max(1, on)*(1/g.ownShare()-1)
+	return full
 }
 
 func (g *Gateway) room(e *engine) float64 {
-	full := threadsPerCore * e.cores
-	free := max(0.02, 1-g.threadsOn(e)/full)
-	return full * free * free / e.slow
+	free := max(0.02, 1-g.filled(e))
+	return e.cores * free * free / e.slow
 }
 
 // ---- what it takes
