--- a/decide/decide.go
+++ b/decide/decide.go
@@ -284,7 +284,7 @@
 	if e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt {
 		return true
 	}
-	if g.filled(e) > 0.85 {
+	if g.filled(e) > 0.7 {
 		return true
 	}
 	r := e.report
