--- a/decide/decide.go
+++ b/decide/decide.go
@@ -322,7 +322,7 @@
 
 func (g *Gateway) room(e *engine) float64 {
 	free := max(0.02, 1-g.filled(e))
-	return e.cores * free * free / e.slow
+	return e.cores * free / e.slow
 }
 
 // ---- what it takes
