--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,324 @@
+package decide
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms, sec = time.Millisecond, time.Second
+
+// TestRules plays random days under random settings; world checks the seven
+// rules at every step.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(name string, from ...string) string { return rapid.SampledFrom(from).Draw(t, name) }
+		more := map[string]string{
+			"gateways": pick("gateways", "1", "2", "5"), "may.cancel": pick("cancel", "true", "false"),
+			"may.copy": pick("copy", "true", "false"), "may.probe": pick("probe", "true", "false"),
+			"note.period": pick("notes", "0", "1000"), "submissions.most": pick("most", "1", "3", "6"),
+			"memory.short": pick("short", "queue", "trim", "swap"), "list.how": pick("list", "pushed", "asked"),
+			"group.0.effect": pick("effect", "read-only", "tokened", "mutating"), "group.0.window": "2000",
+			"group.0.scope": pick("scope", "all", "location", "cell"), "group.0.locations": pick("at", "", "0", "1"),
+			"group.1.kinds": pick("on", "", "0", "1"), "budget.span": pick("span", "0", "3000"),
+			"budget.least": "1", "budget.share": pick("share", "0", "0.2"), "key.rest": pick("rest", "0", "300"),
+			"group.2.effect": pick("loads", "mutating", "tokened"), "group.2.window": "5000", "group.2.scope": "all",
+		}
+		w := newWorld(t, rapid.IntRange(0, 6).Draw(t, "engines"), more)
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			step(t, w)
+		}
+		w.pass(40 * sec)
+	})
+}
+
+func step(t *rapid.T, w *world) {
+	n := rapid.IntRange(0, 99).Draw(t, "what")
+	engine := ""
+	if ids := w.ids(); len(ids) > 0 {
+		engine = rapid.SampledFrom(ids).Draw(t, "engine")
+	}
+	switch {
+	case n < 35:
+		group := rapid.IntRange(0, 2).Draw(t, "group")
+		w.take(group, rapid.Int64Range(0, 2).Draw(t, "tables"), rapid.Int64Range(-1, 2).Draw(t, "key"),
+			time.Duration(rapid.IntRange(0, 9000).Draw(t, "budget"))*ms)
+	case n < 60:
+		q, k := out(t, w)
+		if q != nil {
+			w.end(q, k, rapid.SampledFrom([]Outcome{Finished, Errored, Full, TimedOut, Unreachable, Reset, Cancelled,
+				NeverSent}).Draw(t, "outcome"))
+		}
+	case n < 68:
+		if q, k := out(t, w); q != nil {
+			w.g.Note(w.now, q.id, k, Sign(rapid.IntRange(0, 3).Draw(t, "sign")), rapid.Float64Range(0, 1).Draw(t, "x"))
+			w.check()
+		}
+	case n < 73 && engine != "":
+		w.set(engine, EngineState(rapid.IntRange(0, 2).Draw(t, "state")))
+	case n < 76 && engine != "":
+		w.restart(engine)
+	case n < 78 && engine != "":
+		w.report(engine, map[string]float64{"held": 30, "memory": 1, "line": 2})
+	case n < 80:
+		w.g.ListRefused(w.now)
+	case n < 82 && len(w.order) > 0:
+		q := rapid.SampledFrom(w.order).Draw(t, "leaver")
+		q.answered = true
+		w.g.ClientLeft(w.now, q.id)
+		w.check()
+	case n < 84:
+		w.g.Ended(w.now, "nobody", 0, Finished, sec, true, 0, 0, nil)
+	default:
+		w.pass(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pass")) * ms)
+	}
+}
+
+// out draws a submission that is out, if there is one.
+func out(t *rapid.T, w *world) (*asked, int) {
+	var all []*asked
+	var tries []int
+	for _, q := range w.order {
+		for k, s := range q.subs {
+			if !s.ended {
+				all, tries = append(all, q), append(tries, k)
+			}
+		}
+	}
+	if len(all) == 0 {
+		return nil, 0
+	}
+	i := rapid.IntRange(0, len(all)-1).Draw(t, "out")
+	return all[i], tries[i]
+}
+
+func sentTo(q *asked) string {
+	if len(q.subs) == 0 {
+		return ""
+	}
+	return q.subs[len(q.subs)-1].engine
+}
+
+func TestChainHoldsALoadAndHandsItToTheSameEngine(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	a, b := w.take(2, 1, -1, 25*sec), w.take(2, 1, -1, 25*sec)
+	if len(a.subs) != 1 || len(b.subs) != 0 {
+		t.Fatalf("first sent %d times, second %d", len(a.subs), len(b.subs))
+	}
+	w.pass(sec)
+	w.end(a, 0, Finished)
+	if sentTo(b) != sentTo(a) {
+		t.Fatalf("held load went to %q, chain runs on %q", sentTo(b), sentTo(a))
+	}
+}
+
+func TestChainGoesOnWithinTheWindowOnly(t *testing.T) {
+	for _, c := range []struct {
+		rest time.Duration
+		same bool
+	}{{9 * sec, true}, {11 * sec, false}} {
+		same := 0
+		for i := range 20 {
+			w := newWorld(t, 8, nil)
+			a := w.take(2, int64(i), -1, 25*sec)
+			w.end(a, 0, Finished)
+			w.g.rng = newPCG(uint64(i))
+			w.pass(c.rest)
+			if b := w.take(2, int64(i), -1, 25*sec); sentTo(b) == sentTo(a) {
+				same++
+			}
+		}
+		if (same == 20) != c.same {
+			t.Fatalf("%v after its end the chain went on at its engine %d times of 20", c.rest, same)
+		}
+	}
+}
+
+func TestHeldLoadIsSentOnAfterItsTimeOut(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	a, b := w.take(2, 1, -1, 25*sec), w.take(2, 1, -1, 25*sec)
+	w.pass(20 * sec)
+	if len(b.subs) != 1 || sentTo(b) == sentTo(a) {
+		t.Fatalf("held load sent %d times, to %q beside %q", len(b.subs), sentTo(b), sentTo(a))
+	}
+}
+
+func TestReadersAvoidARunningLoadOfTheirTables(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	load := w.take(2, 1, -1, 25*sec)
+	for range 12 {
+		if q := w.take(0, 1, -1, 5*sec); sentTo(q) == sentTo(load) {
+			t.Fatal("reader sent to stand still behind a load")
+		}
+	}
+}
+
+func TestBoundBindsUnderPressureOnlyAndOthersAreTriedFirst(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.report("e0", map[string]float64{"held": 0})
+	for range 11 {
+		w.take(0, 5, -1, 5*sec)
+	}
+	if n := len(w.did); n != 11 {
+		t.Fatalf("unpressed engine got %d of 11", n)
+	}
+	w.report("e0", map[string]float64{"line": 3})
+	held := w.take(0, 5, -1, 5*sec)
+	if len(held.subs) != 0 {
+		t.Fatal("pressed engine got more than the bound of cores x 2 x share")
+	}
+	w.engines["e9"] = &machine{id: "e9"}
+	w.list(false, "e9")
+	if sentTo(held) != "e9" {
+		t.Fatalf("another ready engine not used: %q", sentTo(held))
+	}
+}
+
+func TestQueuesReleaseInArrivalOrder(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.set("e0", Draining)
+	for range 6 {
+		w.take(0, 1, -1, 5*sec)
+	}
+	w.set("e0", On)
+	if got := strings.Join(w.did, ","); got != "q000 to e0,q001 to e0,q002 to e0,q003 to e0,q004 to e0,q005 to e0" {
+		t.Fatal(got)
+	}
+}
+
+func TestColdEngineGetsItsBudgetOnly(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"gateways": "1"})
+	w.pass(sec)
+	w.restart("e0")
+	for range 40 {
+		w.take(0, 1, -1, 5*sec)
+	}
+	if n := len(w.did); n == 0 || n > 24 {
+		t.Fatalf("cold engine got %d of 40 at once", n)
+	}
+}
+
+func TestRestartEmptyKnowsNoChains(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	w.take(2, 1, -1, 25*sec)
+	again := newWorld(t, 4, nil)
+	if b := again.take(2, 1, -1, 25*sec); len(b.subs) != 1 {
+		t.Fatal("an empty gateway holds a load for a chain it can't know")
+	}
+}
+
+// A crowded engine is quiet for one's own few queries, yet answers probes: it
+// was taken as lost, then as cold.
+func TestQuietEngineThatAnswersAProbeIsNotSilent(t *testing.T) {
+	w := newWorld(t, 2, map[string]string{"note.period": "0"})
+	w.take(1, 1, -1, 15*sec)
+	w.pass(12 * sec)
+	for _, e := range w.g.engines {
+		if e.silent || e.coldUntil > 0 {
+			t.Fatalf("%s taken as lost", e.id)
+		}
+	}
+}
+
+// Timed-out work goes on where nothing can be called off: its room stays taken.
+func TestWorkThatNothingStopsKeepsItsRoom(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"may.cancel": "false"})
+	q := w.take(1, 1, -1, 15*sec)
+	w.end(q, 0, TimedOut)
+	if e := w.g.engines[0]; e.threads < 3 {
+		t.Fatalf("%v threads counted", e.threads)
+	}
+}
+
+// Memory estimates far too low cost spills; many small ones are cheaper than
+// larger grants.
+func TestGrantsFollowLargeShortfallsOnly(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	for _, c := range []struct {
+		missing float64
+		more    bool
+	}{{10, false}, {80, true}} {
+		q := w.take(1, 1, -1, 15*sec)
+		before := w.g.groups[1].grantBy
+		w.g.Note(w.now, q.id, 0, Spilling, c.missing)
+		if more := w.g.groups[1].grantBy > before; more != c.more {
+			t.Fatalf("%v MB missing of 125: grants grew %v", c.missing, more)
+		}
+	}
+}
+
+// Without estimates a large report looks like a bad plan: it is moved once.
+func TestWithoutEstimatesASlowQueryIsMovedOnceOnly(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	w.queries["r"] = &asked{id: "r", group: 1, key: -1, deadline: 60 * sec}
+	w.order = append(w.order, w.queries["r"])
+	w.g.Take(0, "r", 1, 60*sec, 1, -1, 0, 0)
+	for k := range 2 {
+		w.pass(4 * sec)
+		w.g.Note(w.now, "r", k, Progress, 0.01)
+		if moved := w.g.submission("r", k).behind; moved != (k == 0) {
+			t.Fatalf("submission %d moved: %v", k, moved)
+		}
+		if k == 0 {
+			w.end(w.queries["r"], 0, Cancelled)
+		}
+	}
+}
+
+// Held by load-locked engines only, a reader waits and lets others pass.
+func TestReaderHeldForALoadLetsOthersPass(t *testing.T) {
+	w := newWorld(t, 2, nil)
+	load := w.take(2, 1, -1, 25*sec)
+	for _, e := range w.g.engines {
+		if e.id != sentTo(load) {
+			e.threads, e.slow, e.out = 20, 9, append(e.out, &submission{q: &query{rg: w.g.groups[0]}})
+		}
+	}
+	held, other := w.take(0, 1, -1, 5*sec), w.take(0, 2, -1, 5*sec)
+	if len(held.subs) != 0 || sentTo(other) != sentTo(load) {
+		t.Fatalf("reader of the load's tables sent to %q, one of others to %q", sentTo(held), sentTo(other))
+	}
+}
+
+// Every number of gateways has turns at a cold engine that a heavy query fits.
+func TestTurnsAtAColdEngineLetAHeavyQueryIn(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"gateways": "5", "own.number": "2"})
+	w.pass(sec)
+	w.restart("e0")
+	w.pass(10 * sec)
+	q := w.take(1, 1, -1, 15*sec)
+	w.pass(5 * sec)
+	if len(q.subs) != 1 {
+		t.Fatal("heavy query never reached the cold engine")
+	}
+}
+
+// The gate itself refuses, whatever leads to it.
+func TestSubmitRefusesWhatTheRulesForbid(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	first, second := w.take(2, 1, 7, 25*sec), w.take(2, 2, 7, 25*sec)
+	e, behind := w.g.engines[0], w.g.queries[second.id]
+	if len(first.subs) != 1 || w.g.submit(behind, e) {
+		t.Fatal("sent out of its key's order")
+	}
+	w.end(first, 0, TimedOut)
+	if w.g.submit(behind, e) {
+		t.Fatal("sent while its key rests")
+	}
+	w.set("e0", Draining)
+	reader := w.g.queries[w.take(0, 1, -1, 5*sec).id]
+	if w.g.submit(reader, e) {
+		t.Fatal("sent to an engine that drains")
+	}
+	w.set("e0", On)
+	if len(reader.subs) != 1 || w.g.submit(reader, e) {
+		t.Fatal("sent twice at once")
+	}
+	w.g.giveUp(reader)
+	reader.subs[0].ended, reader.out = true, 0
+	if w.g.submit(reader, e) {
+		t.Fatal("sent after its answer")
+	}
+}
--- /dev/null
+++ b/decide/world_test.go
@@ -0,0 +1,325 @@
+package decide
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+)
+
+// world stands before a Gateway as clients, engines and clock, and holds what
+// it does against the seven rules, kept here in a form of their own.
+type world struct {
+	t       interface{ Fatalf(string, ...any) }
+	g       *Gateway
+	facts   map[string]string
+	now     time.Duration
+	wakes   []wake
+	queries map[string]*asked
+	order   []*asked
+	engines map[string]*machine
+	did     []string
+	extras  []time.Duration
+	rests   map[int64]time.Duration // until when a key rests
+	restBy  map[int64]*asked
+	probes  []string
+}
+
+type wake struct {
+	at  time.Duration
+	tag int
+}
+
+type asked struct {
+	id       string
+	group    int
+	key      int64
+	taken    time.Duration
+	deadline time.Duration
+	answered bool
+	subs     []*try
+}
+
+type try struct {
+	engine  string
+	at      time.Duration
+	ended   bool
+	outcome Outcome
+}
+
+type machine struct {
+	id             string
+	location, kind int
+	cell           int
+	state          EngineState
+	toldAt         time.Duration
+	started        time.Duration
+	sent           []sent
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201") // the same verdict every time
+	flag.Set("rapid.checks", "1500")
+	flag.Set("rapid.shrinktime", "5s")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// plainFacts are the settings of an ordinary deployment: a read-only group that
+// waits for loads, a heavy read-only one, and loads in order by key.
+func plainFacts(more map[string]string) map[string]string {
+	f := map[string]string{
+		"gateways": "2", "own.number": "0", "groups": "3", "loads": "false,false,true", "waits": "true,true,false",
+		"threads": "1,3,2", "kind.cores": "8,8", "kind.memory": "16384,16384", "grant.most": "0.4", "may.grant": "true",
+		"may.prioritise": "true", "may.cancel": "true", "may.probe": "true", "may.copy": "false",
+		"may.name-return": "true", "return.most": "500", "submissions.most": "4", "note.period": "1000",
+		"memory.short": "queue", "drain.grace": "1000", "cold.from": "0.33", "cold.span": "15000",
+		"cold.multiple": "3", "cold.window": "1000", "key.rest": "300", "answer.grace": "20", "tick": "5",
+		"group.0.value": "1", "group.0.target": "1000", "group.0.timeout": "5000", "group.0.effect": "read-only",
+		"group.1.value": "10", "group.1.target": "3000", "group.1.timeout": "15000", "group.1.effect": "read-only",
+		"group.2.value": "6", "group.2.target": "4000", "group.2.timeout": "25000", "group.2.effect": "mutating",
+		"group.2.in-order": "true", "group.2.late-share": "0.5", "group.2.stretch": "3",
+	}
+	maps.Copy(f, more)
+	return f
+}
+
+func newWorld(t interface{ Fatalf(string, ...any) }, engines int, more map[string]string) *world {
+	w := &world{t: t, facts: plainFacts(more), queries: map[string]*asked{}, engines: map[string]*machine{},
+		rests: map[int64]time.Duration{}, restBy: map[int64]*asked{}}
+	w.g = New(w, 7, w.facts)
+	for i := range engines {
+		w.engines[fmt.Sprint("e", i)] = &machine{id: fmt.Sprint("e", i), location: i % 2, kind: i % 2, cell: i % 3}
+	}
+	w.list(true, w.ids()...)
+	return w
+}
+
+func (w *world) ids() []string { return slices.Sorted(maps.Keys(w.engines)) }
+
+func (w *world) list(whole bool, ids ...string) {
+	w.g.ListBegins(w.now, whole)
+	for _, id := range ids {
+		m := w.engines[id]
+		w.g.ListEngine(id, m.location, m.kind, m.cell, m.state, m.started, m.started > 0)
+	}
+	w.g.ListEnds()
+	w.check()
+}
+
+// restart has an engine come back as a new, cold process.
+func (w *world) restart(id string) {
+	w.engines[id].started, w.engines[id].sent, w.engines[id].state = w.now, nil, On
+	w.list(false, id)
+}
+
+func (w *world) set(id string, state EngineState) {
+	if m := w.engines[id]; m.state != state {
+		m.state, m.toldAt = state, w.now
+	}
+	w.list(false, id)
+}
+
+func (w *world) take(group int, tables, key int64, budget time.Duration) *asked {
+	q := &asked{id: fmt.Sprintf("q%03d", len(w.order)), group: group, key: key, taken: w.now, deadline: w.now + budget}
+	w.queries[q.id], w.order = q, append(w.order, q)
+	w.g.Take(w.now, q.id, group, budget, tables, key, time.Duration(w.work(group)*float64(time.Second)), 100)
+	w.check()
+	return q
+}
+
+func (w *world) work(group int) float64 { return []float64{0.2, 3, 3}[group] }
+
+// end has a submission end; a finish ends its query with it.
+func (w *world) end(q *asked, k int, o Outcome) {
+	s := q.subs[k]
+	if s.ended {
+		return
+	}
+	s.ended, s.outcome = true, o
+	if o == Finished {
+		q.answered = true
+	}
+	if o.mayLinger() && w.fact("in-order", q.group) == "true" {
+		w.rests[q.key], w.restBy[q.key] = w.now+w.g.facts.span("key.rest", 0), q
+	}
+	took := max(w.now-s.at, time.Duration(w.work(q.group)*float64(time.Second)))
+	w.g.Ended(w.now, q.id, k, o, took, q.answered, 0, 0, nil)
+	w.check()
+}
+
+// pass lets time go by, waking the gateway as it asked to be.
+func (w *world) pass(span time.Duration) {
+	for until := w.now + span; ; {
+		slices.SortStableFunc(w.wakes, func(a, b wake) int { return int(a.at - b.at) })
+		if len(w.wakes) == 0 || w.wakes[0].at > until {
+			w.now = until
+			return
+		}
+		next := w.wakes[0]
+		w.wakes = w.wakes[1:]
+		w.now = max(w.now, next.at)
+		w.g.Woken(w.now, next.tag)
+		w.check()
+		if len(w.probes) > 0 {
+			id := w.probes[0]
+			w.probes = w.probes[1:]
+			w.g.Probed(w.now, id, Finished, nil)
+			w.check()
+		}
+	}
+}
+
+func (w *world) check() {
+	grace := w.g.facts.span("answer.grace", 0)
+	for _, q := range w.order {
+		if !q.answered && w.now > q.deadline+grace {
+			w.t.Fatalf("rule 1: %s has no answer at %v", q.id, w.now)
+		}
+	}
+}
+
+func (w *world) fact(name string, group int) string {
+	return w.facts[fmt.Sprintf("group.%d.%s", group, name)]
+}
+
+func (w *world) Submit(id, engine string, within time.Duration) {
+	q, m := w.queries[id], w.engines[engine]
+	w.did = append(w.did, id+" to "+engine)
+	switch {
+	case q.answered:
+		w.t.Fatalf("rule 1: %s sent after its answer", id)
+	case m.state != On && w.now > m.toldAt+w.g.facts.span("drain.grace", 0):
+		w.t.Fatalf("rule 3: %s sent to %s, told to be leaving at %v", id, engine, m.toldAt)
+	case w.fact("locations", q.group) != "" && w.fact("locations", q.group) != fmt.Sprint(m.location),
+		w.fact("kinds", q.group) != "" && w.fact("kinds", q.group) != fmt.Sprint(m.kind):
+		w.t.Fatalf("rule 6: %s sent to %s", id, engine)
+	}
+	w.repeats(q, m)
+	if w.fact("in-order", q.group) == "true" && q.key >= 0 {
+		w.inTurn(q)
+	}
+	if span := w.g.facts.span("budget.span", 0); span > 0 && len(q.subs) > 0 {
+		w.extras = append(w.extras, w.now)
+		made, taken := 0, 0
+		for _, at := range w.extras {
+			if at > w.now-span {
+				made++
+			}
+		}
+		for _, x := range w.order {
+			if x.taken >= w.now-span {
+				taken++
+			}
+		}
+		if most := w.g.facts.num("budget.least", 0) + w.g.facts.num("budget.share", 0)*float64(taken); float64(made) > most {
+			w.t.Fatalf("rule 7: %d further submissions, %v allowed", made, most)
+		}
+	}
+	w.cold(q, m)
+	q.subs = append(q.subs, &try{engine: engine, at: w.now})
+}
+
+func (w *world) repeats(q *asked, m *machine) {
+	for _, s := range q.subs {
+		if !s.ended && w.facts["may.copy"] != "true" {
+			w.t.Fatalf("rule 2: %s is out twice", q.id)
+		}
+		if s.ended && s.outcome.neverRan() {
+			continue
+		}
+		other, scope := w.engines[s.engine], w.fact("scope", q.group)
+		near := scope == "all" || scope == "location" && other.location == m.location || scope == "cell" && other.cell == m.cell
+		switch w.fact("effect", q.group) {
+		case "mutating":
+			w.t.Fatalf("rule 2: mutating %s sent again", q.id)
+		case "tokened":
+			if !near || w.now-s.at > w.g.facts.span(fmt.Sprintf("group.%d.window", q.group), 0) {
+				w.t.Fatalf("rule 2: tokened %s sent outside its scope or window", q.id)
+			}
+		}
+	}
+}
+
+func (w *world) inTurn(q *asked) {
+	for _, x := range w.order {
+		if x == q {
+			break
+		}
+		if x.group != q.group || x.key != q.key {
+			continue
+		}
+		if out := slices.ContainsFunc(x.subs, func(s *try) bool { return !s.ended }); !x.answered || out {
+			w.t.Fatalf("rule 5: %s sent before %s is over", q.id, x.id)
+		}
+	}
+	if w.now < w.rests[q.key] && w.restBy[q.key] != q {
+		w.t.Fatalf("rule 5: %s sent while its key rests", q.id)
+	}
+}
+
+// cold holds this gateway to what all together may send, in any window.
+func (w *world) cold(q *asked, m *machine) {
+	age, f := w.now-m.started, w.g.facts
+	span := f.span("cold.span", 0)
+	if m.started == 0 || age >= span {
+		return
+	}
+	m.sent = append(m.sent, sent{w.now, w.work(q.group)})
+	sum := 0.0
+	for _, s := range m.sent {
+		if s.at > w.now-f.span("cold.window", 0) {
+			sum += s.work
+		}
+	}
+	able := f.num("cold.from", 0) + (1-f.num("cold.from", 0))*age.Seconds()/span.Seconds()
+	most := f.num("cold.multiple", 0) * able * 0.85 * 8 * f.span("cold.window", 0).Seconds()
+	if sum > most*0.75 {
+		w.t.Fatalf("rule 4: %.1f s of work sent to cold %s, %.1f in all", sum, m.id, most)
+	}
+}
+
+func (w *world) answer(id, how string) {
+	q := w.queries[id]
+	if q.answered {
+		w.t.Fatalf("rule 1: %s answered twice", id)
+	}
+	q.answered = true
+	w.did = append(w.did, id+" "+how)
+}
+
+func (w *world) Defer(id string, _ time.Duration) {
+	q := w.queries[id]
+	for _, s := range q.subs {
+		e := w.fact("effect", q.group)
+		if !(s.ended && s.outcome.neverRan()) && (e == "mutating" || e == "tokened" && w.fact("scope", q.group) != "all") {
+			w.t.Fatalf("rule 2: %s deferred though it may have run", id)
+		}
+	}
+	w.answer(id, "deferred")
+}
+
+func (w *world) Kill(id string) { w.answer(id, "killed") }
+
+// Cancel: the end comes with the next end drawn, as on a slow network.
+func (w *world) Cancel(id string, try int) {
+	if w.facts["may.cancel"] != "true" || try >= len(w.queries[id].subs) {
+		w.t.Fatalf("cancel of %s %d", id, try)
+	}
+}
+func (w *world) Terms(string, int, int) {}
+func (w *world) Probe(id string)        { w.probes = append(w.probes, id) }
+func (w *world) Subscribe()             { w.did = append(w.did, "subscribe") }
+func (w *world) Log(string)             {}
+func (w *world) Wake(in time.Duration, tag int) {
+	w.wakes = append(w.wakes, wake{w.now + in, tag})
+}
+
+func (w *world) report(id string, figures map[string]float64) {
+	w.g.Probed(w.now, id, Finished, figures)
+	w.check()
+}
