Own share as a ratio of sums over all reports

Cause: the share was averaged over engines where one's own queries ran, so shares added up to well over one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -263,7 +263,7 @@
 
 func (g *Gateway) ownShare() float64 {
 	n := max(1, g.facts.num("gateways", 1))
-	return min(1, max(0.25/n, g.share.or(1/n)))
+	return min(1, max(0.25/n, g.ownHeld.or(1)/g.allHeld.or(n)))
 }
 
 // filled guesses how full an engine is with the work of all gateways, by threads
@@ -594,8 +594,9 @@
 		return
 	}
 	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out))
-	if held := report["held"]; held > 0 && len(e.out) > 0 {
-		g.share.add(min(1, float64(len(e.out))/held), 60)
+	if held := report["held"]; held > 0 {
+		g.ownHeld.add(float64(len(e.out)), 60)
+		g.allHeld.add(held, 60)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -191,15 +191,15 @@
 	listing map[*engine]bool
 	whole   bool
 
-	seq        uint64
-	taken      []time.Duration // for the submission budget
-	extras     []time.Duration
-	workRate   float64 // work taken, decaying
-	rateAt     time.Duration
-	share      mean // own queries over all, from reports
-	probeLeft  float64
-	askedAt    time.Duration
-	subscribed bool
+	seq              uint64
+	taken            []time.Duration // for the submission budget
+	extras           []time.Duration
+	workRate         float64 // work taken, decaying
+	rateAt           time.Duration
+	ownHeld, allHeld mean // queries held on engines, own and of all, from reports
+	probeLeft        float64
+	askedAt          time.Duration
+	subscribed       bool
 }
 
 func newGroup(f facts, i int) *resourceGroup {
