Learn grants under thread pressure too, by how much was missing

Told from trimmed grants by the memory counted as in use. May hurt where memory is full of others' work that no report tells of.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -266,24 +266,35 @@
 	return min(1, max(0.25/n, g.ownHeld.or(1)/g.allHeld.or(n)))
 }
 
-// filled guesses how full an engine is with the work of all gateways, by threads
-// or by memory, whichever is nearer to its end: from its report where that
-// tells, else as if the others did as this one does. 1 is full.
-func (g *Gateway) filled(e *engine) float64 {
-	var threads, memory, count float64
+// others guesses how many queries of other gateways an engine holds: from its
+// report where that tells, else as if they did as this one does. threads and
+// memory are what one query in hand takes on average.
+func (g *Gateway) others(e *engine) (n, threads, memory float64) {
+	var count float64
 	for _, x := range g.on() {
 		threads, memory, count = threads+x.threads, memory+x.memory, count+float64(len(x.out))
 	}
-	others, granted := count/float64(len(g.on()))*(1/g.ownShare()-1), 0.0
+	n = count / float64(len(g.on())) * (1/g.ownShare() - 1)
+	if held, told := e.report["held"]; told && g.now-e.reportAt < reportKeeps {
+		n = max(0, held-e.ownAtReport)
+	}
+	return n, max(1, threads/max(1, count)), memory / max(1, count)
+}
+
+// memoryOn and filled guess how full an engine is with the work of all gateways,
+// by memory, and by that or threads, whichever is nearer to its end. 1 is full.
+func (g *Gateway) memoryOn(e *engine) float64 {
+	n, _, memory := g.others(e)
+	granted := 0.0
 	if g.now-e.reportAt < reportKeeps {
-		if held, told := e.report["held"]; told {
-			others = max(0, held-e.ownAtReport)
-		}
 		granted = e.report["memory"]
 	}
-	count = max(1, count)
-	return max(granted, (e.threads+others*max(1, threads/count))/(threadsPerCore*e.cores),
-		(e.memory+others*memory/count)/e.ram)
+	return max(granted, (e.memory+n*memory)/e.ram)
+}
+
+func (g *Gateway) filled(e *engine) float64 {
+	n, threads, _ := g.others(e)
+	return max(g.memoryOn(e), (e.threads+n*threads)/(threadsPerCore*e.cores))
 }
 
 func (g *Gateway) room(e *engine) float64 {
@@ -305,7 +316,7 @@
 // needs is the memory a query should need, in MB; 0 while nothing is known.
 func (g *Gateway) needs(q *query) float64 {
 	if q.memory > 0 {
-		return q.memory
+		return q.memory * q.rg.grantBy / grantFirst
 	}
 	return q.rg.need.or(0)
 }
@@ -615,9 +626,9 @@
 		if !s.q.rg.load {
 			g.move(s, math.Inf(1))
 		}
-	case sign == Spilling && !s.spilt && x > 0.25*float64(s.q.grant) && !g.pressed(s.e):
+	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.memoryOn(s.e) < 0.8:
 		s.spilt = true
-		s.q.rg.grantBy = min(4, s.q.rg.grantBy*1.05)
+		s.q.rg.grantBy += 0.05 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
 	case sign == Progress && x > 0:
 		s.share, s.shareAt = x, g.now
 		g.move(s, g.remains(s))
