A submission with no note for long shuts its tables on that engine for a while

Told from silence by the other answers, from a lock by a load by the missing note. Also covers lost submissions. May hurt where notes are lost on the way: the tables are shut for 20 s for nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -616,16 +616,10 @@
 // the work left behind.
 func (g *Gateway) noted(s *submission, sign Sign, x float64) {
 	g.heard(s.e)
+	s.notedAt = g.now
 	switch {
 	case sign == WaitsForLoad:
-		s.stuck = true
-		if s.e.loadSeen == nil {
-			s.e.loadSeen = map[int64]time.Duration{}
-		}
-		s.e.loadSeen[s.q.tables] = g.now + g.facts.span("note.period", time.Second)*2
-		if !s.q.rg.load {
-			g.move(s, math.Inf(1))
-		}
+		g.shut(s, g.facts.span("note.period", time.Second)*2)
 	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.memoryOn(s.e) < 0.8:
 		s.spilt = true
 		s.q.rg.grantBy += 0.05 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
@@ -635,6 +629,16 @@
 	}
 }
 
+// shut: the tables of a submission can't be read or loaded there for a time; it
+// goes elsewhere if it may, and so do those that come.
+func (g *Gateway) shut(s *submission, span time.Duration) {
+	if s.stuck = true; s.e.loadSeen == nil {
+		s.e.loadSeen = map[int64]time.Duration{}
+	}
+	s.e.loadSeen[s.q.tables] = g.now + span
+	g.move(s, math.Inf(1))
+}
+
 // remains is the time a submission should still take, by its last note of
 // progress or else by what was expected of it.
 func (g *Gateway) remains(s *submission) float64 {
@@ -685,6 +689,10 @@
 			quiet := g.now - max(s.at, e.heardAt)
 			if e.silent {
 				g.move(s, math.Inf(1))
+			} else if period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > period*3/2+300*time.Millisecond {
+				// an engine that answers others but has no word on this one: what it
+				// reads hangs there, by a lock that no note tells of or worse
+				g.shut(s, 20*time.Second)
 			} else if quiet > limit+500*time.Millisecond {
 				e.silent = true
 				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
--- a/decide/state.go
+++ b/decide/state.go
@@ -139,6 +139,7 @@
 
 // submission is one sending of a query to an engine.
 type submission struct {
+	notedAt time.Duration
 	spilt   bool // noted as short of memory
 	q       *query
 	e       *engine
