--- a/decide/decide.go
+++ b/decide/decide.go
@@ -123,7 +123,7 @@
 	}
 	c.held = append(c.held, q)
 	// held as long as a fresh chain could still bring it home in time
-	g.at(max(g.now+500*time.Millisecond, q.aim-seconds(1.5*g.expect(q))), func() {
+	g.at(g.now+time.Second, func() {
 		if c.drop(q) {
 			c.link = q
 			g.enqueue(q)
