CPU within its share under a long queue: tables asked once a round, settings read once

Cause: at each event every held reader was offered to every engine, with settings parsed each time. Told from engine trouble by the engines standing idle and the CPU line of the report. Now each table group is asked once a round, sums over engines are kept, and the draw takes one pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,7 @@
 
 // New starts an instance.
 func New(act Actor, seed uint64, given map[string]string) *Gateway {
-	f := facts(given)
+	f := newFacts(given)
 	g := &Gateway{act: act, facts: f, rng: newPCG(seed), byID: map[string]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
@@ -46,7 +46,7 @@
 	}
 	g.ranked = slices.Clone(g.groups)
 	g.act.Wake(tick, tickTag)
-	if f["list.how"] == "asked" {
+	if f.text["list.how"] == "asked" {
 		g.subscribe()
 	}
 	return g
@@ -164,6 +164,7 @@
 // its room is passed over: it must not hold up those that one may.
 func (g *Gateway) release() {
 	for _, rg := range g.ranked {
+		var shut []int64 // tables that no clear engine is left for, asked once a round: queues get long
 		for i := 0; i < len(rg.queue); {
 			q := rg.queue[i]
 			if !q.over && g.hopeless(q, len(rg.queue) > i+1) {
@@ -173,6 +174,10 @@
 				rg.remove(q)
 				continue
 			}
+			if len(q.subs) == 0 && slices.Contains(shut, q.tables) {
+				i++
+				continue
+			}
 			e, barred := g.pick(q)
 			switch {
 			case e != nil && q.next(e):
@@ -180,6 +185,7 @@
 			case e == nil && !barred:
 				i = len(rg.queue)
 			default:
+				shut = append(shut, q.tables)
 				i++
 			}
 		}
@@ -225,18 +231,13 @@
 		clear = blocked
 	}
 	var total float64
-	rooms := make([]float64, len(clear))
-	for i, e := range clear {
-		rooms[i] = g.room(e)
-		total += rooms[i]
-	}
-	x := g.rng.float() * total
-	for i, e := range clear {
-		if x -= rooms[i]; x < 0 || i == len(clear)-1 {
-			return e, false
+	for _, e := range clear {
+		room := g.room(e)
+		if total += room; g.rng.float()*total < room {
+			found = e
 		}
 	}
-	return nil, barred
+	return found, barred
 }
 
 // loadRuns: a load of these tables is known to run there, one's own or one
@@ -270,11 +271,8 @@
 // report where that tells, else as if they did as this one does. threads and
 // memory are what one query in hand takes on average.
 func (g *Gateway) others(e *engine) (n, threads, memory float64) {
-	var count float64
-	for _, x := range g.on() {
-		threads, memory, count = threads+x.threads, memory+x.memory, count+float64(len(x.out))
-	}
-	n = count / float64(len(g.on())) * (1/g.ownShare() - 1)
+	threads, memory, count, on := g.sums()
+	n = count / on * (1/g.ownShare() - 1)
 	if held, told := e.report["held"]; told && g.now-e.reportAt < reportKeeps {
 		n = max(0, held-e.ownAtReport)
 	}
@@ -408,8 +406,9 @@
 	if turn := math.Mod(math.Floor(age.Seconds()/window.Seconds()), n); turn == f.num("own.number", 0) {
 		return 0.33 * limit
 	}
+	_, _, _, on := g.sums()
 	g.decayRate()
-	return min(0.3*g.workRate/4/float64(len(g.on()))*window.Seconds(), 0.3*limit/n)
+	return min(0.3*g.workRate/4/on*window.Seconds(), 0.3*limit/n)
 }
 
 // submit is the only way to an engine.
@@ -443,15 +442,14 @@
 		return
 	}
 	prio, grant := 1, 0
-	if g.facts.yes("may.prioritise") {
-		prio = max(0, 3-slices.Index(g.ranked, q.rg))
-	}
 	if g.now >= q.aim {
 		prio = 0
+	} else if g.facts.yes("may.prioritise") {
+		prio = max(0, 3-slices.Index(g.ranked, q.rg))
 	}
-	if g.facts.yes("may.grant") && g.facts["memory.short"] == "swap" {
-		grant = int(g.facts.num("grant.most", 0) * g.facts.num("kind.memory", 0))
-	} else if g.facts.yes("may.grant") && q.memory > 0 {
+	if heeded := g.facts.yes("may.grant"); heeded && g.facts.text["memory.short"] == "swap" {
+		grant = int(g.facts.num("grant.most", 0) * g.facts.itemNum("kind.memory", 0))
+	} else if heeded {
 		grant = int(q.memory * q.rg.grantBy)
 	}
 	if prio != q.priority || grant != q.grant {
@@ -674,7 +672,9 @@
 
 func (g *Gateway) periodic() {
 	g.act.Wake(tick, tickTag)
-	g.rank()
+	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int { // by value for the work
+		return cmp.Or(cmp.Compare(b.value/g.usual(b), a.value/g.usual(a)), a.index-b.index)
+	})
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
@@ -702,19 +702,12 @@
 		}
 	}
 	g.probe()
-	if f := g.facts; f["list.how"] == "asked" && !g.subscribed &&
+	if f := g.facts; f.text["list.how"] == "asked" && !g.subscribed &&
 		g.now-g.askedAt > min(time.Second, f.span("list.ask-within", time.Second)/2) {
 		g.subscribe()
 	}
 }
 
-// rank orders the resource groups by value for their work.
-func (g *Gateway) rank() {
-	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int {
-		return cmp.Or(cmp.Compare(b.value/g.usual(b), a.value/g.usual(a)), a.index-b.index)
-	})
-}
-
 // probe looks at the engine longest unseen, at most one look for a few queries
 // taken; a silent one is looked at until it answers.
 func (g *Gateway) probe() {
--- a/decide/door.go
+++ b/decide/door.go
@@ -23,8 +23,8 @@
 	}
 	g.listing[e] = true
 	e.location, e.kind, e.cell, e.state = location, kind, cell, state
-	e.cores = max(1, facts{"n": g.facts.item("kind.cores", kind, "")}.num("n", 0))
-	if e.ram = (facts{"n": g.facts.item("kind.memory", kind, "")}.num("n", 0)); e.ram <= 0 {
+	e.cores = max(1, g.facts.itemNum("kind.cores", kind))
+	if e.ram = g.facts.itemNum("kind.memory", kind); e.ram <= 0 {
 		e.ram = math.Inf(1) // not told: no bound
 	}
 	if fresh && started != e.started {
@@ -38,6 +38,7 @@
 			e.state = Gone
 		}
 	}
+	g.stale = true
 	g.step()
 }
 
@@ -88,6 +89,7 @@
 
 // count adds what a submission takes to its engine, or takes it off.
 func (g *Gateway) count(s *submission, sign float64) {
+	g.stale = true
 	s.e.threads += sign * s.threads
 	s.e.memory += sign * s.memory
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -7,30 +7,44 @@
 	"time"
 )
 
-// facts maps names to values, as the adapter handed them over at the start.
-type facts map[string]string
+// facts holds names and values, as the adapter handed them over at the start,
+// and what numbers they read as: they are asked for at every decision.
+type facts struct {
+	text   map[string]string
+	number map[string]float64
+}
+
+func newFacts(given map[string]string) facts {
+	f := facts{given, map[string]float64{}}
+	for name, value := range given {
+		if x, err := strconv.ParseFloat(value, 64); err == nil {
+			f.number[name] = x
+		}
+	}
+	return f
+}
 
 func (f facts) num(name string, absent float64) float64 {
-	if x, err := strconv.ParseFloat(f[name], 64); err == nil {
+	if x, ok := f.number[name]; ok {
 		return x
 	}
 	return absent
 }
 
 func (f facts) span(name string, absent time.Duration) time.Duration {
-	if x, err := strconv.ParseFloat(f[name], 64); err == nil {
+	if x, ok := f.number[name]; ok {
 		return time.Duration(x * float64(time.Millisecond))
 	}
 	return absent
 }
 
-func (f facts) yes(name string) bool { return f[name] == "true" || f[name] == "1" }
+func (f facts) yes(name string) bool { return f.text[name] == "true" || f.text[name] == "1" }
 
 func (f facts) list(name string) []string {
-	if f[name] == "" {
+	if f.text[name] == "" {
 		return nil
 	}
-	return strings.Split(f[name], ",")
+	return strings.Split(f.text[name], ",")
 }
 
 // item is one place of a list that has a value for each resource group or kind.
@@ -41,6 +55,12 @@
 	return absent
 }
 
+// itemNum reads one as a number, 0 if there is none.
+func (f facts) itemNum(name string, i int) float64 {
+	x, _ := strconv.ParseFloat(f.item(name, i, ""), 64)
+	return x
+}
+
 // mean is a running average that forgets.
 type mean struct {
 	value float64
@@ -174,10 +194,13 @@
 
 // Gateway is one controller's decisions and all it knows.
 type Gateway struct {
-	act   Actor
-	facts facts
-	rng   *pcg
-	now   time.Duration
+	stale   bool // running and own are to be made anew
+	running []*engine
+	own     [3]float64
+	act     Actor
+	facts   facts
+	rng     *pcg
+	now     time.Duration
 
 	engines []*engine // in the order first listed
 	byID    map[string]*engine
@@ -208,8 +231,8 @@
 	return &resourceGroup{index: i,
 		value: f.num(at+"value", 0), lateShare: f.num(at+"late-share", 0), stretch: f.num(at+"stretch", 0),
 		target: f.span(at+"target", 0), timeout: f.span(at+"timeout", 0),
-		threads: max(1, facts{"n": f.item("threads", i, "")}.num("n", 0)),
-		effect:  f[at+"effect"], scope: f[at+"scope"], window: f.span(at+"window", 0),
+		threads: max(1, f.itemNum("threads", i)),
+		effect:  f.text[at+"effect"], scope: f.text[at+"scope"], window: f.span(at+"window", 0),
 		inOrder: f.yes(at + "in-order"), load: f.item("loads", i, "") == "true",
 		waits: f.item("waits", i, "") == "true", locations: f.list(at + "locations"), kinds: f.list(at + "kinds")}
 }
@@ -259,11 +282,22 @@
 }
 
 // on lists the engines that the list has as running.
-func (g *Gateway) on() (l []*engine) {
-	for _, e := range g.engines {
-		if e.state == On {
-			l = append(l, e)
+func (g *Gateway) on() []*engine {
+	if g.stale {
+		g.stale, g.running, g.own = false, g.running[:0], [3]float64{}
+		for _, e := range g.engines {
+			if e.state == On {
+				g.running = append(g.running, e)
+				g.own[0], g.own[1], g.own[2] = g.own[0]+e.threads, g.own[1]+e.memory, g.own[2]+float64(len(e.out))
+			}
 		}
 	}
-	return l
+	return g.running
+}
+
+// sums are the threads, memory and number of one's own submissions on running
+// engines, and how many engines run.
+func (g *Gateway) sums() (threads, memory, count, on float64) {
+	on = float64(len(g.on()))
+	return g.own[0], g.own[1], g.own[2], on
 }
