Give up held queries by the patience seen where clients hang up early

Told from lost answers by the leaving with nothing wrong at the engines. Kept: acts where over 5 in 100 leave; covers any client that stops earlier than it says. May hurt where those that leave differ from those that stay.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -195,7 +195,11 @@
 // hopeless: work that can't earn its keep is given up before it takes an
 // engine's time from work that can.
 func (g *Gateway) hopeless(q *query, backlog bool) bool {
-	return g.left(q) < g.lone(q)/2 || backlog && g.now+seconds(g.expect(q)) > q.aim
+	by := q.aim
+	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
+		by = min(by, q.takenAt+seconds(q.rg.patience.value))
+	}
+	return g.left(q) < g.lone(q)/2 || backlog && g.now+seconds(g.expect(q)) > by
 }
 
 // ---- which engine
@@ -492,6 +496,7 @@
 		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
 	}
 	if over || s.outcome == Finished {
+		q.rg.leaving.add(0, 100)
 		g.finish(q)
 	} else if !q.over {
 		s.then(s)
@@ -512,17 +517,11 @@
 		e.restUntil = g.now + 500*time.Millisecond
 	}
 	q.avoid = e
-	if q.out == 0 {
-		g.again(q)
-	}
-}
-
-// again makes a further submission if the time left exceeds what it should
-// take and the rules leave one, or gives the query up at once.
-func (g *Gateway) again(q *query) {
-	if g.left(q) <= g.expect(q) || !g.mayRepeat(q) {
+	switch { // a further submission only if the time left exceeds what it should take
+	case q.out > 0:
+	case g.left(q) <= g.expect(q) || !g.mayRepeat(q):
 		g.giveUp(q)
-	} else {
+	default:
 		g.enqueue(q)
 	}
 }
@@ -557,6 +556,14 @@
 	g.settle(q)
 }
 
+// abandoned: the client left before its time.
+func (g *Gateway) abandoned(q *query) {
+	q.rg.leaving.add(1, 100)
+	q.rg.patience.add((g.now - q.takenAt).Seconds(), 30)
+	g.finish(q)
+	g.settle(q)
+}
+
 // finish marks the end; work still out for it is called off where that helps.
 func (g *Gateway) finish(q *query) {
 	if q.over {
@@ -586,16 +593,13 @@
 }
 
 func (g *Gateway) heard(e *engine) {
-	if e.silent {
-		e.silent = false
-		if g.now-e.heardAt > 4*time.Second {
-			// what comes back from a long silence may be a new process that the list
-			// doesn't name yet; it is warmed up as one, at the cost of some room
-			e.coldFrom, e.coldUntil = g.now, max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
-			g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
-		}
+	if e.silent && g.now-e.heardAt > 4*time.Second {
+		// what comes back from a long silence may be a new process that the list
+		// doesn't name yet; it is warmed up as one, at the cost of some room
+		e.coldFrom, e.coldUntil = g.now, max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
+		g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
 	}
-	e.heardAt = g.now
+	e.silent, e.heardAt = false, g.now
 }
 
 func (g *Gateway) reported(e *engine, report map[string]float64) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -365,3 +365,19 @@
 		t.Fatalf("%v allocations for one round, %d out", asked, len(e.out))
 	}
 }
+
+// Clients that hang up early: a queue that waits longer than they do serves none.
+func TestHeldQueriesAreGivenUpByThePatienceSeen(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.set("e0", Draining)
+	for range 20 {
+		q := w.take(1, 1, -1, 15*sec)
+		w.pass(500 * ms)
+		q.answered = true
+		w.g.ClientLeft(w.now, q.id)
+	}
+	a, b := w.take(1, 1, -1, 15*sec), w.take(1, 1, -1, 15*sec)
+	if w.pass(600 * ms); !a.answered || b.answered {
+		t.Fatalf("first given up %v, last %v", a.answered, b.answered)
+	}
+}
--- a/decide/door.go
+++ b/decide/door.go
@@ -120,8 +120,7 @@
 func (g *Gateway) ClientLeft(now time.Duration, id string) {
 	g.now = now
 	if q := g.queries[id]; q != nil {
-		g.finish(q)
-		g.settle(q)
+		g.abandoned(q)
 		g.step()
 	}
 }
