--- a/decide/decide.go
+++ b/decide/decide.go
@@ -199,7 +199,7 @@
 	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
 		by = min(by, q.takenAt+seconds(q.rg.patience.value))
 	}
-	return g.left(q) < g.lone(q)/2 || backlog && g.now+seconds(g.expect(q)) > by
+	return g.left(q) < g.lone(q)/2 || backlog && g.now+seconds(1.25*g.expect(q)) > by
 }
 
 // ---- which engine
