Work that lingers counts among one's own queries when reports are read

Cause, in part: work that runs on after its time-out was counted twice, as one's own threads and among others' queries.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -606,9 +606,9 @@
 	if len(report) == 0 {
 		return
 	}
-	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out))
+	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out)+len(e.lingering))
 	if held := report["held"]; held > 0 {
-		g.ownHeld.add(float64(len(e.out)), 60)
+		g.ownHeld.add(e.ownAtReport, 60)
 		g.allHeld.add(held, 60)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -289,7 +289,7 @@
 		for _, e := range g.engines {
 			if e.state == On {
 				g.running = append(g.running, e)
-				g.own[0], g.own[1], g.own[2] = g.own[0]+e.threads, g.own[1]+e.memory, g.own[2]+float64(len(e.out))
+				g.own[0], g.own[1], g.own[2] = g.own[0]+e.threads, g.own[1]+e.memory, g.own[2]+float64(len(e.out)+len(e.lingering))
 			}
 		}
 	}
