Pressure earlier the smaller one's own share

Cause: reports are some 0.5 s old and the other gateways send meanwhile, so engines overshoot the more, the more gateways there are. From 0.5 full plus 0.4 times the share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,7 +26,6 @@
 	chainWindow    = 10 * time.Second // a chain ended this recently goes on at its engine
 	threadsPerCore = 2.0              // all gateways together
 	pressedAt      = 5.0              // latency over its best that counts as pressure
-	pressedFull    = 0.7              // share of two threads a core, or of memory, that does
 	reportKeeps    = 3 * time.Second
 	grantFirst     = 1.25 // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
@@ -262,7 +261,7 @@
 }
 
 func (g *Gateway) pressed(e *engine) bool {
-	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > pressedFull ||
+	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > 0.5+0.4*g.ownShare() ||
 		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0 || e.report["disks"] > 0.95)
 }
 
