--- a/decide/decide.go
+++ b/decide/decide.go
@@ -261,7 +261,7 @@
 }
 
 func (g *Gateway) pressed(e *engine) bool {
-	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > 0.5+0.4*g.ownShare() ||
+	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > min(0.85, 0.4+0.8*g.ownShare()) ||
 		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0 || e.report["disks"] > 0.95)
 }
 
