Tell a lost submission from tables that hang; subscribe again where the list must be asked

Now tables are shut (10 s) only if none of their queries came back since, and a loss makes its engine seem slower.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,7 @@
 // New starts an instance.
 func New(act Actor, seed uint64, given map[string]string) *Gateway {
 	f := newFacts(given)
-	g := &Gateway{act: act, facts: f, rng: newPCG(seed), byID: map[string]*engine{},
+	g := &Gateway{act: act, facts: f, askedAt: -time.Hour, rng: newPCG(seed), byID: map[string]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
 		rg := newGroup(f, i)
@@ -45,9 +45,6 @@
 	}
 	g.ranked = slices.Clone(g.groups)
 	g.act.Wake(tick, tickTag)
-	if f.text["list.how"] == "asked" {
-		g.subscribe()
-	}
 	return g
 }
 
@@ -63,11 +60,6 @@
 	e.coldFrom, e.coldUntil = started, max(e.coldUntil, started+g.facts.span("cold.span", 0))
 }
 
-func (g *Gateway) subscribe() {
-	g.askedAt = g.now
-	g.act.Subscribe()
-}
-
 // ---- queries
 
 // take sets the guards and starts a query on its way, or behind its key.
@@ -132,10 +124,10 @@
 
 func (g *Gateway) lead(c *chain, q *query) {
 	c.link = q
-	if c.engine != nil && c.ended && g.now-c.endedAt < chainWindow && g.hasRoom(c.engine, q) && g.submit(q, c.engine) {
-		return
+	recent := c.engine != nil && c.ended && g.now-c.endedAt < chainWindow
+	if !recent || !g.hasRoom(c.engine, q) || !g.submit(q, c.engine) {
+		g.enqueue(q)
 	}
-	g.enqueue(q)
 }
 
 func (g *Gateway) linkEnded(q *query) {
@@ -247,7 +239,8 @@
 // that a note told of.
 func (g *Gateway) loadRuns(e *engine, tables int64) bool {
 	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
-	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) || slices.ContainsFunc(e.lingering, locks)
+	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) ||
+		slices.ContainsFunc(e.lingering, locks)
 }
 
 // hasRoom: the thread bound, which binds only under pressure.
@@ -261,7 +254,10 @@
 }
 
 func (g *Gateway) pressed(e *engine) bool {
-	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > min(0.85, 0.4+0.8*g.ownShare()) ||
+	// reports are old and other gateways send meanwhile: the smaller one's own
+	// share, the sooner an engine may in truth be full
+	full := min(0.85, 0.4+0.8*g.ownShare())
+	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
 		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0 || e.report["disks"] > 0.95)
 }
 
@@ -378,7 +374,8 @@
 			return false
 		}
 	}
-	return g.now >= e.coldUntil || e.coldSum(g.now-f.span("cold.window", time.Second))+g.usual(rg) <= g.coldMost(e) // 4
+	since := g.now - f.span("cold.window", time.Second) // 4
+	return g.now >= e.coldUntil || e.coldSum(since)+g.usual(rg) <= g.coldMost(e)
 }
 
 // usual is the work of a resource group's ordinary query. Estimates may be too
@@ -470,16 +467,15 @@
 		g.heard(s.e)
 	}
 	if s.outcome == Finished {
+		s.e.doneAt[q.tables] = g.now
 		if work > 0 {
 			q.work = work
 			q.rg.work.add(work, 200)
+			q.rg.need.add(memoryMB, 200)
 		}
 		if p := g.facts.span("note.period", 0); !s.spilt && p > 0 && took > p {
 			q.rg.grantBy = max(grantFirst, q.rg.grantBy*0.99) // a note would have told of a spill
 		}
-		if memoryMB > 0 {
-			q.rg.need.add(memoryMB, 200)
-		}
 		if !s.stuck && (q.work > 0 || !g.facts.yes("answers.cost")) {
 			g.learn(s, took.Seconds()/g.lone(q))
 		}
@@ -528,7 +524,8 @@
 // repeatable: what was sent so far leaves room for a repeat somewhere, by rule 2.
 func (g *Gateway) repeatable(q *query) bool {
 	ran := q.mayHaveRun()
-	return len(ran) == 0 || q.rg.effect == "read-only" || q.rg.effect == "tokened" && g.now-ran[0].at < q.rg.window
+	return len(ran) == 0 || q.rg.effect == "read-only" ||
+		q.rg.effect == "tokened" && g.now-ran[0].at < q.rg.window
 }
 
 func (g *Gateway) mayRepeat(q *query) bool {
@@ -661,14 +658,11 @@
 		remains < far*fresh || g.left(q) <= fresh || !g.mayRepeat(q) {
 		return
 	}
-	if q.work <= 0 && !math.IsInf(remains, 1) {
-		if q.moved {
-			return // slow twice: the query is large, not its plan bad
-		}
-		q.moved = true
+	// slow twice without an estimate: it is large, not its plan bad
+	if slow := !math.IsInf(remains, 1); !slow || q.work > 0 || !q.moved {
+		s.behind, q.moved = true, q.moved || slow
+		g.act.Cancel(q.id, s.try)
 	}
-	s.behind = true
-	g.act.Cancel(q.id, s.try)
 }
 
 // ---- time
@@ -681,25 +675,30 @@
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
-		// silence: nothing heard for longer than the quickest thing out should
-		// have needed to be heard of; covers machines gone silent, cut links
-		// and long stalls alike
-		for _, s := range e.out {
+		for _, s := range slices.Clone(e.out) {
+			// the quickest thing out should have been heard of; covers machines gone
+			// silent, cut links and long stalls alike
 			limit := seconds(0.6 + 3*g.expect(s.q))
+			mute := period*3/2 + 300*time.Millisecond // a note is sure to come in this time
 			if period > 0 {
-				limit = min(limit, period*3/2+300*time.Millisecond)
+				limit = min(limit, mute)
 			}
-			quiet := g.now - max(s.at, e.heardAt)
-			if e.silent {
+			switch quiet := g.now - max(s.at, e.heardAt); {
+			case e.silent:
+				g.move(s, math.Inf(1))
+			case period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > mute:
+				// an engine that answers others but has no word on this one: it was
+				// lost, or what it reads hangs there if nothing of that came back since
+				s.stuck = true
+				e.slow += (10 - e.slow) * 0.1
+				if e.doneAt[s.q.tables] <= s.at {
+					g.shut(s, 10*time.Second)
+				}
 				g.move(s, math.Inf(1))
-			} else if period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > period*3/2+300*time.Millisecond {
-				// an engine that answers others but has no word on this one: what it
-				// reads hangs there, by a lock that no note tells of or worse
-				g.shut(s, 20*time.Second)
-			} else if quiet > limit+500*time.Millisecond {
+			case quiet > limit+500*time.Millisecond:
 				e.silent = true
 				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
-			} else if quiet > limit {
+			case quiet > limit:
 				g.look(e) // a busy engine still answers this; only a stalled or lost one doesn't
 			}
 		}
@@ -707,7 +706,8 @@
 	g.probe()
 	if f := g.facts; f.text["list.how"] == "asked" && !g.subscribed &&
 		g.now-g.askedAt > min(time.Second, f.span("list.ask-within", time.Second)/2) {
-		g.subscribe()
+		g.askedAt = g.now
+		g.act.Subscribe()
 	}
 }
 
--- a/decide/door.go
+++ b/decide/door.go
@@ -11,14 +11,14 @@
 // are kept, and everything is handed on to decide.go.
 
 func (g *Gateway) ListBegins(now time.Duration, whole bool) {
-	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, true
+	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, g.askedAt >= 0
 }
 
 func (g *Gateway) ListEngine(id string, location, kind, cell int, state EngineState,
 	started time.Duration, fresh bool) {
 	e := g.byID[id]
 	if e == nil {
-		e = &engine{id: id, heardAt: g.now, slow: 1}
+		e = &engine{id: id, heardAt: g.now, slow: 1, doneAt: map[int64]time.Duration{}}
 		g.byID[id], g.engines = e, append(g.engines, e)
 	}
 	g.listing[e] = true
--- a/decide/state.go
+++ b/decide/state.go
@@ -103,6 +103,7 @@
 
 // engine is one executor as this gateway sees it.
 type engine struct {
+	doneAt               map[int64]time.Duration // when a query of these tables last finished there
 	coldFrom             time.Duration
 	id                   string
 	location, kind, cell int
@@ -289,7 +290,9 @@
 		for _, e := range g.engines {
 			if e.state == On {
 				g.running = append(g.running, e)
-				g.own[0], g.own[1], g.own[2] = g.own[0]+e.threads, g.own[1]+e.memory, g.own[2]+float64(len(e.out)+len(e.lingering))
+				g.own[0] += e.threads
+				g.own[1] += e.memory
+				g.own[2] += float64(len(e.out) + len(e.lingering))
 			}
 		}
 	}
