--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -184,7 +184,7 @@
 	}
 	w.set("e0", On)
 	for i, did := range w.did {
-		if !strings.HasPrefix(did, w.order[i].id) {
+		if len(w.did) != 6 || !strings.HasPrefix(did, w.order[i].id) {
 			t.Fatal(w.did)
 		}
 	}
