Each group leaves a tenth of the bound to those worth more for their work

Cause: long reports and loads held the whole bound whenever a short query came. Told from locks by its reaching readers of every table group.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,6 @@
 
 // ---- queries
 
-// take sets the guards and starts a query on its way, or behind its key.
 func (g *Gateway) take(q *query) {
 	rg := q.rg
 	if q.work > 0 && !g.facts.yes("answers.cost") {
@@ -83,7 +82,6 @@
 	g.begin(q)
 }
 
-// begin puts a query whose turn it is on its way.
 func (g *Gateway) begin(q *query) {
 	if q.over {
 		return
@@ -248,8 +246,11 @@
 	if !g.ready(e) {
 		return false
 	}
+	// the bound's split: each group leaves a part to those worth more for their
+	// work, or long queries would hold all of it whenever a short one comes
 	share := g.ownShare()
-	fits := e.threads+q.rg.threads <= threadsPerCore*e.cores*share && e.memory+g.needs(q) <= e.ram*share
+	part := 1 - 0.1*float64(slices.Index(g.ranked, q.rg))
+	fits := e.threads+q.rg.threads <= threadsPerCore*e.cores*share*part && e.memory+g.needs(q) <= e.ram*share
 	return len(e.out) == 0 || fits || !g.pressed(e)
 }
 
@@ -411,7 +412,6 @@
 	return min(0.3*g.workRate/4/on*window.Seconds(), 0.3*limit/n)
 }
 
-// submit is the only way to an engine.
 func (g *Gateway) submit(q *query, e *engine) bool {
 	if !g.allowed(q, e) {
 		return false
@@ -460,7 +460,6 @@
 
 // ---- what comes back
 
-// ended learns from how a submission ended and does what was left for that.
 func (g *Gateway) ended(s *submission, took time.Duration, over bool, work, memoryMB float64) {
 	q := s.q
 	if s.outcome != Cancelled && s.outcome != TimedOut && s.outcome != NeverSent {
@@ -504,7 +503,6 @@
 	q, e := s.q, s.e
 	switch s.outcome {
 	case Full:
-		// a full refusal: pressure, and a short rest for others to be tried first
 		e.fullAt, e.restUntil = g.now, g.now+250*time.Millisecond
 	case Unreachable:
 		e.restUntil = g.now + time.Second
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -10,8 +10,7 @@
 
 const ms, sec = time.Millisecond, time.Second
 
-// TestRules plays random days under random settings; world checks the seven
-// rules at every step.
+// TestRules plays random days; world checks the seven rules at every step.
 func TestRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		pick := func(name string, from ...string) string { return rapid.SampledFrom(from).Draw(t, name) }
@@ -211,8 +210,7 @@
 	}
 }
 
-// A crowded engine is quiet for one's own few queries, yet answers probes: it
-// was taken as lost, then as cold.
+// A crowded engine, quiet for one's own few queries, was taken as lost, then as cold.
 func TestQuietEngineThatAnswersAProbeIsNotSilent(t *testing.T) {
 	w := newWorld(t, 2, map[string]string{"note.period": "0"})
 	w.take(1, 1, -1, 15*sec)
@@ -234,8 +232,7 @@
 	}
 }
 
-// Memory estimates far too low cost spills; many small ones are cheaper than
-// larger grants.
+// Memory estimated far too low costs spills; small ones are cheaper than larger grants.
 func TestGrantsFollowLargeShortfallsOnly(t *testing.T) {
 	w := newWorld(t, 4, nil)
 	for _, c := range []struct {
@@ -325,8 +322,7 @@
 	}
 }
 
-// An engine that answers all else but has no word on one submission: its
-// tables hang there, and readers of them sat until their queue timeout.
+// Readers of tables that hang on an engine sat there until their queue timeout.
 func TestTablesThatHangAreShutOnThatEngine(t *testing.T) {
 	w := newWorld(t, 2, nil)
 	q := w.take(0, 1, -1, 10*sec)
@@ -397,3 +393,15 @@
 		t.Fatal("did not ask again after a refusal")
 	}
 }
+
+// Long queries held all of a bound whenever a short one came.
+func TestBoundLeavesAPartToTheGroupsWorthMore(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"gateways": "1"})
+	w.report("e0", map[string]float64{"line": 3})
+	for range 9 {
+		w.take(1, 1, -1, 15*sec)
+	}
+	if n := len(w.did); n != 4 || len(w.take(0, 1, -1, 5*sec).subs) != 1 {
+		t.Fatalf("%d long queries sent, the short one held", n)
+	}
+}
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -10,8 +10,7 @@
 	"time"
 )
 
-// world stands before a Gateway as clients, engines and clock, and holds what
-// it does against the seven rules, kept here in a form of their own.
+// world is a Gateway's clients, engines and clock, and checks it by the seven rules.
 type world struct {
 	t       interface{ Fatalf(string, ...any) }
 	g       *Gateway
@@ -69,8 +68,7 @@
 	os.Exit(m.Run())
 }
 
-// plainFacts are the settings of an ordinary deployment: a read-only group that
-// waits for loads, a heavy read-only one, and loads in order by key.
+// plainFacts: a read-only group that waits for loads, a heavy one, loads in order by key.
 func plainFacts(more map[string]string) map[string]string {
 	f := map[string]string{
 		"gateways": "2", "own.number": "0", "groups": "3", "loads": "false,false,true", "waits": "true,true,false",
