Only the first group runs above the others, which share alike until late

Cause: the group with least value for its work ran at a quarter of the others' share and kept its tables locked the longer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -445,7 +445,7 @@
 	if g.now >= q.aim {
 		prio = 0
 	} else if g.facts.yes("may.prioritise") {
-		prio = max(0, 3-slices.Index(g.ranked, q.rg))
+		prio = max(2, 3-slices.Index(g.ranked, q.rg))
 	}
 	if heeded := g.facts.yes("may.grant"); heeded && g.facts.text["memory.short"] == "swap" {
 		grant = int(g.facts.num("grant.most", 0) * g.facts.itemNum("kind.memory", 0))
