--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -15,7 +15,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		pick := func(name string, from ...string) string { return rapid.SampledFrom(from).Draw(t, name) }
 		more := map[string]string{
-			"gateways": pick("gateways", "1", "2", "5"), "may.cancel": pick("cancel", "true", "false"),
+			"gateways": pick("gateways", "0", "1", "2", "5"), "may.cancel": pick("cancel", "true", "false"),
 			"may.copy": pick("copy", "true", "false"), "may.probe": pick("probe", "true", "false"),
 			"note.period": pick("notes", "0", "1000"), "submissions.most": pick("most", "1", "3", "6"),
 			"memory.short": pick("short", "queue", "trim", "swap"), "list.how": pick("list", "pushed", "asked"),
@@ -24,6 +24,7 @@
 			"group.1.kinds": pick("on", "", "0", "1"), "budget.span": pick("span", "0", "3000"),
 			"budget.least": "1", "budget.share": pick("share", "0", "0.2"), "key.rest": pick("rest", "0", "300"),
 			"group.2.effect": pick("loads", "mutating", "tokened"), "group.2.window": "5000", "group.2.scope": "all",
+			"loads": pick("chains", "false,false,true", ""), "kind.cores": pick("cores", "8,8", "", "0"),
 		}
 		w := newWorld(t, rapid.IntRange(0, 6).Draw(t, "engines"), more)
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
