Tell peers which engine a load locks its tables on, where messages are allowed

A word of some 25 bytes goes out when a load is sent and when it ended; 8 s is the longest it counts. The others may not send messages. May hurt where nearly all engines are locked: readers are then held.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -97,8 +97,7 @@
 	}
 }
 
-// join is the paper's classifier: a load goes behind the running link of its
-// table group, or leads a chain.
+// join is the paper's classifier: behind the running link, or at the head of a chain.
 func (g *Gateway) join(q *query) {
 	c := g.chains[q.tables]
 	if c == nil {
@@ -181,8 +180,7 @@
 	}
 }
 
-// hopeless: work that can't earn its keep is given up before it takes an
-// engine's time from work that can.
+// hopeless: what can't earn its keep is given up before it takes room from what can.
 func (g *Gateway) hopeless(q *query, backlog bool) bool {
 	by := q.aim
 	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
@@ -197,8 +195,7 @@
 	return e.state == On && !e.silent && g.now >= e.restUntil
 }
 
-// pick draws one engine at random, odds in step with the room thought to be
-// there. barred says that the rules, not room, leave none.
+// pick draws an engine, odds in step with room; barred: not for room that none is found.
 func (g *Gateway) pick(q *query) (found *engine, barred bool) {
 	var clear, blocked []*engine
 	barred, hold := true, false
@@ -233,8 +230,21 @@
 	return found, barred
 }
 
-// loadRuns: a load of these tables is known to run there, one's own or one
-// that a note told of.
+// tell lets the other gateways know, where they may be told, which engine a load
+// locks its tables on, and when no more: their readers can't see it otherwise.
+func (g *Gateway) tell(s *submission, what string) {
+	if s.q.rg.load && g.facts.yes("may.tell") {
+		g.act.Tell([]byte(what + strconv.FormatInt(s.q.tables, 36) + " " + s.e.id))
+	}
+}
+
+func (g *Gateway) told(locked bool, tables int64, e *engine) {
+	if e.locked(tables, g.now); locked {
+		e.locked(tables, g.now+8*time.Second) // the word that it ended may be lost
+	}
+}
+
+// loadRuns: a load of these tables is known to run there, or they hang.
 func (g *Gateway) loadRuns(e *engine, tables int64) bool {
 	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
 	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) ||
@@ -432,6 +442,7 @@
 		q.chain.engine, q.chain.ended = e, false
 	}
 	g.act.Submit(q.id, e.id, q.deadline-g.now)
+	g.tell(s, "+")
 	return true
 }
 
@@ -489,6 +500,7 @@
 	if line := g.line(q); line != nil && s.outcome.mayLinger() {
 		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
 	}
+	g.tell(s, "-")
 	if over || s.outcome == Finished {
 		q.rg.leaving.add(0, 100)
 		g.finish(q)
@@ -530,8 +542,7 @@
 	return len(q.subs) < int(g.facts.num("submissions.most", 1)) && g.repeatable(q)
 }
 
-// giveUp gives the final answer at once: a deferral where trying again is
-// harmless, else a kill.
+// giveUp answers at once: a deferral where trying again is harmless, else a kill.
 func (g *Gateway) giveUp(q *query) {
 	if q.over || q.begun {
 		return
@@ -625,18 +636,14 @@
 	}
 }
 
-// shut: the tables of a submission can't be read or loaded there for a time; it
-// goes elsewhere if it may, and so do those that come.
+// shut keeps readers and loads of its tables away for a time, and moves it if it may.
 func (g *Gateway) shut(s *submission, span time.Duration) {
-	if s.stuck = true; s.e.loadSeen == nil {
-		s.e.loadSeen = map[int64]time.Duration{}
-	}
-	s.e.loadSeen[s.q.tables] = g.now + span
+	s.stuck = true
+	s.e.locked(s.q.tables, g.now+span)
 	g.move(s, math.Inf(1))
 }
 
-// remains is the time a submission should still take, by its last note of
-// progress or else by what was expected of it.
+// remains is the time it should still take, by its last note or what was expected.
 func (g *Gateway) remains(s *submission) float64 {
 	if s.share <= 0 {
 		return max(1, g.expect(s.q)-(g.now-s.at).Seconds())
@@ -644,8 +651,7 @@
 	return (s.shareAt-s.at).Seconds()/s.share - (g.now - s.at).Seconds()
 }
 
-// move calls a submission off to make a fresh one, if what remains of it is
-// long against that.
+// move calls a submission off for a fresh one, if what remains is long against that.
 func (g *Gateway) move(s *submission, remains float64) {
 	q := s.q
 	fresh, far := g.expect(q), 3.0
@@ -709,8 +715,7 @@
 	}
 }
 
-// probe looks at the engine longest unseen, at most one look for a few queries
-// taken; a silent one is looked at until it answers.
+// probe looks at the engine longest unseen, at a silent one until it answers.
 func (g *Gateway) probe() {
 	var oldest *engine
 	for _, e := range g.on() {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -76,7 +76,6 @@
 	}
 }
 
-// out draws a submission that is out, if there is one.
 func out(t *rapid.T, w *world) (*asked, int) {
 	var all []*asked
 	var tries []int
@@ -282,7 +281,6 @@
 	}
 }
 
-// Every number of gateways has turns at a cold engine that a heavy query fits.
 func TestTurnsAtAColdEngineLetAHeavyQueryIn(t *testing.T) {
 	w := newWorld(t, 1, map[string]string{"gateways": "5", "own.number": "2"})
 	w.pass(sec)
@@ -295,7 +293,6 @@
 	}
 }
 
-// The gate itself refuses, whatever leads to it.
 func TestSubmitRefusesWhatTheRulesForbid(t *testing.T) {
 	w := newWorld(t, 1, nil)
 	first, second := w.take(2, 1, 7, 25*sec), w.take(2, 2, 7, 25*sec)
@@ -334,7 +331,6 @@
 	}
 }
 
-// Shares add up to one over gateways: idle engines count as well.
 func TestOwnShareCountsEnginesWithNoneOfItsQueries(t *testing.T) {
 	w := newWorld(t, 2, nil)
 	q := w.take(1, 1, -1, 15*sec)
@@ -347,7 +343,6 @@
 	}
 }
 
-// A long queue of readers held for one load is asked once a round.
 func TestLongQueueIsAskedOnceForEachTableGroup(t *testing.T) {
 	w := newWorld(t, 1, nil)
 	w.take(2, 1, -1, 25*sec)
@@ -381,7 +376,6 @@
 	}
 }
 
-// The list that an instance starts with is no answer to a subscription.
 func TestSubscribesWhereTheListMustBeAsked(t *testing.T) {
 	w := newWorld(t, 1, map[string]string{"list.how": "asked"})
 	w.pass(300 * ms)
@@ -406,3 +400,12 @@
 		t.Fatalf("%d long queries sent, the short one held", n)
 	}
 }
+
+// A load of another gateway can't be seen: readers stood still behind it.
+func TestPeersTellOfRunningLoads(t *testing.T) {
+	w := newWorld(t, 2, map[string]string{"may.tell": "true"})
+	w.g.Heard(0, []byte("+1 e0"))
+	if q := w.take(0, 1, -1, 5*sec); sentTo(q) != "e1" {
+		t.Fatalf("sent to %q", sentTo(q))
+	}
+}
--- a/decide/door.go
+++ b/decide/door.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -139,6 +141,17 @@
 	g.step()
 }
 
+func (g *Gateway) Heard(now time.Duration, word []byte) {
+	g.now = now
+	rest, id, ok := strings.Cut(string(word), " ")
+	if e := g.byID[id]; ok && e != nil && len(rest) > 1 {
+		if tables, err := strconv.ParseInt(rest[1:], 36, 64); err == nil {
+			g.told(rest[0] == '+', tables, e)
+			g.step()
+		}
+	}
+}
+
 func (g *Gateway) Woken(now time.Duration, tag int) {
 	g.now = now
 	if tag == duesTag {
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -12,6 +12,7 @@
 	Kill(query string)
 	Probe(engine string)
 	Subscribe()
+	Tell(word []byte) // to every other gateway; may be lost
 	Wake(in time.Duration, tag int)
 	Log(line string)
 }
@@ -75,6 +76,7 @@
 	Begun(now time.Duration, id string)
 	ClientLeft(now time.Duration, id string)
 	Probed(now time.Duration, engine string, outcome Outcome, report map[string]float64)
+	Heard(now time.Duration, word []byte) // what another gateway told
 	Woken(now time.Duration, tag int)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -305,3 +305,10 @@
 	on = float64(len(g.on()))
 	return g.own[0], g.own[1], g.own[2], on
 }
+
+func (e *engine) locked(tables int64, until time.Duration) {
+	if e.loadSeen == nil {
+		e.loadSeen = map[int64]time.Duration{}
+	}
+	e.loadSeen[tables] = until
+}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -202,6 +203,11 @@
 			d.gate.Begun(now, id)
 		}
 	case "memo":
+		word, err := hex.DecodeString(c.text(3))
+		if err != nil {
+			return fmt.Errorf("part 3 is not hex: %w", err)
+		}
+		d.gate.Heard(now, word)
 	case "probed":
 		outcome, ok := outcomes[c.text(3)]
 		if !ok && c.err == nil {
