Hold a reader only while most engines are free of loads of its tables

Cause: with peers' loads known, in overload nearly every engine is locked for some table group, and readers waited for the few that were not.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -198,7 +198,7 @@
 // pick draws an engine, odds in step with room; barred: not for room that none is found.
 func (g *Gateway) pick(q *query) (found *engine, barred bool) {
 	var clear, blocked []*engine
-	barred, hold := true, false
+	barred, hold := true, 0
 	for _, e := range g.on() {
 		if !g.allowed(q, e) {
 			continue
@@ -211,11 +211,11 @@
 		case room:
 			clear = append(clear, e)
 		case !locked && g.ready(e):
-			hold = true // better held for this one than standing still behind a load
+			hold++ // better held for this one than standing still behind a load
 		}
 	}
 	if len(clear) == 0 {
-		if hold && len(blocked) > 0 {
+		if len(blocked) > 0 && hold >= len(blocked) {
 			return nil, true // it waits for a load, not for its turn: others may pass
 		}
 		clear = blocked
