Rank groups by value for the thread time their queries were seen to take

Cause: the order rested on estimates, corrected by a noisy best time. What the bound rations is thread time, and that is seen. Told from a shortage by the other groups doing well.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -110,7 +110,6 @@
 		return
 	}
 	c.held = append(c.held, q)
-	// held as long as a fresh chain could still bring it home in time
 	g.at(g.now+time.Second, func() {
 		if c.drop(q) {
 			c.link = q
@@ -389,8 +388,7 @@
 	return g.now >= e.coldUntil || e.coldSum(since)+g.usual(rg) <= g.coldMost(e)
 }
 
-// usual is the work of a resource group's ordinary query. Estimates may be too
-// high or too low by group; the best of time taken over time estimated shows it.
+// usual is a group's ordinary work, corrected by its best times where estimates are off.
 func (g *Gateway) usual(rg *resourceGroup) float64 {
 	work := rg.work.or(rg.target.Seconds() / 2 * rg.threads)
 	if rg.floor > 0 && !g.facts.yes("answers.cost") {
@@ -478,6 +476,7 @@
 	}
 	if s.outcome == Finished {
 		s.e.doneAt[q.tables] = g.now
+		q.rg.slots.add(took.Seconds()*q.rg.threads, 100)
 		if work > 0 {
 			q.work = work
 			q.rg.work.add(work, 200)
@@ -636,7 +635,6 @@
 	}
 }
 
-// shut keeps readers and loads of its tables away for a time, and moves it if it may.
 func (g *Gateway) shut(s *submission, span time.Duration) {
 	s.stuck = true
 	s.e.locked(s.q.tables, g.now+span)
@@ -673,8 +671,10 @@
 
 func (g *Gateway) periodic() {
 	g.act.Wake(tick, tickTag)
+	// by value for the thread time a query was seen to take, which the bound rations
 	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int { // by value for the work
-		return cmp.Or(cmp.Compare(b.value/g.usual(b), a.value/g.usual(a)), a.index-b.index)
+		x, y := a.value/a.slots.or(g.usual(a)), b.value/b.slots.or(g.usual(b))
+		return cmp.Or(cmp.Compare(y, x), a.index-b.index)
 	})
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -222,7 +222,6 @@
 	}
 }
 
-// Timed-out work goes on where nothing can be called off: its room stays taken.
 func TestWorkThatNothingStopsKeepsItsRoom(t *testing.T) {
 	w := newWorld(t, 1, map[string]string{"may.cancel": "false"})
 	q := w.take(1, 1, -1, 15*sec)
@@ -248,7 +247,6 @@
 	}
 }
 
-// Without estimates a large report looks like a bad plan: it is moved once.
 func TestWithoutEstimatesASlowQueryIsMovedOnceOnly(t *testing.T) {
 	w := newWorld(t, 4, nil)
 	w.queries["r"] = &asked{id: "r", group: 1, key: -1, deadline: 60 * sec}
@@ -266,7 +264,6 @@
 	}
 }
 
-// Held by load-locked engines only, a reader waits and lets others pass.
 func TestReaderHeldForALoadLetsOthersPass(t *testing.T) {
 	w := newWorld(t, 2, nil)
 	load := w.take(2, 1, -1, 25*sec)
@@ -320,7 +317,6 @@
 	}
 }
 
-// Readers of tables that hang on an engine sat there until their queue timeout.
 func TestTablesThatHangAreShutOnThatEngine(t *testing.T) {
 	w := newWorld(t, 2, nil)
 	q := w.take(0, 1, -1, 10*sec)
@@ -389,7 +385,6 @@
 	}
 }
 
-// Long queries held all of a bound whenever a short one came.
 func TestBoundLeavesAPartToTheGroupsWorthMore(t *testing.T) {
 	w := newWorld(t, 1, map[string]string{"gateways": "1"})
 	w.report("e0", map[string]float64{"line": 3})
@@ -401,7 +396,6 @@
 	}
 }
 
-// A load of another gateway can't be seen: readers stood still behind it.
 func TestPeersTellOfRunningLoads(t *testing.T) {
 	w := newWorld(t, 2, map[string]string{"may.tell": "true"})
 	w.g.Heard(0, []byte("+1 e0"))
@@ -409,3 +403,12 @@
 		t.Fatalf("sent to %q", sentTo(q))
 	}
 }
+
+func TestGroupsAreRankedByTheThreadTimeSeen(t *testing.T) {
+	w := newWorld(t, 4, nil)
+	w.g.groups[1].slots.add(30, 9)
+	w.g.groups[2].slots.add(6, 9)
+	if w.pass(sec); w.g.ranked[1] != w.g.groups[2] {
+		t.Fatal("value 10 for 30 s of threads before 6 for 6")
+	}
+}
