--- a/decide/decide.go
+++ b/decide/decide.go
@@ -444,8 +444,8 @@
 	return true
 }
 
-// setTerms gives the priority by value for the work, and the least once the
-// target runtime has passed; the grant only where asking for much costs nothing.
+// setTerms: priority by the order of groups, the least once the target runtime has
+// passed; all the memory there is where asking costs nothing, else by estimate.
 func (g *Gateway) setTerms(q *query) {
 	if q.over {
 		return
