Look at a few drawn engines before sending; a bound under one query binds in the mean

Now a heavy query looks at three drawn engines, a light one at one, and goes to one of those seen; the pooled part of the bound binds once most engines seen are full. Covers any crowding that others cause unseen; costs a probe or so a query.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,7 +26,7 @@
 	chainWindow    = 10 * time.Second // a chain ended this recently goes on at its engine
 	threadsPerCore = 2.0              // all gateways together
 	pressedAt      = 5.0              // latency over its best that counts as pressure
-	reportKeeps    = 3 * time.Second
+	reportKeeps    = 1 * time.Second
 	grantFirst     = 1.25 // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
 	duesTag        = 0
@@ -43,7 +43,8 @@
 		rg.grantBy = grantFirst
 		g.groups = append(g.groups, rg)
 	}
-	g.ranked = slices.Clone(g.groups)
+	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
+	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
 	g.act.Wake(tick, tickTag)
 	return g
 }
@@ -70,7 +71,8 @@
 	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
 	g.decayRate()
 	g.workRate += g.usual(rg)
-	g.probeLeft = min(g.probeLeft+0.25, 4)
+	g.meanWork.add(g.usual(rg), 100)
+	g.probeLeft = min(g.probeLeft+1.5, 6)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
 	g.at(q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
 	g.at(q.aim, func() { g.setTerms(q) })
@@ -196,11 +198,14 @@
 
 // pick draws an engine, odds in step with room; barred: not for room that none is found.
 func (g *Gateway) pick(q *query) (found *engine, barred bool) {
-	var clear, blocked []*engine
+	if !g.maySend(q) {
+		return nil, true
+	}
+	var clear, blocked, unseen []*engine
 	barred, hold := true, 0
-	for _, e := range g.on() {
+	weigh := func(e *engine) {
 		if !g.allowed(q, e) {
-			continue
+			return
 		}
 		barred = false
 		locked := (q.rg.waits || q.rg.load) && g.loadRuns(e, q.tables)
@@ -213,6 +218,42 @@
 			hold++ // better held for this one than standing still behind a load
 		}
 	}
+	for _, e := range g.on() {
+		if g.known(e) {
+			weigh(e)
+		} else if g.ready(e) {
+			unseen = append(unseen, e)
+		}
+	}
+	// among many gateways one's own queries tell nothing of an engine: some drawn
+	// from those unseen are looked at first, and what is sent goes to those seen
+	want := 1
+	if g.usual(q.rg) >= g.meanWork.value {
+		want = 3 // heavy ones are what fills an engine
+	}
+	if len(clear) < want && len(unseen) > 0 {
+		waits := slices.ContainsFunc(q.looks, func(e *engine) bool { return e.probing })
+		if waits && g.now < q.lookedAt+50*time.Millisecond {
+			return nil, false
+		}
+		g.shuffle(unseen)
+		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
+			q.looks, q.lookedAt = nil, g.now
+			for _, e := range unseen {
+				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
+					g.probeLeft--
+					g.look(e)
+					q.looks = append(q.looks, e)
+				}
+			}
+			if len(q.looks) > 0 {
+				return nil, false
+			}
+		}
+		for i := 0; len(clear) == 0 && g.probeLeft < 1 && i < len(unseen) && i < 4; i++ {
+			weigh(unseen[i])
+		}
+	}
 	if len(clear) == 0 {
 		if len(blocked) > 0 && hold >= len(blocked) {
 			return nil, true // it waits for a load, not for its turn: others may pass
@@ -226,7 +267,20 @@
 			found = e
 		}
 	}
-	return found, barred
+	return found, barred && len(unseen) == 0
+}
+
+// shuffle puts the first few in an order drawn at random.
+func (g *Gateway) shuffle(l []*engine) {
+	for i := range min(8, len(l)) {
+		k := i + int(g.rng.float()*float64(len(l)-i))
+		l[i], l[k] = l[k], l[i]
+	}
+}
+
+// known: a report tells how full it is, or there is nothing to be had by looking.
+func (g *Gateway) known(e *engine) bool {
+	return !g.looks || e.report != nil && g.now-e.reportAt < reportKeeps
 }
 
 // tell lets the other gateways know, where they may be told, which engine a load
@@ -257,35 +311,51 @@
 	}
 	// the bound's split: each group leaves a part to those worth more for their
 	// work, or long queries would hold all of it whenever a short one comes
-	share := g.ownShare()
 	part := 1 - 0.1*float64(slices.Index(g.ranked, q.rg))
-	fits := e.threads+q.rg.threads <= threadsPerCore*e.cores*share*part && e.memory+g.needs(q) <= e.ram*share
-	return len(e.out) == 0 || fits || !g.pressed(e)
+	bound, ram := threadsPerCore*e.cores*g.share*part, e.ram*g.share
+	if e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
+		return true
+	}
+	if g.pressed(e) {
+		return false
+	}
+	// among many gateways one's part of an engine is less than a query: it binds in
+	// the mean, over all engines, once most are full; by then all that see one with
+	// room would send there before any report can tell
+	threads, memory, count, on := g.sums()
+	return g.fillSeen.or(0) < 0.75 || count == 0 ||
+		threads+q.rg.threads <= bound*on && memory+g.needs(q) <= ram*on
 }
 
 func (g *Gateway) pressed(e *engine) bool {
 	// reports are old and other gateways send meanwhile: the smaller one's own
 	// share, the sooner an engine may in truth be full
-	full := min(0.85, 0.4+0.8*g.ownShare())
+	full := 0.85
 	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
 		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0 || e.report["disks"] > 0.95)
 }
 
+// ownShare is one's own part of all work: by what was out of late against what
+// engines report to hold, an even part where they don't.
 func (g *Gateway) ownShare() float64 {
 	n := max(1, g.facts.num("gateways", 1))
-	return min(1, max(0.25/n, g.ownHeld.or(1)/g.allHeld.or(n)))
+	if g.allHeld.count == 0 {
+		return 1 / n
+	}
+	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, float64(len(g.on())))/g.allHeld.value))
 }
 
-// others guesses how many queries of other gateways an engine holds: from its
-// report where that tells, else as if they did as this one does. threads and
-// memory are what one query in hand takes on average.
+// others guesses how many queries of other gateways an engine holds: from its own
+// report, else as many as reports of late told of any. threads and memory are what
+// one query in hand takes on average.
 func (g *Gateway) others(e *engine) (n, threads, memory float64) {
-	threads, memory, count, on := g.sums()
-	n = count / on * (1/g.ownShare() - 1)
+	count := max(0.1, g.usualCount.or(0.1))
+	threads, memory = max(1, g.usualThreads.value/count), g.usualMemory.value/count
+	n = count / max(1, float64(len(g.on()))) * (1/g.share - 1)
 	if held, told := e.report["held"]; told && g.now-e.reportAt < reportKeeps {
 		n = max(0, held-e.ownAtReport)
 	}
-	return n, max(1, threads/max(1, count)), memory / max(1, count)
+	return n, threads, memory
 }
 
 // memoryOn and filled guess how full an engine is with the work of all gateways,
@@ -354,15 +424,30 @@
 
 // ---- the rules on what may be sent, all in one place
 
-func (g *Gateway) allowed(q *query, e *engine) bool {
-	rg, f := q.rg, g.facts
+// maySend asks what is the same for all engines.
+func (g *Gateway) maySend(q *query) bool {
+	f := g.facts
 	switch {
 	case q.over || g.now >= q.deadline || len(q.subs) >= int(f.num("submissions.most", 1)):
 		return false // 1
-	case e.state != On:
-		return false // 3: not even within the grace
 	case q.out > 0 && !f.yes("may.copy") || !g.repeatable(q):
 		return false // 2
+	}
+	if l := g.line(q); l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q) {
+		return false // 5
+	}
+	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
+		most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
+		return float64(within(&g.extras, g.now-span)+1) <= most
+	}
+	return true
+}
+
+func (g *Gateway) allowed(q *query, e *engine) bool {
+	rg := q.rg
+	switch {
+	case e.state != On:
+		return false // 3: not even within the grace
 	case len(rg.locations) > 0 && !slices.Contains(rg.locations, strconv.Itoa(e.location)):
 		return false // 6
 	case len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
@@ -375,17 +460,11 @@
 			return false
 		}
 	}
-	if l := g.line(q); l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q) {
-		return false // 5
-	}
-	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
-		most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
-		if float64(within(&g.extras, g.now-span)+1) > most {
-			return false
-		}
+	if g.now >= e.coldUntil {
+		return true
 	}
-	since := g.now - f.span("cold.window", time.Second) // 4
-	return g.now >= e.coldUntil || e.coldSum(since)+g.usual(rg) <= g.coldMost(e)
+	since := g.now - g.facts.span("cold.window", time.Second) // 4
+	return e.coldSum(since)+g.usual(rg) <= g.coldMost(e)
 }
 
 // usual is a group's ordinary work, corrected by its best times where estimates are off.
@@ -421,7 +500,7 @@
 }
 
 func (g *Gateway) submit(q *query, e *engine) bool {
-	if !g.allowed(q, e) {
+	if !g.maySend(q) || !g.allowed(q, e) {
 		return false
 	}
 	g.setTerms(q)
@@ -611,8 +690,8 @@
 		return
 	}
 	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out)+len(e.lingering))
+	g.fillSeen.add(g.filled(e), 20)
 	if held := report["held"]; held > 0 {
-		g.ownHeld.add(e.ownAtReport, 60)
 		g.allHeld.add(held, 60)
 	}
 }
@@ -676,6 +755,11 @@
 		x, y := a.value/a.slots.or(g.usual(a)), b.value/b.slots.or(g.usual(b))
 		return cmp.Or(cmp.Compare(y, x), a.index-b.index)
 	})
+	threads, memory, count, _ := g.sums()
+	g.usualThreads.add(threads, 300)
+	g.usualMemory.add(memory, 300)
+	g.usualCount.add(count, 300)
+	g.share = g.ownShare()
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -22,7 +22,7 @@
 			"group.0.effect": pick("effect", "read-only", "tokened", "mutating"), "group.0.window": "2000",
 			"group.0.scope": pick("scope", "all", "location", "cell"), "group.0.locations": pick("at", "", "0", "1"),
 			"group.1.kinds": pick("on", "", "0", "1"), "budget.span": pick("span", "0", "3000"),
-			"budget.least": "1", "budget.share": pick("share", "0", "0.2"), "key.rest": pick("rest", "0", "300"),
+			"budget.least": "1", "budget.share": pick("share", "0", "0.2"), "report.how": pick("reports", "off", "probed"), "key.rest": pick("rest", "0", "300"),
 			"group.2.effect": pick("loads", "mutating", "tokened"), "group.2.window": "5000", "group.2.scope": "all",
 			"loads": pick("chains", "false,false,true", ""), "kind.cores": pick("cores", "8,8", "", "0"),
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -156,6 +156,8 @@
 	mayHaveRunAt      time.Duration
 	mayHaveRunOn      *engine
 	avoid             *engine
+	looks             []*engine // looked at for this query
+	lookedAt          time.Duration
 	chain             *chain
 	next              func(*engine) bool // what to do once an engine is found for it
 }
@@ -218,15 +220,20 @@
 	listing map[*engine]bool
 	whole   bool
 
-	seq              uint64
-	taken            []time.Duration // for the submission budget
-	extras           []time.Duration
-	workRate         float64 // work taken, decaying
-	rateAt           time.Duration
-	ownHeld, allHeld mean // queries held on engines, own and of all, from reports
-	probeLeft        float64
-	askedAt          time.Duration
-	subscribed       bool
+	seq      uint64
+	taken    []time.Duration // for the submission budget
+	extras   []time.Duration
+	workRate float64 // work taken, decaying
+	rateAt   time.Duration
+	looks    bool    // probes tell how full engines are
+	share    float64 // own part of all work
+	allHeld  mean    // queries an engine holds, from reports
+	// one's own out on all engines, as it was of late
+	usualThreads, usualMemory, usualCount mean
+	probeLeft                             float64
+	fillSeen, meanWork                    mean
+	askedAt                               time.Duration
+	subscribed                            bool
 }
 
 func newGroup(f facts, i int) *resourceGroup {
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -75,7 +75,7 @@
 		"threads": "1,3,2", "kind.cores": "8,8", "kind.memory": "16384,16384", "grant.most": "0.4", "may.grant": "true",
 		"may.prioritise": "true", "may.cancel": "true", "may.probe": "true", "may.copy": "false",
 		"may.name-return": "true", "return.most": "500", "submissions.most": "4", "note.period": "1000",
-		"memory.short": "queue", "drain.grace": "1000", "cold.from": "0.33", "cold.span": "15000",
+		"memory.short": "queue", "drain.grace": "1000", "report.how": "off", "cold.from": "0.33", "cold.span": "15000",
 		"cold.multiple": "3", "cold.window": "1000", "key.rest": "300", "answer.grace": "20", "tick": "5",
 		"group.0.value": "1", "group.0.target": "1000", "group.0.timeout": "5000", "group.0.effect": "read-only",
 		"group.1.value": "10", "group.1.target": "3000", "group.1.timeout": "15000", "group.1.effect": "read-only",
