--- a/decide/decide.go
+++ b/decide/decide.go
@@ -332,7 +332,7 @@
 	// share, the sooner an engine may in truth be full
 	full := 0.85
 	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
-		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0 || e.report["disks"] > 0.95)
+		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0)
 }
 
 // ownShare is one's own part of all work: by what was out of late against what
@@ -345,33 +345,21 @@
 	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, float64(len(g.on())))/g.allHeld.value))
 }
 
-// others guesses how many queries of other gateways an engine holds: from its own
-// report, else as many as reports of late told of any. threads and memory are what
-// one query in hand takes on average.
-func (g *Gateway) others(e *engine) (n, threads, memory float64) {
-	count := max(0.1, g.usualCount.or(0.1))
-	threads, memory = max(1, g.usualThreads.value/count), g.usualMemory.value/count
-	n = count / max(1, float64(len(g.on()))) * (1/g.share - 1)
-	if held, told := e.report["held"]; told && g.now-e.reportAt < reportKeeps {
-		n = max(0, held-e.ownAtReport)
+// filled guesses how full an engine is with the work of all gateways; 1 is full. A
+// report tells, by whichever is nearest its end, with what one did since; without
+// one it should be as full as those seen of late, or as if all did as this one.
+func (g *Gateway) filled(e *engine) float64 {
+	most := threadsPerCore * e.cores
+	if e.report != nil && g.now-e.reportAt < reportKeeps {
+		held := e.report["held"] * max(1, g.usualThreads.value/max(0.1, g.usualCount.value)) / most
+		since := max((e.threads-e.threadsAtReport)/most, (e.memory-e.memoryAtReport)/e.ram)
+		return max(held, e.report["memory"], e.report["disks"]) + since
 	}
-	return n, threads, memory
-}
-
-// memoryOn and filled guess how full an engine is with the work of all gateways,
-// by memory, and by that or threads, whichever is nearer to its end. 1 is full.
-func (g *Gateway) memoryOn(e *engine) float64 {
-	n, _, memory := g.others(e)
-	granted := 0.0
-	if g.now-e.reportAt < reportKeeps {
-		granted = e.report["memory"]
+	if g.fillSeen.count > 0 {
+		return g.fillSeen.value + e.threads/most
 	}
-	return max(granted, (e.memory+n*memory)/e.ram)
-}
-
-func (g *Gateway) filled(e *engine) float64 {
-	n, threads, _ := g.others(e)
-	return max(g.memoryOn(e), (e.threads+n*threads)/(threadsPerCore*e.cores))
+	others := (1/g.share - 1) / max(1, float64(len(g.on())))
+	return max((e.threads+g.usualThreads.value*others)/most, (e.memory+g.usualMemory.value*others)/e.ram)
 }
 
 func (g *Gateway) room(e *engine) float64 {
@@ -689,7 +677,7 @@
 	if len(report) == 0 {
 		return
 	}
-	e.report, e.reportAt, e.ownAtReport = report, g.now, float64(len(e.out)+len(e.lingering))
+	e.report, e.reportAt, e.threadsAtReport, e.memoryAtReport = report, g.now, e.threads, e.memory
 	g.fillSeen.add(g.filled(e), 20)
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
@@ -705,7 +693,7 @@
 	switch {
 	case sign == WaitsForLoad:
 		g.shut(s, g.facts.span("note.period", time.Second)*2)
-	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.memoryOn(s.e) < 0.8:
+	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.filled(s.e) < 0.8:
 		s.spilt = true
 		s.q.rg.grantBy += 0.05 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
 	case sign == Progress && x > 0:
--- a/decide/state.go
+++ b/decide/state.go
@@ -112,24 +112,24 @@
 	cores                float64
 	coldUntil            time.Duration
 
-	out         []*submission
-	lingering   []*submission // ended for us, still at work there
-	threads     float64       // own, out
-	slow        float64       // time taken over the best
-	started     time.Duration
-	loadSeen    map[int64]time.Duration // tables a load was noted on, until when
-	memory      float64                 // own, out, MB
-	ram         float64
-	ownAtReport float64
-	heardAt     time.Duration
-	silent      bool
-	restUntil   time.Duration // refused or unreachable: left alone until then
-	fullAt      time.Duration
-	probedAt    time.Duration
-	probing     bool
-	report      map[string]float64
-	reportAt    time.Duration
-	coldSent    []sent
+	out                             []*submission
+	lingering                       []*submission // ended for us, still at work there
+	threads                         float64       // own, out
+	slow                            float64       // time taken over the best
+	started                         time.Duration
+	loadSeen                        map[int64]time.Duration // tables a load was noted on, until when
+	memory                          float64                 // own, out, MB
+	ram                             float64
+	threadsAtReport, memoryAtReport float64 // own
+	heardAt                         time.Duration
+	silent                          bool
+	restUntil                       time.Duration // refused or unreachable: left alone until then
+	fullAt                          time.Duration
+	probedAt                        time.Duration
+	probing                         bool
+	report                          map[string]float64
+	reportAt                        time.Duration
+	coldSent                        []sent
 }
 
 // sent is work that went to a cold engine.
