--- a/decide/decide.go
+++ b/decide/decide.go
@@ -351,9 +351,8 @@
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
-		held := e.report["held"] * max(1, g.usualThreads.value/max(0.1, g.usualCount.value)) / most
-		since := max((e.threads-e.threadsAtReport)/most, (e.memory-e.memoryAtReport)/e.ram)
-		return max(held, e.report["memory"], e.report["disks"]) + since
+		held := e.report["held"] * g.usualThreads.value / max(0.1, g.usualCount.value) / most
+		return max(g.memoryOn(e), max(held, e.report["disks"])+(e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
@@ -362,6 +361,12 @@
 	return max((e.threads+g.usualThreads.value*others)/most, (e.memory+g.usualMemory.value*others)/e.ram)
 }
 
+// memoryOn is the same for memory alone, of an engine seen.
+func (g *Gateway) memoryOn(e *engine) float64 {
+	held := e.report["held"] * g.usualMemory.value / max(0.1, g.usualCount.value) / e.ram
+	return max(held, e.report["memory"]) + (e.memory-e.memoryAtReport)/e.ram
+}
+
 func (g *Gateway) room(e *engine) float64 {
 	free := max(0.02, 1-g.filled(e))
 	return e.cores * free / e.slow
@@ -693,9 +698,9 @@
 	switch {
 	case sign == WaitsForLoad:
 		g.shut(s, g.facts.span("note.period", time.Second)*2)
-	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.filled(s.e) < 0.8:
+	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.memoryOn(s.e) < 0.8:
 		s.spilt = true
-		s.q.rg.grantBy += 0.05 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
+		s.q.rg.grantBy += 0.2 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
 	case sign == Progress && x > 0:
 		s.share, s.shareAt = x, g.now
 		g.move(s, g.remains(s))
