--- a/decide/decide.go
+++ b/decide/decide.go
@@ -352,7 +352,7 @@
 	most := threadsPerCore * e.cores
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
 		held := e.report["held"] * g.usualThreads.value / max(0.1, g.usualCount.value) / most
-		return max(g.memoryOn(e), max(held, e.report["disks"])+(e.threads-e.threadsAtReport)/most)
+		return max(g.memoryOn(e), max(held, 0.85*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
