--- a/decide/decide.go
+++ b/decide/decide.go
@@ -227,9 +227,9 @@
 	}
 	// among many gateways one's own queries tell nothing of an engine: some drawn
 	// from those unseen are looked at first, and what is sent goes to those seen
-	want := 1
-	if g.usual(q.rg) >= g.meanWork.value {
-		want = 3 // heavy ones are what fills an engine
+	want := 3
+	if g.light(q.rg) {
+		want = 1
 	}
 	if len(clear) < want && len(unseen) > 0 {
 		waits := slices.ContainsFunc(q.looks, func(e *engine) bool { return e.probing })
@@ -238,7 +238,7 @@
 		}
 		g.shuffle(unseen)
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
-			q.looks, q.lookedAt = nil, g.now
+			q.looks, q.lookedAt, q.luck = nil, g.now, g.rng.float()
 			for _, e := range unseen {
 				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
 					g.probeLeft--
@@ -322,11 +322,14 @@
 	// among many gateways one's part of an engine is less than a query: it binds in
 	// the mean, over all engines, once most are full; by then all that see one with
 	// room would send there before any report can tell
-	threads, memory, count, on := g.sums()
-	return g.fillSeen.or(0) < 0.75 || count == 0 ||
-		threads+q.rg.threads <= bound*on && memory+g.needs(q) <= ram*on
+	threads, _, count, on := g.sums()
+	return g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) ||
+		threads+q.rg.threads <= bound*on
 }
 
+// light groups take less than the mean of the work: they fill no engine.
+func (g *Gateway) light(rg *resourceGroup) bool { return g.usual(rg) < g.meanWork.value }
+
 func (g *Gateway) pressed(e *engine) bool {
 	// reports are old and other gateways send meanwhile: the smaller one's own
 	// share, the sooner an engine may in truth be full
--- a/decide/state.go
+++ b/decide/state.go
@@ -158,6 +158,7 @@
 	avoid             *engine
 	looks             []*engine // looked at for this query
 	lookedAt          time.Duration
+	luck              float64 // drawn with each look
 	chain             *chain
 	next              func(*engine) bool // what to do once an engine is found for it
 }
