--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -37,6 +38,7 @@
 func New(act Actor, seed uint64, given map[string]string) *Gateway {
 	f := newFacts(given)
 	g := &Gateway{act: act, facts: f, askedAt: -time.Hour, rng: newPCG(seed), byID: map[string]*engine{},
+		byMark:  map[uint32]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
 		rg := newGroup(f, i)
@@ -287,7 +289,8 @@
 // locks its tables on, and when no more: their readers can't see it otherwise.
 func (g *Gateway) tell(s *submission, what string) {
 	if s.q.rg.load && g.facts.yes("may.tell") {
-		g.act.Tell([]byte(what + strconv.FormatInt(s.q.tables, 36) + " " + s.e.id))
+		word := binary.BigEndian.AppendUint32([]byte(what), s.e.mark) // each byte is paid for
+		g.act.Tell(binary.AppendUvarint(word, uint64(s.q.tables)))
 	}
 }
 
@@ -313,7 +316,7 @@
 	// work, or long queries would hold all of it whenever a short one comes
 	part := 1 - 0.1*float64(slices.Index(g.ranked, q.rg))
 	bound, ram := threadsPerCore*e.cores*g.share*part, e.ram*g.share
-	if e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
+	if len(e.out) == 0 && bound >= 1 || e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
 		return true
 	}
 	if g.pressed(e) {
@@ -331,9 +334,9 @@
 func (g *Gateway) light(rg *resourceGroup) bool { return g.usual(rg) < g.meanWork.value }
 
 func (g *Gateway) pressed(e *engine) bool {
-	// reports are old and other gateways send meanwhile: the smaller one's own
-	// share, the sooner an engine may in truth be full
-	full := 0.85
+	// the larger one's own share the better the bound rations what is there; with a
+	// small one it rations next to nothing, and an engine is used while it has room
+	full := max(0.7, 0.85-0.5*g.share)
 	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
 		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0)
 }
--- a/decide/door.go
+++ b/decide/door.go
@@ -1,11 +1,11 @@
 package decide
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"math"
 	"slices"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 )
 
@@ -22,6 +22,10 @@
 	if e == nil {
 		e = &engine{id: id, heardAt: g.now, slow: 1, doneAt: map[int64]time.Duration{}}
 		g.byID[id], g.engines = e, append(g.engines, e)
+		h := fnv.New32a()
+		h.Write([]byte(id))
+		e.mark = h.Sum32()
+		g.byMark[e.mark] = e
 	}
 	g.listing[e] = true
 	e.location, e.kind, e.cell, e.state = location, kind, cell, state
@@ -143,12 +147,14 @@
 
 func (g *Gateway) Heard(now time.Duration, word []byte) {
 	g.now = now
-	rest, id, ok := strings.Cut(string(word), " ")
-	if e := g.byID[id]; ok && e != nil && len(rest) > 1 {
-		if tables, err := strconv.ParseInt(rest[1:], 36, 64); err == nil {
-			g.told(rest[0] == '+', tables, e)
-			g.step()
-		}
+	if len(word) < 6 {
+		return
+	}
+	tables, n := binary.Uvarint(word[5:])
+	e := g.byMark[binary.BigEndian.Uint32(word[1:])]
+	if e != nil && n > 0 {
+		g.told(word[0] == '+', int64(tables), e)
+		g.step()
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -107,6 +107,7 @@
 	doneAt               map[int64]time.Duration // when a query of these tables last finished there
 	coldFrom             time.Duration
 	id                   string
+	mark                 uint32
 	location, kind, cell int
 	state                EngineState
 	cores                float64
@@ -210,6 +211,7 @@
 
 	engines []*engine // in the order first listed
 	byID    map[string]*engine
+	byMark  map[uint32]*engine // the ids' hashes, which all gateways share
 	queries map[string]*query
 	groups  []*resourceGroup
 	ranked  []*resourceGroup // in the order in which they are served
