Cold engines get a part of all work by chance; heavy queries look at two engines

Turns went round all gateways, so that among hundreds a cold engine stood idle. Now each query may go to it by a chance that holds the sum under a part of the limit.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,6 +45,7 @@
 		rg.grantBy = grantFirst
 		g.groups = append(g.groups, rg)
 	}
+	g.seq = uint64(g.rng.next()) // gateways must not draw alike
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
 	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
 	g.act.Wake(tick, tickTag)
@@ -73,6 +74,7 @@
 	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
 	g.decayRate()
 	g.workRate += g.usual(rg)
+	rg.taken++
 	g.meanWork.add(g.usual(rg), 100)
 	g.probeLeft = min(g.probeLeft+1.5, 6)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
@@ -229,7 +231,7 @@
 	}
 	// among many gateways one's own queries tell nothing of an engine: some drawn
 	// from those unseen are looked at first, and what is sent goes to those seen
-	want := 3
+	want := 2
 	if g.light(q.rg) {
 		want = 1
 	}
@@ -355,7 +357,7 @@
 // report tells, by whichever is nearest its end, with what one did since; without
 // one it should be as full as those seen of late, or as if all did as this one.
 func (g *Gateway) filled(e *engine) float64 {
-	most := threadsPerCore * e.cores
+	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
 		held := e.report["held"] * g.usualThreads.value / max(0.1, g.usualCount.value) / most
 		return max(g.memoryOn(e), max(held, 0.85*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
@@ -375,7 +377,7 @@
 
 func (g *Gateway) room(e *engine) float64 {
 	free := max(0.02, 1-g.filled(e))
-	return e.cores * free / e.slow
+	return e.cores * g.able(e) * free / e.slow
 }
 
 // ---- what it takes
@@ -403,7 +405,10 @@
 func (g *Gateway) left(q *query) float64 { return (q.deadline - g.now).Seconds() }
 
 func (g *Gateway) decayRate() {
-	g.workRate *= math.Exp(-(g.now - g.rateAt).Seconds() / 4)
+	for _, rg := range g.groups {
+		rg.taken *= math.Exp(-(g.now - g.rateAt).Seconds() / 20)
+	}
+	g.workRate *= math.Exp(-(g.now - g.rateAt).Seconds() / 20)
 	g.rateAt = g.now
 }
 
@@ -462,8 +467,7 @@
 	if g.now >= e.coldUntil {
 		return true
 	}
-	since := g.now - g.facts.span("cold.window", time.Second) // 4
-	return e.coldSum(since)+g.usual(rg) <= g.coldMost(e)
+	return g.coldFits(q, e) // 4
 }
 
 // usual is a group's ordinary work, corrected by its best times where estimates are off.
@@ -475,27 +479,38 @@
 	return work
 }
 
-// coldMost is this gateway's part of what a cold engine stands in any window.
-// Light work: well under what an even spread of its own traffic would send, so
-// that all together stay under however unevenly traffic lies among gateways.
-// Heavy work would seldom fit: gateways take turns by the engine's age, a
-// window each, so that at most two turns touch any window.
-func (g *Gateway) coldMost(e *engine) float64 {
+// able is the part of its capacity that an engine has at the least.
+func (g *Gateway) able(e *engine) float64 {
+	if g.now >= e.coldUntil {
+		return 1
+	}
+	from := g.facts.num("cold.from", 0.2)
+	age, span := max(0, g.now-e.coldFrom), max(time.Second, g.facts.span("cold.span", 0))
+	return from + (1-from)*min(1, age.Seconds()/span.Seconds())
+}
+
+// coldFits keeps all gateways together under what a cold engine stands in any
+// window, however many they are and however unevenly traffic lies among them: each
+// query may go there by a chance that in sum, were all who may to go, makes a part
+// of the limit. Heavy ones get a smaller part, and none while two would pass the
+// limit; one gateway alone, or the busiest, is held by its own sum.
+func (g *Gateway) coldFits(q *query, e *engine) bool {
 	f := g.facts
-	window, age := f.span("cold.window", time.Second), max(0, g.now-e.coldFrom)
-	from := f.num("cold.from", 0.2)
-	able := from + (1-from)*min(1, age.Seconds()/max(1, f.span("cold.span", 0).Seconds()))
-	limit := f.num("cold.multiple", 1) * able * 0.85 * e.cores * window.Seconds()
-	n := max(1, f.num("gateways", 1))
-	if n == 1 {
-		return 0.7 * limit
-	}
-	if turn := math.Mod(math.Floor(age.Seconds()/window.Seconds()), n); turn == f.num("own.number", 0) {
-		return 0.33 * limit
-	}
-	_, _, _, on := g.sums()
-	g.decayRate()
-	return min(0.3*g.workRate/4/on*window.Seconds(), 0.3*limit/n)
+	window := f.span("cold.window", time.Second)
+	limit := f.num("cold.multiple", 1) * g.able(e) * 0.85 * e.cores * window.Seconds()
+	work, most, part := g.usual(q.rg), 0.33, 0.3
+	if f.num("gateways", 1) <= 1 {
+		most, part = 0.7, 100
+	} else if !g.light(q.rg) {
+		if part = 0.1; work > 0.33*limit {
+			return false
+		}
+	}
+	// the fleet does at most its cores' work; of that, so much is of this group
+	ofGroup := work * q.rg.taken / max(0.1, g.workRate)
+	chance := part * limit / window.Seconds() / (e.cores * float64(len(g.on())) * ofGroup)
+	draw := float64((uint32(q.seq)*2654435761^e.mark)*2246822519>>8) / (1 << 24)
+	return draw < chance && e.coldSum(g.now-window)+work <= most*limit
 }
 
 func (g *Gateway) submit(q *query, e *engine) bool {
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,7 @@
 
 // resourceGroup is a kind of query, with what has been learned of it.
 type resourceGroup struct {
+	taken                float64 // of late, decaying
 	slots                mean    // thread seconds taken by a query that finished
 	leaving, patience    mean    // share of clients that hang up early, and after how long
 	grantBy              float64 // memory granted over memory estimated
