--- a/decide/decide.go
+++ b/decide/decide.go
@@ -552,7 +552,7 @@
 	if heeded := g.facts.yes("may.grant"); heeded && g.facts.text["memory.short"] == "swap" {
 		grant = int(g.facts.num("grant.most", 0) * g.facts.itemNum("kind.memory", 0))
 	} else if heeded {
-		grant = int(q.memory * q.rg.grantBy)
+		grant = int(q.memory * q.rg.grantBy * g.spare(q.rg))
 	}
 	if prio != q.priority || grant != q.grant {
 		q.priority, q.grant = prio, grant
@@ -560,6 +560,15 @@
 	}
 }
 
+// spare is how many times over the memory that engines seen have free would do for
+// what is granted; given on where queries of the group were noted as short.
+func (g *Gateway) spare(rg *resourceGroup) float64 {
+	if rg.grantBy <= grantFirst || g.memorySeen.count == 0 {
+		return 1
+	}
+	return min(2, max(1, 0.5/g.memorySeen.value))
+}
+
 // ---- what comes back
 
 func (g *Gateway) ended(s *submission, took time.Duration, over bool, work, memoryMB float64) {
@@ -705,6 +714,7 @@
 	}
 	e.report, e.reportAt, e.threadsAtReport, e.memoryAtReport = report, g.now, e.threads, e.memory
 	g.fillSeen.add(g.filled(e), 20)
+	g.memorySeen.add(g.memoryOn(e), 20)
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -235,7 +235,7 @@
 	// one's own out on all engines, as it was of late
 	usualThreads, usualMemory, usualCount mean
 	probeLeft                             float64
-	fillSeen, meanWork                    mean
+	fillSeen, memorySeen, meanWork        mean
 	askedAt                               time.Duration
 	subscribed                            bool
 }
