Engines silent or not answering a look rest, and are looked at again when drawn; plumbing to the door

Covers crashes, cut links and long stalls alike; hurts where an engine stalls often but briefly, which rests it for 2 s at each gateway that met it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -34,24 +33,6 @@
 	tickTag        = 1
 )
 
-// New starts an instance.
-func New(act Actor, seed uint64, given map[string]string) *Gateway {
-	f := newFacts(given)
-	g := &Gateway{act: act, facts: f, askedAt: -time.Hour, rng: newPCG(seed), byID: map[string]*engine{},
-		byMark:  map[uint32]*engine{},
-		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
-	for i := range int(f.num("groups", 0)) {
-		rg := newGroup(f, i)
-		rg.grantBy = grantFirst
-		g.groups = append(g.groups, rg)
-	}
-	g.seq = uint64(g.rng.next()) // gateways must not draw alike
-	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
-	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
-	g.act.Wake(tick, tickTag)
-	return g
-}
-
 // ---- engines coming and going
 
 // restarted: a new process under a known id; what was learned of the old one is
@@ -197,7 +178,7 @@
 // ---- which engine
 
 func (g *Gateway) ready(e *engine) bool {
-	return e.state == On && !e.silent && g.now >= e.restUntil
+	return e.state == On && !(e.silent && g.looks) && g.now >= e.restUntil
 }
 
 // pick draws an engine, odds in step with room; barred: not for room that none is found.
@@ -225,8 +206,8 @@
 	for _, e := range g.on() {
 		if g.known(e) {
 			weigh(e)
-		} else if g.ready(e) {
-			unseen = append(unseen, e)
+		} else if e.state == On && g.now >= e.restUntil {
+			unseen = append(unseen, e) // a silent one too: this is how it is heard again
 		}
 	}
 	// among many gateways one's own queries tell nothing of an engine: some drawn
@@ -240,7 +221,7 @@
 		if waits && g.now < q.lookedAt+50*time.Millisecond {
 			return nil, false
 		}
-		g.shuffle(unseen)
+		g.rng.shuffle(unseen)
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
 			q.looks, q.lookedAt, q.luck = nil, g.now, g.rng.float()
 			for _, e := range unseen {
@@ -274,14 +255,6 @@
 	return found, barred && len(unseen) == 0
 }
 
-// shuffle puts the first few in an order drawn at random.
-func (g *Gateway) shuffle(l []*engine) {
-	for i := range min(8, len(l)) {
-		k := i + int(g.rng.float()*float64(len(l)-i))
-		l[i], l[k] = l[k], l[i]
-	}
-}
-
 // known: a report tells how full it is, or there is nothing to be had by looking.
 func (g *Gateway) known(e *engine) bool {
 	return !g.looks || e.report != nil && g.now-e.reportAt < reportKeeps
@@ -291,8 +264,7 @@
 // locks its tables on, and when no more: their readers can't see it otherwise.
 func (g *Gateway) tell(s *submission, what string) {
 	if s.q.rg.load && g.facts.yes("may.tell") {
-		word := binary.BigEndian.AppendUint32([]byte(what), s.e.mark) // each byte is paid for
-		g.act.Tell(binary.AppendUvarint(word, uint64(s.q.tables)))
+		g.act.Tell(word(what, s.e, s.q.tables))
 	}
 }
 
@@ -302,13 +274,6 @@
 	}
 }
 
-// loadRuns: a load of these tables is known to run there, or they hang.
-func (g *Gateway) loadRuns(e *engine, tables int64) bool {
-	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
-	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) ||
-		slices.ContainsFunc(e.lingering, locks)
-}
-
 // hasRoom: the thread bound, which binds only under pressure.
 func (g *Gateway) hasRoom(e *engine, q *query) bool {
 	if !g.ready(e) {
@@ -402,8 +367,6 @@
 // expect is the time it should take as things are, in seconds.
 func (g *Gateway) expect(q *query) float64 { return g.lone(q) * max(1, q.rg.stretchy.or(1)) }
 
-func (g *Gateway) left(q *query) float64 { return (q.deadline - g.now).Seconds() }
-
 func (g *Gateway) decayRate() {
 	for _, rg := range g.groups {
 		rg.taken *= math.Exp(-(g.now - g.rateAt).Seconds() / 20)
@@ -683,21 +646,6 @@
 	}
 }
 
-// settle passes the turn on once a query is over and nothing of it is out.
-func (g *Gateway) settle(q *query) {
-	if !q.over || q.out > 0 || g.queries[q.id] == nil {
-		return
-	}
-	delete(g.queries, q.id)
-	g.linkEnded(q)
-	if line := g.line(q); line != nil {
-		first := line.line[0] == q
-		if line.drop(q); first && len(line.line) > 0 {
-			g.begin(line.line[0])
-		}
-	}
-}
-
 func (g *Gateway) heard(e *engine) {
 	if e.silent && g.now-e.heardAt > 4*time.Second {
 		// what comes back from a long silence may be a new process that the list
@@ -708,6 +656,12 @@
 	e.silent, e.heardAt = false, g.now
 }
 
+// unanswered: a look that came to nothing, whatever took the engine, a crash, a cut
+// link or a long stall; the list will tell of it seconds later, if at all.
+func (g *Gateway) unanswered(e *engine) {
+	e.report, e.restUntil = nil, max(e.restUntil, g.now+2*time.Second)
+}
+
 func (g *Gateway) reported(e *engine, report map[string]float64) {
 	if len(report) == 0 {
 		return
@@ -808,14 +762,13 @@
 				}
 				g.move(s, math.Inf(1))
 			case quiet > limit+500*time.Millisecond:
-				e.silent = true
+				e.silent, e.restUntil = true, g.now+2*time.Second
 				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
 			case quiet > limit:
 				g.look(e) // a busy engine still answers this; only a stalled or lost one doesn't
 			}
 		}
 	}
-	g.probe()
 	if f := g.facts; f.text["list.how"] == "asked" && !g.subscribed &&
 		g.now-g.askedAt > min(time.Second, f.span("list.ask-within", time.Second)/2) {
 		g.askedAt = g.now
@@ -823,22 +776,6 @@
 	}
 }
 
-// probe looks at the engine longest unseen, at a silent one until it answers.
-func (g *Gateway) probe() {
-	var oldest *engine
-	for _, e := range g.on() {
-		if e.silent && g.now-e.probedAt > 500*time.Millisecond {
-			g.look(e)
-		} else if oldest == nil || e.probedAt < oldest.probedAt {
-			oldest = e
-		}
-	}
-	if oldest != nil && g.probeLeft >= 1 && g.now-oldest.probedAt > 300*time.Millisecond {
-		g.probeLeft--
-		g.look(oldest)
-	}
-}
-
 func (g *Gateway) look(e *engine) {
 	if g.facts.yes("may.probe") && (!e.probing || g.now-e.probedAt > 300*time.Millisecond) {
 		e.probing, e.probedAt = true, g.now
--- a/decide/door.go
+++ b/decide/door.go
@@ -12,6 +12,24 @@
 // This is the door: ids are turned into objects here and nowhere else, counts
 // are kept, and everything is handed on to decide.go.
 
+// New starts an instance.
+func New(act Actor, seed uint64, given map[string]string) *Gateway {
+	f := newFacts(given)
+	g := &Gateway{act: act, facts: f, askedAt: -time.Hour, rng: newPCG(seed), byID: map[string]*engine{},
+		byMark:  map[uint32]*engine{},
+		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
+	for i := range int(f.num("groups", 0)) {
+		rg := newGroup(f, i)
+		rg.grantBy = grantFirst
+		g.groups = append(g.groups, rg)
+	}
+	g.seq = uint64(g.rng.next()) // gateways must not draw alike
+	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
+	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
+	g.act.Wake(tick, tickTag)
+	return g
+}
+
 func (g *Gateway) ListBegins(now time.Duration, whole bool) {
 	g.now, g.whole, g.listing, g.subscribed = now, whole, map[*engine]bool{}, g.askedAt >= 0
 }
@@ -141,10 +159,17 @@
 	if outcome == Finished {
 		g.heard(e)
 		g.reported(e, report)
+	} else {
+		g.unanswered(e)
 	}
 	g.step()
 }
 
+// word is what peers are told of a load: each byte is paid for.
+func word(what string, e *engine, tables int64) []byte {
+	return binary.AppendUvarint(binary.BigEndian.AppendUint32([]byte(what), e.mark), uint64(tables))
+}
+
 func (g *Gateway) Heard(now time.Duration, word []byte) {
 	g.now = now
 	if len(word) < 6 {
@@ -185,6 +210,23 @@
 	}
 }
 
+// settle passes the turn on once a query is over and nothing of it is out.
+func (g *Gateway) settle(q *query) {
+	if !q.over || q.out > 0 || g.queries[q.id] == nil {
+		return
+	}
+	delete(g.queries, q.id)
+	g.linkEnded(q)
+	if line := g.line(q); line != nil {
+		first := line.line[0] == q
+		if line.drop(q); first && len(line.line) > 0 {
+			g.begin(line.line[0])
+		}
+	}
+}
+
+func (g *Gateway) left(q *query) float64 { return (q.deadline - g.now).Seconds() }
+
 // line is the order a query stands in by its key, nil if its group asks for none.
 func (g *Gateway) line(q *query) *keyLine {
 	if !q.rg.inOrder || q.key < 0 {
--- a/decide/pcg.go
+++ b/decide/pcg.go
@@ -21,3 +21,11 @@
 
 // float is in [0, 1).
 func (p *pcg) float() float64 { return float64(p.next()) / (1 << 32) }
+
+// shuffle puts the first few in an order drawn at random.
+func (p *pcg) shuffle(l []*engine) {
+	for i := range min(8, len(l)) {
+		k := i + int(p.float()*float64(len(l)-i))
+		l[i], l[k] = l[k], l[i]
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -324,3 +324,10 @@
 	}
 	e.loadSeen[tables] = until
 }
+
+// loadRuns: a load of these tables is known to run there, or they hang.
+func (g *Gateway) loadRuns(e *engine, tables int64) bool {
+	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
+	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) ||
+		slices.ContainsFunc(e.lingering, locks)
+}
