--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -29,8 +28,6 @@
 	reportKeeps    = 1 * time.Second
 	grantFirst     = 1.25 // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
-	duesTag        = 0
-	tickTag        = 1
 )
 
 // ---- engines coming and going
@@ -38,11 +35,8 @@
 // restarted: a new process under a known id; what was learned of the old one is
 // void, and by rule 4 it is cold from when it started, not from when we hear.
 func (g *Gateway) restarted(e *engine, started time.Duration) {
-	e.started, e.slow, e.silent, e.report, e.loadSeen, e.heardAt = started, 1, false, nil, nil, g.now
-	for len(e.lingering) > 0 {
-		g.gone(e.lingering[0])
-	}
-	e.coldFrom, e.coldUntil = started, max(e.coldUntil, started+g.facts.span("cold.span", 0))
+	g.forget(e)
+	e.started, e.coldFrom, e.coldUntil = started, started, max(e.coldUntil, started+g.facts.span("cold.span", 0))
 }
 
 // ---- queries
@@ -53,7 +47,6 @@
 		rg.work.add(q.work, 200)
 	}
 	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
-	g.decayRate()
 	g.workRate += g.usual(rg)
 	rg.taken++
 	g.meanWork.add(g.usual(rg), 100)
@@ -223,7 +216,7 @@
 		}
 		g.rng.shuffle(unseen)
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
-			q.looks, q.lookedAt, q.luck = nil, g.now, g.rng.float()
+			q.looks, q.lookedAt = nil, g.now
 			for _, e := range unseen {
 				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
 					g.probeLeft--
@@ -245,14 +238,7 @@
 		}
 		clear = blocked
 	}
-	var total float64
-	for _, e := range clear {
-		room := g.room(e)
-		if total += room; g.rng.float()*total < room {
-			found = e
-		}
-	}
-	return found, barred && len(unseen) == 0
+	return g.rng.draw(clear, g.room), barred && len(unseen) == 0
 }
 
 // known: a report tells how full it is, or there is nothing to be had by looking.
@@ -293,8 +279,7 @@
 	// the mean, over all engines, once most are full; by then all that see one with
 	// room would send there before any report can tell
 	threads, _, count, on := g.sums()
-	return g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) ||
-		threads+q.rg.threads <= bound*on
+	return g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= bound*on
 }
 
 // light groups take less than the mean of the work: they fill no engine.
@@ -305,7 +290,7 @@
 	// small one it rations next to nothing, and an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
 	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
-		g.now-e.reportAt < reportKeeps && (e.report["line"] > 0)
+		g.now-e.reportAt < reportKeeps && e.report["line"] > 0
 }
 
 // ownShare is one's own part of all work: by what was out of late against what
@@ -341,8 +326,7 @@
 }
 
 func (g *Gateway) room(e *engine) float64 {
-	free := max(0.02, 1-g.filled(e))
-	return e.cores * g.able(e) * free / e.slow
+	return e.cores * g.able(e) * max(0.02, 1-g.filled(e)) / e.slow
 }
 
 // ---- what it takes
@@ -367,25 +351,15 @@
 // expect is the time it should take as things are, in seconds.
 func (g *Gateway) expect(q *query) float64 { return g.lone(q) * max(1, q.rg.stretchy.or(1)) }
 
-func (g *Gateway) decayRate() {
-	for _, rg := range g.groups {
-		rg.taken *= math.Exp(-(g.now - g.rateAt).Seconds() / 20)
-	}
-	g.workRate *= math.Exp(-(g.now - g.rateAt).Seconds() / 20)
-	g.rateAt = g.now
-}
-
 // learn takes one ratio of time taken to time alone, of a submission at e.
 func (g *Gateway) learn(s *submission, ratio float64) {
 	rg := s.q.rg
 	rg.stretchy.add(min(ratio, 20), 60)
-	toward := 0.01 // slowly up and quickly down, to stay near the best
-	if rg.floor == 0 {
-		toward = 1
-	} else if ratio < rg.floor {
-		toward = 0.2
+	if rg.floor == 0 || ratio < rg.floor { // slowly up and quickly down, to stay near the best
+		rg.floor = max(0.01, ratio, 0.8*rg.floor+0.2*ratio)
+	} else {
+		rg.floor += (ratio - rg.floor) * 0.01
 	}
-	rg.floor = max(0.01, rg.floor+(ratio-rg.floor)*toward)
 	s.e.slow += (min(10, max(0.3, ratio/rg.floor)) - s.e.slow) * 0.1
 }
 
@@ -395,9 +369,9 @@
 func (g *Gateway) maySend(q *query) bool {
 	f := g.facts
 	switch {
-	case q.over || g.now >= q.deadline || len(q.subs) >= int(f.num("submissions.most", 1)):
+	case q.over || g.now >= q.deadline:
 		return false // 1
-	case q.out > 0 && !f.yes("may.copy") || !g.repeatable(q):
+	case q.out > 0 && !f.yes("may.copy") || !g.mayRepeat(q):
 		return false // 2
 	}
 	if l := g.line(q); l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q) {
@@ -415,9 +389,8 @@
 	switch {
 	case e.state != On:
 		return false // 3: not even within the grace
-	case len(rg.locations) > 0 && !slices.Contains(rg.locations, strconv.Itoa(e.location)):
-		return false // 6
-	case len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
+	case len(rg.locations) > 0 && !slices.Contains(rg.locations, strconv.Itoa(e.location)),
+		len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
 		return false // 6
 	}
 	for _, s := range q.mayHaveRun() { // 2
@@ -427,10 +400,7 @@
 			return false
 		}
 	}
-	if g.now >= e.coldUntil {
-		return true
-	}
-	return g.coldFits(q, e) // 4
+	return g.now >= e.coldUntil || g.coldFits(q, e) // 4
 }
 
 // usual is a group's ordinary work, corrected by its best times where estimates are off.
@@ -452,22 +422,19 @@
 	return from + (1-from)*min(1, age.Seconds()/span.Seconds())
 }
 
-// coldFits keeps all gateways together under what a cold engine stands in any
-// window, however many they are and however unevenly traffic lies among them: each
-// query may go there by a chance that in sum, were all who may to go, makes a part
-// of the limit. Heavy ones get a smaller part, and none while two would pass the
-// limit; one gateway alone, or the busiest, is held by its own sum.
+// coldFits keeps all gateways together under what a cold engine stands, however many
+// they are and however unevenly traffic lies among them: each query may go there by a
+// chance that in sum, were all who may to go, makes a part of the limit; a smaller one
+// of heavy queries, and none while two pass it. The busiest is held by its own sum.
 func (g *Gateway) coldFits(q *query, e *engine) bool {
 	f := g.facts
 	window := f.span("cold.window", time.Second)
 	limit := f.num("cold.multiple", 1) * g.able(e) * 0.85 * e.cores * window.Seconds()
 	work, most, part := g.usual(q.rg), 0.33, 0.3
 	if f.num("gateways", 1) <= 1 {
-		most, part = 0.7, 100
+		most, part = 0.7, math.Inf(1)
 	} else if !g.light(q.rg) {
-		if part = 0.1; work > 0.33*limit {
-			return false
-		}
+		part = 0.1
 	}
 	// the fleet does at most its cores' work; of that, so much is of this group
 	ofGroup := work * q.rg.taken / max(0.1, g.workRate)
@@ -481,20 +448,8 @@
 		return false
 	}
 	g.setTerms(q)
-	s := &submission{q: q, e: e, try: len(q.subs), at: g.now, threads: q.rg.threads, memory: g.needs(q)}
+	s := g.sent(q, e, g.needs(q), g.usual(q.rg))
 	s.then = g.afterEnd
-	if s.try > 0 {
-		g.extras = append(g.extras, g.now)
-	}
-	if g.now < e.coldUntil {
-		e.coldSent = append(e.coldSent, sent{g.now, g.usual(q.rg)})
-	}
-	q.subs, q.out = append(q.subs, s), q.out+1
-	e.out = append(e.out, s)
-	g.count(s, 1)
-	if q.chain != nil && q.chain.link == q {
-		q.chain.engine, q.chain.ended = e, false
-	}
 	g.act.Submit(q.id, e.id, q.deadline-g.now)
 	g.tell(s, "+")
 	return true
@@ -507,15 +462,22 @@
 		return
 	}
 	prio, grant := 1, 0
-	if g.now >= q.aim {
+	switch {
+	case g.now >= q.aim:
 		prio = 0
-	} else if g.facts.yes("may.prioritise") {
-		prio = max(2, 3-slices.Index(g.ranked, q.rg))
+	case !g.facts.yes("may.prioritise"):
+	case q.rg == g.ranked[0]:
+		prio = 3
+	default:
+		prio = 2
 	}
 	if heeded := g.facts.yes("may.grant"); heeded && g.facts.text["memory.short"] == "swap" {
 		grant = int(g.facts.num("grant.most", 0) * g.facts.itemNum("kind.memory", 0))
 	} else if heeded {
-		grant = int(q.memory * q.rg.grantBy * g.spare(q.rg))
+		grant = int(q.memory * q.rg.grantBy)
+		if q.rg.grantBy > grantFirst && g.memorySeen.count > 0 { // short ones get what engines seen have free
+			grant = int(float64(grant) * min(2, max(1, 0.5/g.memorySeen.value)))
+		}
 	}
 	if prio != q.priority || grant != q.grant {
 		q.priority, q.grant = prio, grant
@@ -523,15 +485,6 @@
 	}
 }
 
-// spare is how many times over the memory that engines seen have free would do for
-// what is granted; given on where queries of the group were noted as short.
-func (g *Gateway) spare(rg *resourceGroup) float64 {
-	if rg.grantBy <= grantFirst || g.memorySeen.count == 0 {
-		return 1
-	}
-	return min(2, max(1, 0.5/g.memorySeen.value))
-}
-
 // ---- what comes back
 
 func (g *Gateway) ended(s *submission, took time.Duration, over bool, work, memoryMB float64) {
@@ -595,15 +548,15 @@
 	}
 }
 
-// repeatable: what was sent so far leaves room for a repeat somewhere, by rule 2.
-func (g *Gateway) repeatable(q *query) bool {
+// harmless: what was sent so far leaves room for a repeat somewhere, by rule 2.
+func (g *Gateway) harmless(q *query) bool {
 	ran := q.mayHaveRun()
 	return len(ran) == 0 || q.rg.effect == "read-only" ||
 		q.rg.effect == "tokened" && g.now-ran[0].at < q.rg.window
 }
 
 func (g *Gateway) mayRepeat(q *query) bool {
-	return len(q.subs) < int(g.facts.num("submissions.most", 1)) && g.repeatable(q)
+	return len(q.subs) < int(g.facts.num("submissions.most", 1)) && g.harmless(q)
 }
 
 // giveUp answers at once: a deferral where trying again is harmless, else a kill.
@@ -612,7 +565,7 @@
 		return
 	}
 	anywhere := q.rg.effect != "tokened" || q.rg.scope == "all" || len(q.mayHaveRun()) == 0
-	if g.repeatable(q) && anywhere {
+	if g.harmless(q) && anywhere {
 		var back time.Duration
 		if g.facts.yes("may.name-return") {
 			back = g.facts.span("return.most", 0)
@@ -651,7 +604,7 @@
 		// what comes back from a long silence may be a new process that the list
 		// doesn't name yet; it is warmed up as one, at the cost of some room
 		e.coldFrom, e.coldUntil = g.now, max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
-		g.act.Log(fmt.Sprintf("engine %s heard again, taken as cold", e.id))
+		g.act.Log("engine " + e.id + " heard again, taken as cold")
 	}
 	e.silent, e.heardAt = false, g.now
 }
@@ -663,10 +616,6 @@
 }
 
 func (g *Gateway) reported(e *engine, report map[string]float64) {
-	if len(report) == 0 {
-		return
-	}
-	e.report, e.reportAt, e.threadsAtReport, e.memoryAtReport = report, g.now, e.threads, e.memory
 	g.fillSeen.add(g.filled(e), 20)
 	g.memorySeen.add(g.memoryOn(e), 20)
 	if held := report["held"]; held > 0 {
@@ -729,7 +678,7 @@
 func (g *Gateway) periodic() {
 	g.act.Wake(tick, tickTag)
 	// by value for the thread time a query was seen to take, which the bound rations
-	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int { // by value for the work
+	slices.SortStableFunc(g.ranked, func(a, b *resourceGroup) int {
 		x, y := a.value/a.slots.or(g.usual(a)), b.value/b.slots.or(g.usual(b))
 		return cmp.Or(cmp.Compare(y, x), a.index-b.index)
 	})
@@ -738,16 +687,19 @@
 	g.usualMemory.add(memory, 300)
 	g.usualCount.add(count, 300)
 	g.share = g.ownShare()
+	for _, rg := range g.groups {
+		rg.taken *= 0.995
+	}
+	g.workRate *= 0.995
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
 		for _, s := range slices.Clone(e.out) {
 			// the quickest thing out should have been heard of; covers machines gone
 			// silent, cut links and long stalls alike
-			limit := seconds(0.6 + 3*g.expect(s.q))
-			mute := period*3/2 + 300*time.Millisecond // a note is sure to come in this time
+			limit, mute := seconds(0.6+3*g.expect(s.q)), period*3/2+300*time.Millisecond
 			if period > 0 {
-				limit = min(limit, mute)
+				limit = min(limit, mute) // a note is sure to come in this time
 			}
 			switch quiet := g.now - max(s.at, e.heardAt); {
 			case e.silent:
@@ -763,7 +715,7 @@
 				g.move(s, math.Inf(1))
 			case quiet > limit+500*time.Millisecond:
 				e.silent, e.restUntil = true, g.now+2*time.Second
-				g.act.Log(fmt.Sprintf("engine %s silent, %d queries out", e.id, len(e.out)))
+				g.act.Log("engine " + e.id + " silent, queries out: " + strconv.Itoa(len(e.out)))
 			case quiet > limit:
 				g.look(e) // a busy engine still answers this; only a stalled or lost one doesn't
 			}
--- a/decide/door.go
+++ b/decide/door.go
@@ -12,6 +12,12 @@
 // This is the door: ids are turned into objects here and nowhere else, counts
 // are kept, and everything is handed on to decide.go.
 
+// What a wake that was asked for is for.
+const (
+	duesTag = iota
+	tickTag
+)
+
 // New starts an instance.
 func New(act Actor, seed uint64, given map[string]string) *Gateway {
 	f := newFacts(given)
@@ -106,11 +112,45 @@
 	s.q.out--
 	s.e.out = slices.DeleteFunc(s.e.out, func(x *submission) bool { return x == s })
 	g.count(s, -1)
-	g.reported(s.e, report)
+	g.report(s.e, report)
 	g.ended(s, took, over, work.Seconds(), memoryMB)
 	g.step()
 }
 
+// sent keeps the count of a query that goes to an engine.
+func (g *Gateway) sent(q *query, e *engine, memory, work float64) *submission {
+	s := &submission{q: q, e: e, try: len(q.subs), at: g.now, threads: q.rg.threads, memory: memory}
+	if s.try > 0 {
+		g.extras = append(g.extras, g.now)
+	}
+	if g.now < e.coldUntil {
+		e.coldSent = append(e.coldSent, sent{g.now, work})
+	}
+	q.subs, q.out = append(q.subs, s), q.out+1
+	e.out = append(e.out, s)
+	g.count(s, 1)
+	if q.chain != nil && q.chain.link == q {
+		q.chain.engine, q.chain.ended = e, false
+	}
+	return s
+}
+
+// forget drops what was learned of a process that is no more.
+func (g *Gateway) forget(e *engine) {
+	e.slow, e.silent, e.report, e.loadSeen, e.heardAt = 1, false, nil, nil, g.now
+	for len(e.lingering) > 0 {
+		g.gone(e.lingering[0])
+	}
+}
+
+// report keeps what an engine told of itself, and what was one's own of it.
+func (g *Gateway) report(e *engine, report map[string]float64) {
+	if len(report) > 0 {
+		e.report, e.reportAt, e.threadsAtReport, e.memoryAtReport = report, g.now, e.threads, e.memory
+		g.reported(e, report)
+	}
+}
+
 // count adds what a submission takes to its engine, or takes it off.
 func (g *Gateway) count(s *submission, sign float64) {
 	g.stale = true
@@ -158,7 +198,7 @@
 	e.probing = false
 	if outcome == Finished {
 		g.heard(e)
-		g.reported(e, report)
+		g.report(e, report)
 	} else {
 		g.unanswered(e)
 	}
--- a/decide/pcg.go
+++ b/decide/pcg.go
@@ -29,3 +29,15 @@
 		l[i], l[k] = l[k], l[i]
 	}
 }
+
+// draw takes one with odds in step with its weight.
+func (p *pcg) draw(l []*engine, weight func(*engine) float64) (found *engine) {
+	var total float64
+	for _, e := range l {
+		w := weight(e)
+		if total += w; p.float()*total < w {
+			found = e
+		}
+	}
+	return found
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -160,7 +160,6 @@
 	avoid             *engine
 	looks             []*engine // looked at for this query
 	lookedAt          time.Duration
-	luck              float64 // drawn with each look
 	chain             *chain
 	next              func(*engine) bool // what to do once an engine is found for it
 }
@@ -228,7 +227,6 @@
 	taken    []time.Duration // for the submission budget
 	extras   []time.Duration
 	workRate float64 // work taken, decaying
-	rateAt   time.Duration
 	looks    bool    // probes tell how full engines are
 	share    float64 // own part of all work
 	allHeld  mean    // queries an engine holds, from reports
