--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,16 +1,15 @@
 // Package decide holds the decisions of a railrelay gateway, all in this file.
 //
-// How it is invoked: New makes a Gateway for one instance from an Actor, a seed
-// and a plain map of settings; an adapter then calls the methods of Gate, each
-// with the time since the start, and the Gateway acts through its Actor before
-// it returns. Both are in interface.go, plain state types in state.go, the
-// ordered due times in due.go and the generator in pcg.go. Nothing here blocks,
-// reads a clock, or knows what wire is in front of it.
+// How it is invoked: New (door.go) makes a Gateway for one instance from an Actor, a
+// seed and a plain map of settings; an adapter then calls the methods of Gate, each
+// with the time since the start, and the Gateway acts through its Actor before it
+// returns. Both are in interface.go, plain state in state.go, due times in due.go,
+// chance in pcg.go. Nothing blocks, reads a clock, or knows the wire in front of it.
 //
 // The ordinary path follows Gargamel (docs/design.md): loads go into a chain per
 // table group, the rest into a queue per resource group, release lets them out in
 // arrival order and pick draws an engine. submit is the only way to an engine and
-// asks allowed, which holds the rules; giveUp is the only way to a final answer.
+// asks maySend and allowed, which hold the rules; giveUp the only way to an answer.
 package decide
 
 import (
@@ -309,7 +308,7 @@
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
-		held := e.report["held"] * g.usualThreads.value / max(0.1, g.usualCount.value) / most
+		held := e.report["held"] * max(1, g.usualThreads.value/max(0.1, g.usualCount.value)) / most
 		return max(g.memoryOn(e), max(held, 0.85*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
@@ -655,21 +654,23 @@
 	return (s.shareAt-s.at).Seconds()/s.share - (g.now - s.at).Seconds()
 }
 
-// move calls a submission off for a fresh one, if what remains is long against that.
+// move calls a submission off for a fresh one, if what remains is long against that;
+// one that can't be done in its client's time, for good: it holds what others could use.
 func (g *Gateway) move(s *submission, remains float64) {
-	q := s.q
+	q, slow := s.q, !math.IsInf(remains, 1)
 	fresh, far := g.expect(q), 3.0
 	if q.work <= 0 {
-		far = 6 // without an estimate a large query looks like a bad plan
+		far = 6.0 // without an estimate a large query looks like a bad plan
 	}
-	if s.behind || q.over || q.rg.effect != "read-only" || !g.facts.yes("may.cancel") ||
-		remains < far*fresh || g.left(q) <= fresh || !g.mayRepeat(q) {
+	if s.behind || q.over || q.rg.effect != "read-only" || !g.facts.yes("may.cancel") {
 		return
 	}
 	// slow twice without an estimate: it is large, not its plan bad
-	if slow := !math.IsInf(remains, 1); !slow || q.work > 0 || !q.moved {
+	if again := !slow || q.work > 0 || !q.moved; again && remains >= far*fresh && g.left(q) > fresh && g.mayRepeat(q) {
 		s.behind, q.moved = true, q.moved || slow
 		g.act.Cancel(q.id, s.try)
+	} else if slow && remains > 1.5*g.left(q) {
+		g.giveUp(q)
 	}
 }
 
