--- a/decide/decide.go
+++ b/decide/decide.go
@@ -274,9 +274,8 @@
 	if g.pressed(e) {
 		return false
 	}
-	// among many gateways one's part of an engine is less than a query: it binds in
-	// the mean, over all engines, once most are full; by then all that see one with
-	// room would send there before any report can tell
+	// among many gateways one's part of an engine is less than a query: it binds in the
+	// mean, over all, once most are full; all would go to the few before reports tell
 	threads, _, count, on := g.sums()
 	return g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= bound*on
 }
@@ -309,7 +308,7 @@
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
 		held := e.report["held"] * max(1, g.usualThreads.value/max(0.1, g.usualCount.value)) / most
-		return max(g.memoryOn(e), max(held, 0.85*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
+		return max(g.memoryOn(e), max(held, 0.7*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
@@ -615,7 +614,7 @@
 }
 
 func (g *Gateway) reported(e *engine, report map[string]float64) {
-	g.fillSeen.add(g.filled(e), 20)
+	g.fillSeen.add(max(g.filled(e), 0.85*report["disks"]), 20) // busy everywhere is full, busy here is not
 	g.memorySeen.add(g.memoryOn(e), 20)
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
@@ -666,7 +665,8 @@
 		return
 	}
 	// slow twice without an estimate: it is large, not its plan bad
-	if again := !slow || q.work > 0 || !q.moved; again && remains >= far*fresh && g.left(q) > fresh && g.mayRepeat(q) {
+	again := (!slow || q.work > 0 || !q.moved) && g.left(q) > fresh && g.mayRepeat(q)
+	if again && remains >= far*fresh {
 		s.behind, q.moved = true, q.moved || slow
 		g.act.Cancel(q.id, s.try)
 	} else if slow && remains > 1.5*g.left(q) {
