--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,7 +3,7 @@
 // How it is invoked: New (door.go) makes a Gateway for one instance from an Actor, a
 // seed and a plain map of settings; an adapter then calls the methods of Gate, each
 // with the time since the start, and the Gateway acts through its Actor before it
-// returns. Both are in interface.go, plain state in state.go, due times in due.go,
+// returns. Both are in interface.go, plain state in state.go, due times in internal/due,
 // chance in pcg.go. Nothing blocks, reads a clock, or knows the wire in front of it.
 //
 // The ordinary path follows Gargamel (docs/design.md): loads go into a chain per
--- a/decide/door.go
+++ b/decide/door.go
@@ -233,20 +233,18 @@
 	g.step()
 }
 
-func (g *Gateway) at(t time.Duration, do func()) { g.due.add(t, do) }
+func (g *Gateway) at(t time.Duration, do func()) { g.due.Add(t, do) }
 
 // step ends every call in: what is due is done, what can go is let go, and the
 // next due time is asked for.
 func (g *Gateway) step() {
-	for do, ok := g.due.next(g.now); ok; do, ok = g.due.next(g.now) {
+	for do, ok := g.due.Next(g.now); ok; do, ok = g.due.Next(g.now) {
 		do()
 	}
 	g.release()
-	if g.due.Len() > 0 {
-		if first := g.due.items[0].at; g.wakeAt < 0 || first < g.wakeAt {
-			g.wakeAt = first
-			g.act.Wake(max(0, first-g.now), duesTag)
-		}
+	if first, ok := g.due.First(); ok && (g.wakeAt < 0 || first < g.wakeAt) {
+		g.wakeAt = first
+		g.act.Wake(max(0, first-g.now), duesTag)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"railrelay.dev/railrelay/internal/due"
 )
 
 // facts holds names and values, as the adapter handed them over at the start,
@@ -218,7 +220,7 @@
 	chains  map[int64]*chain
 	keys    map[int64]*keyLine
 
-	due     dues
+	due     due.Times
 	wakeAt  time.Duration // when the earliest wake asked for comes
 	listing map[*engine]bool
 	whole   bool
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,177 @@
+// Package clients reads and writes what clients speak, MessagePack-RPC, over
+// bytes only.
+package clients
+
+import (
+	"math"
+	"strconv"
+	"time"
+)
+
+// Hearer is handed what a client said, its fields as they were read. What it
+// keeps of a slice it must copy.
+type Hearer interface {
+	Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte)
+	Alive(msg uint32)
+	Left(msg uint32)
+	// Wrong is a call that can be answered but not understood.
+	Wrong(msg uint32, why string)
+}
+
+// Read hands over the first message if all of it is there, and says how many
+// bytes it took: 0 while it isn't. An error means that the connection can't be
+// read any further.
+func Read(p []byte, most int, h Hearer) (int, error) {
+	c := &cursor{p: p}
+	say := message(c, h)
+	if c.err == errShort {
+		if len(p) > most {
+			return 0, errForm
+		}
+		return 0, nil
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	if say != nil {
+		say()
+	}
+	return c.at, nil
+}
+
+// message reads one and gives what is to be said of it, once it is known to be
+// whole. What is no call at all is an error; a call that is wrong in itself
+// has an answer.
+func message(c *cursor, h Hearer) func() {
+	parts := c.array()
+	if c.err != nil {
+		return nil
+	}
+	switch kind := c.whole(); {
+	case c.err != nil:
+		return nil
+	case kind == 2 && parts == 3:
+		return notice(c, h)
+	case kind != 0 || parts != 4:
+		c.fail(errForm)
+		return nil
+	}
+	number := c.whole()
+	if number > math.MaxUint32 {
+		c.fail(errForm)
+	}
+	msg := uint32(number)
+	// from here on the call can be answered: find where it ends, then read it
+	rest := *c
+	c.skip(0)
+	c.skip(0)
+	if c.err != nil {
+		return nil
+	}
+	say := call(&rest, msg, h)
+	if rest.err != nil || rest.at != c.at {
+		return func() { h.Wrong(msg, "malformed call") }
+	}
+	return say
+}
+
+func call(c *cursor, msg uint32, h Hearer) func() {
+	method := c.str()
+	params := c.array()
+	if string(method) == "alive" && params <= 1 {
+		if params == 1 {
+			c.skip(0)
+		}
+		return func() { h.Alive(msg) }
+	}
+	if params != 2 {
+		c.fail(errForm)
+		return nil
+	}
+	var id, key []byte
+	var patience time.Duration
+	keyed, why := false, "no trace"
+	for n := c.fields(); n > 0 && c.err == nil; n-- {
+		switch name := c.str(); string(name) {
+		case "trace":
+			if id = c.str(); len(id) > 0 && len(id) <= 64 {
+				why = ""
+			}
+		case "patience":
+			ms, err := strconv.ParseFloat(string(c.str()), 64)
+			if err == nil && ms > 0 && ms < float64(math.MaxInt64/int64(time.Hour)) {
+				patience = time.Duration(ms * float64(time.Millisecond))
+			}
+		case "entity":
+			key, keyed = c.str(), true
+		default:
+			c.skip(0)
+		}
+	}
+	statement := c.bin()
+	if why == "" && patience <= 0 {
+		why = "no patience"
+	}
+	if why != "" {
+		return func() { h.Wrong(msg, why) }
+	}
+	return func() { h.Query(msg, method, id, patience, key, keyed, statement) }
+}
+
+func notice(c *cursor, h Hearer) func() {
+	rest := *c
+	c.skip(0)
+	c.skip(0)
+	if c.err != nil {
+		return nil
+	}
+	method := rest.str()
+	if n := rest.array(); string(method) != "cancelRequest" || n != 1 {
+		return nil // a notice asks for no answer, and may be one we don't know
+	}
+	msg := rest.whole()
+	if rest.err != nil || msg > math.MaxUint32 {
+		return nil
+	}
+	return func() { h.Left(uint32(msg)) }
+}
+
+// Answer writes a finished query's result, its pages run together.
+func Answer(dst []byte, msg uint32, pages [][]byte) []byte {
+	size := 0
+	for _, p := range pages {
+		size += len(p)
+	}
+	dst = append(appendWhole(append(dst, 0x94, 1), msg), 0xc0, 0x92)
+	dst = appendBinHead(dst, size)
+	for _, p := range pages {
+		dst = append(dst, p...)
+	}
+	return append(dst, 0x80)
+}
+
+// Deferred writes that trying again is harmless, after a pause if one is named.
+func Deferred(dst []byte, msg uint32, pause time.Duration) []byte {
+	dst = appendStr(append(appendWhole(append(dst, 0x94, 1), msg), 0x92), "Throttled")
+	if ms := pause.Milliseconds(); ms > 0 {
+		dst = appendStr(appendStr(append(dst, 0x81), "pause"), strconv.FormatInt(ms, 10))
+	} else {
+		dst = append(dst, 0x80)
+	}
+	return append(dst, 0xc0)
+}
+
+// Killed writes an error that promises nothing.
+func Killed(dst []byte, msg uint32, why string) []byte {
+	dst = appendStr(append(appendWhole(append(dst, 0x94, 1), msg), 0x92), "Failed")
+	return append(appendStr(appendStr(append(dst, 0x81), "why"), why), 0xc0)
+}
+
+// Alive writes whether we are ready.
+func Alive(dst []byte, msg uint32, ready bool) []byte {
+	yes := byte(0xc2)
+	if ready {
+		yes = 0xc3
+	}
+	return append(appendWhole(append(dst, 0x94, 1), msg), 0xc0, 0x92, yes, 0x80)
+}
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,125 @@
+// Package list reads the feed of the engine list and writes what is asked of
+// it, over bytes only.
+package list
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strconv"
+
+	"railrelay.dev/railrelay/decide"
+)
+
+var errForm = errors.New("not a line of the feed")
+
+// Hearer is handed what the list says.
+type Hearer interface {
+	// Event opens an event; false if it is not the one that comes next.
+	Event(number int64, whole bool) bool
+	Engine(id, address, location, kind string, cell int, state decide.EngineState, startedMs int64)
+	EventEnds()
+	// Last is the number of the newest event there is.
+	Last(number int64)
+	// Odd is an entry that can't be used; the rest of its event can.
+	Odd(why string)
+}
+
+// Since writes the call for all that comes after an event.
+func Since(dst []byte, number int64) []byte {
+	return append(strconv.AppendInt(append(dst, "SUB "...), number, 10), '\n')
+}
+
+// Read hands over the first line if all of it is there, and says how many
+// bytes it took: 0 while it isn't.
+func Read(p []byte, most int, h Hearer) (int, error) {
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		if len(p) > most {
+			return 0, errForm
+		}
+		return 0, nil
+	}
+	if line := bytes.TrimSpace(p[:end]); len(line) > 0 {
+		if err := Event(line, h); err != nil {
+			return 0, err
+		}
+	}
+	return end + 1, nil
+}
+
+// Known hands over the events known at the start.
+func Known(known []byte, h Hearer) error {
+	var all struct {
+		N      int64
+		Events []json.RawMessage
+	}
+	if err := json.Unmarshal(known, &all); err != nil {
+		return err
+	}
+	for _, e := range all.Events {
+		if err := Event(e, h); err != nil {
+			return err
+		}
+	}
+	h.Last(all.N)
+	return nil
+}
+
+// Event hands over one event, or the bare number of the last one.
+func Event(line []byte, h Hearer) error {
+	if n, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+		h.Last(n)
+		return nil
+	}
+	var event struct {
+		N       *int64
+		Members *struct {
+			Complete bool
+			Members  []json.RawMessage
+		}
+	}
+	if err := json.Unmarshal(line, &event); err != nil || event.N == nil {
+		return errForm
+	}
+	if event.Members == nil {
+		h.Last(*event.N)
+		return nil
+	}
+	if !h.Event(*event.N, event.Members.Complete) {
+		return nil
+	}
+	for _, m := range event.Members.Members {
+		entry(m, h)
+	}
+	h.EventEnds()
+	return nil
+}
+
+func entry(line []byte, h Hearer) {
+	var e struct {
+		ID       string
+		HostPort string `json:"host_port"`
+		Locality string
+		Flavor   string
+		Cell     int
+		Phase    string
+		Up       float64 `json:"up_since_ms"`
+	}
+	err := json.Unmarshal(line, &e)
+	state, known := states[e.Phase]
+	switch {
+	case err != nil:
+		h.Odd("an entry that can't be read")
+	case e.ID == "":
+		h.Odd("an entry without an id")
+	case !known:
+		h.Odd("an unknown state")
+	case e.HostPort == "" && state == decide.On:
+		h.Odd("an engine without an address")
+	default:
+		h.Engine(e.ID, e.HostPort, e.Locality, e.Flavor, e.Cell, state, int64(e.Up))
+	}
+}
+
+var states = map[string]decide.EngineState{"SERVING": decide.On, "DRAINING": decide.Draining, "DELETED": decide.Gone}
--- /dev/null
+++ b/internal/must/release.go
@@ -0,0 +1,11 @@
+//go:build !debug
+
+package must
+
+// Hold counts if what has to hold does not, and tells whether it does.
+func Hold(ok bool, what string) bool {
+	if !ok {
+		broken.Add(1)
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/relay/engine.go
@@ -0,0 +1,287 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/engines"
+	"railrelay.dev/railrelay/internal/must"
+)
+
+// engine is one executor of the list: known by its id, since a new one may
+// have the address of one that is gone.
+type engine struct {
+	id, address string
+	state       decide.EngineState
+	lines       []*line
+	leaving     []*submission // ended for the decisions, perhaps not yet over there
+	waiting     []*submission // held until the one of the same id is over
+}
+
+// line is a connection to an engine, for one call at a time.
+type line struct {
+	link      *Link
+	e         *engine
+	up        bool
+	call      *call
+	idleSince time.Duration
+}
+
+// how a call came out, when no answer did.
+type how int
+
+const (
+	answered  how = iota
+	unfit         // not a byte was written: it was no longer wanted
+	refused       // no connection, and nobody there to make one
+	unreached     // no connection in time
+	lost          // the connection ended, something may have been written
+	mute          // no answer in time
+)
+
+// call is one call to an engine and what to do with its result.
+type call struct {
+	e      *engine
+	write  func(dst []byte) []byte
+	fit    func() bool // asked once more just before the first byte; nil: always
+	poll   bool        // gives way to all others where descriptors are short
+	within time.Duration
+	then   func(how, int, func(string) string, []byte)
+	line   *line
+	over   bool
+}
+
+// pool shares out the descriptors that are for engines.
+type pool struct {
+	most, links  int // links: every one that may hold a descriptor
+	lines        []*line
+	urgent, asks []*call // waiting for a line
+}
+
+// answerMost is how long an answer may take: news come after 250 ms at the
+// latest, and a query must not go 2 s without being asked for.
+const answerMost = time.Second
+
+func (r *Relay) call(c *call) {
+	if c.within == 0 {
+		c.within = answerMost
+	}
+	if c.e.address == "" {
+		r.soon(func() { r.over(c, refused, 0, nil, nil) })
+		return
+	}
+	if len(r.pool.urgent) == 0 && (!c.poll || len(r.pool.asks) == 0) { // in turn
+		if l := r.idle(c.e); l != nil {
+			r.put(l, c)
+			return
+		}
+		if r.pool.links < r.pool.most {
+			r.dial(c)
+			return
+		}
+		r.makeRoom()
+	}
+	r.tally.waited++
+	if c.poll {
+		r.pool.asks = append(r.pool.asks, c)
+	} else {
+		r.pool.urgent = append(r.pool.urgent, c)
+	}
+}
+
+// idle finds a line that its engine is not about to close, the one used last.
+func (r *Relay) idle(e *engine) (found *line) {
+	for _, l := range e.lines {
+		if l.up && l.call == nil && !l.link.closed && (found == nil || l.idleSince > found.idleSince) {
+			found = l
+		}
+	}
+	if found != nil && r.now-found.idleSince > r.idleMost*3/4 {
+		r.shut(found.link, false)
+		return nil
+	}
+	return found
+}
+
+// makeRoom closes the line of any engine that was idle longest. Its
+// descriptor is not free until its end is told: the call waits for that.
+func (r *Relay) makeRoom() {
+	var oldest *line
+	for _, l := range r.pool.lines {
+		if l.up && l.call == nil && !l.link.closed && (oldest == nil || l.idleSince < oldest.idleSince) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		r.shut(oldest.link, false)
+	}
+}
+
+func (r *Relay) dial(c *call) {
+	l := &line{link: &Link{}, e: c.e, call: c}
+	c.line = l
+	c.e.lines, r.pool.lines = append(c.e.lines, l), append(r.pool.lines, l)
+	r.pool.links++
+	l.link.up = func() {
+		l.up = true
+		if c := l.call; c != nil {
+			l.call = nil
+			r.put(l, c)
+		} else {
+			r.free(l)
+		}
+	}
+	l.link.failed = func(wasRefused bool) {
+		r.gone(l)
+		if wasRefused {
+			r.fail(l, refused)
+		} else {
+			r.fail(l, unreached)
+		}
+	}
+	l.link.got = func() { r.heard(l) }
+	l.link.ended = func() {
+		r.gone(l)
+		r.fail(l, lost)
+	}
+	r.tally.dials++
+	r.do(Effect{Verb: Dial, Link: l.link, Address: c.e.address, Within: r.connectWithin})
+}
+
+func (r *Relay) gone(l *line) {
+	is := func(x *line) bool { return x == l }
+	l.e.lines, r.pool.lines = slices.DeleteFunc(l.e.lines, is), slices.DeleteFunc(r.pool.lines, is)
+	r.pool.links--
+	r.soon(r.next)
+}
+
+func (r *Relay) fail(l *line, as how) {
+	if c := l.call; c != nil {
+		l.call = nil
+		r.over(c, as, 0, nil, nil)
+	}
+}
+
+// put writes a call on a line that is up and has none.
+func (r *Relay) put(l *line, c *call) {
+	must.Hold(l.up && l.call == nil && l.e == c.e, "one call at a time on a connection")
+	if c.over || c.fit != nil && !c.fit() {
+		r.free(l)
+		r.over(c, unfit, 0, nil, nil)
+		return
+	}
+	l.call, c.line = c, l
+	r.write(l.link, c.write(nil))
+	r.after(c.within, func() {
+		if !c.over {
+			r.shut(l.link, false)
+			l.call = nil
+			r.over(c, mute, 0, nil, nil)
+		}
+	})
+}
+
+// free has a line wait for its next call, or the next call take it.
+func (r *Relay) free(l *line) {
+	l.call, l.idleSince = nil, r.now
+	r.soon(r.next)
+}
+
+// next serves the calls that wait for a line.
+func (r *Relay) next() {
+	for _, queue := range []*[]*call{&r.pool.urgent, &r.pool.asks} {
+		for len(*queue) > 0 {
+			c := (*queue)[0]
+			l := r.idle(c.e)
+			if l == nil && !c.over && r.pool.links >= r.pool.most {
+				r.makeRoom()
+				return
+			}
+			*queue = (*queue)[1:]
+			switch {
+			case c.over || c.fit != nil && !c.fit():
+				r.over(c, unfit, 0, nil, nil)
+			case l != nil:
+				r.put(l, c)
+			default:
+				r.dial(c)
+			}
+		}
+	}
+}
+
+func (r *Relay) heard(l *line) {
+	in := &l.link.In
+	if l.call == nil {
+		if len(in.Bytes()) > 0 {
+			r.tally.odd++ // nobody asked
+			r.shut(l.link, false)
+		}
+		return
+	}
+	for !l.link.closed && l.call != nil {
+		var say func()
+		c := l.call
+		n, keep, err := engines.Read(in.Bytes(), r.messageMost, func(status int, field func(string) string, body []byte) {
+			say = func() { r.over(c, answered, status, field, body) }
+		})
+		switch {
+		case err != nil:
+			r.tally.odd++
+			r.shut(l.link, false)
+			r.fail(l, lost)
+		case n == 0:
+			return
+		}
+		in.Drop(n)
+		if say == nil {
+			continue
+		}
+		r.tally.answers++
+		if !keep || len(in.Bytes()) > 0 {
+			l.call = nil
+			r.shut(l.link, false)
+		} else {
+			r.free(l)
+		}
+		say() // now that the line may take the call this leads to
+	}
+}
+
+func (r *Relay) over(c *call, as how, status int, field func(string) string, body []byte) {
+	if !c.over {
+		c.over = true
+		c.then(as, status, field, body)
+	}
+}
+
+// sweepLines closes what has been idle for so long that its engine may close it.
+func (r *Relay) sweepLines() {
+	for _, l := range r.pool.lines {
+		if l.up && l.call == nil && r.idleMost > 0 && r.now-l.idleSince > r.idleMost*3/4 {
+			r.shut(l.link, false)
+		}
+	}
+}
+
+// probe looks at an engine; no answer in the time a connection may take is one too.
+func (r *Relay) probe(e *engine) {
+	r.tally.probes++
+	r.call(&call{e: e, within: r.connectWithin,
+		write: func(dst []byte) []byte { return engines.Probe(dst, e.address, r.reports) },
+		then: func(as how, status int, field func(string) string, _ []byte) {
+			outcome, report := decide.TimedOut, map[string]float64(nil)
+			switch {
+			case as == answered && status == 200:
+				outcome, report = decide.Finished, engines.Load(field)
+			case as == answered:
+				outcome = decide.Full
+			case as == refused || as == unreached:
+				outcome = decide.Unreachable
+			case as == lost:
+				outcome = decide.Reset
+			}
+			r.soon(func() { r.gate.Probed(r.now, e.id, outcome, report) })
+		}})
+}
--- /dev/null
+++ b/internal/relay/feed.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/list"
+)
+
+// feed follows the list of engines.
+type feed struct {
+	link   *Link
+	last   int64 // the event had last
+	listed bool  // a list was had at all
+	heard  time.Duration
+	wait   time.Duration // before the next try
+}
+
+const (
+	feedSilent   = 3 * time.Second // a number comes every second
+	feedWaits    = 50 * time.Millisecond
+	feedWaitsMax = 800 * time.Millisecond
+)
+
+// follow connects to the feed and asks for what comes after what we have. A
+// connection that goes silent, breaks a line or skips a number is given up for
+// a new one.
+func (r *Relay) follow() {
+	if r.Feed == "" {
+		return
+	}
+	l := &Link{}
+	f := &r.feed
+	f.link, f.heard = l, r.now
+	again := func() {
+		if f.link == l {
+			f.link = nil
+			f.wait = min(max(2*f.wait, feedWaits), feedWaitsMax)
+			r.after(f.wait, r.follow)
+		}
+	}
+	l.up = func() {
+		f.heard = r.now
+		r.write(l, list.Since(nil, f.last))
+	}
+	l.failed = func(bool) { again() }
+	l.ended = again
+	l.got = func() {
+		for !l.closed {
+			n, err := list.Read(l.In.Bytes(), r.messageMost, r)
+			if err != nil {
+				r.tally.feedFaults++
+				r.say(true, "the feed can't be read: "+err.Error())
+				r.shut(l, false)
+				again()
+				return
+			}
+			if n == 0 {
+				return
+			}
+			f.heard, f.wait = r.now, 0
+			l.In.Drop(n)
+		}
+	}
+	r.tally.feedDials++
+	r.do(Effect{Verb: Dial, Link: l, Address: r.Feed, Within: feedSilent / 3})
+	r.watch(l, again)
+}
+
+func (r *Relay) watch(l *Link, again func()) {
+	r.at(r.feed.heard+feedSilent, func() {
+		switch {
+		case r.feed.link != l:
+		case r.now-r.feed.heard >= feedSilent:
+			r.tally.feedFaults++
+			r.shut(l, false)
+			again()
+		default:
+			r.watch(l, again)
+		}
+	})
+}
+
+func (r *Relay) Event(number int64, whole bool) bool {
+	switch {
+	case number <= r.feed.last:
+		return false
+	case number > r.feed.last+1 && !whole:
+		r.gap()
+		return false
+	}
+	r.feed.last, r.feed.listed = number, true
+	r.tally.events++
+	r.gate.ListBegins(r.now, whole)
+	return true
+}
+
+// Last tells of events that should have come before it.
+func (r *Relay) Last(number int64) {
+	if number > r.feed.last {
+		r.gap()
+	}
+}
+
+func (r *Relay) gap() {
+	if l := r.feed.link; l != nil {
+		r.tally.feedFaults++
+		r.shut(l, false)
+	}
+}
+
+func (r *Relay) Engine(id, address, location, kind string, cell int, state decide.EngineState, startedMs int64) {
+	e := r.engines[id]
+	if e == nil {
+		e = &engine{id: id}
+		r.engines[id] = e
+	}
+	if address != "" && address != e.address {
+		e.address = address
+		for _, l := range e.lines {
+			r.shut(l.link, false)
+		}
+	}
+	e.state = state
+	started := time.UnixMilli(startedMs).Sub(r.Started)
+	r.gate.ListEngine(id, r.place("locations", location), r.place("kinds", kind), cell, state, started, startedMs != 0)
+}
+
+func (r *Relay) EventEnds() { r.gate.ListEnds() }
+
+func (r *Relay) Odd(why string) {
+	r.tally.odd++
+	r.say(true, "passed over in the list: "+why)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,344 @@
+// Package relay is the reducer: it owns the decisions and all state of a
+// controller, takes one event at a time and asks for effects. It does no I/O
+// and reads no clock, so that it can be driven without either. It picks no
+// engine, resends, defers and retries nothing by itself: what it can't do it
+// tells the decisions as an outcome.
+package relay
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/conn"
+	"railrelay.dev/railrelay/internal/due"
+	"railrelay.dev/railrelay/internal/list"
+	"railrelay.dev/railrelay/internal/must"
+)
+
+// What an Event tells.
+type Kind int
+
+const (
+	Accepted   Kind = iota // Link came from a client
+	Up                     // Link, dialled, is there
+	Refused                // Link, dialled, was refused
+	Unanswered             // Link, dialled, did not come up in time
+	Got                    // N bytes more are in Link's buffer
+	Wrote                  // N bytes of what was to be written are out
+	Ended                  // Link is gone, and with it its descriptor
+	Woken                  // the time asked for has come
+	Stop                   // end once what was taken is answered
+	Tell                   // say the counters
+)
+
+// Event is one thing that happened.
+type Event struct {
+	Kind Kind
+	Link *Link
+	N    int
+}
+
+// What an Effect asks for.
+type Verb int
+
+const (
+	Dial  Verb = iota // Link to Address, up Within a time
+	Write             // Bytes, after all that was asked to be written before
+	Close             // Link, once what was asked to be written is out if Gently
+	Wake              // a Woken Within a time; only the last one asked for
+	Say               // Text, Loud if it is to be seen without being asked for
+	Quit              // the program is done
+)
+
+// Effect is one thing to be done.
+type Effect struct {
+	Verb    Verb
+	Link    *Link
+	Address string
+	Within  time.Duration
+	Bytes   []byte
+	Gently  bool
+	Loud    bool
+	Text    string
+}
+
+// Link is one connection, up or being dialled. What it is for stands in its
+// closures: each is handed the events that concern it.
+type Link struct {
+	In conn.Buffer
+
+	up      func()
+	failed  func(refused bool)
+	got     func()
+	ended   func()
+	closed  bool
+	pending int // bytes asked to be written and not out yet
+}
+
+// Means are the limits and facts that the program starts with.
+type Means struct {
+	Seed     uint64
+	MemoryMB float64
+	Sockets  int
+	Feed     string
+	Known    []byte
+	Facts    map[string]string
+	Started  time.Time // what the list's clock times are told against
+}
+
+// Relay is one controller.
+type Relay struct {
+	Means
+	gate  *decide.Gateway
+	now   time.Duration
+	out   []Effect
+	later []func() // for the decisions, which must not be called while they act
+	due   due.Times
+	woken time.Duration // when the next Woken is due, -1 if none
+	tally tally
+
+	clients     []*client
+	clientsMost int
+	queries     map[string]*query
+	keys        keyring
+	unread      int // bytes that clients have not taken yet
+	unreadMost  int
+	messageMost int
+
+	engines map[string]*engine
+	pool    pool
+	feed    feed
+	groups  map[string]*group
+
+	connectWithin, idleMost, keyRest, tick time.Duration
+	reports, copies                        bool
+	stopping                               bool
+	stopAt                                 time.Duration
+}
+
+// group is a resource group as far as the sockets need to know it.
+type group struct {
+	index   int
+	name    string
+	inOrder bool
+}
+
+// New makes a controller and what it does first.
+func New(means Means) (*Relay, []Effect) {
+	r := &Relay{Means: means, woken: -1, queries: map[string]*query{},
+		engines: map[string]*engine{}, groups: map[string]*group{}}
+	f := means.Facts
+	r.connectWithin, r.idleMost = r.span("connect.timeout"), r.span("idle.most")
+	r.keyRest, r.tick = r.span("key.rest"), r.span("tick")
+	r.reports = f["report.how"] != "off" && f["report.how"] != ""
+	r.copies = f["may.copy"] == "true"
+	r.keys = newKeyring()
+	// a third is for clients; of the rest some is kept back for the listener,
+	// the feed, the runtime and connections on their way out
+	spare := 16 + means.Sockets/32
+	r.clientsMost = max(1, means.Sockets/3)
+	r.pool.most = max(2, means.Sockets-r.clientsMost-spare)
+	memory := int(means.MemoryMB * (1 << 20))
+	r.messageMost, r.unreadMost = max(1<<16, memory/64), max(1<<18, memory/8)
+	groups, _ := strconv.Atoi(f["groups"])
+	for i := range groups {
+		at := "group." + strconv.Itoa(i) + "."
+		r.groups[f[at+"name"]] = &group{i, f[at+"name"], f[at+"in-order"] == "true"}
+	}
+	r.gate = decide.New(r, means.Seed, f)
+	if len(means.Known) > 0 {
+		if err := list.Known(means.Known, r); err != nil {
+			r.say(true, "the known list can't be read: "+err.Error())
+		}
+	}
+	r.follow()
+	r.sweep()
+	r.settle()
+	return r, r.out
+}
+
+func (r *Relay) span(name string) time.Duration {
+	ms, _ := strconv.ParseFloat(r.Facts[name], 64)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Step takes an event and gives the effects it leads to, valid until the next.
+func (r *Relay) Step(now time.Duration, ev Event) []Effect {
+	r.now = max(now, r.now)
+	clear(r.out)
+	r.out = r.out[:0]
+	l := ev.Link
+	switch ev.Kind {
+	case Accepted:
+		r.accept(l)
+	case Up:
+		if !l.closed {
+			l.up()
+		}
+	case Refused, Unanswered:
+		l.closed = true
+		l.failed(ev.Kind == Refused)
+	case Got:
+		if !l.closed {
+			l.In.Took(ev.N)
+			l.got()
+		}
+	case Wrote:
+		r.wrote(l, ev.N)
+	case Ended:
+		r.wrote(l, l.pending)
+		l.closed = true
+		l.ended()
+	case Woken:
+		r.woken = -1
+	case Stop:
+		r.stop()
+	case Tell:
+		r.say(true, r.tally.text(r))
+	}
+	r.settle()
+	return r.out
+}
+
+// settle does what is due and tells the decisions what waits to be told.
+func (r *Relay) settle() {
+	for {
+		if len(r.later) > 0 {
+			do := r.later[0]
+			r.later = r.later[1:]
+			do()
+		} else if do, ok := r.due.Next(r.now); ok {
+			do()
+		} else {
+			break
+		}
+	}
+	r.later = nil
+	r.leave()
+	if at, ok := r.due.First(); ok && (r.woken < 0 || at < r.woken) {
+		r.woken = at
+		r.do(Effect{Verb: Wake, Within: max(0, at-r.now)})
+	}
+	must.Hold(r.unread >= 0, "no more is out than was written")
+	must.Hold(r.pool.links >= 0 && r.pool.links <= r.pool.most, "engine links within their part")
+}
+
+func (r *Relay) do(e Effect)                         { r.out = append(r.out, e) }
+func (r *Relay) at(when time.Duration, what func())  { r.due.Add(when, what) }
+func (r *Relay) after(span time.Duration, do func()) { r.due.Add(r.now+span, do) }
+func (r *Relay) say(loud bool, text string)          { r.do(Effect{Verb: Say, Loud: loud, Text: text}) }
+func (r *Relay) soon(what func())                    { r.later = append(r.later, what) }
+
+func (r *Relay) write(l *Link, p []byte) {
+	if l.closed || len(p) == 0 {
+		return
+	}
+	l.pending += len(p)
+	r.do(Effect{Verb: Write, Link: l, Bytes: p})
+}
+
+func (r *Relay) wrote(l *Link, n int) { l.pending = max(0, l.pending-n) }
+
+// shut closes a link for good; its Ended comes when its descriptor is free.
+func (r *Relay) shut(l *Link, gently bool) {
+	if !l.closed {
+		l.closed = true
+		r.do(Effect{Verb: Close, Link: l, Gently: gently})
+	}
+}
+
+// sweep is the one periodic timer.
+func (r *Relay) sweep() {
+	r.after(250*time.Millisecond, r.sweep)
+	r.sweepLines()
+	r.sweepClients()
+	r.keys.sweep(r.now - r.keyRest)
+}
+
+func (r *Relay) stop() {
+	if !r.stopping {
+		r.stopping, r.stopAt = true, r.now
+		r.say(false, "stopping once all is answered")
+		r.after(stopGrace, func() {})
+	}
+}
+
+// stopGrace: for so long after the word to stop, queries still come.
+const stopGrace = 750 * time.Millisecond
+
+// leave ends the program once it was told to and all that was taken is answered.
+func (r *Relay) leave() {
+	if !r.stopping || r.now < r.stopAt+stopGrace {
+		return
+	}
+	busy := len(r.queries) > 0
+	for _, c := range r.clients {
+		busy = busy || c.link.pending > 0
+	}
+	if !busy {
+		r.stopping = false
+		r.say(true, r.tally.text(r))
+		r.do(Effect{Verb: Quit})
+	}
+}
+
+// What the decisions act through; none of it calls them back at once.
+
+func (r *Relay) Submit(id, engine string, within time.Duration) {
+	q, e := r.queries[id], r.engines[engine]
+	if !must.Hold(q != nil && e != nil, "submissions name what is known") {
+		return
+	}
+	r.submit(q, e, within)
+}
+
+func (r *Relay) Cancel(id string, try int) {
+	if q := r.queries[id]; q != nil && try >= 0 && try < len(q.subs) {
+		r.withdraw(q.subs[try], decide.Cancelled)
+	}
+}
+
+func (r *Relay) Terms(id string, priority, grantMB int) {
+	if q := r.queries[id]; q != nil {
+		q.priority, q.grantMB = priority, grantMB
+		for _, s := range q.subs {
+			r.rank(s)
+		}
+	}
+}
+
+func (r *Relay) Defer(id string, comeBack time.Duration) {
+	if q := r.queries[id]; q != nil {
+		r.deferred(q, comeBack)
+	}
+}
+
+func (r *Relay) Kill(id string) {
+	if q := r.queries[id]; q != nil {
+		r.killed(q, "not done")
+	}
+}
+
+func (r *Relay) Probe(engine string) {
+	if e := r.engines[engine]; must.Hold(e != nil, "probes name what is known") {
+		r.probe(e)
+	}
+}
+
+func (r *Relay) Subscribe()  {}
+func (r *Relay) Tell([]byte) {}
+
+func (r *Relay) Wake(in time.Duration, tag int) {
+	r.after(in, func() { r.gate.Woken(r.now, tag) })
+}
+
+func (r *Relay) Log(line string) { r.say(false, line) }
+
+// place is where a name stands in one of the settings' lists, which is how the
+// decisions know it; -1 if it is in none.
+func (r *Relay) place(facts, name string) int {
+	return slices.Index(strings.Split(r.Facts[facts], ","), name)
+}
--- /dev/null
+++ b/internal/relay/submission.go
@@ -0,0 +1,277 @@
+package relay
+
+import (
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/engines"
+)
+
+// submission is one sending of a query to an engine. It is tied to no
+// connection: what is known of it is asked for, call by call.
+type submission struct {
+	*Relay
+	q       *query
+	e       *engine
+	try     int
+	at      time.Duration
+	until   time.Duration
+	sent    bool // its first byte was let go
+	settled bool // the call that starts it has come out, in one way or another
+	ended   bool // no more is done for it
+	told    bool // and the decisions know
+	heardAt time.Duration
+	onSet   []func() // waits for settled
+
+	ranked  int  // the priority last sent
+	ranking bool // a change of it is under way
+	pages   [][]byte
+	of      int // how many there are
+	held    int // bytes of them
+	work    time.Duration
+	memory  float64
+	report  map[string]float64
+}
+
+// forgets is how long an engine keeps a query that nobody asks for.
+const forgets = 2 * time.Second
+
+func (r *Relay) submit(q *query, e *engine, within time.Duration) {
+	until := q.deadline
+	if within != 0 {
+		until = min(until, r.now+within)
+	}
+	s := &submission{Relay: r, q: q, e: e, try: len(q.subs), at: r.now, until: until}
+	q.subs = append(q.subs, s)
+	r.tally.submissions++
+	r.at(until, func() { r.withdraw(s, decide.TimedOut) })
+	// two of one id at one engine can't be told apart: what ends the first would
+	// end the second
+	if e.holds(q.id) {
+		e.waiting = append(e.waiting, s)
+		return
+	}
+	s.start()
+}
+
+func (e *engine) holds(id string) bool {
+	for _, s := range e.leaving {
+		if s.q.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *submission) start() {
+	if s.ended {
+		return
+	}
+	s.call(&call{e: s.e,
+		fit: func() bool {
+			return !s.ended && s.now < s.until && s.e.state == decide.On
+		},
+		write: func(dst []byte) []byte {
+			s.sent, s.heardAt, s.ranked = true, s.now, s.q.priority
+			if s.try == 0 {
+				s.tally.firstByte(s.now - s.q.takenAt)
+			}
+			return engines.Submit(dst, s.e.address, s.q.id, s.q.group.name, s.until-s.now,
+				s.q.grantMB, s.q.priority, s.q.statement)
+		},
+		then: func(as how, status int, field func(string) string, body []byte) {
+			s.settled = true
+			s.came(0, as, status, field, body)
+			for _, do := range s.onSet {
+				do()
+			}
+			s.onSet = nil
+		}})
+}
+
+// ask asks for the query's news, or for a page of its result.
+func (s *submission) ask(page int) {
+	s.call(&call{e: s.e, poll: page == 0,
+		fit:   func() bool { return !s.ended },
+		write: func(dst []byte) []byte { return engines.Ask(dst, s.e.address, s.q.id, page) },
+		then: func(as how, status int, field func(string) string, body []byte) {
+			s.came(page, as, status, field, body)
+		}})
+}
+
+// came is what a call for it came to.
+func (s *submission) came(page int, as how, status int, field func(string) string, body []byte) {
+	if s.ended {
+		return
+	}
+	switch {
+	case as == answered:
+		s.heardAt = s.now
+		if report := engines.Load(field); report != nil {
+			s.report = report
+		}
+		engines.Hear(page, status, field, body, &hearing{s})
+	case !s.sent && as == unfit:
+		s.end(decide.NeverSent)
+	case !s.sent:
+		s.end(decide.Unreachable)
+	case as == refused:
+		s.end(decide.Reset) // its process is no more
+	case s.now-s.heardAt >= forgets:
+		s.end(decide.TimedOut) // if it still ran there, it has been forgotten by now
+	case as == unfit:
+	default:
+		// the call may have been lost and the query not: another connection tells.
+		// Not at once: an engine that ends every connection must not make us spin
+		s.after(10*time.Millisecond, func() {
+			if !s.ended {
+				s.ask(page)
+			}
+		})
+	}
+}
+
+// hearing keeps the words of an engine's answer apart from what s can do.
+type hearing struct{ *submission }
+
+func (h *hearing) Runs() { h.ask(0) }
+
+func (h *hearing) Note(sign decide.Sign, x float64) {
+	s := h.submission
+	s.tally.notes++
+	s.soon(func() {
+		if !s.ended {
+			s.gate.Note(s.now, s.q.id, s.try, sign, x)
+		}
+	})
+}
+
+func (h *hearing) Finished(work time.Duration, memoryMB float64) {
+	h.work, h.memory, h.pages = work, memoryMB, nil
+}
+
+func (h *hearing) Page(number, of int, rows []byte) {
+	s := h.submission
+	if number == 0 {
+		s.pages = make([][]byte, 0, min(of, 64))
+		s.of = of
+	}
+	if s.held += len(rows); s.held > s.messageMost {
+		s.end(decide.Errored)
+		return
+	}
+	s.pages = append(s.pages, append([]byte{}, rows...))
+	if len(s.pages) < s.of {
+		s.ask(len(s.pages))
+		return
+	}
+	if !s.q.answered {
+		s.finished(s.q, s.pages)
+	}
+	s.end(decide.Finished)
+}
+
+func (h *hearing) Ends(outcome decide.Outcome) { h.end(outcome) }
+
+// end is an end that is certain: nothing of it runs any more, or how it runs on
+// can't be known.
+func (s *submission) end(outcome decide.Outcome) {
+	if !s.ended {
+		s.ended = true
+		s.tell(outcome)
+	}
+}
+
+func (s *submission) tell(outcome decide.Outcome) {
+	s.pages = nil
+	s.tally.ends[outcome]++
+	took := s.now - s.at
+	s.soon(func() {
+		s.told = true
+		s.gate.Ended(s.now, s.q.id, s.try, outcome, took, s.q.answered, s.work, s.memory, s.report)
+		s.drop(s.q)
+	})
+}
+
+// withdraw gives a submission up. The decisions hear of it at once where it
+// may overlap with what comes next; where order is asked for, or no second
+// copy may be out, not before it is over at the engine: it was given up
+// there, its process is gone, or it went unasked for as long as engines keep it.
+func (r *Relay) withdraw(s *submission, outcome decide.Outcome) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	if !s.sent {
+		s.tell(decide.NeverSent)
+		return
+	}
+	late := s.q.group.inOrder || !r.copies
+	s.e.leaving = append(s.e.leaving, s)
+	left := r.now
+	over := func() {
+		s.e.left(s)
+		if late {
+			s.tell(outcome)
+		}
+	}
+	if !late {
+		s.tell(outcome)
+	}
+	r.giveUp(s.e, s.q.id, left, func() {
+		if s.settled {
+			over()
+			return
+		}
+		// what ended it may have overtaken what started it
+		s.onSet = append(s.onSet, func() { r.giveUp(s.e, s.q.id, left, over) })
+	})
+}
+
+// giveUp ends a query at its engine, asking until that came whole or is moot.
+func (r *Relay) giveUp(e *engine, id string, since time.Duration, then func()) {
+	r.call(&call{e: e, write: func(dst []byte) []byte { return engines.GiveUp(dst, e.address, id) },
+		then: func(as how, _ int, _ func(string) string, _ []byte) {
+			switch {
+			case as == answered || as == refused:
+				then()
+			case r.now-since >= forgets+100*time.Millisecond:
+				then()
+			default:
+				r.after(50*time.Millisecond, func() { r.giveUp(e, id, since, then) })
+			}
+		}})
+}
+
+// left lets those that waited for it go.
+func (e *engine) left(s *submission) {
+	for i, x := range e.leaving {
+		if x == s {
+			e.leaving = append(e.leaving[:i], e.leaving[i+1:]...)
+			break
+		}
+	}
+	waiting := e.waiting
+	e.waiting = nil
+	for _, w := range waiting {
+		if e.holds(w.q.id) {
+			e.waiting = append(e.waiting, w)
+		} else {
+			w.start()
+		}
+	}
+}
+
+// rank passes a change of priority on to what is out.
+func (r *Relay) rank(s *submission) {
+	if !s.sent || s.ended || s.ranking || s.q.priority == s.ranked {
+		return
+	}
+	s.ranking, s.ranked = true, s.q.priority
+	r.call(&call{e: s.e, fit: func() bool { return !s.ended },
+		write: func(dst []byte) []byte { return engines.Rank(dst, s.e.address, s.q.id, s.ranked) },
+		then: func(how, int, func(string) string, []byte) {
+			s.ranking = false
+			r.rank(s) // it may have changed again meanwhile
+		}})
+}
--- /dev/null
+++ b/internal/relay/tally.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/internal/must"
+)
+
+// tally counts what comes in, goes out and is answered.
+type tally struct {
+	connections, turnedOff, malformed, alive int
+	taken, finished, deferred, killed, left  int
+	submissions, probes, dials, waited       int
+	answers, notes, odd                      int
+	events, feedDials, feedFaults            int
+	ends                                     [8]int // by outcome
+	delays                                   []time.Duration
+}
+
+var outcomeNames = [8]string{"finished", "errored", "full", "timed-out", "unreachable", "reset", "cancelled", "never-sent"}
+
+// firstByte notes the time from a query's arrival to the first byte of its
+// first submission, of the last thousand.
+func (t *tally) firstByte(delay time.Duration) {
+	if len(t.delays) >= 1000 {
+		t.delays = t.delays[500:]
+	}
+	t.delays = append(t.delays, delay)
+}
+
+func (t *tally) text(r *Relay) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "taken %d finished %d deferred %d killed %d left %d open %d", t.taken, t.finished, t.deferred,
+		t.killed, t.left, len(r.queries))
+	fmt.Fprintf(&b, "; clients %d of %d turned off %d malformed %d", len(r.clients), t.connections, t.turnedOff, t.malformed)
+	fmt.Fprintf(&b, "; submissions %d", t.submissions)
+	for i, n := range t.ends {
+		if n > 0 {
+			fmt.Fprintf(&b, " %s %d", outcomeNames[i], n)
+		}
+	}
+	fmt.Fprintf(&b, "; engine answers %d notes %d odd %d probes %d dials %d links %d of %d waited %d", t.answers, t.notes,
+		t.odd, t.probes, t.dials, r.pool.links, r.pool.most, t.waited)
+	fmt.Fprintf(&b, "; list event %d connections %d faults %d", r.feed.last, t.feedDials, t.feedFaults)
+	if len(t.delays) > 0 {
+		d := slices.Sorted(slices.Values(t.delays))
+		fmt.Fprintf(&b, "; to first byte ms median %.1f worst tenth %.1f", ms(d[len(d)/2]), ms(d[len(d)*9/10]))
+	}
+	fmt.Fprintf(&b, "; did not hold %d", must.Broken())
+	return b.String()
+}
+
+func ms(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/run/run.go
@@ -0,0 +1,301 @@
+// Package run performs the effects that the reducer asks for and brings back
+// what came of them as events. It knows connections and the clock, and nothing
+// of what is said on them.
+package run
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"railrelay.dev/railrelay/internal/relay"
+)
+
+// loop is the one goroutine that owns the reducer, with those that read and
+// write for it.
+type loop struct {
+	ctx    context.Context
+	group  *errgroup.Group
+	events chan event
+	wires  map[*relay.Link]*wire
+	log    zerolog.Logger
+	start  time.Time
+	timer  *time.Timer
+}
+
+// event is one for the reducer, with its link's connection where that is new.
+type event struct {
+	relay.Event
+	wire *wire
+}
+
+// wire is a link's connection. Its reader and the reducer take turns with the
+// link's buffer.
+type wire struct {
+	link   *relay.Link
+	stop   context.CancelFunc // while dialling
+	turn   chan struct{}
+	conn   net.Conn
+	mu     sync.Mutex
+	queue  []byte
+	ending bool // close once the queue is out
+	closed bool
+	wake   chan struct{}
+}
+
+// Serve runs a controller on a listener until it is done or ctx ends.
+func Serve(ctx context.Context, listener net.Listener, means relay.Means, asked <-chan relay.Kind, log zerolog.Logger) error {
+	group, ctx := errgroup.WithContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	l := &loop{ctx: ctx, group: group, events: make(chan event, 64), wires: map[*relay.Link]*wire{}, log: log,
+		start: means.Started, timer: time.NewTimer(time.Hour)}
+	group.Go(func() error { return l.accept(listener) })
+	group.Go(func() error {
+		defer listener.Close()
+		defer cancel()
+		return l.run(means, asked)
+	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (l *loop) run(means relay.Means, asked <-chan relay.Kind) error {
+	defer func() {
+		for _, w := range l.wires {
+			w.close()
+		}
+	}()
+	r, effects := relay.New(means)
+	done := l.perform(effects)
+	for !done {
+		var ev event
+		select {
+		case ev = <-l.events:
+		case <-l.timer.C:
+			ev.Kind = relay.Woken
+		case ev.Kind = <-asked:
+		case <-l.ctx.Done():
+			return l.ctx.Err()
+		}
+		if ev.wire != nil {
+			l.wires[ev.Link] = ev.wire
+		}
+		if ev.Kind == relay.Ended || ev.Kind == relay.Refused || ev.Kind == relay.Unanswered {
+			delete(l.wires, ev.Link)
+		}
+		done = l.perform(r.Step(time.Since(l.start), ev.Event))
+		if w := l.wires[ev.Link]; w != nil && ev.Kind == relay.Got {
+			w.turn <- struct{}{}
+		}
+	}
+	return nil
+}
+
+func (l *loop) perform(effects []relay.Effect) (done bool) {
+	for _, e := range effects {
+		w := l.wires[e.Link]
+		switch e.Verb {
+		case relay.Dial:
+			l.dial(e.Link, e.Address, e.Within)
+		case relay.Write:
+			if w != nil {
+				w.write(e.Bytes)
+			}
+		case relay.Close:
+			if w != nil && e.Gently {
+				w.closeGently()
+			} else if w != nil {
+				w.close()
+			}
+		case relay.Wake:
+			l.timer.Reset(e.Within)
+		case relay.Say:
+			if e.Loud {
+				l.log.Log().Msg(e.Text)
+			} else {
+				l.log.Info().Msg(e.Text)
+			}
+		case relay.Quit:
+			done = true
+		}
+	}
+	return done
+}
+
+// tell hands an event to the reducer; false once it is gone.
+func (l *loop) tell(kind relay.Kind, w *wire, n int) bool {
+	ev := event{Event: relay.Event{Kind: kind, Link: w.link, N: n}}
+	if kind == relay.Accepted {
+		ev.wire = w
+	}
+	select {
+	case l.events <- ev:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+func newWire(link *relay.Link, conn net.Conn) *wire {
+	return &wire{link: link, conn: conn, turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), stop: func() {}}
+}
+
+func (l *loop) accept(listener net.Listener) error {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// out of descriptors or memory passes; asking again at once would spin
+			l.log.Log().Err(err).Msg("can't accept")
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-l.ctx.Done():
+			}
+			continue
+		}
+		w := newWire(&relay.Link{}, c)
+		l.group.Go(func() error {
+			l.serve(w, relay.Accepted)
+			return nil
+		})
+	}
+}
+
+func (l *loop) dial(link *relay.Link, address string, within time.Duration) {
+	ctx, stop := context.WithCancel(l.ctx)
+	w := newWire(link, nil)
+	w.stop = stop
+	l.wires[link] = w
+	l.group.Go(func() error {
+		defer stop()
+		d := net.Dialer{Timeout: within, KeepAlive: -1}
+		c, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			kind := relay.Unanswered
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				kind = relay.Refused
+			}
+			l.tell(kind, w, 0)
+			return nil
+		}
+		w.have(c)
+		l.serve(w, relay.Up)
+		return nil
+	})
+}
+
+// serve reads until the connection ends. Only then, with its descriptor free,
+// is the end told.
+func (l *loop) serve(w *wire, begins relay.Kind) {
+	defer w.close()
+	if !l.tell(begins, w, 0) {
+		return
+	}
+	l.group.Go(func() error {
+		l.send(w)
+		return nil
+	})
+	for {
+		n, err := w.conn.Read(w.link.In.Space())
+		if n > 0 {
+			if !l.tell(relay.Got, w, n) {
+				return
+			}
+			select {
+			case <-w.turn:
+			case <-l.ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	w.close()
+	l.tell(relay.Ended, w, 0)
+}
+
+// send writes what is queued, in one go what has gathered meanwhile.
+func (l *loop) send(w *wire) {
+	var p []byte
+	for {
+		w.mu.Lock()
+		p, w.queue = w.queue, p[:0]
+		ending, closed := w.ending, w.closed
+		w.mu.Unlock()
+		switch {
+		case closed:
+			return
+		case len(p) > 0:
+			if _, err := w.conn.Write(p); err != nil {
+				w.close()
+				return
+			}
+			if !l.tell(relay.Wrote, w, len(p)) {
+				return
+			}
+			if cap(p) > 64<<10 {
+				p = nil
+			}
+		case ending:
+			w.close()
+			return
+		default:
+			<-w.wake
+		}
+	}
+}
+
+func (w *wire) have(c net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn = c; w.closed {
+		c.Close()
+	}
+}
+
+func (w *wire) write(p []byte) {
+	w.mu.Lock()
+	w.queue = append(w.queue, p...)
+	w.mu.Unlock()
+	w.poke()
+}
+
+func (w *wire) closeGently() {
+	w.mu.Lock()
+	w.ending = true
+	w.mu.Unlock()
+	w.poke()
+}
+
+func (w *wire) close() {
+	w.stop()
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		if w.conn != nil {
+			w.conn.Close()
+		}
+	}
+	w.mu.Unlock()
+	w.poke()
+}
+
+// poke wakes the writer, once however often it is asked for.
+func (w *wire) poke() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/terms"
 )
 
 // host holds the instances of this process and the lists they share.
@@ -105,7 +106,7 @@
 		if err != nil {
 			return fmt.Errorf("no seed: %w", err)
 		}
-		names := rename(f[3:])
+		names := terms.FromPairs(f[3:])
 		h.gates[i] = d
 		return d.guard(func() { d.gate = decide.New(d, seed, names) })
 	case "kill":
@@ -310,7 +311,7 @@
 			c.fault(fmt.Errorf("part %d is not a load report: %q", k, c.f[k]))
 			return nil
 		}
-		if ours, ok := figures[name]; ok {
+		if ours := terms.Figure(name); ours != "" {
 			report[ours] = x
 		}
 	}
