--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -40,6 +40,8 @@
 	mute          // no answer in time
 )
 
+var hows = [...]string{"answered", "unfit", "refused", "unreached", "lost", "mute"}
+
 // call is one call to an engine and what to do with its result.
 type call struct {
 	e      *engine
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"railrelay.dev/railrelay/decide"
@@ -20,7 +21,7 @@
 	settled bool // the call that starts it has come out, in one way or another
 	ended   bool // no more is done for it
 	told    bool // and the decisions know
-	heardAt time.Duration
+	askedAt time.Duration // when its news were last asked for
 	onSet   []func() // waits for settled
 
 	ranked  int  // the priority last sent
@@ -31,10 +32,21 @@
 	work    time.Duration
 	memory  float64
 	report  map[string]float64
+	why     string // its last call's result, for the log
 }
 
-// forgets is how long an engine keeps a query that nobody asks for.
-const forgets = 2 * time.Second
+// An engine keeps a query for forgets while nobody asks for it, and holds a call
+// for news until newsMost has passed: so long somebody asks. The rest is for the
+// way there and back.
+const (
+	forgets  = 2 * time.Second
+	newsMost = 250 * time.Millisecond
+	onTheWay = 50 * time.Millisecond
+)
+
+// gone is when it is over at its engine at the latest, whether that was heard
+// to answer or not, if nobody asks for it again.
+func (s *submission) gone() time.Duration { return s.askedAt + newsMost + forgets + onTheWay }
 
 func (r *Relay) submit(q *query, e *engine, within time.Duration) {
 	until := q.deadline
@@ -72,7 +84,7 @@
 			return !s.ended && s.now < s.until && s.e.state == decide.On
 		},
 		write: func(dst []byte) []byte {
-			s.sent, s.heardAt, s.ranked = true, s.now, s.q.priority
+			s.sent, s.askedAt, s.ranked = true, s.now, s.q.priority
 			if s.try == 0 {
 				s.tally.firstByte(s.now - s.q.takenAt)
 			}
@@ -93,7 +105,10 @@
 func (s *submission) ask(page int) {
 	s.call(&call{e: s.e, poll: page == 0,
 		fit:   func() bool { return !s.ended },
-		write: func(dst []byte) []byte { return engines.Ask(dst, s.e.address, s.q.id, page) },
+		write: func(dst []byte) []byte {
+			s.askedAt = s.now
+			return engines.Ask(dst, s.e.address, s.q.id, page)
+		},
 		then: func(as how, status int, field func(string) string, body []byte) {
 			s.came(page, as, status, field, body)
 		}})
@@ -104,9 +119,9 @@
 	if s.ended {
 		return
 	}
+	s.why = hows[as] + " " + strconv.Itoa(status) + " on page " + strconv.Itoa(page)
 	switch {
 	case as == answered:
-		s.heardAt = s.now
 		if report := engines.Load(field); report != nil {
 			s.report = report
 		}
@@ -117,7 +132,7 @@
 		s.end(decide.Unreachable)
 	case as == refused:
 		s.end(decide.Reset) // its process is no more
-	case s.now-s.heardAt >= forgets:
+	case s.now >= s.gone():
 		s.end(decide.TimedOut) // if it still ran there, it has been forgotten by now
 	case as == unfit:
 	default:
@@ -186,6 +201,10 @@
 	s.pages = nil
 	s.tally.ends[outcome]++
 	took := s.now - s.at
+	if outcome != decide.Finished && outcome != decide.Cancelled {
+		s.say(false, "query "+s.q.id+" of "+s.q.group.name+" at "+s.e.id+": "+outcomeNames[outcome]+" after "+
+			took.String()+", "+s.why)
+	}
 	s.soon(func() {
 		s.told = true
 		s.gate.Ended(s.now, s.q.id, s.try, outcome, took, s.q.answered, s.work, s.memory, s.report)
@@ -208,7 +227,6 @@
 	}
 	late := s.q.group.inOrder || !r.copies
 	s.e.leaving = append(s.e.leaving, s)
-	left := r.now
 	over := func() {
 		s.e.left(s)
 		if late {
@@ -218,28 +236,25 @@
 	if !late {
 		s.tell(outcome)
 	}
-	r.giveUp(s.e, s.q.id, left, func() {
+	r.giveUp(s, func() {
 		if s.settled {
 			over()
 			return
 		}
 		// what ended it may have overtaken what started it
-		s.onSet = append(s.onSet, func() { r.giveUp(s.e, s.q.id, left, over) })
+		s.onSet = append(s.onSet, func() { r.giveUp(s, over) })
 	})
 }
 
-// giveUp ends a query at its engine, asking until that came whole or is moot.
-func (r *Relay) giveUp(e *engine, id string, since time.Duration, then func()) {
-	r.call(&call{e: e, write: func(dst []byte) []byte { return engines.GiveUp(dst, e.address, id) },
+// giveUp ends it at its engine, asking until that came whole or is moot.
+func (r *Relay) giveUp(s *submission, then func()) {
+	r.call(&call{e: s.e, write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
 		then: func(as how, _ int, _ func(string) string, _ []byte) {
-			switch {
-			case as == answered || as == refused:
-				then()
-			case r.now-since >= forgets+100*time.Millisecond:
+			if as == answered || as == refused || r.now >= s.gone() {
 				then()
-			default:
-				r.after(50*time.Millisecond, func() { r.giveUp(e, id, since, then) })
+				return
 			}
+			r.after(onTheWay, func() { r.giveUp(s, then) })
 		}})
 }
 
