An engine's error after silence counts as a reset; garbled answers end a submission

Seen: fleet-1 had a load whose engine stalled 3 s and then answered 500 because it had forgotten the query; told as an error the key would not rest. 'lost' after a POST of which no byte left is unreachable; the reader waits for the writer before it tells the end, or a written call could pass for an unwritten one.

--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -60,6 +60,8 @@
 	// Finished comes with page 0: the work and memory that were needed.
 	Finished(work time.Duration, memoryMB float64)
 	Ends(outcome decide.Outcome)
+	// Unclear is an answer that says neither that it runs nor that it is over.
+	Unclear()
 }
 
 // Hear tells what the answer to Submit or Ask for a page means.
@@ -95,8 +97,10 @@
 		h.Ends(decide.Full)
 	case status == 504 && neverRan:
 		h.Ends(decide.NeverSent)
-	default:
+	case status >= 500 || page > 0:
 		h.Ends(decide.Errored)
+	default:
+		h.Unclear()
 	}
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -36,11 +36,13 @@
 	unfit         // not a byte was written: it was no longer wanted
 	refused       // no connection, and nobody there to make one
 	unreached     // no connection in time
+	unwritten     // the connection ended before the first byte
 	lost          // the connection ended, something may have been written
 	mute          // no answer in time
+	garbled       // an answer that can't be read
 )
 
-var hows = [...]string{"answered", "unfit", "refused", "unreached", "lost", "mute"}
+var hows = [...]string{"answered", "unfit", "refused", "unreached", "unwritten", "lost", "mute", "garbled"}
 
 // call is one call to an engine and what to do with its result.
 type call struct {
@@ -50,7 +52,7 @@
 	poll   bool        // gives way to all others where descriptors are short
 	within time.Duration
 	then   func(how, int, func(string) string, []byte)
-	line   *line
+	size   int // bytes to write
 	over   bool
 }
 
@@ -122,7 +124,6 @@
 
 func (r *Relay) dial(c *call) {
 	l := &line{link: &Link{}, e: c.e, call: c}
-	c.line = l
 	c.e.lines, r.pool.lines = append(c.e.lines, l), append(r.pool.lines, l)
 	r.pool.links++
 	l.link.up = func() {
@@ -145,6 +146,9 @@
 	l.link.got = func() { r.heard(l) }
 	l.link.ended = func() {
 		r.gone(l)
+		if c := l.call; c != nil && l.link.pending >= c.size {
+			r.fail(l, unwritten)
+		}
 		r.fail(l, lost)
 	}
 	r.tally.dials++
@@ -173,8 +177,9 @@
 		r.over(c, unfit, 0, nil, nil)
 		return
 	}
-	l.call, c.line = c, l
-	r.write(l.link, c.write(nil))
+	text := c.write(nil)
+	l.call, c.size = c, len(text)
+	r.write(l.link, text)
 	r.after(c.within, func() {
 		if !c.over {
 			r.shut(l.link, false)
@@ -232,7 +237,8 @@
 		case err != nil:
 			r.tally.odd++
 			r.shut(l.link, false)
-			r.fail(l, lost)
+			r.fail(l, garbled)
+			return
 		case n == 0:
 			return
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,7 @@
 	Close             // Link, once what was asked to be written is out if Gently
 	Wake              // a Woken Within a time; only the last one asked for
 	Say               // Text, Loud if it is to be seen without being asked for
+	Count             // Text, the counters, with what N queries cost
 	Quit              // the program is done
 )
 
@@ -63,6 +64,7 @@
 	Gently  bool
 	Loud    bool
 	Text    string
+	N       int
 }
 
 // Link is one connection, up or being dialled. What it is for stands in its
@@ -189,15 +191,15 @@
 	case Wrote:
 		r.wrote(l, ev.N)
 	case Ended:
-		r.wrote(l, l.pending)
 		l.closed = true
 		l.ended()
+		l.pending = 0
 	case Woken:
 		r.woken = -1
 	case Stop:
 		r.stop()
 	case Tell:
-		r.say(true, r.tally.text(r))
+		r.count()
 	}
 	r.settle()
 	return r.out
@@ -222,7 +224,6 @@
 		r.woken = at
 		r.do(Effect{Verb: Wake, Within: max(0, at-r.now)})
 	}
-	must.Hold(r.unread >= 0, "no more is out than was written")
 	must.Hold(r.pool.links >= 0 && r.pool.links <= r.pool.most, "engine links within their part")
 }
 
@@ -230,6 +231,7 @@
 func (r *Relay) at(when time.Duration, what func())  { r.due.Add(when, what) }
 func (r *Relay) after(span time.Duration, do func()) { r.due.Add(r.now+span, do) }
 func (r *Relay) say(loud bool, text string)          { r.do(Effect{Verb: Say, Loud: loud, Text: text}) }
+func (r *Relay) count()                              { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
 func (r *Relay) soon(what func())                    { r.later = append(r.later, what) }
 
 func (r *Relay) write(l *Link, p []byte) {
@@ -280,7 +282,7 @@
 	}
 	if !busy {
 		r.stopping = false
-		r.say(true, r.tally.text(r))
+		r.count()
 		r.do(Effect{Verb: Quit})
 	}
 }
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -17,15 +17,17 @@
 	try     int
 	at      time.Duration
 	until   time.Duration
-	sent    bool // its first byte was let go
-	settled bool // the call that starts it has come out, in one way or another
-	ended   bool // no more is done for it
-	told    bool // and the decisions know
+	sent    bool          // its first byte was let go
+	settled bool          // the call that starts it has come out, in one way or another
+	ended   bool          // no more is done for it
+	told    bool          // and the decisions know
 	askedAt time.Duration // when its news were last asked for
-	onSet   []func() // waits for settled
+	onSet   []func()      // waits for settled
 
-	ranked  int  // the priority last sent
-	ranking bool // a change of it is under way
+	astray  bool          // it went unheard of since the last word: it may be forgotten there
+	pause   time.Duration // before it is asked for once more
+	ranked  int           // the priority last sent
+	ranking bool          // a change of it is under way
 	pages   [][]byte
 	of      int // how many there are
 	held    int // bytes of them
@@ -92,8 +94,8 @@
 				s.q.grantMB, s.q.priority, s.q.statement)
 		},
 		then: func(as how, status int, field func(string) string, body []byte) {
-			s.settled = true
 			s.came(0, as, status, field, body)
+			s.settled = true
 			for _, do := range s.onSet {
 				do()
 			}
@@ -104,8 +106,9 @@
 // ask asks for the query's news, or for a page of its result.
 func (s *submission) ask(page int) {
 	s.call(&call{e: s.e, poll: page == 0,
-		fit:   func() bool { return !s.ended },
+		fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte {
+			s.astray = s.astray || s.now > s.askedAt+forgets
 			s.askedAt = s.now
 			return engines.Ask(dst, s.e.address, s.q.id, page)
 		},
@@ -122,23 +125,27 @@
 	s.why = hows[as] + " " + strconv.Itoa(status) + " on page " + strconv.Itoa(page)
 	switch {
 	case as == answered:
+		s.pause = 0
 		if report := engines.Load(field); report != nil {
 			s.report = report
 		}
 		engines.Hear(page, status, field, body, &hearing{s})
 	case !s.sent && as == unfit:
 		s.end(decide.NeverSent)
-	case !s.sent:
+	case !s.sent, !s.settled && as == unwritten:
 		s.end(decide.Unreachable)
 	case as == refused:
 		s.end(decide.Reset) // its process is no more
+	case as == garbled:
+		s.withdraw(s, decide.Reset)
 	case s.now >= s.gone():
 		s.end(decide.TimedOut) // if it still ran there, it has been forgotten by now
-	case as == unfit:
 	default:
 		// the call may have been lost and the query not: another connection tells.
 		// Not at once: an engine that ends every connection must not make us spin
-		s.after(10*time.Millisecond, func() {
+		s.astray = true
+		s.pause = min(max(2*s.pause, 10*time.Millisecond), forgets/4)
+		s.after(s.pause, func() {
 			if !s.ended {
 				s.ask(page)
 			}
@@ -149,7 +156,12 @@
 // hearing keeps the words of an engine's answer apart from what s can do.
 type hearing struct{ *submission }
 
-func (h *hearing) Runs() { h.ask(0) }
+func (h *hearing) Runs() {
+	h.astray = false
+	h.ask(0)
+}
+
+func (h *hearing) Unclear() { h.withdraw(h.submission, decide.Reset) }
 
 func (h *hearing) Note(sign decide.Sign, x float64) {
 	s := h.submission
@@ -186,7 +198,14 @@
 	s.end(decide.Finished)
 }
 
-func (h *hearing) Ends(outcome decide.Outcome) { h.end(outcome) }
+// Ends: an error after it went unheard of may just mean that it is not known
+// any more. When it ended is then not known either, and its key has to rest.
+func (h *hearing) Ends(outcome decide.Outcome) {
+	if h.astray && outcome == decide.Errored {
+		outcome = decide.Reset
+	}
+	h.end(outcome)
+}
 
 // end is an end that is certain: nothing of it runs any more, or how it runs on
 // can't be known.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -124,6 +124,8 @@
 			} else {
 				l.log.Info().Msg(e.Text)
 			}
+		case relay.Count:
+			l.log.Log().Float64("cpu_ms_a_query", cpuMs()/float64(max(1, e.N))).Msg(e.Text)
 		case relay.Quit:
 			done = true
 		}
@@ -202,7 +204,9 @@
 	if !l.tell(begins, w, 0) {
 		return
 	}
+	sent := make(chan struct{})
 	l.group.Go(func() error {
+		defer close(sent)
 		l.send(w)
 		return nil
 	})
@@ -223,6 +227,7 @@
 		}
 	}
 	w.close()
+	<-sent // what was written must be known before the end: it may prove that nothing was
 	l.tell(relay.Ended, w, 0)
 }
 
@@ -238,11 +243,12 @@
 		case closed:
 			return
 		case len(p) > 0:
-			if _, err := w.conn.Write(p); err != nil {
-				w.close()
+			n, err := w.conn.Write(p)
+			if n > 0 && !l.tell(relay.Wrote, w, n) {
 				return
 			}
-			if !l.tell(relay.Wrote, w, len(p)) {
+			if err != nil {
+				w.close()
 				return
 			}
 			if cap(p) > 64<<10 {
@@ -299,3 +305,12 @@
 	default:
 	}
 }
+
+// cpuMs is the processor time that the process has taken.
+func cpuMs() float64 {
+	var used syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+		return 0
+	}
+	return float64(used.Utime.Nano()+used.Stime.Nano()) / float64(time.Millisecond)
+}
