--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: build test lint run fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+lint:
+	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+	go vet -tags debug ./...
+
+test: lint
+	go test -count=1 ./...
+	go test -count=1 -tags debug ./...
+
+# Wants ROUTER_LISTEN and ROUTER_CONFIG, see the README.
+run: build
+	exec bin/railrelay
+
+# A look beyond the seeds, by hand: make fuzz FUZZ=FuzzRead IN=./internal/clients
+FUZZ ?= FuzzRead
+IN ?= ./internal/clients
+fuzz:
+	go test -fuzz $(FUZZ) -fuzztime 30s $(IN)
--- /dev/null
+++ b/cmd/railrelay/main_test.go
@@ -0,0 +1,507 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "railrelay")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "railrelay")
+	if out, err := exec.Command("go", "build", "-race=false", "-tags", "debug", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const patienceMost = 20 * time.Second // for what has to come; only a fault makes a test wait so long
+
+// stand is an engine of our own: what it does with a statement is in do.
+type stand struct {
+	*httptest.Server
+	told chan string // every call, as it comes
+	do   func(s *stand, w http.ResponseWriter, r *http.Request, id string)
+	end  chan struct{} // ends what is held
+}
+
+func newStand(t *testing.T, do func(*stand, http.ResponseWriter, *http.Request, string)) *stand {
+	s := &stand{told: make(chan string, 4096), do: do, end: make(chan struct{})}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Req")
+		if id == "" {
+			id, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/o/"), "/")
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.told <- r.Method + " " + r.URL.Path + " " + id + " " + string(body)
+		switch {
+		case r.URL.Path == "/stats":
+			w.Header().Set("X-Load", "inflight:1;util:0.1")
+		case r.Method == "DELETE" || r.Method == "PUT":
+			w.WriteHeader(204)
+		default:
+			s.do(s, w, r, id)
+		}
+	}))
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
+func (s *stand) address() string { return s.Listener.Addr().String() }
+
+// serves answers with two pages, after a 202; held until end is closed if holds.
+func serves(holds bool) func(*stand, http.ResponseWriter, *http.Request, string) {
+	return func(s *stand, w http.ResponseWriter, r *http.Request, id string) {
+		switch {
+		case r.Method == "POST":
+			w.WriteHeader(202)
+			return
+		case strings.HasSuffix(r.URL.Path, "/1"):
+			w.Header().Set("Chunk", "1")
+			fmt.Fprintf(w, "%s\tsecond\tpage\n", id)
+			return
+		case holds:
+			select {
+			case <-s.end:
+			case <-time.After(100 * time.Millisecond):
+				w.Header().Set("X-Cache", "advance")
+				w.Header().Set("Reading", "0.1")
+				w.WriteHeader(202)
+				return
+			}
+		}
+		w.Header().Set("Chunks", "2")
+		w.Header().Set("Elapsed-Work", "12")
+		w.Header().Set("High-Water", "8")
+		fmt.Fprintf(w, "%s\tfirst\tpage\n", id)
+	}
+}
+
+// feed is a list of our own.
+type feed struct {
+	net.Listener
+	lines chan string   // the SUB lines that came
+	conns chan net.Conn // and on what
+}
+
+func newFeed(t *testing.T) *feed {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &feed{l, make(chan string, 64), make(chan net.Conn, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				line, err := bufio.NewReader(c).ReadString('\n')
+				if err == nil {
+					f.conns <- c
+					f.lines <- strings.TrimSpace(line)
+				}
+			}()
+		}
+	}()
+	return f
+}
+
+func entry(id, address, state string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"here","flavor":"std","cell":1,"phase":%q,"size":1,"up_since_ms":0}`, id, address, state)
+}
+
+func event(n int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"n":%d,"members":{"revision":%d,"complete":%v,"members":[%s]}}`, n, n, whole, strings.Join(entries, ","))
+}
+
+// controller is the program, started.
+type controller struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	lines   chan map[string]any
+	ended   chan error
+	config  string
+}
+
+const settings = `{"balancers":1,"me":0,"zones":["here"],"kinds":["std"],"quantum_ms":5.0,"discovery":"pushed",
+"allowed":{"may_cancel":true,"may_probe":true,"second_copies":true,"max_attempts":3,"connect_timeout_ms":250.0,"keepalive_ms":15000.0,
+"retry_after":true,"max_retry_after_ms":1000.0},"report":{"how":"on_probe","fields":["outstanding","utilization"]},
+"obligations":{"drain_grace_ms":1000.0,"key_rest_ms":300.0,"cold_from":0.3,"warm_after_ms":15000.0,"tip_multiple":3.0,"fall_ms":1000.0},
+"family_info":{"writes_tables":[false,true],"threads_by_class":[1,2],"class_waits":[true,false],"kind_cores":[8],"ram_of_kind_mb":[16384.0],
+"memory_heeded":true,"lanes_count":true,"note_period_ms":2000.0,"cost_in_answers":true,"out_of_memory":"swap","most_grant":0.4},
+"classes":[{"name":"lookup","effect":"read_like","importance":1.0,"objective_ms":1000.0,"deadline_ms":5000.0,"aim_stretch":1.5,"key_scope":"all"},
+{"name":"load","effect":"non_idempotent","importance":6.0,"objective_ms":3000.0,"deadline_ms":25000.0,"aim_stretch":2.5,"fifo_by_key":true,"key_scope":"all"}]}`
+
+func start(t *testing.T, feed string, sockets int, listen string, entries ...string) *controller {
+	t.Helper()
+	c := &controller{t: t, config: filepath.Join(t.TempDir(), "config.json")}
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
+		"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`, sockets, feed, event(1, true, entries...), settings)
+	if err := os.WriteFile(c.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.begin(listen)
+	t.Cleanup(func() { c.cmd.Process.Kill() })
+	return c
+}
+
+func (c *controller) begin(listen string) {
+	c.t.Helper()
+	c.cmd = exec.Command(program)
+	c.cmd.Env = append(os.Environ(), "RAILRELAY_LOG=info", "ROUTER_NAME=n0", "ROUTER_CONFIG="+c.config, "ROUTER_LISTEN="+listen)
+	out, err := c.cmd.StderrPipe()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := c.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	lines, ended := make(chan map[string]any, 4096), make(chan error, 1)
+	c.lines, c.ended = lines, ended
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			line := map[string]any{}
+			if json.Unmarshal(s.Bytes(), &line) != nil {
+				line["message"] = s.Text()
+			}
+			lines <- line
+		}
+		ended <- c.cmd.Wait()
+	}()
+	c.address = c.said("listening")["address"].(string)
+}
+
+func (c *controller) said(what string) map[string]any {
+	c.t.Helper()
+	for wait := time.After(patienceMost); ; {
+		select {
+		case line := <-c.lines:
+			if strings.Contains(fmt.Sprint(line["message"]), what) {
+				return line
+			}
+		case <-wait:
+			c.t.Fatalf("it never said %q", what)
+		}
+	}
+}
+
+func (c *controller) signal(s os.Signal) {
+	if err := c.cmd.Process.Signal(s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func fix(s string) string { return string([]byte{byte(0xa0 | len(s))}) + s }
+
+// client speaks to the program, one call in hand at a time or more.
+type client struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+	n  byte
+}
+
+func (c *controller) client() *client {
+	c.t.Helper()
+	conn, err := net.Dial("tcp", c.address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patienceMost))
+	return &client{t: c.t, Conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *client) ask(group, id, patience, key string) {
+	c.n++
+	body := "SELECT * FROM sales_17.orders"
+	p := "\x94\x00" + string([]byte{c.n}) + fix(group) + "\x92\x83" + fix("trace") + fix(id) + fix("patience") + fix(patience) +
+		fix("entity") + fix(key) + "\xc4" + string([]byte{byte(len(body))}) + body
+	if _, err := io.WriteString(c, p); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads one: the message's number, and the error's name or the body.
+func (c *client) answer() (byte, string) {
+	c.t.Helper()
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(c.in, head); err != nil {
+		c.t.Fatal("no answer: ", err)
+	}
+	next := func() int {
+		b, err := c.in.ReadByte()
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		return int(b)
+	}
+	text := func(n int) string {
+		p := make([]byte, n)
+		if _, err := io.ReadFull(c.in, p); err != nil {
+			c.t.Fatal(err)
+		}
+		return string(p)
+	}
+	if head[3] == 0xc0 {
+		switch kind := next(); kind {
+		case 0xc4:
+			body := text(next())
+			next() // no fields
+			return head[2], body
+		default:
+			next()
+			return head[2], fmt.Sprintf("%x", kind)
+		}
+	}
+	name := text(int(head[4] & 0x1f))
+	for fields := next() & 0x0f * 2; fields > 0; fields-- {
+		name += " " + text(next()&0x1f)
+	}
+	next()
+	return head[2], name
+}
+
+func (c *client) expect(n byte, want string) {
+	c.t.Helper()
+	if m, got := c.answer(); m != n || !strings.HasPrefix(got, want) {
+		c.t.Fatalf("%d %q, not %d %q", m, got, n, want)
+	}
+}
+
+func (s *stand) hears(t *testing.T, what string) string {
+	t.Helper()
+	for wait := time.After(patienceMost); ; {
+		select {
+		case call := <-s.told:
+			if strings.HasPrefix(call, what) {
+				return call
+			}
+		case <-wait:
+			t.Fatalf("the engine never heard %q", what)
+		}
+	}
+}
+
+func TestServesAndCounts(t *testing.T) {
+	e, f := newStand(t, serves(false)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	if line := <-f.lines; line != "SUB 1" {
+		t.Fatal(line)
+	}
+	a := c.client()
+	io.WriteString(a, "\x94\x00\x63"+fix("alive")+"\x91\x80")
+	a.expect(0x63, "c3")
+	a.ask("lookup", "aaaa", "5000", "k")
+	a.expect(1, "aaaa\tfirst\tpage\naaaa\tsecond\tpage\n")
+	a.ask("load", "bbbb", "5000", "k")
+	a.expect(2, "bbbb\tfirst\tpage\nbbbb\tsecond\tpage\n")
+	a.ask("nothing", "cccc", "5000", "k")
+	a.expect(3, "Failed")
+	if post := e.hears(t, "POST"); post != "POST /o aaaa SELECT * FROM sales_17.orders" {
+		t.Fatal(post)
+	}
+	c.signal(syscall.SIGUSR1)
+	counts := c.said("taken 2 finished 2")
+	if counts["cpu_ms_a_query"] == nil || !strings.Contains(fmt.Sprint(counts["message"]), "did not hold 0") {
+		t.Fatal(counts)
+	}
+	// a connection that speaks something else ends; the others live on
+	b := c.client()
+	io.WriteString(b, "GET / HTTP/1.1\r\n\r\n")
+	if _, err := b.in.ReadByte(); err != io.EOF {
+		t.Fatal("it goes on: ", err)
+	}
+	a.ask("lookup", "dddd", "5000", "k")
+	a.expect(4, "dddd\tfirst")
+}
+
+func TestDefersCancelsAndDrains(t *testing.T) {
+	e, f := newStand(t, serves(true)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	list := <-f.conns
+	a := c.client()
+	a.ask("lookup", "aaaa", "5000", "")
+	e.hears(t, "POST")
+	io.WriteString(a, "\x93\x02"+fix("cancelRequest")+"\x91\x01")
+	e.hears(t, "DELETE /o/aaaa")
+	// the end of a connection is its client's leaving too
+	b := c.client()
+	b.ask("lookup", "bbbb", "5000", "")
+	e.hears(t, "POST")
+	b.Close()
+	e.hears(t, "DELETE /o/bbbb")
+	// an unreadable line costs the connection, and no event
+	io.WriteString(list, "hello\n")
+	list = <-f.conns
+	if <-f.lines; <-f.lines != "SUB 1" {
+		t.Fatal("it forgot what it knew")
+	}
+	io.WriteString(list, event(2, false, entry("e1", e.address(), "DRAINING"))+"\n2\n")
+	list.Close()
+	list = <-f.conns
+	if line := <-f.lines; line != "SUB 2" {
+		t.Fatal(line)
+	}
+	a.ask("lookup", "cccc", "400", "")
+	a.expect(2, "Throttled pause")
+	for len(e.told) > 0 {
+		if call := <-e.told; strings.HasPrefix(call, "POST") {
+			t.Fatal("sent to one that drains: ", call)
+		}
+	}
+}
+
+func TestEnginesThatFail(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	resets := newStand(t, func(s *stand, w http.ResponseWriter, r *http.Request, _ string) {
+		if r.Method == "POST" {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(500)
+	})
+	cuts := newStand(t, func(s *stand, w http.ResponseWriter, r *http.Request, id string) {
+		w.Header().Set("Chunks", "1")
+		io.WriteString(w, "half a row")
+	})
+	e, f := newStand(t, serves(false)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"), entry("e2", closed.Addr().String(), "SERVING"),
+		entry("e3", resets.address(), "SERVING"), entry("e4", cuts.address(), "SERVING"))
+	a := c.client()
+	finished := 0
+	for i := range 20 {
+		a.ask("lookup", fmt.Sprintf("a%03d", i), "5000", "")
+		if n, got := a.answer(); n != byte(i+1) || strings.Contains(got, "half") {
+			t.Fatal(n, got)
+		} else if strings.HasPrefix(got, fmt.Sprintf("a%03d\tfirst", i)) {
+			finished++
+		}
+	}
+	if finished < 10 {
+		t.Fatal("finished only ", finished)
+	}
+	// a load that a reset engine may have run is not sent again
+	for i := range 10 {
+		a.ask("load", fmt.Sprintf("b%03d", i), "5000", fmt.Sprint(i))
+		a.answer()
+	}
+	posts := map[string]int{}
+	for _, s := range []*stand{resets, cuts, e} {
+		for len(s.told) > 0 {
+			if call := <-s.told; strings.HasPrefix(call, "POST /o b") {
+				posts[call]++
+			}
+		}
+	}
+	if len(posts) < 5 {
+		t.Fatal("few were sent: ", posts)
+	}
+	for call, n := range posts {
+		if n > 1 {
+			t.Fatal("sent again, and may have run: ", call)
+		}
+	}
+}
+
+func TestEndsWithWorkInHand(t *testing.T) {
+	e, f := newStand(t, serves(true)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	a := c.client()
+	a.ask("lookup", "aaaa", "5000", "")
+	e.hears(t, "POST")
+	c.signal(syscall.SIGTERM)
+	c.said("stopping")
+	b := c.client() // they still come for a while
+	b.ask("lookup", "bbbb", "5000", "")
+	e.hears(t, "POST")
+	close(e.end)
+	a.expect(1, "aaaa\tfirst")
+	b.expect(1, "bbbb\tfirst")
+	c.said("taken 2 finished 2")
+	if err := <-c.ended; err != nil {
+		t.Fatal("it ended with ", err)
+	}
+	// and it starts from nothing under the same address, even after a kill
+	c.begin(c.address)
+	c.client().ask("lookup", "cccc", "5000", "")
+	e.hears(t, "POST")
+	c.signal(syscall.SIGKILL)
+	<-c.ended
+	c.begin(c.address)
+	d := c.client()
+	d.ask("lookup", "dddd", "5000", "")
+	d.expect(1, "dddd\tfirst")
+}
+
+func TestKeepsItsLimits(t *testing.T) {
+	const sockets = 64
+	e, f := newStand(t, serves(true)), newFeed(t)
+	c := start(t, f.Addr().String(), sockets, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	var all []*client
+	for range 4 {
+		a := c.client()
+		all = append(all, a)
+		for i := range 30 {
+			a.ask("lookup", fmt.Sprintf("%d-%d", len(all), i), "5000", "")
+		}
+	}
+	for range 60 {
+		e.hears(t, "POST")
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+		if err != nil {
+			t.Skip("no way to count descriptors here: ", err)
+		}
+		if len(fds) > sockets {
+			t.Fatalf("%d descriptors of %d", len(fds), sockets)
+		}
+	}
+	close(e.end)
+	for _, a := range all {
+		for range 30 {
+			if _, got := a.answer(); strings.HasPrefix(got, "Failed") {
+				t.Fatal(got)
+			}
+		}
+	}
+}
+
+func TestConfigThatIsMissing(t *testing.T) {
+	for config, want := range map[string]string{"/does/not/exist": "no config", os.DevNull: "config:"} {
+		cmd := exec.Command(program)
+		cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+		out, err := cmd.CombinedOutput()
+		if err == nil || bytes.Count(out, []byte("\n")) != 1 || !bytes.Contains(out, []byte(want)) {
+			t.Errorf("%v %s", err, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/conn/buffer_test.go
@@ -0,0 +1,38 @@
+package conn
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestBuffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Buffer
+		var model []byte
+		for i, n := range rapid.SliceOfN(rapid.IntRange(0, 9000), 1, 60).Draw(t, "sizes") {
+			if i%2 == 0 {
+				n = min(n, len(b.Space()))
+				part := bytes.Repeat([]byte{byte(i)}, n)
+				copy(b.Space(), part)
+				b.Took(n)
+				model = append(model, part...)
+			} else {
+				n = min(n, len(model))
+				b.Drop(n)
+				model = model[n:]
+			}
+			if !bytes.Equal(b.Bytes(), model) {
+				t.Fatalf("step %d: other bytes", i)
+			}
+			if b.Held() > 4*(len(model)+9000)+keeps {
+				t.Fatalf("%d held for %d", b.Held(), len(model))
+			}
+		}
+		b.Drop(len(model))
+		if b.Held() > keeps {
+			t.Fatalf("%d held for nothing", b.Held())
+		}
+	})
+}
--- /dev/null
+++ b/internal/engines/engines_test.go
@@ -0,0 +1,134 @@
+package engines
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+)
+
+type notes struct{ said []string }
+
+func (n *notes) Runs()                         { n.add("runs") }
+func (n *notes) Note(s decide.Sign, x float64) { n.add("note %d %g", s, x) }
+func (n *notes) Page(number, of int, rows []byte) {
+	n.add("page %d of %d %q", number, of, rows)
+}
+func (n *notes) Finished(w time.Duration, mb float64) { n.add("finished %v %g", w, mb) }
+func (n *notes) Ends(o decide.Outcome)                { n.add("ends %d", o) }
+func (n *notes) Unclear()                             { n.add("unclear") }
+func (n *notes) add(form string, a ...any)            { n.said = append(n.said, fmt.Sprintf(form, a...)) }
+
+func hear(text string, page, step int) (string, bool, error) {
+	n, keep := &notes{}, true
+	var have []byte
+	for i := 0; i < len(text); i += step {
+		have = append(have, text[i:min(i+step, len(text))]...)
+		for {
+			took, k, err := Read(have, 1<<20, func(status int, field func(string) string, body []byte) {
+				Hear(page, status, field, body, n)
+			})
+			if err != nil {
+				return strings.Join(n.said, ";"), false, err
+			}
+			if took == 0 {
+				break
+			}
+			have, keep = have[took:], keep && k
+		}
+	}
+	return strings.Join(n.said, ";"), keep, nil
+}
+
+func TestHear(t *testing.T) {
+	answer := func(status int, fields, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d Some words\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
+	}
+	errored, full, never := fmt.Sprintf("ends %d", decide.Errored), fmt.Sprintf("ends %d", decide.Full), fmt.Sprintf("ends %d", decide.NeverSent)
+	for _, c := range []struct {
+		page       int
+		text, want string
+	}{
+		{0, answer(202, "", ""), "runs"},
+		{0, answer(202, "X-Cache: advance\r\nReading: 0.25\r\n", ""), "runs;note 0 0.25"},
+		{0, answer(202, "x-cache:disk\r\nREADING:  12\r\n", ""), "runs;note 1 12"},
+		{0, answer(202, "X-Cache: stall\r\nReading: 1\r\n", ""), "runs;note 2 1"},
+		{0, answer(202, "X-Cache: stall\r\nReading: 2\r\n", ""), "runs;note 3 2"},
+		{0, answer(202, "X-Cache: new word\r\nReading: 2\r\n", ""), "runs"},
+		{0, answer(200, "Chunks: 2\r\nElapsed-Work: 1500\r\nHigh-Water: 64\r\n", "a\tb\tc\n"), `finished 1.5s 64;page 0 of 2 "a\tb\tc\n"`},
+		{0, answer(200, "Chunks: 1\r\n", ""), `finished 0s 0;page 0 of 1 ""`},
+		{1, answer(200, "Chunk: 1\r\n", "a\tb\tc\n"), `page 1 of 1 "a\tb\tc\n"`},
+		{1, answer(200, "Chunk: 2\r\n", "a\tb\tc\n"), errored},
+		{1, answer(200, "Chunk: 1\r\n", "a\tb\tc"), errored},
+		{1, answer(200, "Chunk: 1\r\n", "a\tb\n"), errored},
+		{1, answer(202, "", ""), errored},
+		{0, answer(200, "", "a\tb\tc\n"), errored},
+		{0, answer(200, "Chunks: 0\r\n", ""), errored},
+		{0, answer(503, "X-Not-Run: 1\r\n", ""), full},
+		{0, answer(503, "", ""), errored},
+		{0, answer(503, "X-Not-Run: 0\r\n", ""), errored},
+		{0, answer(504, "X-Not-Run: 1\r\n", ""), never},
+		{0, answer(504, "", ""), errored},
+		{0, answer(500, "X-Not-Run: 1\r\n", ""), errored},
+		{0, answer(404, "", ""), "unclear"},
+		{0, "HTTP/1.1 100 Go on\r\n\r\n" + answer(202, "", ""), "runs"},
+		{0, "HTTP/1.1 204 No\r\n\r\n", "unclear"},
+	} {
+		for _, step := range []int{1, 7, len(c.text)} {
+			if got, keep, err := hear(c.text, c.page, step); err != nil || got != c.want || !keep {
+				t.Errorf("%q by %d: %v %v %s, not %s", c.text, step, err, keep, got, c.want)
+			}
+		}
+	}
+	for _, fields := range []string{"Connection: close\r\n", "connection:Close\r\n"} {
+		if _, keep, _ := hear(answer(202, fields, ""), 0, 1000); keep {
+			t.Errorf("%q may carry another call", fields)
+		}
+	}
+	for _, text := range []string{"HTTP/2 200 ok\r\n\r\n", "HTTP/1.1 2x0 ok\r\n\r\n", "HTTP/1.1 200 ok\r\nno colon\r\n\r\n", "\r\n\r\n",
+		"HTTP/1.1 200 ok\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 ok\r\nContent-Length: 99999999999\r\n\r\n",
+		"HTTP/1.1 200 ok\r\n\r\nuntil the end", "HTTP/1.1 099 ok\r\n\r\n", strings.Repeat("x", headMost+1)} {
+		if _, _, err := hear(text, 0, len(text)); err == nil {
+			t.Errorf("%q was taken", text[:min(40, len(text))])
+		}
+	}
+}
+
+func TestCalls(t *testing.T) {
+	for want, got := range map[string][]byte{
+		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: report\r\nX-Wait-Ms: 1500\r\nPool-Mb: 64\r\nPool-Rank: 2\r\nContent-Length: 8\r\n\r\nSELECT 1": Submit(nil, "h:1", "id", "report", 1500*time.Millisecond, 64, 2, []byte("SELECT 1")),
+		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: r\r\nX-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n":                                                Submit(nil, "h:1", "id", "r", 0, 0, -1, nil),
+		"GET /o/id/3 HTTP/1.1\r\nHost: h:1\r\n\r\n":                     Ask(nil, "h:1", "id", 3),
+		"PUT /o/id HTTP/1.1\r\nHost: h:1\r\nContent-Length: 1\r\n\r\n0": Rank(nil, "h:1", "id", 0),
+		"DELETE /o/id HTTP/1.1\r\nHost: h:1\r\n\r\n":                    GiveUp(nil, "h:1", "id"),
+		"GET /stats HTTP/1.1\r\nHost: h:1\r\n\r\n":                      Probe(nil, "h:1", true),
+		"GET /ping HTTP/1.1\r\nHost: h:1\r\n\r\n":                       Probe(nil, "h:1", false),
+	} {
+		if string(got) != want {
+			t.Errorf("%q, not %q", got, want)
+		}
+	}
+	// an id that would start a field of its own
+	if got := string(Submit(nil, "h", "a\r\nPool-Rank: 3", "g", 0, 0, 1, nil)); strings.Count(got, "\r\nPool-Rank") != 1 {
+		t.Errorf("%q", got)
+	}
+	load := Load(func(string) string { return "inflight:7; util:0.61;new:1;x0:;bad" })
+	if len(load) != 2 || load["held"] != 7 || load["cores"] != 0.61 {
+		t.Error(load)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("HTTP/1.1 200 ok\r\nChunks: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n", 0)
+	f.Add("HTTP/1.1 202 ok\r\nX-Cache: advance\r\nReading: 1e9\r\nContent-Length: 0\r\n\r\n", 0)
+	f.Add("HTTP/1.1 200 ok\r\nChunk: 1\r\nContent-Length: 3\r\n\r\na\tb", 1)
+	f.Fuzz(func(t *testing.T, text string, page int) {
+		a, _, err := hear(text, page, len(text)+1)
+		b, _, err1 := hear(text, page, 1)
+		if a != b || (err == nil) != (err1 == nil) {
+			t.Fatalf("%s and %s, %v and %v", a, b, err, err1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,822 @@
+package relay
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201") // the same verdict every time
+	flag.Set("rapid.checks", "1500")
+	flag.Set("rapid.shrinktime", "5s")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const waits = 250 * time.Millisecond
+
+// stage is what stands round a Relay: its runner, clients, engines and clock.
+// It checks the rules at what is written, and lets choices say what happens.
+type stage struct {
+	t       interface{ Fatalf(string, ...any) }
+	r       *Relay
+	now     time.Duration
+	wake    time.Duration
+	ends    []*end
+	mills   map[string]*mill // by address
+	held    []*held
+	asked   []*asked
+	feed    *end
+	events  int64
+	feedUp  bool
+	quit    bool
+	said    []string
+	log     []string
+	sockets int
+	back    []Event // what the runner will bring back
+}
+
+type end struct {
+	n                       int
+	link                    *Link
+	address                 string
+	client                  bool
+	dialAt                  time.Duration
+	up, shut, gone, ignores bool
+	in                      []byte
+	msgs                    int
+}
+
+// mill is an engine.
+type mill struct {
+	id, address, state  string
+	silent, dead        bool
+	runs                map[string]*sub
+	calls, most, kinder int
+}
+
+// sub is one submission as its engine sees it.
+type sub struct {
+	a              *asked
+	m              *mill
+	askedAt        time.Duration
+	over, neverRan bool
+	rests          bool // ended so that its key has to rest
+	overAt         time.Duration
+	pages          int
+}
+
+type held struct {
+	e                  *end
+	m                  *mill
+	at                 time.Duration
+	method, path, body string
+	id                 string
+	page               int
+	s                  *sub
+}
+
+type asked struct {
+	id, group, key  string
+	msg             int
+	from            *end
+	deadline        time.Duration
+	answer          string
+	left            bool
+	subs            []*sub
+	finishedPayload string
+}
+
+func plainFacts(more map[string]string) map[string]string {
+	f := map[string]string{
+		"gateways": "2", "own.number": "0", "groups": "3", "loads": "false,false,true", "waits": "true,true,false",
+		"threads": "1,3,2", "kinds": "std", "locations": "here", "kind.cores": "8", "kind.memory": "16384", "grant.most": "0.4",
+		"may.grant": "true", "may.prioritise": "true", "may.cancel": "true", "may.probe": "true", "may.copy": "true",
+		"may.name-return": "true", "return.most": "500", "submissions.most": "3", "note.period": "2000", "tick": "5",
+		"memory.short": "swap", "drain.grace": "1000", "report.how": "probed", "cold.from": "0.33", "answers.cost": "true",
+		"cold.span": "15000", "cold.multiple": "3", "cold.window": "1000", "key.rest": "300", "list.how": "pushed",
+		"connect.timeout": "250", "idle.most": "15000",
+	}
+	for i, name := range []string{"lookup", "report", "load"} {
+		at := "group." + strconv.Itoa(i) + "."
+		f[at+"name"], f[at+"value"] = name, strconv.Itoa(1+5*i)
+		f[at+"target"], f[at+"timeout"], f[at+"stretch"] = "1000", "5000", "1.5"
+		f[at+"effect"], f[at+"scope"], f[at+"window"] = "read-only", "all", "5000"
+	}
+	f["group.2.effect"], f["group.2.in-order"] = "mutating", "true"
+	maps.Copy(f, more)
+	return f
+}
+
+func newStage(t interface{ Fatalf(string, ...any) }, engines, sockets int, more map[string]string) *stage {
+	s := &stage{t: t, wake: -1, mills: map[string]*mill{}, feedUp: true, sockets: sockets}
+	var members []string
+	for i := range engines {
+		m := &mill{id: "e" + strconv.Itoa(i), address: "10.0.0." + strconv.Itoa(i) + ":1", state: "SERVING", runs: map[string]*sub{}}
+		s.mills[m.address] = m
+		members = append(members, m.entry(0))
+	}
+	s.events = 1
+	var effects []Effect
+	s.r, effects = New(Means{Seed: 7, MemoryMB: 64, Sockets: sockets, Feed: "feed", Facts: plainFacts(more),
+		Known: []byte(`{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[` + strings.Join(members, ",") + `]}}]}`)})
+	s.perform(effects)
+	s.flush()
+	return s
+}
+
+func (m *mill) entry(up int64) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"here","flavor":"std","cell":1,"phase":%q,"size":1,"up_since_ms":%d}`,
+		m.id, m.address, m.state, up)
+}
+
+// all lists the mills in an order of their own.
+func (s *stage) all() []*mill {
+	return slices.SortedFunc(maps.Values(s.mills), func(a, b *mill) int { return strings.Compare(a.address, b.address) })
+}
+
+func (s *stage) step(ev Event) {
+	s.perform(s.r.Step(s.now, ev))
+	s.flush()
+}
+
+func (s *stage) flush() {
+	for len(s.back) > 0 {
+		ev := s.back[0]
+		s.back = s.back[1:]
+		s.perform(s.r.Step(s.now, ev))
+	}
+}
+
+func (s *stage) end(l *Link) *end {
+	for _, e := range s.ends {
+		if e.link == l {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *stage) perform(effects []Effect) {
+	for _, f := range effects {
+		e := s.end(f.Link)
+		switch f.Verb {
+		case Dial:
+			e = &end{n: len(s.ends), link: f.Link, address: f.Address, dialAt: s.now}
+			s.ends = append(s.ends, e)
+			if f.Address == "feed" {
+				s.feed = e
+			}
+			open := 3
+			for _, x := range s.ends {
+				if !x.gone {
+					open++
+				}
+			}
+			if open > s.sockets {
+				s.t.Fatalf("%d descriptors of %d", open, s.sockets)
+			}
+		case Write:
+			s.log = append(s.log, fmt.Sprintf("%v %d %q", s.now, e.n, f.Bytes))
+			if e.shut {
+				s.t.Fatalf("written to a closed link")
+			}
+			if e.ignores || e.gone { // its end is on the way
+				break
+			}
+			s.back = append(s.back, Event{Kind: Wrote, Link: f.Link, N: len(f.Bytes)})
+			if e.client {
+				s.answered(e, f.Bytes)
+			} else if e.address != "feed" {
+				e.in = append(e.in, f.Bytes...)
+				s.calls(e)
+			}
+		case Close:
+			s.log = append(s.log, fmt.Sprintf("%v %d close", s.now, e.n))
+			e.shut = true
+			if e.up {
+				s.lose(e)
+			} else {
+				e.gone = true
+				s.back = append(s.back, Event{Kind: Unanswered, Link: e.link})
+			}
+		case Wake:
+			s.wake = s.now + f.Within
+		case Say, Count:
+			s.said = append(s.said, f.Text)
+		case Quit:
+			s.quit = true
+		}
+	}
+}
+
+// lose ends a link, whoever ended it.
+func (s *stage) lose(e *end) {
+	if !e.gone {
+		e.gone = true
+		s.held = slices.DeleteFunc(s.held, func(h *held) bool { return h.e == e })
+		s.back = append(s.back, Event{Kind: Ended, Link: e.link})
+	}
+}
+
+// calls takes what was written to an engine, call by call.
+func (s *stage) calls(e *end) {
+	m := s.mills[e.address]
+	head, rest, ok := strings.Cut(string(e.in), "\r\n\r\n")
+	if !ok {
+		return
+	}
+	length := 0
+	if _, v, has := strings.Cut(head, "Content-Length: "); has {
+		v, _, _ = strings.Cut(v, "\r\n")
+		length, _ = strconv.Atoi(v)
+	}
+	if len(rest) != length {
+		s.t.Fatalf("two calls at a time on a connection, or a length that is off: %q", e.in)
+	}
+	e.in = nil
+	w := strings.Fields(head)
+	h := &held{e: e, m: m, at: s.now, method: w[0], path: w[1], body: rest}
+	if parts := strings.Split(h.path, "/"); len(parts) > 2 {
+		h.id = parts[2]
+		if len(parts) > 3 {
+			h.page, _ = strconv.Atoi(parts[3])
+		}
+	}
+	if m.silent {
+		return // it lies in a buffer for ever
+	}
+	switch h.method {
+	case "POST":
+		_, id, _ := strings.Cut(head, "X-Req: ")
+		h.id, _, _ = strings.Cut(id, "\r\n")
+		s.posted(h)
+	case "GET":
+		if h.s = m.runs[h.id]; h.s != nil && !h.s.over && h.page == 0 {
+			h.s.askedAt = s.now
+		}
+	case "DELETE":
+		if x := m.runs[h.id]; x != nil && !x.over {
+			s.over(x, true)
+		}
+	}
+	s.held = append(s.held, h)
+}
+
+func (s *stage) over(x *sub, rests bool) { x.over, x.overAt, x.rests = true, s.now, rests }
+
+// posted checks what goes to an engine by the rules.
+func (s *stage) posted(h *held) {
+	var a *asked
+	for _, x := range s.asked {
+		if x.id == h.id {
+			a = x
+		}
+	}
+	switch {
+	case a == nil:
+		s.t.Fatalf("submitted what nobody asked for: %s", h.id)
+	case a.answer != "" || a.left:
+		s.t.Fatalf("rule 1: submitted after its end: %s", h.id)
+	case h.m.state != "SERVING" && s.r.feed.last == s.events:
+		s.t.Fatalf("rule 3: submitted to one %s", h.m.state)
+	case h.m.runs[h.id] != nil && !h.m.runs[h.id].over:
+		s.t.Fatalf("two of one id at one engine: %s", h.id)
+	}
+	for _, x := range a.subs {
+		if a.group == "load" && !x.neverRan {
+			s.t.Fatalf("rule 2: a mutating query sent again: %s", h.id)
+		}
+	}
+	for _, x := range s.asked {
+		if x == a {
+			break
+		}
+		if a.group != "load" || x.group != "load" || x.key != a.key {
+			continue
+		}
+		if x.answer == "" && !x.left {
+			s.t.Fatalf("rule 5: %s sent before %s is over", a.id, x.id)
+		}
+		for _, y := range x.subs {
+			if !y.over || y.rests && s.now < y.overAt+300*time.Millisecond {
+				s.t.Fatalf("rule 5: %s sent at %v while %s runs or its key rests (%v)", a.id, s.now, x.id, y.overAt)
+			}
+		}
+	}
+	x := &sub{a: a, m: h.m, askedAt: s.now}
+	a.subs, h.m.runs[h.id], h.s = append(a.subs, x), x, x
+}
+
+func (s *stage) answered(e *end, p []byte) {
+	if p[2] >= 0x80 {
+		s.t.Fatalf("more messages than this test reads: %q", p)
+	}
+	for _, a := range s.asked {
+		if a.from != e || a.msg != int(p[2]) {
+			continue
+		}
+		if a.answer != "" || a.left {
+			s.t.Fatalf("rule 1: a second answer to %s, or one nobody waits for", a.id)
+		}
+		switch {
+		case p[3] == 0xc0:
+			a.answer = "finished"
+			if !bytes.Contains(p, []byte(a.finishedPayload)) || a.finishedPayload == "" {
+				s.t.Fatalf("finished with what no engine made: %q, not %q", p, a.finishedPayload)
+			}
+		case bytes.Contains(p, []byte("Throttled")):
+			a.answer = "deferred"
+			for _, x := range a.subs {
+				if a.group == "load" && !x.neverRan {
+					s.t.Fatalf("rule 2: deferred, and may have run: %s", a.id)
+				}
+			}
+		default:
+			a.answer = "killed"
+		}
+	}
+}
+
+func (s *stage) connect() *end {
+	e := &end{n: len(s.ends), link: &Link{}, client: true, up: true}
+	s.ends = append(s.ends, e)
+	s.step(Event{Kind: Accepted, Link: e.link})
+	return e
+}
+
+func (s *stage) read(e *end, p []byte) {
+	for len(p) > 0 && !e.gone {
+		n := copy(e.link.In.Space(), p)
+		p = p[n:]
+		s.step(Event{Kind: Got, Link: e.link, N: n})
+	}
+}
+
+func str(v string) string { return string(rune(0xa0+len(v))) + v }
+
+func fix(v string) []byte { return append([]byte{byte(0xa0 + len(v))}, v...) }
+
+// query has a client ask for something.
+func (s *stage) query(e *end, group, key string, patience time.Duration, tables int) *asked {
+	e.msgs++
+	a := &asked{id: fmt.Sprintf("%016x", len(s.asked)+1), group: group, key: key, msg: e.msgs, from: e, deadline: s.now + patience}
+	s.asked = append(s.asked, a)
+	p := append([]byte{0x94, 0, byte(a.msg)}, fix(group)...)
+	p = append(p, 0x92, 0x83)
+	for _, f := range []string{"trace", a.id, "patience", strconv.Itoa(int(patience.Milliseconds())), "entity", key} {
+		p = append(p, fix(f)...)
+	}
+	body := "SELECT * FROM sales_" + strconv.Itoa(tables) + ".orders"
+	s.read(e, append(append(p, 0xc4, byte(len(body))), body...))
+	return a
+}
+
+func (s *stage) leave(a *asked) {
+	if a.answer == "" && !a.left && !a.from.gone {
+		a.left = true
+		s.read(a.from, append(append([]byte{0x93, 2}, fix("cancelRequest")...), 0x91, byte(a.msg)))
+	}
+}
+
+func (s *stage) drop(e *end) {
+	for _, a := range s.asked {
+		if a.from == e && a.answer == "" {
+			a.left = true
+		}
+	}
+	s.lose(e)
+	s.flush()
+}
+
+// news: an engine holds this call until there are any.
+func (h *held) news() bool {
+	return h.method == "POST" || h.method == "GET" && h.id != "" && h.page == 0
+}
+
+// reply answers a held call with so many pages still to come, or with a word.
+func (s *stage) reply(h *held, how string) {
+	s.held = slices.DeleteFunc(s.held, func(x *held) bool { return x == h })
+	out := func(status int, fields, body string) {
+		s.read(h.e, []byte(fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)))
+	}
+	row := func(page int) string { return h.id + "\tof page\t" + strconv.Itoa(page) + "\n" }
+	x := h.s
+	switch {
+	case how == "lost":
+		s.lose(h.e)
+		s.flush()
+	case how == "garbled":
+		s.read(h.e, []byte("HTTP/1.1 what\r\n\r\n"))
+	case h.id == "" && h.method == "GET":
+		out(200, "X-Load: inflight:3;util:0.5\r\n", "")
+	case h.method == "DELETE" || h.method == "PUT":
+		out(204, "", "")
+	case x == nil, h.news() && x.over && x.pages == 0:
+		out(500, "", "")
+	case h.page > 0:
+		out(200, "Chunk: "+strconv.Itoa(h.page)+"\r\n", row(h.page))
+	case x.over && x.pages > 0 || how == "ok":
+		if !x.over {
+			s.over(x, false)
+			x.pages = 1 + int(s.now/time.Millisecond)%3
+		}
+		x.a.finishedPayload = ""
+		for p := range x.pages {
+			x.a.finishedPayload += row(p)
+		}
+		out(200, fmt.Sprintf("Chunks: %d\r\nElapsed-Work: 300\r\nHigh-Water: 64\r\n", x.pages), row(0))
+	case how == "full":
+		s.over(x, false)
+		x.neverRan = true
+		out(503, "X-Not-Run: 1\r\n", "")
+	case how == "busy": // no proof that it did not run
+		s.over(x, false)
+		out(503, "", "")
+	case how == "error":
+		s.over(x, false)
+		out(500, "", "")
+	case how == "cut":
+		s.over(x, false)
+		out(200, "Chunks: 1\r\n", "half a row")
+	case how == "stuck":
+		out(202, "X-Cache: stall\r\nReading: 2\r\n", "")
+	default:
+		out(202, "X-Cache: advance\r\nReading: 0.1\r\n", "")
+	}
+}
+
+// until lets time pass: what is due at the runner, healthy engines' news and dials.
+func (s *stage) until(t time.Duration) {
+	for !s.quit {
+		next, what := t, func() {}
+		soonest := func(at time.Duration, do func()) {
+			if at < next {
+				next, what = max(at, s.now), do
+			}
+		}
+		if s.wake >= 0 {
+			soonest(s.wake, func() { s.wake = -1; s.step(Event{Kind: Woken}) })
+		}
+		for _, h := range s.held {
+			if !h.m.silent {
+				take := time.Millisecond
+				if h.news() {
+					take = waits
+				}
+				soonest(h.at+take, func() { s.reply(h, "runs") })
+			}
+		}
+		for _, e := range s.ends {
+			if !e.up && !e.gone {
+				s.dialled(e, soonest)
+			}
+		}
+		for _, m := range s.all() {
+			for _, id := range slices.Sorted(maps.Keys(m.runs)) {
+				if x := m.runs[id]; !x.over {
+					soonest(x.askedAt+waits+2*time.Second, func() { s.over(x, true) })
+				}
+			}
+		}
+		if what != nil && next >= t {
+			s.now = t
+			break
+		}
+		s.now = next
+		what()
+		s.late()
+	}
+	s.late()
+}
+
+func (s *stage) dialled(e *end, soonest func(time.Duration, func())) {
+	m := s.mills[e.address]
+	up := func() { e.up = true; s.step(Event{Kind: Up, Link: e.link}) }
+	fail := func(kind Kind) func() { return func() { e.gone = true; s.step(Event{Kind: kind, Link: e.link}) } }
+	switch {
+	case m == nil && s.feedUp:
+		soonest(e.dialAt+time.Millisecond, func() { up(); s.tell("") })
+	case m == nil || m.silent:
+		soonest(e.dialAt+waits, fail(Unanswered))
+	case m.dead:
+		soonest(e.dialAt+time.Millisecond, fail(Refused))
+	default:
+		soonest(e.dialAt+time.Millisecond, up)
+	}
+}
+
+func (s *stage) late() {
+	for _, a := range s.asked {
+		if a.answer == "" && !a.left && s.now > a.deadline+20*time.Millisecond {
+			s.t.Fatalf("rule 1: no answer to %s in time", a.id)
+		}
+	}
+}
+
+// tell has the feed say something of engines, or just its last number.
+func (s *stage) tell(members string) {
+	if members != "" {
+		s.events++
+		members = fmt.Sprintf(`{"n":%d,"members":{"complete":false,"members":[%s]}}`, s.events, members)
+	} else {
+		members = strconv.FormatInt(s.events, 10)
+	}
+	if s.feed != nil && s.feed.up && !s.feed.gone {
+		s.read(s.feed, []byte(members+"\n"))
+	}
+}
+
+// restart ends a mill's process; a new one answers, or none.
+func (s *stage) restart(m *mill, dead bool) {
+	for _, id := range slices.Sorted(maps.Keys(m.runs)) {
+		if !m.runs[id].over {
+			s.over(m.runs[id], true)
+		}
+	}
+	m.runs, m.dead, m.silent = map[string]*sub{}, dead, false
+	for _, e := range s.ends {
+		if e.address == m.address && e.up && !e.gone {
+			s.lose(e)
+		}
+	}
+	s.flush()
+}
+
+// play has choices say what happens.
+func (s *stage) play(choices []uint16) {
+	clients := []*end{s.connect(), s.connect()}
+	for _, c := range choices {
+		kind, x := int(c%16), int(c/16)
+		c, all := clients[x%2], s.all()
+		m := all[x%len(all)]
+		switch {
+		case kind < 5:
+			if c.gone || c.msgs > 100 {
+				clients[x%2] = s.connect()
+				c = clients[x%2]
+			}
+			group := []string{"lookup", "report", "load", "load"}[x/2%4]
+			s.query(c, group, "k"+strconv.Itoa(x/8%2), time.Duration(400+x%5000)*time.Millisecond, x/16%3)
+		case kind < 9:
+			if len(s.held) > 0 {
+				s.reply(s.held[x%len(s.held)], []string{"ok", "ok", "runs", "stuck", "full", "busy", "error", "cut", "lost", "garbled"}[x/64%10])
+			}
+		case kind < 13:
+			s.until(s.now + time.Duration(x%500)*time.Millisecond)
+		case kind == 13:
+			if len(s.asked) > 0 {
+				s.leave(s.asked[x%len(s.asked)])
+			}
+		case x%7 == 0:
+			s.drop(c)
+		case x%7 == 1:
+			m.state = []string{"SERVING", "DRAINING"}[x/7%2]
+			s.tell(m.entry(0))
+		case x%7 == 2:
+			s.restart(m, x/7%2 == 0)
+		case x%7 == 3:
+			m.silent = !m.silent
+			if !m.silent { // a machine comes back with nothing
+				s.restart(m, false)
+			}
+		case x%7 == 4:
+			s.feedUp = !s.feedUp
+			if !s.feedUp && s.feed != nil && s.feed.up {
+				s.lose(s.feed)
+				s.flush()
+			}
+		default:
+			s.until(s.now + time.Duration(x)*time.Millisecond)
+		}
+	}
+	s.until(s.now + 12*time.Second)
+	s.step(Event{Kind: Stop})
+	s.until(s.now + 6*time.Second)
+	if !s.quit {
+		s.t.Fatalf("it does not end: %d queries open", len(s.r.queries))
+	}
+}
+
+func TestRulesHoldWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choices := rapid.SliceOfN(rapid.Uint16(), 120, 250).Draw(t, "choices")
+		sockets := rapid.SampledFrom([]int{64, 28, 1024}).Draw(t, "sockets")
+		var logs [2][]string
+		for i := range logs {
+			s := newStage(t, 3, sockets, nil)
+			s.play(choices)
+			logs[i] = s.log
+		}
+		if !slices.Equal(logs[0], logs[1]) {
+			t.Fatalf("the same events, other effects")
+		}
+	})
+}
+
+// one finds a held call, letting news go on until it is there.
+func (s *stage) one(method, id string) *held {
+	for range 1000 {
+		for _, h := range s.held {
+			if h.method == method && h.id == id {
+				return h
+			}
+		}
+		s.until(s.now + time.Millisecond)
+	}
+	s.t.Fatalf("no %s of %s", method, id)
+	return nil
+}
+
+func TestOrderHoldsOnAVanishedEngine(t *testing.T) {
+	s := newStage(t, 2, 256, nil)
+	c := s.connect()
+	first, next := s.query(c, "load", "k", 1500*time.Millisecond, 1), s.query(c, "load", "k", 20*time.Second, 2)
+	s.reply(s.one("POST", first.id), "runs")
+	h := s.one("GET", first.id)
+	h.m.silent = true // cut off: what it has is still at work there
+	s.until(first.deadline)
+	if first.answer != "killed" {
+		t.Fatalf("%q at its client's end", first.answer)
+	}
+	s.until(h.at + waits + 1990*time.Millisecond)
+	if len(next.subs) > 0 {
+		t.Fatal("sent while the first may still run")
+	}
+	s.until(s.now + time.Second) // posted checks the rest
+	if len(next.subs) != 1 {
+		t.Fatal("the key is stuck")
+	}
+}
+
+func TestOrderHoldsAfterAnErrorOutOfSilence(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	c := s.connect()
+	first, next := s.query(c, "load", "k", 20*time.Second, 1), s.query(c, "load", "k", 20*time.Second, 2)
+	s.reply(s.one("POST", first.id), "runs")
+	h := s.one("GET", first.id)
+	s.restart(h.m, false) // the new process knows nothing of it, and answers 500
+	s.until(s.now + 290*time.Millisecond)
+	if len(next.subs) > 0 {
+		t.Fatal("an error that may be a restart lets the key go at once")
+	}
+	s.until(s.now + time.Second)
+	if first.answer != "killed" || len(next.subs) != 1 {
+		t.Fatalf("%q, %d", first.answer, len(next.subs))
+	}
+}
+
+func TestALaterSubmissionIsLeftAlone(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	a := s.query(s.connect(), "lookup", "", 20*time.Second, 1)
+	s.reply(s.one("POST", a.id), "runs")
+	h := s.one("GET", a.id)
+	s.r.soon(func() { s.r.Cancel(a.id, 0) }) // as the decisions do when they move it
+	s.step(Event{Kind: Woken})
+	if len(a.subs) != 1 || len(s.r.queries[a.id].subs) != 2 {
+		t.Fatal("sent again while the first is being given up there")
+	}
+	s.reply(s.one("DELETE", a.id), "")
+	s.reply(s.one("POST", a.id), "runs")
+	if len(a.subs) != 2 {
+		t.Fatal("not sent again")
+	}
+	if slices.Contains(s.held, h) {
+		s.reply(h, "error") // the first one's late answer
+	}
+	s.reply(s.one("GET", a.id), "ok")
+	s.until(s.now + 300*time.Millisecond)
+	if a.answer != "finished" {
+		t.Fatal(a.answer)
+	}
+}
+
+func TestNothingWrittenNeverRan(t *testing.T) {
+	for _, none := range []bool{true, false} {
+		s := newStage(t, 1, 256, nil)
+		c := s.connect()
+		warm := s.query(c, "lookup", "", 5*time.Second, 1)
+		s.reply(s.one("POST", warm.id), "ok")
+		s.until(s.now + 50*time.Millisecond)
+		for _, e := range s.ends { // what is idle now dies as the next call comes
+			e.ignores = none && e.address == "10.0.0.0:1"
+		}
+		a := s.query(c, "load", "k", 5*time.Second, 2)
+		for _, e := range s.ends {
+			if e.address == "10.0.0.0:1" && !e.gone {
+				s.lose(e)
+			}
+		}
+		s.flush()
+		s.until(s.now + 2*time.Second)
+		if none != (len(a.subs) == 1 && s.r.tally.ends[4] == 1) && none {
+			t.Fatalf("not sent once more: %d, %v", len(a.subs), s.r.tally.ends)
+		}
+		if !none && s.r.tally.ends[4] > 0 {
+			t.Fatal("what was written passes for unreachable")
+		}
+	}
+}
+
+func TestPollsTakeTurns(t *testing.T) {
+	s := newStage(t, 2, 32, nil) // a pool of few
+	c := s.connect()
+	var all []*asked
+	for i := range 16 {
+		all = append(all, s.query(c, "load", "k"+strconv.Itoa(i), 20*time.Second, i))
+	}
+	s.until(s.now + 6*time.Second)
+	for _, a := range all {
+		if len(a.subs) == 0 {
+			t.Fatal("not sent: ", a.id)
+		}
+		for _, x := range a.subs {
+			if x.over && x.rests {
+				t.Fatal("it went unasked for: ", a.id)
+			}
+		}
+	}
+	if s.r.tally.waited == 0 {
+		t.Fatal("there was no shortage")
+	}
+}
+
+func TestFeedThatSkips(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	m := s.all()[0]
+	s.until(s.now + 10*time.Millisecond)
+	m.state = "DRAINING"
+	first := s.feed
+	s.events++ // lost on its way
+	s.tell(m.entry(0))
+	if !first.gone || s.r.feed.last != 1 {
+		t.Fatal("a gap was passed over")
+	}
+	s.until(s.now + time.Second)
+	if s.feed == first || !strings.Contains(strings.Join(s.log, "\n"), `"SUB 1\n"`) {
+		t.Fatal("it did not ask again")
+	}
+	quiet := s.feed
+	s.until(s.now + 4*time.Second)
+	if s.feed == quiet {
+		t.Fatal("a feed that says nothing is waited for")
+	}
+}
+
+func TestNoEngineAtAll(t *testing.T) {
+	s := newStage(t, 0, 64, nil)
+	c := s.connect()
+	for i := range 10 {
+		s.query(c, []string{"lookup", "load"}[i%2], "k", time.Second, i)
+	}
+	s.until(s.now + 2*time.Second)
+	for _, a := range s.asked {
+		if a.answer != "deferred" {
+			t.Fatal(a.id, a.answer)
+		}
+	}
+}
+
+func TestKeysKeepTheirNumbers(t *testing.T) {
+	k := newKeyring()
+	a, b := k.take("a"), k.take("b")
+	k.release(a, 10)
+	k.sweep(10)
+	if k.take("a") != a || a.number == b.number || a.number < 0 {
+		t.Fatal("a key that has not rested lost its number")
+	}
+	k.release(a, 20)
+	k.sweep(21)
+	if c := k.take("c"); c.number != a.number || len(k.byName) != 2 {
+		t.Fatal("a key at rest keeps its number")
+	}
+}
+
+func TestAClientThatDoesNotRead(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	c, other := s.connect(), s.connect()
+	a := s.query(c, "lookup", "", 5*time.Second, 1)
+	h := s.one("POST", a.id)
+	c.ignores, a.left = true, true
+	s.reply(h, "ok")
+	for range 3 {
+		if h := s.held; len(h) > 0 {
+			s.reply(h[0], "")
+		}
+	}
+	s.until(s.now + 12*time.Second)
+	if !c.gone || other.gone {
+		t.Fatal("it is waited for")
+	}
+}
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -83,7 +83,7 @@
 	}
 	s.call(&call{e: s.e,
 		fit: func() bool {
-			return !s.ended && s.now < s.until && s.e.state == decide.On
+			return !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
 		},
 		write: func(dst []byte) []byte {
 			s.sent, s.askedAt, s.ranked = true, s.now, s.q.priority
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -55,6 +55,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &loop{ctx: ctx, group: group, events: make(chan event, 64), wires: map[*relay.Link]*wire{}, log: log,
 		start: means.Started, timer: time.NewTimer(time.Hour)}
+	log.Info().Str("address", listener.Addr().String()).Msg("listening")
 	group.Go(func() error { return l.accept(listener) })
 	group.Go(func() error {
 		defer listener.Close()
