--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -147,6 +147,7 @@
 	lines   chan map[string]any
 	ended   chan error
 	config  string
+	limit   string // what the shell does before
 }
 
 const settings = `{"balancers":1,"me":0,"zones":["here"],"kinds":["std"],"quantum_ms":5.0,"discovery":"pushed",
@@ -173,7 +174,7 @@
 
 func (c *controller) begin(listen string) {
 	c.t.Helper()
-	c.cmd = exec.Command(program)
+	c.cmd = exec.Command("/bin/sh", "-c", c.limit+"exec "+program)
 	c.cmd.Env = append(os.Environ(), "RAILRELAY_LOG=info", "ROUTER_NAME=n0", "ROUTER_CONFIG="+c.config, "ROUTER_LISTEN="+listen)
 	out, err := c.cmd.StderrPipe()
 	if err != nil {
@@ -495,6 +496,30 @@
 	}
 }
 
+func TestOutOfDescriptors(t *testing.T) {
+	e, f := newStand(t, serves(false)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	c.signal(syscall.SIGKILL)
+	<-c.ended
+	c.limit = "ulimit -n 24; "
+	c.begin("127.0.0.1:0")
+	var all []net.Conn
+	for range 40 {
+		conn, err := net.Dial("tcp", c.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, conn)
+	}
+	c.said("can't accept")
+	for _, conn := range all {
+		conn.Close()
+	}
+	a := c.client()
+	a.ask("lookup", "aaaa", "5000", "")
+	a.expect(1, "aaaa\tfirst")
+}
+
 func TestConfigThatIsMissing(t *testing.T) {
 	for config, want := range map[string]string{"/does/not/exist": "no config", os.DevNull: "config:"} {
 		cmd := exec.Command(program)
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -74,6 +74,9 @@
 		{0, answer(500, "X-Not-Run: 1\r\n", ""), errored},
 		{0, answer(404, "", ""), "unclear"},
 		{0, "HTTP/1.1 100 Go on\r\n\r\n" + answer(202, "", ""), "runs"},
+		{0, "HTTP/1.1 200 ok\r\nChunks: 1\r\nTransfer-Encoding: Chunked\r\n\r\n4;x=1\r\na\tb\t\r\n2\r\nc\n\r\n0\r\nLast: word\r\n\r\n",
+			`finished 0s 0;page 0 of 1 "a\tb\tc\n"`},
+		{0, "HTTP/1.1 202 ok\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "runs"},
 		{0, "HTTP/1.1 204 No\r\n\r\n", "unclear"},
 	} {
 		for _, step := range []int{1, 7, len(c.text)} {
@@ -89,7 +92,9 @@
 	}
 	for _, text := range []string{"HTTP/2 200 ok\r\n\r\n", "HTTP/1.1 2x0 ok\r\n\r\n", "HTTP/1.1 200 ok\r\nno colon\r\n\r\n", "\r\n\r\n",
 		"HTTP/1.1 200 ok\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 ok\r\nContent-Length: 99999999999\r\n\r\n",
-		"HTTP/1.1 200 ok\r\n\r\nuntil the end", "HTTP/1.1 099 ok\r\n\r\n", strings.Repeat("x", headMost+1)} {
+		"HTTP/1.1 200 ok\r\n\r\nuntil the end",
+		"HTTP/1.1 200 ok\r\nTransfer-Encoding: gzip\r\n\r\n", "HTTP/1.1 200 ok\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+		"HTTP/1.1 200 ok\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", "HTTP/1.1 200 ok\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "HTTP/1.1 099 ok\r\n\r\n", strings.Repeat("x", headMost+1)} {
 		if _, _, err := hear(text, 0, len(text)); err == nil {
 			t.Errorf("%q was taken", text[:min(40, len(text))])
 		}
@@ -123,6 +128,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add("HTTP/1.1 200 ok\r\nChunks: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n", 0)
 	f.Add("HTTP/1.1 202 ok\r\nX-Cache: advance\r\nReading: 1e9\r\nContent-Length: 0\r\n\r\n", 0)
+	f.Add("HTTP/1.1 200 ok\r\nTransfer-Encoding: chunked\r\n\r\n4;x=1\r\na\tb\t\r\n2\r\nc\n\r\n0\r\nLast: word\r\n\r\n", 0)
 	f.Add("HTTP/1.1 200 ok\r\nChunk: 1\r\nContent-Length: 3\r\n\r\na\tb", 1)
 	f.Fuzz(func(t *testing.T, text string, page int) {
 		a, _, err := hear(text, page, len(text)+1)
--- a/internal/engines/http.go
+++ b/internal/engines/http.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 var errForm = errors.New("not an answer of HTTP/1.1")
@@ -39,27 +40,77 @@
 	}
 	field := func(name string) string { return lookup(head, name) }
 	length := 0
-	if l := field("Content-Length"); l != "" {
+	body, took := []byte(nil), end+4
+	if l := field("Transfer-Encoding"); l != "" {
+		if !strings.EqualFold(l, "chunked") {
+			return 0, false, errForm
+		}
+		if body, length, err = chunks(p[took:], most); err != nil || length == 0 {
+			return 0, false, err
+		}
+	} else if l := field("Content-Length"); l != "" {
 		if length, err = strconv.Atoi(l); err != nil || length < 0 || length > most {
 			return 0, false, errForm
 		}
-	} else if field("Transfer-Encoding") != "" || status != 204 && status != 304 && status >= 200 {
+	} else if status != 204 && status != 304 && status >= 200 {
 		// an answer that only its connection's end would close can't be told
 		// from one cut short
 		return 0, false, errForm
 	}
-	took := end + 4 + length
-	if len(p) < took {
+	if took += length; len(p) < took {
 		return 0, false, nil
 	}
+	if body == nil {
+		body = p[end+4 : took]
+	}
 	if status < 200 {
 		return took, true, nil // an interim answer; the one meant follows
 	}
 	keep := line[7] == '1' && !bytes.EqualFold([]byte(field("Connection")), []byte("close"))
-	hear(status, field, p[end+4:took])
+	hear(status, field, body)
 	return took, keep, nil
 }
 
+// chunks joins a body that comes in pieces, and says how many bytes those took:
+// 0 while they aren't all there.
+func chunks(p []byte, most int) (body []byte, took int, err error) {
+	body = []byte{}
+	for {
+		line, _, ok := bytes.Cut(p[took:], []byte("\r\n"))
+		if !ok {
+			if len(p)-took > headMost {
+				return nil, 0, errForm
+			}
+			return nil, 0, nil
+		}
+		took += len(line) + 2
+		digits, _, _ := bytes.Cut(line, []byte(";"))
+		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
+		if err != nil || len(body)+int(size) > most {
+			return nil, 0, errForm
+		}
+		if size == 0 {
+			break
+		}
+		if len(p)-took < int(size)+2 {
+			return nil, 0, nil
+		}
+		body = append(body, p[took:took+int(size)]...)
+		if took += int(size) + 2; string(p[took-2:took]) != "\r\n" {
+			return nil, 0, errForm
+		}
+	}
+	for { // what may follow the last piece, up to an empty line
+		line, _, ok := bytes.Cut(p[took:], []byte("\r\n"))
+		if !ok {
+			return nil, 0, nil
+		}
+		if took += len(line) + 2; len(line) == 0 {
+			return body, took, nil
+		}
+	}
+}
+
 // lookup finds a field's value, "" if there is none.
 func lookup(head []byte, name string) string {
 	for l := range bytes.SplitSeq(head, []byte("\r\n")) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,8 +141,9 @@
 	// a third is for clients; of the rest some is kept back for the listener,
 	// the feed, the runtime and connections on their way out
 	spare := 16 + means.Sockets/32
-	r.clientsMost = max(1, means.Sockets/3)
-	r.pool.most = max(2, means.Sockets-r.clientsMost-spare)
+	// their ends and their next connections may cross: a little over a third is let in
+	r.clientsMost = max(1, means.Sockets/3) + spare/4
+	r.pool.most = max(2, means.Sockets-means.Sockets/3-spare)
 	memory := int(means.MemoryMB * (1 << 20))
 	r.messageMost, r.unreadMost = max(1<<16, memory/64), max(1<<18, memory/8)
 	groups, _ := strconv.Atoi(f["groups"])
