One accepted connection at a time is unknown to the reducer; lines to gone engines close

A flood of connections could hold descriptors that the reducer had not counted: the accepting goroutine now waits until each is taken in (internal/run/run.go, accept).

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -121,7 +121,13 @@
 			r.shut(l.link, false)
 		}
 	}
-	e.state = state
+	if e.state = state; state == decide.Gone {
+		for _, l := range e.lines {
+			if l.up && l.call == nil {
+				r.shut(l.link, false)
+			}
+		}
+	}
 	started := time.UnixMilli(startedMs).Sub(r.Started)
 	r.gate.ListEngine(id, r.place("locations", location), r.place("kinds", kind), cell, state, started, startedMs != 0)
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -53,7 +53,7 @@
 func Serve(ctx context.Context, listener net.Listener, means relay.Means, asked <-chan relay.Kind, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
-	l := &loop{ctx: ctx, group: group, events: make(chan event, 64), wires: map[*relay.Link]*wire{}, log: log,
+	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
 		start: means.Started, timer: time.NewTimer(time.Hour)}
 	log.Info().Str("address", listener.Addr().String()).Msg("listening")
 	group.Go(func() error { return l.accept(listener) })
@@ -168,8 +168,12 @@
 			continue
 		}
 		w := newWire(&relay.Link{}, c)
+		if !l.tell(relay.Accepted, w, 0) { // before the next: it may be one too many
+			w.close()
+			return nil
+		}
 		l.group.Go(func() error {
-			l.serve(w, relay.Accepted)
+			l.serve(w)
 			return nil
 		})
 	}
@@ -193,18 +197,18 @@
 			return nil
 		}
 		w.have(c)
-		l.serve(w, relay.Up)
+		if l.tell(relay.Up, w, 0) {
+			l.serve(w)
+		}
+		w.close()
 		return nil
 	})
 }
 
 // serve reads until the connection ends. Only then, with its descriptor free,
 // is the end told.
-func (l *loop) serve(w *wire, begins relay.Kind) {
+func (l *loop) serve(w *wire) {
 	defer w.close()
-	if !l.tell(begins, w, 0) {
-		return
-	}
 	sent := make(chan struct{})
 	l.group.Go(func() error {
 		defer close(sent)
