--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -94,7 +94,7 @@
 	for n := c.fields(); n > 0 && c.err == nil; n-- {
 		switch name := c.str(); string(name) {
 		case "trace":
-			if id = c.str(); len(id) > 0 && len(id) <= 64 {
+			if id = c.str(); usable(id) {
 				why = ""
 			}
 		case "patience":
@@ -118,6 +118,16 @@
 	return func() { h.Query(msg, method, id, patience, key, keyed, statement) }
 }
 
+// usable: the trace stands in the path of calls to engines as it is.
+func usable(id []byte) bool {
+	for _, b := range id {
+		if b < '0' || b > '9' && b < 'A' || b > 'Z' && b < 'a' && b != '_' || b > 'z' {
+			return false
+		}
+	}
+	return len(id) > 0 && len(id) <= 64
+}
+
 func notice(c *cursor, h Hearer) func() {
 	rest := *c
 	c.skip(0)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -97,6 +97,8 @@
 	}
 	for text, want := range map[string]string{
 		string(fields("patience", "5")):                                                  "wrong 5 no trace",
+		string(fields("trace", "a/0 HTTP/1.1\r\n", "patience", "5")):                     "wrong 5 no trace",
+		string(fields("trace", "", "patience", "5")):                                     "wrong 5 no trace",
 		string(fields("trace", "a")):                                                     "wrong 5 no patience",
 		string(fields("trace", "a", "patience", "soon")):                                 "wrong 5 no patience",
 		string(fields("trace", "a", "patience", "-3")):                                   "wrong 5 no patience",
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -107,7 +107,11 @@
 	case len(c.open) >= openMost:
 		c.Wrong(msg, "too many are open")
 		return
+	case c.inHand+len(statement) > c.inHandMost:
+		c.Wrong(msg, "too much is in hand") // the memory is all there is
+		return
 	}
+	c.inHand += len(statement)
 	q := &query{id: string(id), from: c, msg: msg, group: g, statement: append([]byte{}, statement...),
 		takenAt: c.now, deadline: c.now + patience, priority: -1}
 	number := int64(-1)
@@ -189,6 +193,7 @@
 		r.soon(func() {
 			if r.queries[q.id] == q {
 				delete(r.queries, q.id)
+				r.inHand -= len(q.statement)
 				if q.key != nil {
 					r.keys.release(q.key, r.now)
 				}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,6 +109,8 @@
 	unread      int // bytes that clients have not taken yet
 	unreadMost  int
 	messageMost int
+	inHand      int // bytes of statements
+	inHandMost  int
 
 	engines map[string]*engine
 	pool    pool
@@ -145,7 +147,7 @@
 	r.clientsMost = max(1, means.Sockets/3) + spare/4
 	r.pool.most = max(2, means.Sockets-means.Sockets/3-spare)
 	memory := int(means.MemoryMB * (1 << 20))
-	r.messageMost, r.unreadMost = max(1<<16, memory/64), max(1<<18, memory/8)
+	r.messageMost, r.unreadMost, r.inHandMost = max(1<<16, memory/64), max(1<<18, memory/8), max(1<<18, memory/8)
 	groups, _ := strconv.Atoi(f["groups"])
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
