A refusal proves no end where order is asked for or another connection stands

An engine whose table of connections is full refuses as a dead one does, and runs on what it has. Told as a reset, the key was free 300 ms later while the load could still run for 2 s. Found by reading the protocol again, then shown by the random runs once engines may refuse without dying (internal/relay/submission.go, came and giveUp). Loads at a crashed engine are now told 2 s later.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -19,6 +19,11 @@
 	waiting     []*submission // held until the one of the same id is over
 }
 
+// alive: a connection to it stands.
+func (e *engine) alive() bool {
+	return slices.ContainsFunc(e.lines, func(l *line) bool { return l.up && !l.link.closed })
+}
+
 // line is a connection to an engine, for one call at a time.
 type line struct {
 	link      *Link
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,10 +117,10 @@
 	feed    feed
 	groups  map[string]*group
 
-	connectWithin, idleMost, keyRest, tick time.Duration
-	reports, copies                        bool
-	stopping                               bool
-	stopAt                                 time.Duration
+	connectWithin, idleMost, keyRest time.Duration
+	reports, copies                  bool
+	stopping                         bool
+	stopAt                           time.Duration
 }
 
 // group is a resource group as far as the sockets need to know it.
@@ -136,7 +136,7 @@
 		engines: map[string]*engine{}, groups: map[string]*group{}}
 	f := means.Facts
 	r.connectWithin, r.idleMost = r.span("connect.timeout"), r.span("idle.most")
-	r.keyRest, r.tick = r.span("key.rest"), r.span("tick")
+	r.keyRest = r.span("key.rest")
 	r.reports = f["report.how"] != "off" && f["report.how"] != ""
 	r.copies = f["may.copy"] == "true"
 	r.keys = newKeyring()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -600,6 +600,8 @@
 				s.lose(s.feed)
 				s.flush()
 			}
+		case x%7 == 5: // its table of connections is full, or has room again
+			m.dead = !m.dead
 		default:
 			s.until(s.now + time.Duration(x)*time.Millisecond)
 		}
@@ -680,6 +682,29 @@
 	}
 }
 
+func TestARefusalIsNoEndWhileConnectionsStand(t *testing.T) {
+	s := newStage(t, 2, 256, nil)
+	c := s.connect()
+	first := s.query(c, "load", "k", 20*time.Second, 1)
+	h := s.one("POST", first.id)
+	for i := range 6 { // so that there are other connections
+		s.query(c, "load", "x"+strconv.Itoa(i), 20*time.Second, 10+i)
+	}
+	s.until(s.now + 100*time.Millisecond)
+	next := s.query(c, "load", "k", 20*time.Second, 2)
+	h.m.dead = true // full
+	s.lose(h.e)
+	s.flush()
+	s.until(s.now + 2*time.Second)
+	if first.answer != "" || len(next.subs) > 0 {
+		t.Fatal("taken for dead: ", first.answer)
+	}
+	s.until(s.now + 2*time.Second) // posted checks the rest
+	if first.answer != "killed" || len(next.subs) != 1 {
+		t.Fatalf("%q, %d", first.answer, len(next.subs))
+	}
+}
+
 func TestALaterSubmissionIsLeftAlone(t *testing.T) {
 	s := newStage(t, 1, 256, nil)
 	a := s.query(s.connect(), "lookup", "", 20*time.Second, 1)
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -134,8 +134,8 @@
 		s.end(decide.NeverSent)
 	case !s.sent, !s.settled && as == unwritten:
 		s.end(decide.Unreachable)
-	case as == refused:
-		s.end(decide.Reset) // its process is no more
+	case s.died(as):
+		s.end(decide.Reset)
 	case as == garbled:
 		s.withdraw(s, decide.Reset)
 	case s.now >= s.gone():
@@ -244,7 +244,7 @@
 		s.tell(decide.NeverSent)
 		return
 	}
-	late := s.q.group.inOrder || !r.copies
+	late := s.late()
 	s.e.leaving = append(s.e.leaving, s)
 	over := func() {
 		s.e.left(s)
@@ -265,11 +265,19 @@
 	})
 }
 
+// late: its end must be certain before it is told.
+func (s *submission) late() bool { return s.q.group.inOrder || !s.copies }
+
+// died: its process is no more, by all there is to see. A process that ends takes
+// its connections with it; a refusal while one stands just says that it takes no
+// more of them, and with none of ours left it may say that too.
+func (s *submission) died(as how) bool { return as == refused && !s.e.alive() && !s.late() }
+
 // giveUp ends it at its engine, asking until that came whole or is moot.
 func (r *Relay) giveUp(s *submission, then func()) {
 	r.call(&call{e: s.e, write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
 		then: func(as how, _ int, _ func(string) string, _ []byte) {
-			if as == answered || as == refused || r.now >= s.gone() {
+			if as == answered || s.died(as) || r.now >= s.gone() {
 				then()
 				return
 			}
