SIGHUP follows a new feed; clients that say nothing, too much or no end make way

Also, from reading: relay.accept turned newcomers off whoever else sat there mute; nothing bounded a message begun, nor all buffers together; clients.Read waited for lengths it could refuse and took traces, times and doubled fields that can't be; after the grace of a stop queries went on being taken (now the decisions refuse them at once: Gate.Closing), so that the end might never come. What is taken back in one breath no longer reaches the decisions.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,6 +42,10 @@
 
 func (g *Gateway) take(q *query) {
 	rg := q.rg
+	if g.closing { // refused at once: its client can go elsewhere, and the end comes
+		g.giveUp(q)
+		return
+	}
 	if q.work > 0 && !g.facts.yes("answers.cost") {
 		rg.work.add(q.work, 200)
 	}
@@ -365,14 +369,13 @@
 
 // maySend asks what is the same for all engines.
 func (g *Gateway) maySend(q *query) bool {
-	f := g.facts
+	f, l := g.facts, g.line(q)
 	switch {
 	case q.over || g.now >= q.deadline:
 		return false // 1
 	case q.out > 0 && !f.yes("may.copy") || !g.mayRepeat(q):
 		return false // 2
-	}
-	if l := g.line(q); l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q) {
+	case l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q):
 		return false // 5
 	}
 	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
@@ -564,11 +567,7 @@
 	}
 	anywhere := q.rg.effect != "tokened" || q.rg.scope == "all" || len(q.mayHaveRun()) == 0
 	if g.harmless(q) && anywhere {
-		var back time.Duration
-		if g.facts.yes("may.name-return") {
-			back = g.facts.span("return.most", 0)
-		}
-		g.act.Defer(q.id, back)
+		g.act.Defer(q.id, g.comeBack)
 	} else {
 		g.act.Kill(q.id)
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -32,6 +32,9 @@
 	g.seq = uint64(g.rng.next()) // gateways must not draw alike
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
 	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
+	if f.yes("may.name-return") {
+		g.comeBack = f.span("return.most", 0)
+	}
 	g.act.Wake(tick, tickTag)
 	return g
 }
@@ -189,6 +192,8 @@
 	}
 }
 
+func (g *Gateway) Closing(now time.Duration) { g.now, g.closing = now, true }
+
 func (g *Gateway) Probed(now time.Duration, id string, outcome Outcome, report map[string]float64) {
 	g.now = now
 	e := g.byID[id]
@@ -256,7 +261,7 @@
 	delete(g.queries, q.id)
 	g.linkEnded(q)
 	if line := g.line(q); line != nil {
-		first := line.line[0] == q
+		first := len(line.line) > 0 && line.line[0] == q
 		if line.drop(q); first && len(line.line) > 0 {
 			g.begin(line.line[0])
 		}
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -75,6 +75,9 @@
 		work time.Duration, memoryMB float64, report map[string]float64)
 	Begun(now time.Duration, id string)
 	ClientLeft(now time.Duration, id string)
+	// Closing: the instance ends once it has answered what it took; it can't
+	// wait for more.
+	Closing(now time.Duration)
 	Probed(now time.Duration, engine string, outcome Outcome, report map[string]float64)
 	Heard(now time.Duration, word []byte) // what another gateway told
 	Woken(now time.Duration, tag int)
--- a/decide/state.go
+++ b/decide/state.go
@@ -238,6 +238,8 @@
 	fillSeen, memorySeen, meanWork        mean
 	askedAt                               time.Duration
 	subscribed                            bool
+	closing                               bool          // nothing more is taken on
+	comeBack                              time.Duration // named with a deferral, where that is allowed
 }
 
 func newGroup(f facts, i int) *resourceGroup {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -22,7 +22,7 @@
 // bytes it took: 0 while it isn't. An error means that the connection can't be
 // read any further.
 func Read(p []byte, most int, h Hearer) (int, error) {
-	c := &cursor{p: p}
+	c := &cursor{p: p, most: uint64(max(most, 0))}
 	say := message(c, h)
 	if c.err == errShort {
 		if len(p) > most {
@@ -88,44 +88,71 @@
 		c.fail(errForm)
 		return nil
 	}
-	var id, key []byte
-	var patience time.Duration
-	keyed, why := false, "no trace"
+	var id, wait, key []byte // nil: not given
+	why := ""
+	field := func(have *[]byte, name string) {
+		if *have != nil {
+			why = name + " given twice" // which one holds can't be told
+		}
+		*have = c.str()
+	}
 	for n := c.fields(); n > 0 && c.err == nil; n-- {
 		switch name := c.str(); string(name) {
 		case "trace":
-			if id = c.str(); usable(id) {
-				why = ""
-			}
+			field(&id, "trace")
 		case "patience":
-			ms, err := strconv.ParseFloat(string(c.str()), 64)
-			if err == nil && ms > 0 && ms < float64(math.MaxInt64/int64(time.Hour)) {
-				patience = time.Duration(ms * float64(time.Millisecond))
-			}
+			field(&wait, "patience")
 		case "entity":
-			key, keyed = c.str(), true
+			field(&key, "entity")
 		default:
 			c.skip(0)
 		}
 	}
 	statement := c.bin()
-	if why == "" && patience <= 0 {
+	patience := span(wait)
+	switch {
+	case why != "":
+	case !usable(id):
+		why = "no trace"
+	case patience <= 0:
 		why = "no patience"
+	case key != nil && (len(key) == 0 || len(key) > keyMost):
+		why = "no entity"
+	case len(statement) == 0:
+		why = "no statement"
 	}
 	if why != "" {
 		return func() { h.Wrong(msg, why) }
 	}
-	return func() { h.Query(msg, method, id, patience, key, keyed, statement) }
+	return func() { h.Query(msg, method, id, patience, key, key != nil, statement) }
 }
 
-// usable: the trace stands in the path of calls to engines as it is.
+const keyMost = 256
+
+// usable: the trace has the protocol's form. It stands in the path of calls to
+// engines as it is.
 func usable(id []byte) bool {
 	for _, b := range id {
-		if b < '0' || b > '9' && b < 'A' || b > 'Z' && b < 'a' && b != '_' || b > 'z' {
+		if (b < '0' || b > '9') && (b < 'a' || b > 'f') && (b < 'A' || b > 'F') {
 			return false
 		}
 	}
-	return len(id) > 0 && len(id) <= 64
+	return len(id) == 16
+}
+
+// span reads a number of milliseconds, 0 if it is none: digits, and perhaps a
+// part of one. What else parsers of numbers take (1e3, 0x5, nan) no client means.
+func span(text []byte) time.Duration {
+	for _, b := range text {
+		if (b < '0' || b > '9') && b != '.' {
+			return 0
+		}
+	}
+	ms, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || ms > float64(math.MaxInt64/int64(time.Hour)) {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 func notice(c *cursor, h Hearer) func() {
--- a/internal/clients/msgpack.go
+++ b/internal/clients/msgpack.go
@@ -11,12 +11,18 @@
 
 var errForm = errors.New("not a message of this protocol")
 
+// itemsMost bounds the values in a message: a call has a dozen, and one of
+// millions would be gone through at every read while it comes.
+const itemsMost = 512
+
 // cursor reads MessagePack values off the front of what has come. The first
 // fault stays in err, and all that follows reads as nothing.
 type cursor struct {
-	p   []byte
-	at  int
-	err error
+	p     []byte
+	at    int
+	most  uint64 // bytes in one value: a longer one is not waited for
+	items int
+	err   error
 }
 
 func (c *cursor) fail(err error) {
@@ -29,6 +35,10 @@
 	if c.err != nil {
 		return nil
 	}
+	if n > c.most {
+		c.fail(errForm)
+		return nil
+	}
 	if n > uint64(len(c.p)-c.at) {
 		c.fail(errShort)
 		return nil
@@ -108,7 +118,7 @@
 	if c.err != nil {
 		return
 	}
-	if deep > 16 {
+	if c.items++; deep > 16 || c.items > itemsMost {
 		c.fail(errForm)
 		return
 	}
@@ -142,6 +152,9 @@
 	default:
 		c.fail(errForm)
 	}
+	if items > itemsMost {
+		c.fail(errForm)
+	}
 	for ; items > 0 && c.err == nil; items-- {
 		c.skip(deep + 1)
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -7,10 +7,17 @@
 
 	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/conn"
 	"railrelay.dev/railrelay/internal/must"
 )
 
-const openMost = 32 // queries open on one connection, by the protocol
+const (
+	openMost   = 32              // queries open on one connection, by the protocol
+	idleMost   = 6 * time.Second // clients close theirs after 4 s; one kept for good is let go
+	wholeMost  = 2 * time.Second // a message takes no longer, from connecting or from its first byte
+	faultsMost = openMost        // calls on one connection that can't be used
+	heardMost  = 4 * openMost    // messages on one connection between two sweeps
+)
 
 // client is one connection from a client.
 type client struct {
@@ -19,6 +26,11 @@
 	open   []*query      // in the order taken
 	stuck  time.Duration // since when it has taken nothing of what is written, -1: it has
 	unread int           // what was unread then
+	begun  time.Duration // since when a whole message is waited for, -1: none is under way
+	spoke  bool          // there was one
+	idle   time.Duration // since when nothing is open
+	faults int
+	heard  int // messages since the last sweep
 }
 
 // query is one thing taken, until it is answered and nothing of it is out.
@@ -37,28 +49,63 @@
 }
 
 func (r *Relay) accept(l *Link) {
-	c := &client{Relay: r, link: l, stuck: -1}
+	c := &client{Relay: r, link: l, stuck: -1, begun: r.now, idle: r.now}
 	l.got, l.ended = c.got, c.ended
 	r.clients = append(r.clients, c)
 	r.tally.connections++
-	if len(r.clients) > r.clientsMost {
+	r.makeWay(c)
+}
+
+// makeWay: where there are too many, those go first that never said anything,
+// the longest there first, then those with nothing open, the longest idle
+// first: connections that cost their owners nothing must not keep out the rest.
+func (r *Relay) makeWay(newcomer *client) {
+	open, first := 0, newcomer
+	before := func(a, b *client) bool {
+		switch {
+		case len(a.open) > 0 || len(b.open) > 0:
+			return len(a.open) == 0
+		case a.spoke != b.spoke:
+			return !a.spoke
+		}
+		return a.idle < b.idle
+	}
+	for _, x := range r.clients {
+		if !x.link.closed {
+			if open++; x != newcomer && before(x, first) {
+				first = x
+			}
+		}
+	}
+	if open > r.clientsMost {
 		r.tally.turnedOff++
-		r.shut(l, false)
+		r.shut(first.link, false)
 	}
 }
 
 func (c *client) got() {
+	whole := false
 	for !c.link.closed {
 		n, err := clients.Read(c.link.In.Bytes(), c.messageMost, c)
-		if err != nil {
+		switch {
+		case err != nil:
 			c.tally.malformed++
 			c.end(true)
 			return
+		case n > 0:
+			whole, c.spoke = true, true
+			c.link.In.Drop(n)
+			if c.heard++; c.heard > heardMost { // it would have all the others wait
+				c.tally.turnedOff++
+				c.end(true)
+			}
+			continue
+		case len(c.link.In.Bytes()) == 0:
+			c.begun = -1
+		case whole || c.begun < 0:
+			c.begun = c.now
 		}
-		if n == 0 {
-			return
-		}
-		c.link.In.Drop(n)
+		return
 	}
 }
 
@@ -69,6 +116,7 @@
 }
 
 func (c *client) ended() {
+	c.link.In = conn.Buffer{} // what is due for its queries may outlive it
 	c.clients = slices.DeleteFunc(c.clients, func(x *client) bool { return x == c })
 	c.allLeft()
 }
@@ -101,11 +149,18 @@
 	case g == nil:
 		c.Wrong(msg, "no such method")
 		return
+	case g.timeout > 0 && patience > g.timeout:
+		c.Wrong(msg, "no such patience")
+		return
+	case g.inOrder && !keyed:
+		c.Wrong(msg, "no entity")
+		return
 	case c.queries[string(id)] != nil:
 		c.Wrong(msg, "this trace is in hand")
 		return
 	case len(c.open) >= openMost:
 		c.Wrong(msg, "too many are open")
+		c.end(true)
 		return
 	case c.inHand+len(statement) > c.inHandMost:
 		c.Wrong(msg, "too much is in hand") // the memory is all there is
@@ -115,13 +170,19 @@
 	q := &query{id: string(id), from: c, msg: msg, group: g, statement: append([]byte{}, statement...),
 		takenAt: c.now, deadline: c.now + patience, priority: -1}
 	number := int64(-1)
-	if keyed {
+	if g.inOrder {
 		q.key = c.keys.take(string(k))
 		number = q.key.number
 	}
 	c.open, c.queries[q.id] = append(c.open, q), q
 	c.tally.taken++
-	c.gate.Take(c.now, q.id, g.index, patience, clients.Tables(q.statement), number, 0, 0)
+	c.asked = c.now
+	// once all that has come is read: what is taken back in one breath goes nowhere
+	c.soon(func() {
+		if !q.answered {
+			c.gate.Take(c.now, q.id, g.index, q.deadline-c.now, clients.Tables(q.statement), number, 0, 0)
+		}
+	})
 }
 
 func (c *client) Alive(msg uint32) {
@@ -144,6 +205,9 @@
 		return
 	}
 	c.answer(clients.Killed(nil, msg, why))
+	if c.faults++; c.faults > faultsMost {
+		c.end(true)
+	}
 }
 
 // close marks the query answered, or no answer owed.
@@ -153,6 +217,7 @@
 	}
 	q.answered = true
 	q.from.open = slices.DeleteFunc(q.from.open, func(x *query) bool { return x == q })
+	q.from.idle = r.now
 	r.drop(q)
 	return true
 }
@@ -194,6 +259,7 @@
 			if r.queries[q.id] == q {
 				delete(r.queries, q.id)
 				r.inHand -= len(q.statement)
+				q.statement, q.subs = nil, nil // what is due for it may outlive it
 				if q.key != nil {
 					r.keys.release(q.key, r.now)
 				}
@@ -202,26 +268,33 @@
 	}
 }
 
-// sweepClients ends those that don't take what is written to them: each may
-// hold some, all together a part of the memory, and none for longer than a
-// client waits for any answer.
+// sweepClients ends those that don't take what is written to them, each may
+// hold some and all together a part of the memory; those that begin what they
+// don't end, or nothing; and those idle for longer than clients keep theirs.
 func (r *Relay) sweepClients() {
 	r.unread = 0
 	var worst *client
-	for _, c := range r.clients {
+	for _, c := range slices.Clone(r.clients) {
 		p := c.link.pending
 		r.unread += p
+		c.heard = 0
 		switch {
 		case p == 0:
 			c.stuck = -1
 		case c.stuck < 0 || p < c.unread:
 			c.stuck = r.now
-		case r.now-c.stuck > stuckMost && !c.link.closed:
-			r.tally.turnedOff++
-			c.end(false)
 		}
 		c.unread = p
-		if !c.link.closed && (worst == nil || p > worst.link.pending) {
+		switch {
+		case c.link.closed:
+			continue
+		case c.stuck >= 0 && r.now-c.stuck > stuckMost, c.begun >= 0 && r.now-c.begun > wholeMost:
+			r.tally.turnedOff++
+			c.end(false)
+		case c.begun < 0 && len(c.open) == 0 && p == 0 && r.now-c.idle > idleMost:
+			r.tally.idled++
+			c.end(true)
+		case worst == nil || p > worst.link.pending:
 			worst = c
 		}
 	}
@@ -231,6 +304,21 @@
 	}
 }
 
+// relieve ends the client with the most of unread messages under way, where all
+// of them together hold more than their part of the memory.
+func (r *Relay) relieve() {
+	var worst *client
+	for _, c := range r.clients {
+		if !c.link.closed && c.begun >= 0 && (worst == nil || c.link.held > worst.link.held) {
+			worst = c
+		}
+	}
+	if worst != nil {
+		r.tally.turnedOff++
+		worst.end(false)
+	}
+}
+
 const stuckMost = 10 * time.Second
 
 // keyring gives keys numbers: the decisions know keys by number, and unequal
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -106,7 +106,7 @@
 			found = l
 		}
 	}
-	if found != nil && r.now-found.idleSince > r.idleMost*3/4 {
+	if found != nil && r.now-found.idleSince > r.lineIdle*3/4 {
 		r.shut(found.link, false)
 		return nil
 	}
@@ -272,7 +272,7 @@
 // sweepLines closes what has been idle for so long that its engine may close it.
 func (r *Relay) sweepLines() {
 	for _, l := range r.pool.lines {
-		if l.up && l.call == nil && r.idleMost > 0 && r.now-l.idleSince > r.idleMost*3/4 {
+		if l.up && l.call == nil && r.lineIdle > 0 && r.now-l.idleSince > r.lineIdle*3/4 {
 			r.shut(l.link, false)
 		}
 	}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -26,11 +26,11 @@
 // connection that goes silent, breaks a line or skips a number is given up for
 // a new one.
 func (r *Relay) follow() {
-	if r.Feed == "" {
+	f := &r.feed
+	if r.Feed == "" || f.link != nil { // a new address may have come while this try waited
 		return
 	}
 	l := &Link{}
-	f := &r.feed
 	f.link, f.heard = l, r.now
 	again := func() {
 		if f.link == l {
@@ -67,6 +67,20 @@
 	r.watch(l, again)
 }
 
+// refeed follows the list to another address at once, from the last event held:
+// the old one tells nothing more, and the numbers go on.
+func (r *Relay) refeed(address string) {
+	f := &r.feed
+	if r.tally.reloads++; address == r.Feed {
+		return
+	}
+	if r.Feed, f.wait = address, 0; f.link != nil {
+		r.shut(f.link, false)
+		f.link = nil
+	}
+	r.follow()
+}
+
 func (r *Relay) watch(l *Link, again func()) {
 	r.at(r.feed.heard+feedSilent, func() {
 		switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,7 @@
 	Woken                  // the time asked for has come
 	Stop                   // end once what was taken is answered
 	Tell                   // say the counters
+	Reload                 // Feed is where the list comes from now
 )
 
 // Event is one thing that happened.
@@ -39,6 +40,7 @@
 	Kind Kind
 	Link *Link
 	N    int
+	Feed string
 }
 
 // What an Effect asks for.
@@ -78,6 +80,7 @@
 	ended   func()
 	closed  bool
 	pending int // bytes asked to be written and not out yet
+	held    int // memory of its buffer, as last looked at
 }
 
 // Means are the limits and facts that the program starts with.
@@ -117,10 +120,14 @@
 	feed    feed
 	groups  map[string]*group
 
-	connectWithin, idleMost, keyRest time.Duration
+	buffered     int // memory of all connections' buffers
+	bufferedMost int
+
+	connectWithin, lineIdle, keyRest time.Duration
 	reports, copies                  bool
 	stopping                         bool
-	stopAt                           time.Duration
+	stopAt, asked                    time.Duration // when told to stop, when a query last came
+	closing                          bool
 }
 
 // group is a resource group as far as the sockets need to know it.
@@ -128,6 +135,7 @@
 	index   int
 	name    string
 	inOrder bool
+	timeout time.Duration
 }
 
 // New makes a controller and what it does first.
@@ -135,7 +143,7 @@
 	r := &Relay{Means: means, woken: -1, queries: map[string]*query{},
 		engines: map[string]*engine{}, groups: map[string]*group{}}
 	f := means.Facts
-	r.connectWithin, r.idleMost = r.span("connect.timeout"), r.span("idle.most")
+	r.connectWithin, r.lineIdle = r.span("connect.timeout"), r.span("idle.most")
 	r.keyRest = r.span("key.rest")
 	r.reports = f["report.how"] != "off" && f["report.how"] != ""
 	r.copies = f["may.copy"] == "true"
@@ -148,10 +156,11 @@
 	r.pool.most = max(2, means.Sockets-means.Sockets/3-spare)
 	memory := int(means.MemoryMB * (1 << 20))
 	r.messageMost, r.unreadMost, r.inHandMost = max(1<<16, memory/64), max(1<<18, memory/8), max(1<<18, memory/8)
+	r.bufferedMost = max(1<<20, memory/8)
 	groups, _ := strconv.Atoi(f["groups"])
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
-		r.groups[f[at+"name"]] = &group{i, f[at+"name"], f[at+"in-order"] == "true"}
+		r.groups[f[at+"name"]] = &group{i, f[at+"name"], f[at+"in-order"] == "true", r.span(at + "timeout")}
 	}
 	r.gate = decide.New(r, means.Seed, f)
 	if len(means.Known) > 0 {
@@ -190,6 +199,10 @@
 		if !l.closed {
 			l.In.Took(ev.N)
 			l.got()
+			r.holds(l, l.In.Held())
+			if r.buffered > r.bufferedMost {
+				r.relieve()
+			}
 		}
 	case Wrote:
 		r.wrote(l, ev.N)
@@ -197,12 +210,15 @@
 		l.closed = true
 		l.ended()
 		l.pending = 0
+		r.holds(l, 0)
 	case Woken:
 		r.woken = -1
 	case Stop:
 		r.stop()
 	case Tell:
 		r.count()
+	case Reload:
+		r.refeed(ev.Feed)
 	}
 	r.settle()
 	return r.out
@@ -245,6 +261,11 @@
 	r.do(Effect{Verb: Write, Link: l, Bytes: p})
 }
 
+func (r *Relay) holds(l *Link, bytes int) {
+	r.buffered += bytes - l.held
+	l.held = bytes
+}
+
 func (r *Relay) wrote(l *Link, n int) { l.pending = max(0, l.pending-n) }
 
 // shut closes a link for good; its Ended comes when its descriptor is free.
@@ -271,17 +292,29 @@
 	}
 }
 
-// stopGrace: for so long after the word to stop, queries still come.
-const stopGrace = 750 * time.Millisecond
+// For stopGrace after the word to stop queries come as before. The end then waits
+// for a moment in which none came, but no longer than stopMost from the word.
+const (
+	stopGrace = 750 * time.Millisecond
+	stopQuiet = 100 * time.Millisecond
+	stopMost  = 2 * stopGrace
+)
 
 // leave ends the program once it was told to and all that was taken is answered.
+// What still comes after the grace is the decisions' to turn away, or the end
+// might never come; nor does it wait for clients that don't read.
 func (r *Relay) leave() {
-	if !r.stopping || r.now < r.stopAt+stopGrace {
+	past := r.now - r.stopAt
+	if !r.stopping || past < stopGrace {
 		return
 	}
-	busy := len(r.queries) > 0
+	if !r.closing {
+		r.closing = true
+		r.gate.Closing(r.now)
+	}
+	busy := len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
 	for _, c := range r.clients {
-		busy = busy || c.link.pending > 0
+		busy = busy || c.link.pending > 0 && (c.stuck < 0 || r.now-c.stuck < stopGrace)
 	}
 	if !busy {
 		r.stopping = false
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -12,10 +12,11 @@
 // tally counts what comes in, goes out and is answered.
 type tally struct {
 	connections, turnedOff, malformed, alive int
+	idled                                    int
 	taken, finished, deferred, killed, left  int
 	submissions, probes, dials, waited       int
 	answers, notes, odd                      int
-	events, feedDials, feedFaults            int
+	events, feedDials, feedFaults, reloads   int
 	ends                                     [8]int // by outcome
 	delays                                   []time.Duration
 }
@@ -35,7 +36,8 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "taken %d finished %d deferred %d killed %d left %d open %d", t.taken, t.finished, t.deferred,
 		t.killed, t.left, len(r.queries))
-	fmt.Fprintf(&b, "; clients %d of %d turned off %d malformed %d", len(r.clients), t.connections, t.turnedOff, t.malformed)
+	fmt.Fprintf(&b, "; clients %d of %d turned off %d idle %d malformed %d", len(r.clients), t.connections, t.turnedOff,
+		t.idled, t.malformed)
 	fmt.Fprintf(&b, "; submissions %d", t.submissions)
 	for i, n := range t.ends {
 		if n > 0 {
@@ -44,7 +46,8 @@
 	}
 	fmt.Fprintf(&b, "; engine answers %d notes %d odd %d probes %d dials %d links %d of %d waited %d", t.answers, t.notes,
 		t.odd, t.probes, t.dials, r.pool.links, r.pool.most, t.waited)
-	fmt.Fprintf(&b, "; list event %d connections %d faults %d", r.feed.last, t.feedDials, t.feedFaults)
+	fmt.Fprintf(&b, "; list event %d connections %d faults %d reloads %d", r.feed.last, t.feedDials,
+		t.feedFaults, t.reloads)
 	if len(t.delays) > 0 {
 		d := slices.Sorted(slices.Values(t.delays))
 		fmt.Fprintf(&b, "; to first byte ms median %.1f worst tenth %.1f", ms(d[len(d)/2]), ms(d[len(d)*9/10]))
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -50,7 +50,7 @@
 }
 
 // Serve runs a controller on a listener until it is done or ctx ends.
-func Serve(ctx context.Context, listener net.Listener, means relay.Means, asked <-chan relay.Kind, log zerolog.Logger) error {
+func Serve(ctx context.Context, listener net.Listener, means relay.Means, asked <-chan relay.Event, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
@@ -69,7 +69,7 @@
 	return err
 }
 
-func (l *loop) run(means relay.Means, asked <-chan relay.Kind) error {
+func (l *loop) run(means relay.Means, asked <-chan relay.Event) error {
 	defer func() {
 		for _, w := range l.wires {
 			w.close()
@@ -83,7 +83,7 @@
 		case ev = <-l.events:
 		case <-l.timer.C:
 			ev.Kind = relay.Woken
-		case ev.Kind = <-asked:
+		case ev.Event = <-asked:
 		case <-l.ctx.Done():
 			return l.ctx.Err()
 		}
