Spoilt, short, late and missing answers are asked for again; nothing stays for good

Checked: engines keep a good end and give it and its pages again, but submission.came withdrew at once what was garbled, Hear ended what a bad page came for, and answerMost was 1 s where news come after 250 ms. A line was used again in the same step, so that a second copy a moment later would have answered the next call. Ended connections rested the whole engine for 0.5 to 1 s in the decisions (told as reset or unreachable) though the engine itself answers.

Now: an answer that doesn't fit its call (Fits) is spoilt; what is spoilt is asked for again until nothing readable has come for 2 s; answers may take 400 ms; a line rests 10 ms before another query's call; a connection that ended unwritten is never-sent; figures that are no number never reach the decisions. A new engine at an old address gets none of the old one's calls; a whole list ends whom it leaves out; reports go over as they come. Engines, chains, keys and tables leave decide (tidy) and relay; a debug build checks that what the decisions count as out is what is out. Newcomers wait for a descriptor of one on its way out.

--- a/decide/door.go
+++ b/decide/door.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -28,7 +29,9 @@
 		rg := newGroup(f, i)
 		rg.grantBy = grantFirst
 		g.groups = append(g.groups, rg)
+		g.longest = max(g.longest, rg.timeout)
 	}
+	g.longest = max(g.longest, f.span("cold.span", 0), chainWindow) + f.span("key.rest", 0)
 	g.seq = uint64(g.rng.next()) // gateways must not draw alike
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
 	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
@@ -55,6 +58,9 @@
 		g.byMark[e.mark] = e
 	}
 	g.listing[e] = true
+	if state == Gone && e.state != Gone {
+		e.goneAt = g.now
+	}
 	e.location, e.kind, e.cell, e.state = location, kind, cell, state
 	e.cores = max(1, g.facts.itemNum("kind.cores", kind))
 	if e.ram = g.facts.itemNum("kind.memory", kind); e.ram <= 0 {
@@ -67,8 +73,8 @@
 
 func (g *Gateway) ListEnds() {
 	for _, e := range g.engines {
-		if g.whole && !g.listing[e] {
-			e.state = Gone
+		if g.whole && !g.listing[e] && e.state != Gone {
+			e.state, e.goneAt = Gone, g.now
 		}
 	}
 	g.stale = true
@@ -210,6 +216,65 @@
 	g.step()
 }
 
+func (g *Gateway) Reported(now time.Duration, id string, report map[string]float64) {
+	g.now = now
+	if e := g.byID[id]; e != nil {
+		g.report(e, report)
+		g.step()
+	}
+}
+
+// Out is how many submissions an engine is thought to have.
+func (g *Gateway) Out(id string) (out int, known bool) {
+	e := g.byID[id]
+	if e == nil {
+		return 0, false
+	}
+	return len(e.out), true
+}
+
+// Known is how many engines, chains, keys, tables and queries are in mind.
+func (g *Gateway) Known() int {
+	n := len(g.engines) + len(g.byID) + len(g.byMark) + len(g.chains) + len(g.keys) + len(g.queries)
+	for _, e := range g.engines {
+		n += len(e.doneAt) + len(e.loadSeen) + len(e.coldSent)
+	}
+	return n
+}
+
+// tidy forgets what can matter no more: engines that are gone, chains, keys and
+// tables at rest. Without it they would stay as long as the instance runs.
+func (g *Gateway) tidy() {
+	if g.now < g.tidyAt {
+		return
+	}
+	g.tidyAt = g.now + time.Second
+	g.engines = slices.DeleteFunc(g.engines, func(e *engine) bool {
+		old := e.state == Gone && g.now-e.goneAt > g.longest && len(e.out)+len(e.lingering) == 0
+		if old {
+			delete(g.byID, e.id)
+			if g.byMark[e.mark] == e {
+				delete(g.byMark, e.mark)
+			}
+		}
+		return old
+	})
+	for _, e := range g.engines {
+		maps.DeleteFunc(e.doneAt, func(_ int64, at time.Duration) bool { return g.now-at > g.longest })
+		maps.DeleteFunc(e.loadSeen, func(_ int64, until time.Duration) bool { return g.now >= until })
+		if g.now >= e.coldUntil {
+			e.coldSent = nil
+		}
+	}
+	maps.DeleteFunc(g.chains, func(_ int64, c *chain) bool {
+		return c.link == nil && len(c.held) == 0 && g.now-c.endedAt > chainWindow
+	})
+	maps.DeleteFunc(g.keys, func(_ int64, k *keyLine) bool { return len(k.line) == 0 && g.now >= k.restUntil })
+	since := g.now - g.facts.span("budget.span", 0)
+	within(&g.taken, since)
+	within(&g.extras, since)
+}
+
 // word is what peers are told of a load: each byte is paid for.
 func word(what string, e *engine, tables int64) []byte {
 	return binary.AppendUvarint(binary.BigEndian.AppendUint32([]byte(what), e.mark), uint64(tables))
@@ -234,6 +299,7 @@
 		g.wakeAt = -1
 	} else {
 		g.periodic()
+		g.tidy()
 	}
 	g.step()
 }
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -79,6 +79,8 @@
 	// wait for more.
 	Closing(now time.Duration)
 	Probed(now time.Duration, engine string, outcome Outcome, report map[string]float64)
+	// Reported: an engine told its load unasked.
+	Reported(now time.Duration, engine string, report map[string]float64)
 	Heard(now time.Duration, word []byte) // what another gateway told
 	Woken(now time.Duration, tag int)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,6 +113,7 @@
 	mark                 uint32
 	location, kind, cell int
 	state                EngineState
+	goneAt               time.Duration
 	cores                float64
 	coldUntil            time.Duration
 
@@ -225,6 +226,9 @@
 	listing map[*engine]bool
 	whole   bool
 
+	tidyAt  time.Duration
+	longest time.Duration // what is gone may still matter for so long
+
 	seq      uint64
 	taken    []time.Duration // for the submission budget
 	extras   []time.Duration
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -60,36 +60,67 @@
 	// Finished comes with page 0: the work and memory that were needed.
 	Finished(work time.Duration, memoryMB float64)
 	Ends(outcome decide.Outcome)
-	// Unclear is an answer that says neither that it runs nor that it is over.
-	Unclear()
 }
 
-// Hear tells what the answer to Submit or Ask for a page means.
+// Fits: the answer is one to the call for a page (0: the news, Submit's too).
+// What does not fit is spoilt, or belongs to another call: it says nothing.
+func Fits(page, status int, field func(string) string, body []byte) bool {
+	switch {
+	case status == 202:
+		return page == 0
+	case status != 200:
+		return status == 500 || status == 503 || status == 504
+	}
+	name := "Chunks"
+	if page > 0 {
+		name = "Chunk"
+	}
+	number, err := strconv.Atoi(field(name))
+	return err == nil && wholeRows(body) && number <= resultMost &&
+		(page == 0 && number >= 1 || page > 0 && number == page)
+}
+
+// FitsDone is the same for a change of priority and for giving up, FitsProbe for a probe.
+func FitsDone(status int, _ func(string) string, _ []byte) bool {
+	return status != 200 && status != 202
+}
+
+func FitsProbe(status int, field func(string) string, _ []byte) bool {
+	return (status == 200 || status == 503) && field("Chunks") == "" && field("Chunk") == ""
+}
+
+// resultMost bounds the pages of a result, each of which has a row at least.
+const resultMost = 48_000
+
+// figure reads a number that can be one: what is no number, or endless, would
+// stay in every mean it got into.
+func figure(text string) (float64, bool) {
+	x, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(x >= 0 && x < 1e12) {
+		return 0, false
+	}
+	return x, true
+}
+
+// Hear tells what an answer that fits means, to Submit or Ask for a page.
 func Hear(page int, status int, field func(string) string, body []byte, h Hearer) {
 	neverRan := field("X-Not-Run") == "1"
 	switch {
-	case status == 202 && page == 0:
+	case status == 202:
 		h.Runs()
-		x, err := strconv.ParseFloat(field("Reading"), 64)
-		if sign, ok := signs[field("X-Cache")]; ok && err == nil {
+		x, is := figure(field("Reading"))
+		if sign, ok := signs[field("X-Cache")]; ok && is {
 			if sign == decide.WaitsForMemory && x == 2 {
 				sign = decide.WaitsForLoad
 			}
 			h.Note(sign, x)
 		}
 	case status == 200:
-		number, name := 0, "Chunks"
-		if page > 0 {
-			name = "Chunk"
-		}
-		number, err := strconv.Atoi(field(name))
-		if err != nil || page == 0 && number < 1 || page > 0 && number != page || !wholeRows(body) {
-			h.Ends(decide.Errored)
-			return
-		}
+		number := page
 		if page == 0 {
-			ms, _ := strconv.ParseFloat(field("Elapsed-Work"), 64)
-			mb, _ := strconv.ParseFloat(field("High-Water"), 64)
+			number, _ = strconv.Atoi(field("Chunks"))
+			ms, _ := figure(field("Elapsed-Work"))
+			mb, _ := figure(field("High-Water"))
 			h.Finished(time.Duration(ms*float64(time.Millisecond)), mb)
 		}
 		h.Page(page, number, body)
@@ -97,10 +128,8 @@
 		h.Ends(decide.Full)
 	case status == 504 && neverRan:
 		h.Ends(decide.NeverSent)
-	case status >= 500 || page > 0:
-		h.Ends(decide.Errored)
 	default:
-		h.Unclear()
+		h.Ends(decide.Errored)
 	}
 }
 
@@ -129,8 +158,8 @@
 	report := map[string]float64{}
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
-		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if ours := terms.Figure(strings.TrimSpace(name)); err == nil && ours != "" {
+		x, is := figure(value)
+		if ours := terms.Figure(strings.TrimSpace(name)); is && ours != "" {
 			report[ours] = x
 		}
 	}
--- a/internal/must/debug.go
+++ b/internal/must/debug.go
@@ -2,6 +2,9 @@
 
 package must
 
+// Debug: checks that cost much are made.
+const Debug = true
+
 // Hold panics if what has to hold does not.
 func Hold(ok bool, what string) bool {
 	if !ok {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -17,6 +17,8 @@
 	lines       []*line
 	leaving     []*submission // ended for the decisions, perhaps not yet over there
 	waiting     []*submission // held until the one of the same id is over
+	untold      int           // submissions to it whose end the decisions don't know
+	goneAt      time.Duration
 }
 
 // alive: a connection to it stands.
@@ -31,6 +33,7 @@
 	up        bool
 	call      *call
 	idleSince time.Duration
+	last      *submission // whose call it carried last
 }
 
 // how a call came out, when no answer did.
@@ -52,7 +55,9 @@
 // call is one call to an engine and what to do with its result.
 type call struct {
 	e      *engine
+	s      *submission // nil for probes
 	write  func(dst []byte) []byte
+	fits   func(status int, field func(string) string, body []byte) bool
 	fit    func() bool // asked once more just before the first byte; nil: always
 	poll   bool        // gives way to all others where descriptors are short
 	within time.Duration
@@ -68,9 +73,16 @@
 	urgent, asks []*call // waiting for a line
 }
 
-// answerMost is how long an answer may take: news come after 250 ms at the
-// latest, and a query must not go 2 s without being asked for.
-const answerMost = time.Second
+const (
+	// answerMost is how long an answer may take: news come after 250 ms at the
+	// latest, and each lost answer costs a short queue timeout what is waited.
+	answerMost = newsMost + 3*onTheWay
+	// answerBytes bounds one: a whole result has no more, and some claim gigabytes.
+	answerBytes = 64 << 10
+	// lineRest passes before a line carries another query's call: what an engine
+	// sends behind its answer, a second copy of it, must not answer that.
+	lineRest = 10 * time.Millisecond
+)
 
 func (r *Relay) call(c *call) {
 	if c.within == 0 {
@@ -81,7 +93,7 @@
 		return
 	}
 	if len(r.pool.urgent) == 0 && (!c.poll || len(r.pool.asks) == 0) { // in turn
-		if l := r.idle(c.e); l != nil {
+		if l := r.idle(c); l != nil {
 			r.put(l, c)
 			return
 		}
@@ -100,9 +112,12 @@
 }
 
 // idle finds a line that its engine is not about to close, the one used last.
-func (r *Relay) idle(e *engine) (found *line) {
-	for _, l := range e.lines {
-		if l.up && l.call == nil && !l.link.closed && (found == nil || l.idleSince > found.idleSince) {
+// One that has just answered goes on with the same query only: a second copy
+// of an answer there fits none of its further calls, or says the same.
+func (r *Relay) idle(c *call) (found *line) {
+	for _, l := range c.e.lines {
+		if l.up && l.call == nil && !l.link.closed && (r.now-l.idleSince >= lineRest || c.s != nil && l.last == c.s) &&
+			(found == nil || l.idleSince > found.idleSince) {
 			found = l
 		}
 	}
@@ -183,7 +198,7 @@
 		return
 	}
 	text := c.write(nil)
-	l.call, c.size = c, len(text)
+	l.call, l.last, c.size = c, c.s, len(text)
 	r.write(l.link, text)
 	r.after(c.within, func() {
 		if !c.over {
@@ -197,7 +212,10 @@
 // free has a line wait for its next call, or the next call take it.
 func (r *Relay) free(l *line) {
 	l.call, l.idleSince = nil, r.now
-	r.soon(r.next)
+	if len(r.pool.urgent)+len(r.pool.asks) > 0 {
+		r.soon(r.next)
+		r.after(lineRest, r.next)
+	}
 }
 
 // next serves the calls that wait for a line.
@@ -205,7 +223,7 @@
 	for _, queue := range []*[]*call{&r.pool.urgent, &r.pool.asks} {
 		for len(*queue) > 0 {
 			c := (*queue)[0]
-			l := r.idle(c.e)
+			l := r.idle(c)
 			if l == nil && !c.over && r.pool.links >= r.pool.most {
 				r.makeRoom()
 				return
@@ -234,25 +252,29 @@
 	}
 	for !l.link.closed && l.call != nil {
 		var say func()
+		sound, rows := false, false
 		c := l.call
-		n, keep, err := engines.Read(in.Bytes(), r.messageMost, func(status int, field func(string) string, body []byte) {
+		n, keep, err := engines.Read(in.Bytes(), answerBytes, func(status int, field func(string) string, body []byte) {
+			sound, rows = c.fits(status, field, body), len(body) > 0
 			say = func() { r.over(c, answered, status, field, body) }
 		})
-		switch {
-		case err != nil:
-			r.tally.odd++
-			r.shut(l.link, false)
-			r.fail(l, garbled)
-			return
-		case n == 0:
+		if n == 0 && err == nil {
 			return
 		}
 		in.Drop(n)
-		if say == nil {
+		if say == nil && err == nil {
 			continue
 		}
+		behind := len(in.Bytes()) > 0
+		// with something behind it, a length may be off: then a result is not all there
+		if err != nil || !sound || behind && rows {
+			r.tally.odd++
+			r.shut(l.link, false)
+			r.fail(l, garbled)
+			return
+		}
 		r.tally.answers++
-		if !keep || len(in.Bytes()) > 0 {
+		if !keep || behind {
 			l.call = nil
 			r.shut(l.link, false)
 		} else {
@@ -269,6 +291,24 @@
 	}
 }
 
+// vacate: another has the engine's address, so its process is no more, and its
+// calls must not reach the other one, which may run a query of the same id.
+func (r *Relay) vacate(e *engine) {
+	e.address = ""
+	for _, l := range e.lines {
+		r.shut(l.link, false)
+	}
+}
+
+// sweepEngines forgets those that are gone, once nothing can be on its way to them.
+func (r *Relay) sweepEngines() {
+	for id, e := range r.engines {
+		if e.state == decide.Gone && r.now-e.goneAt > r.longest && e.untold+len(e.lines)+len(e.leaving)+len(e.waiting) == 0 {
+			delete(r.engines, id)
+		}
+	}
+}
+
 // sweepLines closes what has been idle for so long that its engine may close it.
 func (r *Relay) sweepLines() {
 	for _, l := range r.pool.lines {
@@ -281,7 +321,7 @@
 // probe looks at an engine; no answer in the time a connection may take is one too.
 func (r *Relay) probe(e *engine) {
 	r.tally.probes++
-	r.call(&call{e: e, within: r.connectWithin,
+	r.call(&call{e: e, within: r.connectWithin, fits: engines.FitsProbe,
 		write: func(dst []byte) []byte { return engines.Probe(dst, e.address, r.reports) },
 		then: func(as how, status int, field func(string) string, _ []byte) {
 			outcome, report := decide.TimedOut, map[string]float64(nil)
@@ -292,7 +332,7 @@
 				outcome = decide.Full
 			case as == refused || as == unreached:
 				outcome = decide.Unreachable
-			case as == lost:
+			case as == lost || as == unwritten || as == garbled:
 				outcome = decide.Reset
 			}
 			r.soon(func() { r.gate.Probed(r.now, e.id, outcome, report) })
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"railrelay.dev/railrelay/decide"
@@ -14,10 +15,12 @@
 	listed bool  // a list was had at all
 	heard  time.Duration
 	wait   time.Duration // before the next try
+	whole  bool          // the event at hand lists all there are
+	named  []*engine     // by it
 }
 
 const (
-	feedSilent   = 3 * time.Second // a number comes every second
+	feedSilent   = 2500 * time.Millisecond // a number comes every second
 	feedWaits    = 50 * time.Millisecond
 	feedWaitsMax = 800 * time.Millisecond
 )
@@ -103,7 +106,7 @@
 		r.gap()
 		return false
 	}
-	r.feed.last, r.feed.listed = number, true
+	r.feed.last, r.feed.listed, r.feed.whole, r.feed.named = number, true, whole, nil
 	r.tally.events++
 	r.gate.ListBegins(r.now, whole)
 	return true
@@ -135,18 +138,43 @@
 			r.shut(l.link, false)
 		}
 	}
-	if e.state = state; state == decide.Gone {
-		for _, l := range e.lines {
-			if l.up && l.call == nil {
-				r.shut(l.link, false)
-			}
+	if e.state != state && state == decide.Gone {
+		r.left(e)
+	}
+	e.state = state
+	r.feed.named = append(r.feed.named, e)
+	for _, x := range r.engines {
+		if x == e || x.address == "" || x.address != e.address {
+			continue
 		}
+		if state == decide.Gone && x.state != decide.Gone {
+			x = e
+		}
+		r.vacate(x)
+		break
 	}
 	started := time.UnixMilli(startedMs).Sub(r.Started)
 	r.gate.ListEngine(id, r.place("locations", location), r.place("kinds", kind), cell, state, started, startedMs != 0)
 }
 
-func (r *Relay) EventEnds() { r.gate.ListEnds() }
+// EventEnds: what a whole list leaves out is gone.
+func (r *Relay) EventEnds() {
+	for _, e := range r.engines {
+		if r.feed.whole && e.state != decide.Gone && !slices.Contains(r.feed.named, e) {
+			r.left(e)
+		}
+	}
+	r.gate.ListEnds()
+}
+
+func (r *Relay) left(e *engine) {
+	e.state, e.goneAt = decide.Gone, r.now
+	for _, l := range e.lines {
+		if l.up && l.call == nil {
+			r.shut(l.link, false)
+		}
+	}
+}
 
 func (r *Relay) Odd(why string) {
 	r.tally.odd++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,14 @@
 	Started  time.Time // what the list's clock times are told against
 }
 
+// spare: a third of the descriptors is for clients; of the rest some is kept
+// back for the listener, the feed, the runtime and connections on their way out.
+func (m Means) spare() int { return 16 + m.Sockets/32 }
+
+// ClientsMost is how many connections of clients there may be with those that
+// are on their way out.
+func (m Means) ClientsMost() int { return max(1, m.Sockets/3) + m.spare()/2 }
+
 // Relay is one controller.
 type Relay struct {
 	Means
@@ -124,7 +132,8 @@
 	bufferedMost int
 
 	connectWithin, lineIdle, keyRest time.Duration
-	reports, copies                  bool
+	longest                          time.Duration // what any query may take
+	reports, inline, copies          bool
 	stopping                         bool
 	stopAt, asked                    time.Duration // when told to stop, when a query last came
 	closing                          bool
@@ -146,14 +155,12 @@
 	r.connectWithin, r.lineIdle = r.span("connect.timeout"), r.span("idle.most")
 	r.keyRest = r.span("key.rest")
 	r.reports = f["report.how"] != "off" && f["report.how"] != ""
+	r.inline = f["report.how"] == "answers"
 	r.copies = f["may.copy"] == "true"
 	r.keys = newKeyring()
-	// a third is for clients; of the rest some is kept back for the listener,
-	// the feed, the runtime and connections on their way out
-	spare := 16 + means.Sockets/32
 	// their ends and their next connections may cross: a little over a third is let in
-	r.clientsMost = max(1, means.Sockets/3) + spare/4
-	r.pool.most = max(2, means.Sockets-means.Sockets/3-spare)
+	r.clientsMost = max(1, means.Sockets/3) + means.spare()/4
+	r.pool.most = max(2, means.Sockets-means.Sockets/3-means.spare())
 	memory := int(means.MemoryMB * (1 << 20))
 	r.messageMost, r.unreadMost, r.inHandMost = max(1<<16, memory/64), max(1<<18, memory/8), max(1<<18, memory/8)
 	r.bufferedMost = max(1<<20, memory/8)
@@ -161,6 +168,7 @@
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
 		r.groups[f[at+"name"]] = &group{i, f[at+"name"], f[at+"in-order"] == "true", r.span(at + "timeout")}
+		r.longest = max(r.longest, r.span(at+"timeout"))
 	}
 	r.gate = decide.New(r, means.Seed, f)
 	if len(means.Known) > 0 {
@@ -243,6 +251,12 @@
 		r.woken = at
 		r.do(Effect{Verb: Wake, Within: max(0, at-r.now)})
 	}
+	if must.Debug {
+		for id, e := range r.engines {
+			out, known := r.gate.Out(id)
+			must.Hold(!known || out == e.untold, "decisions know what is out")
+		}
+	}
 	must.Hold(r.pool.links >= 0 && r.pool.links <= r.pool.most, "engine links within their part")
 }
 
@@ -280,6 +294,7 @@
 func (r *Relay) sweep() {
 	r.after(250*time.Millisecond, r.sweep)
 	r.sweepLines()
+	r.sweepEngines()
 	r.sweepClients()
 	r.keys.sweep(r.now - r.keyRest)
 }
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -33,8 +33,8 @@
 	held    int // bytes of them
 	work    time.Duration
 	memory  float64
-	report  map[string]float64
-	why     string // its last call's result, for the log
+	goodAt  time.Duration // when an answer last could be read, or the first call was made
+	why     string        // its last call's result, for the log
 }
 
 // An engine keeps a query for forgets while nobody asks for it, and holds a call
@@ -57,6 +57,7 @@
 	}
 	s := &submission{Relay: r, q: q, e: e, try: len(q.subs), at: r.now, until: until}
 	q.subs = append(q.subs, s)
+	e.untold++
 	r.tally.submissions++
 	r.at(until, func() { r.withdraw(s, decide.TimedOut) })
 	// two of one id at one engine can't be told apart: what ends the first would
@@ -81,12 +82,12 @@
 	if s.ended {
 		return
 	}
-	s.call(&call{e: s.e,
+	s.call(&call{e: s.e, s: s, fits: s.fits(0),
 		fit: func() bool {
 			return !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
 		},
 		write: func(dst []byte) []byte {
-			s.sent, s.askedAt, s.ranked = true, s.now, s.q.priority
+			s.sent, s.askedAt, s.goodAt, s.ranked = true, s.now, s.now, s.q.priority
 			if s.try == 0 {
 				s.tally.firstByte(s.now - s.q.takenAt)
 			}
@@ -103,9 +104,15 @@
 		}})
 }
 
+func (s *submission) fits(page int) func(int, func(string) string, []byte) bool {
+	return func(status int, field func(string) string, body []byte) bool {
+		return engines.Fits(page, status, field, body)
+	}
+}
+
 // ask asks for the query's news, or for a page of its result.
 func (s *submission) ask(page int) {
-	s.call(&call{e: s.e, poll: page == 0,
+	s.call(&call{e: s.e, s: s, poll: page == 0, fits: s.fits(page),
 		fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte {
 			s.astray = s.astray || s.now > s.askedAt+forgets
@@ -125,24 +132,29 @@
 	s.why = hows[as] + " " + strconv.Itoa(status) + " on page " + strconv.Itoa(page)
 	switch {
 	case as == answered:
-		s.pause = 0
-		if report := engines.Load(field); report != nil {
-			s.report = report
+		s.pause, s.goodAt = 0, s.now
+		if s.inline {
+			if report := engines.Load(field); report != nil {
+				s.soon(func() { s.gate.Reported(s.now, s.e.id, report) })
+			}
 		}
 		engines.Hear(page, status, field, body, &hearing{s})
-	case !s.sent && as == unfit:
+	case !s.sent && as == unfit, !s.settled && as == unwritten:
+		// a connection that ends says nothing against its engine
 		s.end(decide.NeverSent)
-	case !s.sent, !s.settled && as == unwritten:
+	case !s.sent:
 		s.end(decide.Unreachable)
 	case s.died(as):
 		s.end(decide.Reset)
-	case as == garbled:
-		s.withdraw(s, decide.Reset)
+	case as == garbled && s.now-s.goodAt >= forgets:
+		s.withdraw(s, decide.Reset) // it is not one answer that was spoilt on its way
 	case s.now >= s.gone():
 		s.end(decide.TimedOut) // if it still ran there, it has been forgotten by now
 	default:
-		// the call may have been lost and the query not: another connection tells.
+		// the call or its answer may have been lost and the query not: another
+		// connection tells, its end and its pages too, as often as they are asked for.
 		// Not at once: an engine that ends every connection must not make us spin
+		s.tally.again++
 		s.astray = true
 		s.pause = min(max(2*s.pause, 10*time.Millisecond), forgets/4)
 		s.after(s.pause, func() {
@@ -161,8 +173,6 @@
 	h.ask(0)
 }
 
-func (h *hearing) Unclear() { h.withdraw(h.submission, decide.Reset) }
-
 func (h *hearing) Note(sign decide.Sign, x float64) {
 	s := h.submission
 	s.tally.notes++
@@ -200,8 +210,9 @@
 
 // Ends: an error after it went unheard of may just mean that it is not known
 // any more. When it ended is then not known either, and its key has to rest.
+// Where there is no order the engine, which answers, is not to be held to have died.
 func (h *hearing) Ends(outcome decide.Outcome) {
-	if h.astray && outcome == decide.Errored {
+	if h.astray && outcome == decide.Errored && h.late() {
 		outcome = decide.Reset
 	}
 	h.end(outcome)
@@ -226,7 +237,8 @@
 	}
 	s.soon(func() {
 		s.told = true
-		s.gate.Ended(s.now, s.q.id, s.try, outcome, took, s.q.answered, s.work, s.memory, s.report)
+		s.e.untold--
+		s.gate.Ended(s.now, s.q.id, s.try, outcome, took, s.q.answered, s.work, s.memory, nil)
 		s.drop(s.q)
 	})
 }
@@ -275,7 +287,8 @@
 
 // giveUp ends it at its engine, asking until that came whole or is moot.
 func (r *Relay) giveUp(s *submission, then func()) {
-	r.call(&call{e: s.e, write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
+	r.call(&call{e: s.e, s: s, fits: engines.FitsDone,
+		write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
 		then: func(as how, _ int, _ func(string) string, _ []byte) {
 			if as == answered || s.died(as) || r.now >= s.gone() {
 				then()
@@ -310,7 +323,7 @@
 		return
 	}
 	s.ranking, s.ranked = true, s.q.priority
-	r.call(&call{e: s.e, fit: func() bool { return !s.ended },
+	r.call(&call{e: s.e, s: s, fits: engines.FitsDone, fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte { return engines.Rank(dst, s.e.address, s.q.id, s.ranked) },
 		then: func(how, int, func(string) string, []byte) {
 			s.ranking = false
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -15,7 +15,7 @@
 	idled                                    int
 	taken, finished, deferred, killed, left  int
 	submissions, probes, dials, waited       int
-	answers, notes, odd                      int
+	answers, notes, odd, again               int
 	events, feedDials, feedFaults, reloads   int
 	ends                                     [8]int // by outcome
 	delays                                   []time.Duration
@@ -44,8 +44,8 @@
 			fmt.Fprintf(&b, " %s %d", outcomeNames[i], n)
 		}
 	}
-	fmt.Fprintf(&b, "; engine answers %d notes %d odd %d probes %d dials %d links %d of %d waited %d", t.answers, t.notes,
-		t.odd, t.probes, t.dials, r.pool.links, r.pool.most, t.waited)
+	fmt.Fprintf(&b, "; engine answers %d notes %d odd %d asked again %d probes %d dials %d links %d of %d waited %d", t.answers, t.notes,
+		t.odd, t.again, t.probes, t.dials, r.pool.links, r.pool.most, t.waited)
 	fmt.Fprintf(&b, "; list event %d connections %d faults %d reloads %d", r.feed.last, t.feedDials,
 		t.feedFaults, t.reloads)
 	if len(t.delays) > 0 {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -27,6 +27,7 @@
 	log    zerolog.Logger
 	start  time.Time
 	timer  *time.Timer
+	room   chan struct{} // one a client's connection: there are never more than it holds
 }
 
 // event is one for the reducer, with its link's connection where that is new.
@@ -54,7 +55,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
-		start: means.Started, timer: time.NewTimer(time.Hour)}
+		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost())}
 	log.Info().Str("address", listener.Addr().String()).Msg("listening")
 	group.Go(func() error { return l.accept(listener) })
 	group.Go(func() error {
@@ -154,11 +155,18 @@
 
 func (l *loop) accept(listener net.Listener) error {
 	for {
+		// those on their way out still have their descriptors: newcomers wait for one
+		select {
+		case l.room <- struct{}{}:
+		case <-l.ctx.Done():
+			return nil
+		}
 		c, err := listener.Accept()
 		if err != nil {
 			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			<-l.room
 			// out of descriptors or memory passes; asking again at once would spin
 			l.log.Log().Err(err).Msg("can't accept")
 			select {
@@ -174,6 +182,7 @@
 		}
 		l.group.Go(func() error {
 			l.serve(w)
+			<-l.room
 			return nil
 		})
 	}
@@ -256,7 +265,7 @@
 				w.close()
 				return
 			}
-			if cap(p) > 64<<10 {
+			if cap(p) > 4<<10 { // hundreds of connections would each keep a result's room
 				p = nil
 			}
 		case ending:
