Due times leave with what they are for; a fault costs one connection; rude and garbling peers tested

Buffers of engines count in the sum too and are let go where no client's message is to blame. A panic in a step ended the program; a release build counts it, says where, and closes the connection it came by (a debug build still stops).

Integration tests over sockets: ten kinds of rude clients beside 200 mute ones, eight kinds of spoilt answers.

--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -581,6 +581,115 @@
 	a.expect(1, "aaaa\tfirst")
 }
 
+func TestRudeClients(t *testing.T) {
+	e, f := newStand(t, serves(false)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	good := c.client()
+	good.ask("lookup", "e999", "5000", "")
+	good.expect(1, "e999\tfirst")
+	call := func(fields, body string) string {
+		return "\x94\x00\x01" + fix("lookup") + "\x92" + fields + body
+	}
+	trace, wait := fix("trace")+fix("00000000000000ab"), fix("patience")+fix("5000")
+	rude := map[string]string{
+		"nothing":                  "",
+		"half a call":              call("\x82"+trace+wait, "\xc4\x20SELECT"),
+		"what is no call":          "\xc1\xff\x00",
+		"a body of 60 MB":          call("\x82"+trace+wait, "\xc6\x03\x93\x87\x00") + strings.Repeat("x", 1<<20),
+		"no trace":                 call("\x81"+wait, "\xc4\x01;"),
+		"no figure":                call("\x82"+trace+fix("patience")+fix("soon"), "\xc4\x01;"),
+		"a figure out of range":    call("\x82"+trace+fix("patience")+fix("86400000"), "\xc4\x01;"),
+		"two of one number":        strings.Repeat(call("\x82"+trace+wait, "\xc4\x01;"), 2),
+		"a class that isn't there": strings.Replace(call("\x82"+trace+wait, "\xc4\x01;"), "lookup", "lookUp", 1),
+		"a list of millions":       "\x94\x00\x01\xa1x\xdd\x00\xff\xff\xff",
+	}
+	answers := make(chan string)
+	for what, text := range rude {
+		conn := c.client()
+		go func() {
+			conn.Write([]byte(text)) // it may be cut off in the middle
+			// some word, or the end: more than a line of it nobody is owed
+			head := make([]byte, 4)
+			if _, err := io.ReadFull(conn.in, head); err == nil && head[3] == 0xc0 {
+				what += " was served"
+			}
+			answers <- what
+		}()
+	}
+	for range 200 { // those that say nothing don't keep the others out
+		c.client()
+	}
+	for i := range 5 {
+		good.ask("lookup", fmt.Sprintf("e%03d", i), "5000", "")
+		good.expect(byte(i+2), fmt.Sprintf("e%03d\tfirst", i))
+	}
+	for wait := time.After(patienceMost); len(rude) > 0; {
+		select {
+		case what := <-answers:
+			if _, known := rude[what]; !known {
+				t.Fatal(what)
+			}
+			delete(rude, what)
+		case <-wait:
+			t.Fatal("no word to ", rude)
+		}
+	}
+	good.ask("lookup", "eeee", "5000", "")
+	good.expect(7, "eeee\tfirst")
+}
+
+func TestGarblingEngines(t *testing.T) {
+	page := func(id string) string { return id + "\tfirst\tpage\n" }
+	whole := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nChunks: 1\r\nContent-Length: %d\r\n\r\n%s", length, page(id))
+	}
+	spoilt := []func(id string) string{
+		func(string) string { return "\x00\x01 noise \r\n\r\n" },
+		func(id string) string { return whole(id, 3_000_000_000) },
+		func(id string) string { return whole(id, 900) },
+		func(id string) string { return whole(id, 5) },
+		func(id string) string { return whole(id, len(page(id)))[:30] },
+		func(id string) string {
+			return "HTTP/1.1 100 Go on\r\n\r\n" + strings.Repeat(whole(id, len(page(id))), 2)
+		},
+		func(string) string { return "HTTP/1.1 200 OK\r\nChunks: one\r\nContent-Length: 0\r\n\r\n" },
+		func(string) string { return "" },
+	}
+	met := make(chan map[string]bool, 1)
+	met <- map[string]bool{}
+	e := newStand(t, func(s *stand, w http.ResponseWriter, r *http.Request, id string) {
+		seen := <-met
+		first := !seen[id]
+		seen[id] = seen[id] || r.Method == "GET"
+		met <- seen
+		switch {
+		case r.Method == "POST":
+			w.WriteHeader(202)
+		case first:
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			var i int
+			fmt.Sscanf(id, "a%03d", &i)
+			io.WriteString(conn, spoilt[i%len(spoilt)](id))
+			t.Cleanup(func() { conn.Close() }) // it stays open, and says no more
+		default:
+			w.Header().Set("Chunks", "1")
+			io.WriteString(w, page(id))
+		}
+	})
+	c := start(t, newFeed(t).Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	a := c.client()
+	for i := range 2 * len(spoilt) {
+		id := fmt.Sprintf("a%03d", i)
+		a.ask([]string{"lookup", "load"}[i%2], id, "15000", []string{"", id}[i%2])
+		a.expect(byte(i+1), page(id))
+	}
+	c.signal(syscall.SIGUSR1)
+	c.said("did not hold 0")
+}
+
 func TestConfigThatIsMissing(t *testing.T) {
 	for config, want := range map[string]string{"/does/not/exist": "no config", os.DevNull: "config:"} {
 		cmd := exec.Command(program)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,8 +55,8 @@
 	g.meanWork.add(g.usual(rg), 100)
 	g.probeLeft = min(g.probeLeft+1.5, 6)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
-	g.at(q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
-	g.at(q.aim, func() { g.setTerms(q) })
+	g.of(q, q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
+	g.of(q, q.aim, func() { g.setTerms(q) })
 	if line := g.line(q); line != nil {
 		if line.line = append(line.line, q); line.line[0] != q {
 			return
@@ -70,7 +70,7 @@
 		return
 	}
 	if line := g.line(q); line != nil && g.now < line.restUntil {
-		g.at(line.restUntil, func() { g.begin(q) })
+		g.of(q, line.restUntil, func() { g.begin(q) })
 		return
 	}
 	if q.rg.load {
@@ -93,7 +93,7 @@
 		return
 	}
 	c.held = append(c.held, q)
-	g.at(g.now+time.Second, func() {
+	g.of(q, g.now+time.Second, func() {
 		if c.drop(q) {
 			c.link = q
 			g.enqueue(q)
--- a/decide/door.go
+++ b/decide/door.go
@@ -233,9 +233,9 @@
 	return len(e.out), true
 }
 
-// Known is how many engines, chains, keys, tables and queries are in mind.
+// Known is how many engines, chains, keys, tables, queries and due times are in mind.
 func (g *Gateway) Known() int {
-	n := len(g.engines) + len(g.byID) + len(g.byMark) + len(g.chains) + len(g.keys) + len(g.queries)
+	n := g.due.Len() + len(g.engines) + len(g.byID) + len(g.byMark) + len(g.chains) + len(g.keys) + len(g.queries)
 	for _, e := range g.engines {
 		n += len(e.doneAt) + len(e.loadSeen) + len(e.coldSent)
 	}
@@ -306,6 +306,9 @@
 
 func (g *Gateway) at(t time.Duration, do func()) { g.due.Add(t, do) }
 
+// of is the same for what is due to a query, and leaves with it.
+func (g *Gateway) of(q *query, t time.Duration, do func()) { q.dues = append(q.dues, g.due.Add(t, do)) }
+
 // step ends every call in: what is due is done, what can go is let go, and the
 // next due time is asked for.
 func (g *Gateway) step() {
@@ -325,6 +328,10 @@
 		return
 	}
 	delete(g.queries, q.id)
+	for _, x := range q.dues {
+		g.due.Drop(x)
+	}
+	q.dues = nil
 	g.linkEnded(q)
 	if line := g.line(q); line != nil {
 		first := len(line.line) > 0 && line.line[0] == q
--- a/decide/state.go
+++ b/decide/state.go
@@ -164,6 +164,7 @@
 	looks             []*engine // looked at for this query
 	lookedAt          time.Duration
 	chain             *chain
+	dues              []*due.Item
 	next              func(*engine) bool // what to do once an engine is found for it
 }
 
--- a/internal/conn/buffer.go
+++ b/internal/conn/buffer.go
@@ -3,7 +3,7 @@
 
 const (
 	least = 4 << 10  // room offered to a read
-	keeps = 16 << 10 // what an empty buffer may hold on to
+	Keeps = 16 << 10 // what an empty buffer may hold on to
 )
 
 // Buffer is a connection's one buffer: it grows as its messages need, is
@@ -41,7 +41,7 @@
 		return
 	}
 	b.from, b.to = 0, 0
-	if len(b.b) > keeps {
+	if len(b.b) > Keeps {
 		b.b = nil
 	}
 }
--- a/internal/conn/buffer_test.go
+++ b/internal/conn/buffer_test.go
@@ -26,12 +26,12 @@
 			if !bytes.Equal(b.Bytes(), model) {
 				t.Fatalf("step %d: other bytes", i)
 			}
-			if b.Held() > 4*(len(model)+9000)+keeps {
+			if b.Held() > 4*(len(model)+9000)+Keeps {
 				t.Fatalf("%d held for %d", b.Held(), len(model))
 			}
 		}
 		b.Drop(len(model))
-		if b.Held() > keeps {
+		if b.Held() > Keeps {
 			t.Fatalf("%d held for nothing", b.Held())
 		}
 	})
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// item is one thing to do at a time. What it was meant for may be over by
-// then: do has to look again, since nothing is ever taken out early.
-type item struct {
+// Item is one thing to do at a time.
+type Item struct {
 	at  time.Duration
 	seq uint64
 	do  func()
+	i   int // its place, -1 once it has left
 }
 
 // Times holds all due times of an instance; equal times leave in the order in
@@ -21,33 +21,55 @@
 	seq   uint64
 }
 
-type items []item
+type items []*Item
 
 func (l items) Len() int { return len(l) }
 func (l items) Less(i, j int) bool {
 	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
 }
-func (l items) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
-func (l *items) Push(x any)   { *l = append(*l, x.(item)) }
+func (l items) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].i, l[j].i = i, j
+}
+func (l *items) Push(x any) {
+	x.(*Item).i = len(*l)
+	*l = append(*l, x.(*Item))
+}
 func (l *items) Pop() any {
 	last := (*l)[len(*l)-1]
-	(*l)[len(*l)-1] = item{}
+	(*l)[len(*l)-1] = nil
 	*l = (*l)[:len(*l)-1]
+	last.i = -1
 	return last
 }
 
-// Add has do done at a time.
-func (t *Times) Add(at time.Duration, do func()) {
+// Add has do done at a time. What it was meant for may be over by then: do has
+// to look again, unless it was dropped.
+func (t *Times) Add(at time.Duration, do func()) *Item {
 	t.seq++
-	heap.Push(&t.items, item{at, t.seq, do})
+	x := &Item{at: at, seq: t.seq, do: do}
+	heap.Push(&t.items, x)
+	return x
+}
+
+// Drop takes one out that is not to be done any more, whether it was done or
+// not: far due times would keep what they are for in memory.
+func (t *Times) Drop(x *Item) {
+	if x != nil && x.i >= 0 {
+		heap.Remove(&t.items, x.i)
+		x.do = nil
+	}
 }
 
+// Len is how many there are.
+func (t *Times) Len() int { return len(t.items) }
+
 // Next gives what is due by now, if anything is.
 func (t *Times) Next(now time.Duration) (func(), bool) {
 	if at, ok := t.First(); !ok || at > now {
 		return nil, false
 	}
-	return heap.Pop(&t.items).(item).do, true
+	return heap.Pop(&t.items).(*Item).do, true
 }
 
 // First is the earliest due time.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -304,18 +304,30 @@
 	}
 }
 
-// relieve ends the client with the most of unread messages under way, where all
-// of them together hold more than their part of the memory.
+// relieve ends the client with the most of an unread message under way, or else
+// the engine's line, where all buffers together hold more than their part of the
+// memory. What fits a buffer that any connection may keep is not to blame.
 func (r *Relay) relieve() {
 	var worst *client
+	most := conn.Keeps
 	for _, c := range r.clients {
-		if !c.link.closed && c.begun >= 0 && (worst == nil || c.link.held > worst.link.held) {
-			worst = c
+		if !c.link.closed && c.begun >= 0 && c.link.held > most {
+			worst, most = c, c.link.held
 		}
 	}
 	if worst != nil {
 		r.tally.turnedOff++
 		worst.end(false)
+		return
+	}
+	var line *line
+	for _, l := range r.pool.lines {
+		if !l.link.closed && l.link.held > most {
+			line, most = l, l.link.held
+		}
+	}
+	if line != nil {
+		r.shut(line.link, false)
 	}
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/engines"
 	"railrelay.dev/railrelay/internal/must"
 )
@@ -63,6 +64,7 @@
 	within time.Duration
 	then   func(how, int, func(string) string, []byte)
 	size   int // bytes to write
+	limit  *due.Item
 	over   bool
 }
 
@@ -200,7 +202,7 @@
 	text := c.write(nil)
 	l.call, l.last, c.size = c, c.s, len(text)
 	r.write(l.link, text)
-	r.after(c.within, func() {
+	c.limit = r.due.Add(r.now+c.within, func() {
 		if !c.over {
 			r.shut(l.link, false)
 			l.call = nil
@@ -287,6 +289,7 @@
 func (r *Relay) over(c *call, as how, status int, field func(string) string, body []byte) {
 	if !c.over {
 		c.over = true
+		r.due.Drop(c.limit)
 		c.then(as, status, field, body)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,8 @@
 package relay
 
 import (
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -189,10 +191,18 @@
 
 // Step takes an event and gives the effects it leads to, valid until the next.
 func (r *Relay) Step(now time.Duration, ev Event) []Effect {
+	r.step(now, ev)
+	return r.out
+}
+
+func (r *Relay) step(now time.Duration, ev Event) {
 	r.now = max(now, r.now)
 	clear(r.out)
 	r.out = r.out[:0]
 	l := ev.Link
+	if !must.Debug {
+		defer r.caught(l)
+	}
 	switch ev.Kind {
 	case Accepted:
 		r.accept(l)
@@ -229,7 +239,22 @@
 		r.refeed(ev.Feed)
 	}
 	r.settle()
-	return r.out
+}
+
+// caught: a fault of ours costs the connection that it came by, not all that is
+// served on the others.
+func (r *Relay) caught(l *Link) {
+	if fault := recover(); fault != nil {
+		must.Hold(false, "no step fails")
+		r.say(true, fmt.Sprintf("a fault: %v at %s", fault, debug.Stack()))
+		if l != nil {
+			r.shut(l, false)
+		}
+		if r.woken < 0 { // the next step settles what this one could not
+			r.woken = r.now + time.Millisecond
+			r.do(Effect{Verb: Wake, Within: time.Millisecond})
+		}
+	}
 }
 
 // settle does what is due and tells the decisions what waits to be told.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"railrelay.dev/railrelay/internal/must"
 )
 
 func TestMain(m *testing.M) {
@@ -1166,3 +1168,41 @@
 		t.Fatal("finished only ", s.r.tally.finished)
 	}
 }
+
+func TestAFaultCostsOneConnection(t *testing.T) {
+	if must.Debug {
+		t.Skip("a debug build stops at once")
+	}
+	s := newStage(t, 1, 256, nil)
+	c, other := s.connect(), s.connect()
+	c.link.got = func() { panic("of ours") }
+	s.read(c, []byte{0x94})
+	if !c.gone || other.gone || !strings.Contains(strings.Join(s.said, ""), "of ours") {
+		t.Fatal(s.said)
+	}
+	a := s.query(other, "lookup", "", 5*time.Second, 1)
+	s.reply(s.one("POST", a.id), "ok")
+	s.until(s.now + 400*time.Millisecond)
+	if a.answer != "finished" {
+		t.Fatal("the others were not served: ", a.answer)
+	}
+}
+
+func TestDueTimesLeaveWithWhatTheyAreFor(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	s.until(s.now + 10*time.Millisecond)
+	before := s.r.due.Len() + s.r.gate.Known()
+	c := s.connect()
+	for range 200 { // asked and taken back, each with a long queue timeout
+		a := s.query(c, "lookup", "", 30*time.Second, 1)
+		s.until(s.now + 10*time.Millisecond)
+		s.leave(a)
+		if c.msgs > 100 {
+			c = s.connect()
+		}
+	}
+	s.until(s.now + 3*time.Second)
+	if after := s.r.due.Len() + s.r.gate.Known(); after > before+30 {
+		t.Fatalf("%d, then %d", before, after)
+	}
+}
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/engines"
 )
 
@@ -23,6 +24,7 @@
 	told    bool          // and the decisions know
 	askedAt time.Duration // when its news were last asked for
 	onSet   []func()      // waits for settled
+	limit   *due.Item     // when it is given up at the latest
 
 	astray  bool          // it went unheard of since the last word: it may be forgotten there
 	pause   time.Duration // before it is asked for once more
@@ -59,7 +61,7 @@
 	q.subs = append(q.subs, s)
 	e.untold++
 	r.tally.submissions++
-	r.at(until, func() { r.withdraw(s, decide.TimedOut) })
+	s.limit = r.due.Add(until, func() { r.withdraw(s, decide.TimedOut) })
 	// two of one id at one engine can't be told apart: what ends the first would
 	// end the second
 	if e.holds(q.id) {
@@ -229,6 +231,7 @@
 
 func (s *submission) tell(outcome decide.Outcome) {
 	s.pages = nil
+	s.due.Drop(s.limit)
 	s.tally.ends[outcome]++
 	took := s.now - s.at
 	if outcome != decide.Finished && outcome != decide.Cancelled {
