A newcomer is turned off last: those that asked once and stay make way for it

Ruled out: the rolling restart (failures go on between stops), engines (no errors), processor time (0.09 s). Lines at fault: makeWay began with the newcomer and put whoever never spoke before whoever is idle, so the newcomer itself, which has yet to speak, went before 135 idle connections.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -56,25 +56,32 @@
 	r.makeWay(c)
 }
 
-// makeWay: where there are too many, those go first that never said anything,
-// the longest there first, then those with nothing open, the longest idle
-// first: connections that cost their owners nothing must not keep out the rest.
+// makeWay: where there are too many, those go first that have long said nothing
+// whole, then those idle, the longest first, then those whose call may be on its
+// way, and the newcomer only if all others have something open: connections
+// that cost their owners nothing must not keep out those that mean to ask.
 func (r *Relay) makeWay(newcomer *client) {
-	open, first := 0, newcomer
-	before := func(a, b *client) bool {
+	rank := func(c *client) int {
 		switch {
-		case len(a.open) > 0 || len(b.open) > 0:
-			return len(a.open) == 0
-		case a.spoke != b.spoke:
-			return !a.spoke
+		case len(c.open) > 0:
+			return 4
+		case c == newcomer:
+			return 3
+		case c.begun >= 0 && r.now-c.begun < onTheWay:
+			return 2
+		case c.spoke:
+			return 1
 		}
-		return a.idle < b.idle
+		return 0
 	}
+	open, first := 0, newcomer
 	for _, x := range r.clients {
-		if !x.link.closed {
-			if open++; x != newcomer && before(x, first) {
-				first = x
-			}
+		if x.link.closed {
+			continue
+		}
+		open++
+		if a, b := rank(x), rank(first); a < b || a == b && x.idle < first.idle {
+			first = x
 		}
 	}
 	if open > r.clientsMost {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -965,6 +965,29 @@
 	}
 }
 
+func TestThoseWhoAskedOnceAndStayMakeWay(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	var stay []*end
+	for range s.r.clientsMost {
+		stay = append(stay, s.connect())
+		s.leave(s.query(stay[len(stay)-1], "lookup", "", 5*time.Second, 1))
+		s.until(s.now + time.Millisecond)
+	}
+	s.until(s.now + time.Second) // all are idle, none for long enough to be closed for it
+	held := s.query(stay[0], "load", "k", 20*time.Second, 1)
+	for i := range 20 {
+		c := s.connect()
+		s.until(s.now + time.Millisecond) // its call is on the way
+		if c.gone || !stay[i+1].gone || stay[i+2].gone {
+			t.Fatal("a newcomer is turned off for one that just stays")
+		}
+		s.leave(s.query(c, "lookup", "", 5*time.Second, 1))
+	}
+	if held.from.gone || held.answer != "" {
+		t.Fatal("one with a query open made way")
+	}
+}
+
 func TestFloodsCostLittle(t *testing.T) {
 	s := newStage(t, 1, 256, nil)
 	c := s.connect()
