--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,7 +51,7 @@
 const (
 	Dial  Verb = iota // Link to Address, up Within a time
 	Write             // Bytes, after all that was asked to be written before
-	Close             // Link, once what was asked to be written is out if Gently
+	Close             // Link, once what was asked to be written is out if Gently, or Within a time
 	Wake              // a Woken Within a time; only the last one asked for
 	Say               // Text, Loud if it is to be seen without being asked for
 	Count             // Text, the counters, with what N queries cost
@@ -311,7 +311,7 @@
 func (r *Relay) shut(l *Link, gently bool) {
 	if !l.closed {
 		l.closed = true
-		r.do(Effect{Verb: Close, Link: l, Gently: gently})
+		r.do(Effect{Verb: Close, Link: l, Gently: gently, Within: wholeMost})
 	}
 }
 
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -114,7 +114,7 @@
 			}
 		case relay.Close:
 			if w != nil && e.Gently {
-				w.closeGently()
+				w.closeGently(e.Within)
 			} else if w != nil {
 				w.close()
 			}
@@ -292,9 +292,14 @@
 	w.poke()
 }
 
-func (w *wire) closeGently() {
+// closeGently closes once the queue is out, and after a time whether it is or
+// not: who doesn't read would keep the connection for good.
+func (w *wire) closeGently(within time.Duration) {
 	w.mu.Lock()
 	w.ending = true
+	if w.conn != nil {
+		w.conn.SetDeadline(time.Now().Add(within))
+	}
 	w.mu.Unlock()
 	w.poke()
 }
