A query belongs to an asker, not to a MessagePack connection

Queues, the spool and other fronts are to stand between a call and its query (fair queues come first), but a query held its connection and message number. Now relay.take is the one way in for any front; what a query belongs to is told finished, deferred or killed and closed. Statements in hand, the keyring and the crowd of connections left the one large struct for homes of their own.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/clients"
 	"railrelay.dev/railrelay/internal/conn"
-	"railrelay.dev/railrelay/internal/must"
 )
 
 const (
@@ -19,11 +16,19 @@
 	heardMost  = 4 * openMost    // messages on one connection between two sweeps
 )
 
+// crowd is the connections of clients, and the bounds on them.
+type crowd struct {
+	clients     []*client
+	clientsMost int
+	unread      int // bytes that clients have not taken yet
+	unreadMost  int
+}
+
 // client is one connection from a client.
 type client struct {
 	*Relay
 	link   *Link
-	open   []*query      // in the order taken
+	open   []*asking     // in the order taken
 	stuck  time.Duration // since when it has taken nothing of what is written, -1: it has
 	unread int           // what was unread then
 	begun  time.Duration // since when a whole message is waited for, -1: none is under way
@@ -33,19 +38,11 @@
 	heard  int // messages since the last sweep
 }
 
-// query is one thing taken, until it is answered and nothing of it is out.
-type query struct {
-	id                string
-	from              *client
-	msg               uint32
-	group             *group
-	key               *key
-	statement         []byte
-	takenAt           time.Duration
-	deadline          time.Duration
-	priority, grantMB int
-	subs              []*submission
-	answered          bool
+// asking is what a query of a MessagePack connection belongs to.
+type asking struct {
+	c   *client
+	msg uint32
+	q   *query
 }
 
 func (r *Relay) accept(l *Link) {
@@ -134,10 +131,10 @@
 	}
 }
 
-func (c *client) find(msg uint32) *query {
-	for _, q := range c.open {
-		if q.msg == msg {
-			return q
+func (c *client) find(msg uint32) *asking {
+	for _, a := range c.open {
+		if a.msg == msg {
+			return a
 		}
 	}
 	return nil
@@ -146,50 +143,42 @@
 func (c *client) answer(p []byte) { c.write(c.link, p) }
 
 func (c *client) Query(msg uint32, name, id []byte, patience time.Duration, k []byte, keyed bool, statement []byte) {
-	g := c.groups[string(name)]
 	switch {
 	case c.find(msg) != nil:
 		// answers could no longer be told apart
 		c.tally.malformed++
 		c.end(false)
 		return
-	case g == nil:
-		c.Wrong(msg, "no such method")
-		return
-	case g.timeout > 0 && patience > g.timeout:
-		c.Wrong(msg, "no such patience")
-		return
-	case g.inOrder && !keyed:
-		c.Wrong(msg, "no entity")
-		return
-	case c.queries[string(id)] != nil:
-		c.Wrong(msg, "this trace is in hand")
-		return
 	case len(c.open) >= openMost:
+		if why := c.unfit(string(name), string(id), patience, keyed, len(statement)); why != "" {
+			c.Wrong(msg, why)
+			return
+		}
 		c.Wrong(msg, "too many are open")
 		c.end(true)
 		return
-	case c.inHand+len(statement) > c.inHandMost:
-		c.Wrong(msg, "too much is in hand") // the memory is all there is
-		return
 	}
-	c.inHand += len(statement)
-	q := &query{id: string(id), from: c, msg: msg, group: g, statement: append([]byte{}, statement...),
-		takenAt: c.now, deadline: c.now + patience, priority: -1}
-	number := int64(-1)
-	if g.inOrder {
-		q.key = c.keys.take(string(k))
-		number = q.key.number
+	a := &asking{c: c, msg: msg}
+	q, why := c.take(a, string(name), string(id), patience, k, keyed, statement)
+	if why != "" {
+		c.Wrong(msg, why)
+		return
 	}
-	c.open, c.queries[q.id] = append(c.open, q), q
-	c.tally.taken++
-	c.asked = c.now
-	// once all that has come is read: what is taken back in one breath goes nowhere
-	c.soon(func() {
-		if !q.answered {
-			c.gate.Take(c.now, q.id, g.index, q.deadline-c.now, clients.Tables(q.statement), number, 0, 0)
-		}
-	})
+	a.q = q
+	c.open = append(c.open, a)
+}
+
+func (a *asking) finished(pages [][]byte) { a.c.answer(clients.Answer(nil, a.msg, pages)) }
+
+func (a *asking) deferred(comeBack time.Duration) {
+	a.c.answer(clients.Deferred(nil, a.msg, comeBack))
+}
+
+func (a *asking) killed(why string) { a.c.answer(clients.Killed(nil, a.msg, why)) }
+
+func (a *asking) closed() {
+	a.c.open = slices.DeleteFunc(a.c.open, func(x *asking) bool { return x == a })
+	a.c.idle = a.c.now
 }
 
 func (c *client) Alive(msg uint32) {
@@ -198,10 +187,8 @@
 }
 
 func (c *client) Left(msg uint32) {
-	if q := c.find(msg); q != nil {
-		c.tally.left++
-		c.close(q)
-		c.soon(func() { c.gate.ClientLeft(c.now, q.id) })
+	if a := c.find(msg); a != nil {
+		c.Relay.left(a.q)
 	}
 }
 
@@ -217,64 +204,6 @@
 	}
 }
 
-// close marks the query answered, or no answer owed.
-func (r *Relay) close(q *query) bool {
-	if !must.Hold(!q.answered, "one final answer a query") {
-		return false
-	}
-	q.answered = true
-	q.from.open = slices.DeleteFunc(q.from.open, func(x *query) bool { return x == q })
-	q.from.idle = r.now
-	r.drop(q)
-	return true
-}
-
-func (r *Relay) finished(q *query, pages [][]byte) {
-	if r.close(q) {
-		r.tally.finished++
-		q.from.answer(clients.Answer(nil, q.msg, pages))
-	}
-}
-
-func (r *Relay) deferred(q *query, comeBack time.Duration) {
-	if !q.answered && r.close(q) {
-		r.tally.deferred++
-		q.from.answer(clients.Deferred(nil, q.msg, comeBack))
-	}
-}
-
-func (r *Relay) killed(q *query, why string) {
-	if !q.answered && r.close(q) {
-		r.tally.killed++
-		q.from.answer(clients.Killed(nil, q.msg, why))
-	}
-}
-
-// drop forgets a query once it is answered and nothing of it is out.
-func (r *Relay) drop(q *query) {
-	if !q.answered {
-		return
-	}
-	for _, s := range q.subs {
-		if !s.told {
-			return
-		}
-	}
-	if r.queries[q.id] == q {
-		// the decisions may still have a word on it in this very step
-		r.soon(func() {
-			if r.queries[q.id] == q {
-				delete(r.queries, q.id)
-				r.inHand -= len(q.statement)
-				q.statement, q.subs = nil, nil // what is due for it may outlive it
-				if q.key != nil {
-					r.keys.release(q.key, r.now)
-				}
-			}
-		})
-	}
-}
-
 // sweepClients ends those that don't take what is written to them, each may
 // hold some and all together a part of the memory; those that begin what they
 // don't end, or nothing; and those idle for longer than clients keep theirs.
@@ -340,56 +269,5 @@
 
 const stuckMost = 10 * time.Second
 
-// keyring gives keys numbers: the decisions know keys by number, and unequal
-// ones must stay unequal. A number is used again once its key has rested.
-type keyring struct {
-	byName map[string]*key
-	free   []int64
-	next   int64
-}
-
-type key struct {
-	name   string
-	number int64
-	open   int
-	since  time.Duration
-}
-
-func newKeyring() keyring { return keyring{byName: map[string]*key{}} }
-
-func (k *keyring) take(name string) *key {
-	have := k.byName[name]
-	if have == nil {
-		have = &key{name: name, number: k.next}
-		if last := len(k.free) - 1; last >= 0 {
-			have.number, k.free = k.free[last], k.free[:last]
-		} else {
-			k.next++
-		}
-		k.byName[name] = have
-	}
-	have.open++
-	return have
-}
-
-func (k *keyring) release(have *key, now time.Duration) {
-	have.open--
-	have.since = now
-}
-
-func (k *keyring) sweep(before time.Duration) {
-	var gone []*key
-	for _, have := range k.byName {
-		if have.open == 0 && have.since < before {
-			gone = append(gone, have)
-		}
-	}
-	slices.SortFunc(gone, func(a, b *key) int { return cmp.Compare(a.number, b.number) })
-	for _, have := range gone {
-		delete(k.byName, have.name)
-		k.free = append(k.free, have.number)
-	}
-}
-
 var _ clients.Hearer = (*client)(nil)
-var _ decide.Actor = (*Relay)(nil)
+var _ asker = (*asking)(nil)
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -139,7 +139,7 @@
 		}
 	}
 	if e.state != state && state == decide.Gone {
-		r.left(e)
+		r.away(e)
 	}
 	e.state = state
 	r.feed.named = append(r.feed.named, e)
@@ -161,13 +161,13 @@
 func (r *Relay) EventEnds() {
 	for _, e := range r.engines {
 		if r.feed.whole && e.state != decide.Gone && !slices.Contains(r.feed.named, e) {
-			r.left(e)
+			r.away(e)
 		}
 	}
 	r.gate.ListEnds()
 }
 
-func (r *Relay) left(e *engine) {
+func (r *Relay) away(e *engine) {
 	e.state, e.goneAt = decide.Gone, r.now
 	for _, l := range e.lines {
 		if l.up && l.call == nil {
--- /dev/null
+++ b/internal/relay/query.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"time"
+
+	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/must"
+)
+
+// asker is whoever a query belongs to: a call on a connection, or what stands
+// between. It is told one of finished, deferred and killed at most, after closed,
+// and nothing but closed if it left by itself.
+type asker interface {
+	finished(pages [][]byte)
+	deferred(comeBack time.Duration)
+	killed(why string)
+	// closed: no answer is owed any more, or it follows in the same breath.
+	closed()
+}
+
+// query is one thing taken, until it is answered and nothing of it is out.
+type query struct {
+	id                string
+	asker             asker
+	group             *group
+	key               *key
+	statement         []byte
+	takenAt           time.Duration
+	deadline          time.Duration
+	priority, grantMB int
+	subs              []*submission
+	answered          bool
+}
+
+// hand is what is in hand of queries, and its bounds.
+type hand struct {
+	queries    map[string]*query
+	keys       keyring
+	inHand     int // bytes of statements
+	inHandMost int
+}
+
+// unfit says why a call can't be taken, "" if it can.
+func (r *Relay) unfit(name, id string, patience time.Duration, keyed bool, size int) string {
+	g := r.groups[name]
+	switch {
+	case g == nil:
+		return "no such method"
+	case g.timeout > 0 && patience > g.timeout:
+		return "no such patience"
+	case g.inOrder && !keyed:
+		return "no entity"
+	case r.queries[id] != nil:
+		return "this trace is in hand"
+	case r.inHand+size > r.inHandMost:
+		return "too much is in hand" // the memory is all there is
+	}
+	return ""
+}
+
+// take is the one way in, whichever front a query came by. It copies what it
+// keeps; why tells what is wrong with a call that isn't taken.
+func (r *Relay) take(a asker, name, id string, patience time.Duration, k []byte, keyed bool, statement []byte) (q *query, why string) {
+	if why = r.unfit(name, id, patience, keyed, len(statement)); why != "" {
+		return nil, why
+	}
+	g := r.groups[name]
+	r.inHand += len(statement)
+	q = &query{id: id, asker: a, group: g, statement: append([]byte{}, statement...),
+		takenAt: r.now, deadline: r.now + patience, priority: -1}
+	number := int64(-1)
+	if g.inOrder {
+		q.key = r.keys.take(string(k))
+		number = q.key.number
+	}
+	r.queries[q.id] = q
+	r.tally.taken++
+	r.asked = r.now
+	// once all that has come is read: what is taken back in one breath goes nowhere
+	r.soon(func() {
+		if !q.answered {
+			r.gate.Take(r.now, q.id, g.index, q.deadline-r.now, clients.Tables(q.statement), number, 0, 0)
+		}
+	})
+	return q, ""
+}
+
+// left: its asker wants no answer any more.
+func (r *Relay) left(q *query) {
+	r.tally.left++
+	r.close(q)
+	r.soon(func() { r.gate.ClientLeft(r.now, q.id) })
+}
+
+// close marks the query answered, or no answer owed.
+func (r *Relay) close(q *query) bool {
+	if !must.Hold(!q.answered, "one final answer a query") {
+		return false
+	}
+	q.answered = true
+	q.asker.closed()
+	r.drop(q)
+	return true
+}
+
+func (r *Relay) finished(q *query, pages [][]byte) {
+	if r.close(q) {
+		r.tally.finished++
+		q.asker.finished(pages)
+	}
+}
+
+func (r *Relay) deferred(q *query, comeBack time.Duration) {
+	if !q.answered && r.close(q) {
+		r.tally.deferred++
+		q.asker.deferred(comeBack)
+	}
+}
+
+func (r *Relay) killed(q *query, why string) {
+	if !q.answered && r.close(q) {
+		r.tally.killed++
+		q.asker.killed(why)
+	}
+}
+
+// drop forgets a query once it is answered and nothing of it is out.
+func (r *Relay) drop(q *query) {
+	if !q.answered {
+		return
+	}
+	for _, s := range q.subs {
+		if !s.told {
+			return
+		}
+	}
+	if r.queries[q.id] == q {
+		// the decisions may still have a word on it in this very step
+		r.soon(func() {
+			if r.queries[q.id] == q {
+				delete(r.queries, q.id)
+				r.inHand -= len(q.statement)
+				q.statement, q.subs = nil, nil // what is due for it may outlive it
+				if q.key != nil {
+					r.keys.release(q.key, r.now)
+				}
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,15 +115,9 @@
 	woken time.Duration // when the next Woken is due, -1 if none
 	tally tally
 
-	clients     []*client
-	clientsMost int
-	queries     map[string]*query
-	keys        keyring
-	unread      int // bytes that clients have not taken yet
-	unreadMost  int
+	hand
+	crowd
 	messageMost int
-	inHand      int // bytes of statements
-	inHandMost  int
 
 	engines map[string]*engine
 	pool    pool
@@ -151,7 +145,7 @@
 
 // New makes a controller and what it does first.
 func New(means Means) (*Relay, []Effect) {
-	r := &Relay{Means: means, woken: -1, queries: map[string]*query{},
+	r := &Relay{Means: means, woken: -1, hand: hand{queries: map[string]*query{}},
 		engines: map[string]*engine{}, groups: map[string]*group{}}
 	f := means.Facts
 	r.connectWithin, r.lineIdle = r.span("connect.timeout"), r.span("idle.most")
@@ -415,6 +409,8 @@
 
 func (r *Relay) Log(line string) { r.say(false, line) }
 
+var _ decide.Actor = (*Relay)(nil)
+
 // place is where a name stands in one of the settings' lists, which is how the
 // decisions know it; -1 if it is in none.
 func (r *Relay) place(facts, name string) int {
