Fair queues: a pure core for teams, before the gate, off where no teams are set

Queries of all teams waited in arrival order and were told nothing. internal/fair keeps a tree of teams with weights, budgets, ageing, key and chain order, and estimates from a fluid model; internal/relay asks it whose turn it is while the decisions have room (Gate.Full, two lines in decide.go).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -135,6 +135,7 @@
 func (g *Gateway) release() {
 	for _, rg := range g.ranked {
 		var shut []int64 // tables that no clear engine is left for, asked once a round: queues get long
+		rg.full = false
 		for i := 0; i < len(rg.queue); {
 			q := rg.queue[i]
 			if !q.over && g.hopeless(q, len(rg.queue) > i+1) {
@@ -153,7 +154,7 @@
 			case e != nil && q.next(e):
 				rg.remove(q)
 			case e == nil && !barred:
-				i = len(rg.queue)
+				rg.full, i = true, len(rg.queue)
 			default:
 				shut = append(shut, q.tables)
 				i++
--- a/decide/door.go
+++ b/decide/door.go
@@ -233,6 +233,12 @@
 	return len(e.out), true
 }
 
+// Full: a query of the group is held for want of room, and one more would be
+// held behind it. What is held for a load or its key's turn fills nothing.
+func (g *Gateway) Full(group int) bool {
+	return group >= 0 && group < len(g.groups) && g.groups[group].full
+}
+
 // Known is how many engines, chains, keys, tables, queries and due times are in mind.
 func (g *Gateway) Known() int {
 	n := g.due.Len() + len(g.engines) + len(g.byID) + len(g.byMark) + len(g.chains) + len(g.keys) + len(g.queries)
--- a/decide/state.go
+++ b/decide/state.go
@@ -103,6 +103,7 @@
 	floor    float64 // the best of it
 	need     mean    // MB
 	queue    []*query
+	full     bool // its next query was held for want of room when last looked at
 }
 
 // engine is one executor as this gateway sees it.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -11,7 +11,7 @@
 // Hearer is handed what a client said, its fields as they were read. What it
 // keeps of a slice it must copy.
 type Hearer interface {
-	Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte)
+	Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte, all Fields)
 	Alive(msg uint32)
 	Left(msg uint32)
 	// Wrong is a call that can be answered but not understood.
@@ -96,7 +96,8 @@
 		}
 		*have = c.str()
 	}
-	for n := c.fields(); n > 0 && c.err == nil; n-- {
+	count, from := c.fields(), c.at
+	for n := count; n > 0 && c.err == nil; n-- {
 		switch name := c.str(); string(name) {
 		case "trace":
 			field(&id, "trace")
@@ -108,6 +109,7 @@
 			c.skip(0)
 		}
 	}
+	all := Fields{c.p[min(from, c.at):c.at], count}
 	statement := c.bin()
 	patience := span(wait)
 	switch {
@@ -124,7 +126,31 @@
 	if why != "" {
 		return func() { h.Wrong(msg, why) }
 	}
-	return func() { h.Query(msg, method, id, patience, key, key != nil, statement) }
+	return func() { h.Query(msg, method, id, patience, key, key != nil, statement, all) }
+}
+
+// Fields are all fields of a call, for those that only some set-ups know.
+type Fields struct {
+	p     []byte
+	count uint64
+}
+
+// Get is a field's value if it is a string, nil if there is none of the name.
+func (f Fields) Get(name string) []byte {
+	if name == "" {
+		return nil
+	}
+	c := &cursor{p: f.p, most: uint64(len(f.p))}
+	for n := f.count; n > 0 && c.err == nil; n-- {
+		if string(c.str()) != name {
+			c.skip(0)
+			continue
+		}
+		if v := c.str(); c.err == nil {
+			return v
+		}
+	}
+	return nil
 }
 
 const keyMost = 256
@@ -204,6 +230,13 @@
 	return append(appendStr(appendStr(append(dst, 0x81), "why"), why), 0xc0)
 }
 
+// Told writes a notice that a call's query should start after so long: clients
+// that asked for it know the method.
+func Told(dst []byte, msg uint32, wait time.Duration) []byte {
+	dst = appendStr(append(dst, 0x93, 2), "wait")
+	return appendWhole(appendWhole(append(dst, 0x92), msg), uint32(min(max(0, wait.Milliseconds()), math.MaxUint32)))
+}
+
 // Alive writes whether we are ready.
 func Alive(dst []byte, msg uint32, ready bool) []byte {
 	yes := byte(0xc2)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -12,7 +12,7 @@
 // notes writes down what it is handed.
 type notes struct{ said []string }
 
-func (n *notes) Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte) {
+func (n *notes) Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte, _ Fields) {
 	n.add("query %d %s %s %v %s %v %s", msg, group, id, patience, key, keyed, statement)
 }
 func (n *notes) Alive(msg uint32)             { n.add("alive %d", msg) }
--- /dev/null
+++ b/internal/fair/means.go
@@ -0,0 +1,173 @@
+package fair
+
+import (
+	"math"
+	"time"
+)
+
+func seconds(x float64) time.Duration {
+	return time.Duration(min(x, 1e9) * float64(time.Second))
+}
+
+// mean is a running average that forgets.
+type mean struct{ value, count float64 }
+
+func (m *mean) add(x, most float64) {
+	m.count = min(m.count+1, most)
+	m.value += (x - m.value) / m.count
+}
+
+func (m *mean) or(absent float64) float64 {
+	if m.count == 0 {
+		return absent
+	}
+	return m.value
+}
+
+// rate is an amount a second, over the last rateSpan or so.
+type rate struct {
+	sum   float64
+	at    time.Duration
+	since time.Duration // of its first amount: young rates know less
+}
+
+const rateSpan = 1500 * time.Millisecond
+
+func (r *rate) add(now time.Duration, x float64) {
+	if r.since == 0 || now-r.at > 8*rateSpan {
+		r.since, r.sum = now, 0
+	}
+	r.decay(now)
+	r.sum += x
+}
+
+func (r *rate) decay(now time.Duration) {
+	if now > r.at {
+		r.sum *= math.Exp(-float64(now-r.at) / float64(rateSpan))
+		r.at = now
+	}
+}
+
+func (r *rate) per(now time.Duration) float64 {
+	if r.since == 0 {
+		return 0
+	}
+	sum := r.sum * math.Exp(-float64(max(0, now-r.at))/float64(rateSpan))
+	// what a steady rate since then would have gathered; a lone amount is no rate
+	gathered := rateSpan.Seconds() * (1 - math.Exp(-float64(now-r.since)/float64(rateSpan)))
+	return sum / max(gathered, 0.25)
+}
+
+// flow measures how much a lane lets go a second while more is waiting than it
+// takes: that is its capacity, and nothing else is. Two memories, a short and a
+// long one: the long one serves until the short one knows enough.
+type flow struct {
+	amount, span [2]float64
+	at           time.Duration
+	isFull       bool
+}
+
+var flowSpans = [2]float64{1.2, 20}
+
+func (f *flow) pass(now time.Duration) {
+	dt := (now - f.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	f.at = now
+	if !f.isFull {
+		return // what was learned keeps, and what goes now says nothing
+	}
+	dt = min(dt, 1)
+	for i, tau := range flowSpans {
+		k := math.Exp(-dt / tau)
+		f.amount[i] *= k
+		f.span[i] = f.span[i]*k + tau*(1-k)
+	}
+}
+
+func (f *flow) full(now time.Duration, full bool) {
+	f.pass(now)
+	f.isFull = full
+}
+
+func (f *flow) add(now time.Duration, x float64) {
+	f.pass(now)
+	if f.isFull {
+		f.amount[0] += x
+		f.amount[1] += x
+	}
+}
+
+// per is the rate; known says for how many seconds it was seen of late.
+func (f *flow) per() (r, known float64) {
+	if f.span[1] < 1e-9 {
+		return 0, 0
+	}
+	long := f.amount[1] / f.span[1]
+	if f.span[0] < 1e-9 {
+		return long, 0
+	}
+	trust := min(1, f.span[0]/flowSpans[0])
+	return trust*f.amount[0]/f.span[0] + (1-trust)*long, f.span[1]
+}
+
+// memory keeps what repeats of calls need, bounded in number and age.
+type memory struct {
+	by    map[uint64]past
+	order []uint64
+}
+
+type past struct {
+	arrived, at time.Duration
+	charged     float64
+	team        int
+}
+
+const (
+	pastMost  = 1 << 16
+	pastKeeps = time.Minute
+)
+
+func (m *memory) len() int { return len(m.by) }
+
+func (m *memory) put(id uint64, p past) {
+	if m.by == nil {
+		m.by = map[uint64]past{}
+	}
+	if _, had := m.by[id]; !had {
+		if len(m.by) >= pastMost {
+			m.dropFirst()
+		}
+		m.order = append(m.order, id)
+	}
+	m.by[id] = p
+}
+
+func (m *memory) take(id uint64) (past, bool) {
+	p, ok := m.by[id]
+	delete(m.by, id)
+	return p, ok
+}
+
+func (m *memory) dropFirst() {
+	for len(m.order) > 0 {
+		id := m.order[0]
+		m.order = m.order[1:]
+		if _, had := m.by[id]; had {
+			delete(m.by, id)
+			return
+		}
+	}
+}
+
+func (m *memory) drop(now time.Duration) {
+	for len(m.order) > 0 {
+		p, had := m.by[m.order[0]]
+		if had && now-p.at < pastKeeps {
+			return
+		}
+		delete(m.by, m.order[0])
+		m.order = m.order[1:]
+	}
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -142,7 +142,7 @@
 
 func (c *client) answer(p []byte) { c.write(c.link, p) }
 
-func (c *client) Query(msg uint32, name, id []byte, patience time.Duration, k []byte, keyed bool, statement []byte) {
+func (c *client) Query(msg uint32, name, id []byte, patience time.Duration, k []byte, keyed bool, statement []byte, all clients.Fields) {
 	switch {
 	case c.find(msg) != nil:
 		// answers could no longer be told apart
@@ -159,7 +159,7 @@
 		return
 	}
 	a := &asking{c: c, msg: msg}
-	q, why := c.take(a, string(name), string(id), patience, k, keyed, statement)
+	q, why := c.take(a, string(name), string(id), patience, k, keyed, statement, From{c.link.From, all})
 	if why != "" {
 		c.Wrong(msg, why)
 		return
@@ -176,6 +176,8 @@
 
 func (a *asking) killed(why string) { a.c.answer(clients.Killed(nil, a.msg, why)) }
 
+func (a *asking) told(wait time.Duration) { a.c.answer(clients.Told(nil, a.msg, wait)) }
+
 func (a *asking) closed() {
 	a.c.open = slices.DeleteFunc(a.c.open, func(x *asking) bool { return x == a })
 	a.c.idle = a.c.now
--- /dev/null
+++ b/internal/relay/fairness.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/fair"
+)
+
+// Words are the names of call fields that a set-up may give; an empty one is
+// not looked for.
+type Words struct {
+	Team  string // whose the call is, believed from where the set-up says
+	Wait  string // its client wants to be told how long it waits
+	Again string // the trace of the call that this one repeats
+}
+
+// From is where a call comes from and what it says beside the query itself.
+type From struct {
+	Address netip.Addr
+	Fields  clients.Fields
+}
+
+// fairness stands between the fronts and the decisions where the set-up has
+// teams: a query goes to the decisions when its turn comes. Without teams it is
+// nil, and costs nothing.
+type fairness struct {
+	*Relay
+	core   *fair.Core
+	words  Words
+	pauses time.Duration // the longest that clients follow, 0: none is named
+}
+
+func newFairness(r *Relay, shape *fair.Shape, words Words) *fairness {
+	f := &fairness{Relay: r, words: words}
+	if r.Facts["may.name-return"] == "true" {
+		f.pauses = r.span("return.most")
+	}
+	s := *shape
+	s.Lanes = f.lanes()
+	f.core = fair.New(s)
+	f.sweep()
+	return f
+}
+
+// lanes are the resource groups as fairness needs to know them.
+func (f *fairness) lanes() []fair.Lane {
+	l := make([]fair.Lane, len(f.groups))
+	for _, g := range f.groups {
+		l[g.index] = fair.Lane{Name: g.name, Threads: g.threads, Value: g.value, Ordered: g.inOrder, Chained: g.load,
+			Usual: time.Duration(float64(g.target) / 2 * g.threads)}
+	}
+	return l
+}
+
+func (f *fairness) sweep() {
+	f.after(fair.SweepEvery, f.sweep)
+	f.core.Sweep(f.now, func(w *fair.Waiter, _ bool) {
+		for _, s := range w.Of.(*query).subs {
+			f.rank(s)
+		}
+	}, func(w *fair.Waiter, wait time.Duration) {
+		w.Of.(*query).asker.told(wait)
+	})
+}
+
+// enter takes a query in, or defers it at once if its wait would be too long.
+func (f *fairness) enter(q *query, from From, tables, key int64) {
+	if f.closing { // which turns it away
+		f.gate.Take(f.now, q.id, q.group.index, q.deadline-f.now, tables, key, 0, 0)
+		return
+	}
+	w := &fair.Waiter{Of: q, Lane: q.group.index, Key: key, Chain: tables, Until: q.deadline,
+		Team: f.core.Whose(from.Address, from.Fields.Get(f.words.Team)), Ask: len(from.Fields.Get(f.words.Wait)) > 0}
+	if f.words.Again != "" {
+		w.Self = name(q.id)
+		if first := from.Fields.Get(f.words.Again); len(first) > 0 {
+			w.Again = name(string(first))
+			w.Self = w.Again // what repeats the repeat names the first
+		}
+	}
+	q.tables, q.number = tables, key
+	v := f.core.Enter(f.now, w)
+	if !v.Taken {
+		f.say(false, "query "+q.id+" of "+f.core.Team(w.Team)+" deferred: "+v.Why.String()+", "+v.Estimate.String())
+		f.deferred(q, f.pause(v.Estimate))
+		return
+	}
+	q.turn = w
+	q.latest = f.due.Add(f.core.Latest(w), func() {
+		if w.Waits() && !q.answered {
+			f.deferred(q, f.pause(f.core.Back(f.now, w)))
+		}
+	})
+	for f.next() {
+	}
+	if wait := f.core.First(f.now, w); w.Ask && wait > 0 && !q.answered {
+		q.asker.told(wait)
+	}
+}
+
+// name is a trace as the core knows it, never 0.
+func name(trace string) uint64 { return xxhash.Sum64String(strings.ToLower(trace)) | 1 }
+
+// pause is what may be named of an estimate.
+func (f *fairness) pause(wait time.Duration) time.Duration { return min(wait, f.pauses) }
+
+// next hands one query on to the decisions if they would take it.
+func (f *fairness) next() bool {
+	for lane := range len(f.groups) {
+		full := f.gate.Full(lane)
+		if f.core.Full(f.now, lane, full); full {
+			continue
+		}
+		if w := f.core.Next(f.now, lane); w != nil {
+			q := w.Of.(*query)
+			f.due.Drop(q.latest)
+			f.gate.Take(f.now, q.id, lane, q.deadline-f.now, q.tables, q.number, 0, 0)
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fairness) started(q *query) {
+	if q.turn != nil {
+		f.core.Started(f.now, q.turn)
+	}
+}
+
+// answered: a query that waits leaves at once, one that was handed on only once
+// nothing of it runs.
+func (f *fairness) answered(q *query, end fair.End) {
+	if q.turn == nil {
+		return
+	}
+	q.came = end
+	if q.turn.Waits() {
+		f.due.Drop(q.latest)
+		f.core.Ended(f.now, q.turn, end, 0, 0)
+	}
+}
+
+// over: nothing of it runs any more.
+func (f *fairness) over(q *query) {
+	if q.turn == nil {
+		return
+	}
+	work, lost := time.Duration(0), time.Duration(0)
+	for _, s := range q.subs {
+		if s.work > 0 {
+			work += s.work
+		} else if s.sent {
+			lost += max(0, s.endedAt-s.at)
+		}
+	}
+	f.core.Ended(f.now, q.turn, q.came, work, lost)
+}
+
+// close defers all that wait: the program ends.
+func (f *fairness) close() {
+	f.core.Each(func(w *fair.Waiter) { f.deferred(w.Of.(*query), f.pause(f.core.Back(f.now, w))) })
+}
+
+// reload follows another set of teams.
+func (f *fairness) reload(shape *fair.Shape) {
+	s := *shape
+	s.Lanes = f.lanes()
+	f.core.Reload(f.now, s)
+	f.say(true, fmt.Sprintf("teams were read again, %d queries wait", f.core.Waiting()))
+}
+
+// text tells the counters of all teams together, and of the teams that asked most.
+func (f *fairness) text() string {
+	n := f.core.Total
+	return fmt.Sprintf("; fairness waiting %d started %d deferred %d repeated %d lowered %d, wait s told %.3f had %.3f worst %.3f",
+		f.core.Waiting(), n.Started, n.Deferred, n.Repeated, n.Lowered, mean(n.Told, n.Started), mean(n.Had, n.Started),
+		n.Worst.Seconds())
+}
+
+func mean(sum time.Duration, n int) float64 { return sum.Seconds() / float64(max(1, n)) }
+
+// Teams hands over what happened to each team's queries so far; nothing without
+// fairness. It is for reports, between two steps.
+func (r *Relay) Teams(each func(path string, waiting int, n fair.Counts)) {
+	if r.fair != nil {
+		r.fair.core.Teams(each)
+	}
+}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/due"
+	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/must"
 )
 
@@ -14,6 +16,8 @@
 	finished(pages [][]byte)
 	deferred(comeBack time.Duration)
 	killed(why string)
+	// told: it should start after so long. Only those that asked are told.
+	told(wait time.Duration)
 	// closed: no answer is owed any more, or it follows in the same breath.
 	closed()
 }
@@ -30,6 +34,21 @@
 	priority, grantMB int
 	subs              []*submission
 	answered          bool
+
+	// where teams wait for their turn, and only there
+	turn           *fair.Waiter
+	latest         *due.Item
+	came           fair.End
+	tables, number int64
+}
+
+// rank is the priority that it has at engines: what the decisions set, unless
+// fairness has it make way. Here and nowhere else the two meet.
+func (q *query) rank() int {
+	if q.turn != nil && q.turn.Lowered() {
+		return min(q.priority, 0)
+	}
+	return q.priority
 }
 
 // hand is what is in hand of queries, and its bounds.
@@ -60,7 +79,7 @@
 
 // take is the one way in, whichever front a query came by. It copies what it
 // keeps; why tells what is wrong with a call that isn't taken.
-func (r *Relay) take(a asker, name, id string, patience time.Duration, k []byte, keyed bool, statement []byte) (q *query, why string) {
+func (r *Relay) take(a asker, name, id string, patience time.Duration, k []byte, keyed bool, statement []byte, from From) (q *query, why string) {
 	if why = r.unfit(name, id, patience, keyed, len(statement)); why != "" {
 		return nil, why
 	}
@@ -78,8 +97,12 @@
 	r.asked = r.now
 	// once all that has come is read: what is taken back in one breath goes nowhere
 	r.soon(func() {
-		if !q.answered {
-			r.gate.Take(r.now, q.id, g.index, q.deadline-r.now, clients.Tables(q.statement), number, 0, 0)
+		switch tables := clients.Tables(q.statement); {
+		case q.answered:
+		case r.fair != nil:
+			r.fair.enter(q, from, tables, number)
+		default:
+			r.gate.Take(r.now, q.id, g.index, q.deadline-r.now, tables, number, 0, 0)
 		}
 	})
 	return q, ""
@@ -88,37 +111,40 @@
 // left: its asker wants no answer any more.
 func (r *Relay) left(q *query) {
 	r.tally.left++
-	r.close(q)
+	r.close(q, fair.Left)
 	r.soon(func() { r.gate.ClientLeft(r.now, q.id) })
 }
 
 // close marks the query answered, or no answer owed.
-func (r *Relay) close(q *query) bool {
+func (r *Relay) close(q *query, end fair.End) bool {
 	if !must.Hold(!q.answered, "one final answer a query") {
 		return false
 	}
 	q.answered = true
 	q.asker.closed()
+	if r.fair != nil {
+		r.fair.answered(q, end)
+	}
 	r.drop(q)
 	return true
 }
 
 func (r *Relay) finished(q *query, pages [][]byte) {
-	if r.close(q) {
+	if r.close(q, fair.Finished) {
 		r.tally.finished++
 		q.asker.finished(pages)
 	}
 }
 
 func (r *Relay) deferred(q *query, comeBack time.Duration) {
-	if !q.answered && r.close(q) {
+	if !q.answered && r.close(q, fair.Deferred) {
 		r.tally.deferred++
 		q.asker.deferred(comeBack)
 	}
 }
 
 func (r *Relay) killed(q *query, why string) {
-	if !q.answered && r.close(q) {
+	if !q.answered && r.close(q, fair.Killed) {
 		r.tally.killed++
 		q.asker.killed(why)
 	}
@@ -139,6 +165,9 @@
 		r.soon(func() {
 			if r.queries[q.id] == q {
 				delete(r.queries, q.id)
+				if r.fair != nil {
+					r.fair.over(q)
+				}
 				r.inHand -= len(q.statement)
 				q.statement, q.subs = nil, nil // what is due for it may outlive it
 				if q.key != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/conn"
 	"railrelay.dev/railrelay/internal/due"
+	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/list"
 	"railrelay.dev/railrelay/internal/must"
 )
@@ -43,6 +45,7 @@
 	Link *Link
 	N    int
 	Feed string
+	Fair *fair.Shape // with Reload: the teams, nil to leave them as they are
 }
 
 // What an Effect asks for.
@@ -74,7 +77,8 @@
 // Link is one connection, up or being dialled. What it is for stands in its
 // closures: each is handed the events that concern it.
 type Link struct {
-	In conn.Buffer
+	In   conn.Buffer
+	From netip.Addr // of a client
 
 	up      func()
 	failed  func(refused bool)
@@ -93,6 +97,8 @@
 	Feed     string
 	Known    []byte
 	Facts    map[string]string
+	Fair     *fair.Shape // teams, nil: there are none and whoever comes first goes first
+	Words    Words
 	Started  time.Time // what the list's clock times are told against
 }
 
@@ -123,6 +129,7 @@
 	pool    pool
 	feed    feed
 	groups  map[string]*group
+	fair    *fairness
 
 	buffered     int // memory of all connections' buffers
 	bufferedMost int
@@ -137,10 +144,11 @@
 
 // group is a resource group as far as the sockets need to know it.
 type group struct {
-	index   int
-	name    string
-	inOrder bool
-	timeout time.Duration
+	index           int
+	name            string
+	inOrder, load   bool
+	timeout, target time.Duration
+	threads, value  float64
 }
 
 // New makes a controller and what it does first.
@@ -163,7 +171,9 @@
 	groups, _ := strconv.Atoi(f["groups"])
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
-		r.groups[f[at+"name"]] = &group{i, f[at+"name"], f[at+"in-order"] == "true", r.span(at + "timeout")}
+		r.groups[f[at+"name"]] = &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true",
+			timeout: r.span(at + "timeout"), target: r.span(at + "target"), threads: max(1, number(item(f["threads"], i))),
+			value: number(f[at+"value"])}
 		r.longest = max(r.longest, r.span(at+"timeout"))
 	}
 	r.gate = decide.New(r, means.Seed, f)
@@ -172,12 +182,27 @@
 			r.say(true, "the known list can't be read: "+err.Error())
 		}
 	}
+	if means.Fair != nil {
+		r.fair = newFairness(r, means.Fair, means.Words)
+	}
 	r.follow()
 	r.sweep()
 	r.settle()
 	return r, r.out
 }
 
+func item(list string, i int) string {
+	if l := strings.Split(list, ","); i < len(l) {
+		return l[i]
+	}
+	return ""
+}
+
+func number(text string) float64 {
+	x, _ := strconv.ParseFloat(text, 64)
+	return x
+}
+
 func (r *Relay) span(name string) time.Duration {
 	ms, _ := strconv.ParseFloat(r.Facts[name], 64)
 	return time.Duration(ms * float64(time.Millisecond))
@@ -231,6 +256,9 @@
 		r.count()
 	case Reload:
 		r.refeed(ev.Feed)
+		if r.fair != nil && ev.Fair != nil {
+			r.fair.reload(ev.Fair)
+		}
 	}
 	r.settle()
 }
@@ -260,7 +288,7 @@
 			do()
 		} else if do, ok := r.due.Next(r.now); ok {
 			do()
-		} else {
+		} else if r.fair == nil || !r.fair.next() {
 			break
 		}
 	}
@@ -345,6 +373,9 @@
 	if !r.closing {
 		r.closing = true
 		r.gate.Closing(r.now)
+		if r.fair != nil {
+			r.fair.close()
+		}
 	}
 	busy := len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
 	for _, c := range r.clients {
@@ -384,6 +415,9 @@
 
 func (r *Relay) Defer(id string, comeBack time.Duration) {
 	if q := r.queries[id]; q != nil {
+		if r.fair != nil && q.turn != nil {
+			comeBack = max(comeBack, r.fair.pause(r.fair.core.Back(r.now, q.turn)))
+		}
 		r.deferred(q, comeBack)
 	}
 }
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -17,6 +17,7 @@
 	e       *engine
 	try     int
 	at      time.Duration
+	endedAt time.Duration // when its end was told
 	until   time.Duration
 	sent    bool          // its first byte was let go
 	settled bool          // the call that starts it has come out, in one way or another
@@ -60,6 +61,9 @@
 	s := &submission{Relay: r, q: q, e: e, try: len(q.subs), at: r.now, until: until}
 	q.subs = append(q.subs, s)
 	e.untold++
+	if r.fair != nil {
+		r.fair.started(q)
+	}
 	r.tally.submissions++
 	s.limit = r.due.Add(until, func() { r.withdraw(s, decide.TimedOut) })
 	// two of one id at one engine can't be told apart: what ends the first would
@@ -89,12 +93,12 @@
 			return !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
 		},
 		write: func(dst []byte) []byte {
-			s.sent, s.askedAt, s.goodAt, s.ranked = true, s.now, s.now, s.q.priority
+			s.sent, s.askedAt, s.goodAt, s.ranked = true, s.now, s.now, s.q.rank()
 			if s.try == 0 {
 				s.tally.firstByte(s.now - s.q.takenAt)
 			}
 			return engines.Submit(dst, s.e.address, s.q.id, s.q.group.name, s.until-s.now,
-				s.q.grantMB, s.q.priority, s.q.statement)
+				s.q.grantMB, s.ranked, s.q.statement)
 		},
 		then: func(as how, status int, field func(string) string, body []byte) {
 			s.came(0, as, status, field, body)
@@ -234,6 +238,7 @@
 	s.due.Drop(s.limit)
 	s.tally.ends[outcome]++
 	took := s.now - s.at
+	s.endedAt = s.now
 	if outcome != decide.Finished && outcome != decide.Cancelled {
 		s.say(false, "query "+s.q.id+" of "+s.q.group.name+" at "+s.e.id+": "+outcomeNames[outcome]+" after "+
 			took.String()+", "+s.why)
@@ -322,10 +327,10 @@
 
 // rank passes a change of priority on to what is out.
 func (r *Relay) rank(s *submission) {
-	if !s.sent || s.ended || s.ranking || s.q.priority == s.ranked {
+	if !s.sent || s.ended || s.ranking || s.q.rank() == s.ranked {
 		return
 	}
-	s.ranking, s.ranked = true, s.q.priority
+	s.ranking, s.ranked = true, s.q.rank()
 	r.call(&call{e: s.e, s: s, fits: engines.FitsDone, fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte { return engines.Rank(dst, s.e.address, s.q.id, s.ranked) },
 		then: func(how, int, func(string) string, []byte) {
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -52,6 +52,9 @@
 		d := slices.Sorted(slices.Values(t.delays))
 		fmt.Fprintf(&b, "; to first byte ms median %.1f worst tenth %.1f", ms(d[len(d)/2]), ms(d[len(d)*9/10]))
 	}
+	if r.fair != nil {
+		b.WriteString(r.fair.text())
+	}
 	fmt.Fprintf(&b, "; did not hold %d", must.Broken())
 	return b.String()
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -175,7 +175,11 @@
 			}
 			continue
 		}
-		w := newWire(&relay.Link{}, c)
+		link := &relay.Link{}
+		if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+			link.From = a.AddrPort().Addr()
+		}
+		w := newWire(link, c)
 		if !l.tell(relay.Accepted, w, 0) { // before the next: it may be one too many
 			w.close()
 			return nil
