--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,207 @@
+// Package check holds the rules over a recorded history: one checker for tests,
+// rehearsals and fuzzing. It knows nothing of how the controller works, only what
+// was asked, sent, run and answered, and when.
+package check
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Answer is what a client was told at the end; the numbers are those of the
+// stand-in clients.
+type Answer int
+
+const (
+	Finished Answer = iota
+	Deferred
+	Killed
+)
+
+// History records a run and checks each step as it comes. Faults are kept as
+// text, so that a run can end and show them all.
+type History struct {
+	KeyRest time.Duration // after an end that isn't certain
+	Grace   time.Duration // for sends after a drain was told
+	Most    int           // submissions of a query, 0: any number
+	Faults  []string
+
+	groups  map[string]group
+	queries map[string]*query
+	keys    map[string][]*query
+	states  map[string]state
+	// Answers counts what was told, by Answer.
+	Answers [3]int
+	Sent    int
+}
+
+type group struct {
+	mutating, tokened, ordered bool
+}
+
+type state struct {
+	on    bool
+	since time.Duration
+}
+
+type query struct {
+	id, key  string
+	group    group
+	at       time.Duration
+	until    time.Duration
+	answered bool
+	left     bool
+	runs     []*run
+}
+
+type run struct {
+	engine    string
+	at, over  time.Duration
+	ended, ok bool
+}
+
+const faultsMost = 50
+
+// Broken notes a fault seen elsewhere.
+func (h *History) Broken(now time.Duration, what string) {
+	if len(h.Faults) < faultsMost {
+		h.Faults = append(h.Faults, fmt.Sprintf("%v: %s", now, what))
+	}
+}
+
+// Group tells a resource group's effect (read-only, tokened, mutating) and whether
+// it keeps order by key.
+func (h *History) Group(name, effect string, ordered bool) {
+	if h.groups == nil {
+		h.groups, h.queries = map[string]group{}, map[string]*query{}
+		h.keys, h.states = map[string][]*query{}, map[string]state{}
+	}
+	h.groups[name] = group{effect == "mutating", effect == "tokened", ordered}
+}
+
+// State tells that the list has an engine serving or not.
+func (h *History) State(now time.Duration, engine string, on bool) {
+	h.states[engine] = state{on, now}
+}
+
+// Asked tells of a query that reached the controller.
+func (h *History) Asked(now time.Duration, id, groupName, key string, until time.Duration) {
+	q := &query{id: id, key: key, group: h.groups[groupName], at: now, until: until}
+	if h.queries[id] != nil {
+		h.Broken(now, "the same query asked for twice: "+id)
+	}
+	h.queries[id] = q
+	if q.group.ordered && key != "" {
+		h.keys[key] = append(h.keys[key], q)
+	}
+}
+
+// Left: its client takes no answer any more.
+func (h *History) Left(now time.Duration, id string) {
+	if q := h.queries[id]; q != nil {
+		q.left = true
+	}
+}
+
+// Submitted: an engine began to run it.
+func (h *History) Submitted(now time.Duration, id, engine string, _ bool) {
+	h.Sent++
+	q := h.queries[id]
+	if q == nil {
+		h.Broken(now, "an engine runs what nobody asked for: "+id)
+		return
+	}
+	if q.answered {
+		h.Broken(now, "rule 1: sent after its answer: "+id)
+	}
+	if s, told := h.states[engine]; told && !s.on && now > s.since+h.Grace {
+		h.Broken(now, fmt.Sprintf("rule 3: %s sent to %s %v after it left", id, engine, now-s.since))
+	}
+	for _, r := range q.runs {
+		if q.group.mutating {
+			h.Broken(now, fmt.Sprintf("rule 2: %s ran at %s and again at %s", id, r.engine, engine))
+		}
+		if r.engine == engine && !r.ended {
+			h.Broken(now, "two of one query at one engine: "+id)
+		}
+	}
+	if h.Most > 0 && len(q.runs) >= h.Most {
+		h.Broken(now, "rule 7: too many submissions of "+id)
+	}
+	for _, x := range h.keys[q.key] {
+		if x == q || !q.group.ordered {
+			break
+		}
+		if !x.answered && !x.left {
+			h.Broken(now, fmt.Sprintf("rule 5: %s sent before %s of its key is over", id, x.id))
+		}
+		for _, r := range x.runs {
+			if !r.ended {
+				h.Broken(now, fmt.Sprintf("rule 5: %s sent while %s of its key runs", id, x.id))
+			}
+		}
+	}
+	q.runs = append(q.runs, &run{engine: engine, at: now})
+}
+
+// Ended: an engine has it no more; ok if it came to a good end.
+func (h *History) Ended(now time.Duration, id, engine string, ok bool) {
+	if q := h.queries[id]; q != nil {
+		for _, r := range q.runs {
+			if r.engine == engine && !r.ended {
+				r.ended, r.over, r.ok = true, now, ok
+			}
+		}
+	}
+}
+
+// Answered: the client was told. rows is what it got, made what engines make of it.
+func (h *History) Answered(now time.Duration, id string, as Answer, rows, made []byte) {
+	q := h.queries[id]
+	switch {
+	case q == nil:
+		h.Broken(now, "an answer to what nobody asked: "+id)
+		return
+	case q.answered:
+		h.Broken(now, "rule 1: a second answer to "+id)
+	case q.left:
+		h.Broken(now, "an answer to "+id+", whose client left")
+	}
+	q.answered = true
+	h.Answers[as]++
+	good := false
+	for _, r := range q.runs {
+		good = good || r.ok
+	}
+	switch as {
+	case Finished:
+		if !good {
+			h.Broken(now, "finished, and no engine did it: "+id)
+		}
+		if !bytes.Equal(rows, made) {
+			h.Broken(now, fmt.Sprintf("%s finished with %d bytes, not the %d that engines make", id, len(rows), len(made)))
+		}
+		if now > q.until+50*time.Millisecond {
+			h.Broken(now, fmt.Sprintf("rule 1: %s finished %v after its client left", id, now-q.until))
+		}
+	case Deferred:
+		if q.group.mutating && len(q.runs) > 0 {
+			h.Broken(now, "rule 2: deferred, and it ran: "+id)
+		}
+	}
+}
+
+// Done checks what must hold once all is over: every query that was not left by
+// its client and whose time has passed has its answer.
+func (h *History) Done(now time.Duration) []string {
+	for _, id := range slices.Sorted(maps.Keys(h.queries)) {
+		q := h.queries[id]
+		if !q.answered && !q.left && now > q.until+50*time.Millisecond {
+			h.Broken(now, "rule 1: no answer to "+q.id)
+		}
+	}
+	return h.Faults
+}
--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -136,8 +136,12 @@
 func (c *Core) flowOf(l *lane) float64 {
 	r, known := l.flow.per()
 	// before enough of that was seen: what runs, over how long it runs
-	guess := float64(l.running) * l.cost.or(max(1e-4, l.Usual.Seconds())) / max(1e-3, c.runs(l))
-	trust := known / (known + 0.2)
+	guess := 0.0
+	for i := range c.lanes {
+		x := &c.lanes[i]
+		guess += float64(x.running-x.handed) * x.cost.or(max(1e-4, x.Usual.Seconds())) / max(1e-3, c.runs(x))
+	}
+	trust := known / (known + 0.05)
 	return max(1e-6, trust*r+(1-trust)*guess)
 }
 
@@ -158,10 +162,29 @@
 	t := 0.0
 	if l.full {
 		t = c.solve(w, l, w.leaf.backlog[w.Lane])
+	} else if c.contended(w.Lane) {
+		t = c.way(w, w.leaf.backlog[w.Lane])
 	}
 	return max(seconds(t), c.inLine(w, l, seconds(t)))
 }
 
+// way is how long a team makes way before its next goes, with so much of it ahead.
+func (c *Core) way(w *Waiter, ahead float64) float64 {
+	n := w.leaf
+	over := ahead - c.lead(n)
+	if n.busy > 0 {
+		over += n.lead()
+	}
+	elsewhere := 0.0
+	for k := range n.rate {
+		if k != w.Lane {
+			elsewhere += n.rate[k].per(c.now)
+		}
+	}
+	gain := n.share() * c.capacity()
+	return max(0, over) / max(gain-min(elsewhere, 0.8*gain), 1e-3)
+}
+
 func (c *Core) solve(w *Waiter, l *lane, ahead float64) float64 {
 	p := c.profile(w.Lane)
 	n := w.leaf
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -8,7 +8,6 @@
 package fair
 
 import (
-	"math"
 	"net/netip"
 	"time"
 )
@@ -486,7 +485,7 @@
 	}
 	w := l.oldest
 	if c.now-w.Arrived < c.shape.Age || !w.inLeaf {
-		if w = c.turn(i); w == nil {
+		if w = c.turn(i); w == nil || c.makesWay(w) {
 			return nil
 		}
 	}
@@ -511,6 +510,35 @@
 	return n.lists[i].first
 }
 
+// makesWay: there is room for it in its lane, but it would be taken from others'
+// queries that find none in theirs. The engines are full then, and a team that is
+// ahead of its share, or beyond its budget, leaves the next of it to them.
+func (c *Core) makesWay(w *Waiter) bool {
+	if !c.contended(w.Lane) {
+		return false
+	}
+	return w.leaf.lead() > c.lead(w.leaf)
+}
+
+// contended: a query waits in another lane because engines have no room for it.
+func (c *Core) contended(but int) bool {
+	for i := range c.lanes {
+		if l := &c.lanes[i]; i != but && l.full && l.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lead is how far a team may be ahead of its share before it makes way: for a
+// query of its usual work at the least, or it could never have one.
+func (c *Core) lead(n *node) float64 {
+	return max(leadMost*n.share()*c.capacity(), 1e-3)
+}
+
+// leadMost is in seconds of a team's share of the engines.
+const leadMost = 0.25
+
 func (c *Core) release(w *Waiter, l *lane) {
 	c.unqueue(w, l)
 	w.state = passed
@@ -582,7 +610,9 @@
 func (c *Core) Full(now time.Duration, i int, full bool) {
 	c.at(now)
 	l := &c.lanes[i]
-	l.flow.full(c.now, full)
+	// one goes whenever there is room for it: the lane is at its capacity until
+	// there is room and nobody left for it
+	l.flow.full(c.now, full || l.flow.isFull && l.waiting > 0)
 	l.full = full
 }
 
@@ -683,10 +713,10 @@
 	c.at(now)
 	span := min(c.now-c.sweptAt, sweepMost)
 	c.sweptAt = c.now
-	waited := math.Inf(-1) // the most a waiting query is worth
+	waited := 0.0 // the most that what waits is worth for its work
 	for i := range c.lanes {
 		if l := &c.lanes[i]; l.waiting > 0 {
-			waited = max(waited, l.Value)
+			waited = max(waited, l.worth())
 		}
 	}
 	for w := c.running.first; w != nil; w = w.next {
@@ -703,7 +733,7 @@
 			w.charged = work
 		}
 		on := c.waiting > 0 && !l.Ordered && !l.Chained &&
-			(work > c.shape.Overrun*w.est || c.beyondBudget(w.leaf) || l.Value < waited)
+			(work > c.shape.Overrun*w.est || c.beyondBudget(w.leaf) || l.worth() < waited/2)
 		if on != w.lowered {
 			if w.lowered = on; on {
 				w.leaf.counts.Lowered++
@@ -721,6 +751,9 @@
 	c.again.drop(c.now)
 }
 
+// worth is what a query of the lane is worth for its work.
+func (l *lane) worth() float64 { return l.Value / l.cost.or(max(1e-4, l.Usual.Seconds())) }
+
 const (
 	SweepEvery = 100 * time.Millisecond
 	sweepMost  = time.Second
--- /dev/null
+++ b/internal/lab/fairness.go
@@ -0,0 +1,510 @@
+// Package lab plays the product against stand-ins and measures what it does.
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fair"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/standin/caller"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/world"
+)
+
+// Kind is a resource group as the laboratory's clients use it.
+type Kind struct {
+	Name     string
+	Share    float64 // of the queries
+	Threads  float64
+	CPU      time.Duration // mean of all threads
+	Spread   float64       // sigma of the logarithm
+	Disk     float64       // of the CPU
+	MemoryMB float64
+	Patience time.Duration
+	Target   time.Duration
+	Value    float64
+	Load     bool
+	Rows     int
+}
+
+// Usual is a mix of small lookups, heavy reports and loads in order.
+func Usual() []Kind {
+	return []Kind{
+		{Name: "lookup", Share: 0.60, Threads: 1, CPU: 60 * time.Millisecond, Spread: 0.5, Disk: 0.1, MemoryMB: 32,
+			Patience: 5 * time.Second, Target: time.Second, Value: 1, Rows: 3},
+		{Name: "report", Share: 0.25, Threads: 3, CPU: 900 * time.Millisecond, Spread: 0.5, Disk: 0.1, MemoryMB: 300,
+			Patience: 12 * time.Second, Target: 2 * time.Second, Value: 10, Rows: 40},
+		{Name: "load", Share: 0.15, Threads: 2, CPU: 300 * time.Millisecond, Spread: 0.4, Disk: 0.2, MemoryMB: 200,
+			Patience: 12 * time.Second, Target: 3 * time.Second, Value: 6, Load: true, Rows: 1},
+	}
+}
+
+// Facts are the settings, in our words, that a mix and engines of these figures give.
+func Facts(kinds []Kind, f engine.Figures) map[string]string {
+	m := map[string]string{
+		"gateways": "1", "own.number": "0", "groups": strconv.Itoa(len(kinds)), "kinds": "std", "locations": "here",
+		"kind.cores": fmt.Sprint(f.Cores), "kind.memory": fmt.Sprint(f.MemoryMB), "grant.most": "0.4",
+		"may.grant": "true", "may.prioritise": "true", "may.cancel": "true", "may.probe": "true", "may.copy": "true",
+		"may.name-return": "true", "return.most": "60000", "submissions.most": "3", "note.period": "2000", "tick": "5",
+		"memory.short": "swap", "drain.grace": "1000", "report.how": "probed", "cold.from": "0.33", "answers.cost": "true",
+		"cold.span": "15000", "cold.multiple": "3", "cold.window": "1000", "key.rest": "300", "list.how": "pushed",
+		"connect.timeout": "250", "idle.most": "15000",
+	}
+	var threads, loads, waits string
+	for i, k := range kinds {
+		if i > 0 {
+			threads, loads, waits = threads+",", loads+",", waits+","
+		}
+		threads, loads, waits = threads+fmt.Sprint(k.Threads), loads+fmt.Sprint(k.Load), waits+fmt.Sprint(i == 0)
+		at := "group." + strconv.Itoa(i) + "."
+		maps.Copy(m, map[string]string{at + "name": k.Name, at + "value": fmt.Sprint(k.Value),
+			at + "target": fmt.Sprint(k.Target.Milliseconds()), at + "timeout": "30000", at + "stretch": "2",
+			at + "effect": "read-only", at + "scope": "all", at + "window": "5000", at + "late-share": "0.4"})
+		if k.Load {
+			m[at+"effect"], m[at+"in-order"] = "mutating", "true"
+		}
+	}
+	m["threads"], m["loads"], m["waits"] = threads, loads, waits
+	return m
+}
+
+// Teams is a tree of three kinds with four teams each, of unequal weights.
+func Teams() []fair.Team {
+	var l []fair.Team
+	for i, kind := range []string{"municipalities", "brigades", "gauges"} {
+		k := fair.Team{Name: kind, Weight: float64(3 - i)}
+		for j := range 4 {
+			k.Teams = append(k.Teams, fair.Team{Name: fmt.Sprintf("%s-%d", kind, j+1), Weight: float64(1 + j%2)})
+		}
+		l = append(l, k)
+	}
+	return l
+}
+
+func leaves(l []fair.Team, share float64, each func(name string, share float64)) {
+	sum := 0.0
+	for _, t := range l {
+		sum += t.Weight
+	}
+	for _, t := range l {
+		if len(t.Teams) == 0 {
+			each(t.Name, share*t.Weight/sum)
+		} else {
+			leaves(t.Teams, share*t.Weight/sum, each)
+		}
+	}
+}
+
+// Night is a run of teams' queries against a controller.
+type Night struct {
+	*world.World
+	Kinds  []Kind
+	Names  []string
+	Shares []float64
+	All    []*world.Asked
+	rng    *rand.Rand
+	conns  map[string]*world.Client
+	capac  float64 // core seconds a second of all engines
+	serial int
+	fair   bool
+
+	// IdleTime is for how long an engine had a free core while a query waited,
+	// WaitTime for how long any waited.
+	IdleTime, WaitTime time.Duration
+	gapSince           map[string]time.Duration
+	waiting            map[string]int
+	lastStart          map[string]time.Duration
+	from               int // those before are over
+	MaxGap             time.Duration
+	Starts             map[string]int
+	Used               map[string]float64 // core seconds of queries that started
+}
+
+// NewNight makes one. shape nil: the program without teams.
+func NewNight(seed uint64, engines int, kinds []Kind, teams []fair.Team, shape *fair.Shape, facts map[string]string) *Night {
+	f := engine.Usual()
+	f.Disks = 16
+	figures := make([]engine.Figures, engines)
+	for i := range figures {
+		figures[i] = f
+	}
+	all := Facts(kinds, f)
+	maps.Copy(all, facts)
+	if shape != nil {
+		shape.Teams, shape.Trusted = teams, []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
+	}
+	n := &Night{Kinds: kinds, rng: rand.New(rand.NewPCG(seed, 2)), conns: map[string]*world.Client{}, capac: float64(engines) * f.Cores,
+		fair: shape != nil, gapSince: map[string]time.Duration{}, waiting: map[string]int{}, lastStart: map[string]time.Duration{}, Starts: map[string]int{},
+		Used: map[string]float64{}}
+	leaves(teams, 1, func(name string, share float64) {
+		n.Names, n.Shares = append(n.Names, name), append(n.Shares, share)
+	})
+	n.World = world.New(seed, figures, relay.Means{MemoryMB: 512, Sockets: 8192, Facts: all, Fair: shape,
+		Words:   relay.Words{Team: "team", Wait: "tell", Again: "first"},
+		Manners: []relay.Manners{{From: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}, Open: 100_000, Messages: 100_000}}})
+	n.sample()
+	return n
+}
+
+// sample looks every 2 ms whether somebody waits while an engine idles, and how
+// long teams go without a start.
+func (n *Night) sample() {
+	const every = 2 * time.Millisecond
+	n.After(every, n.sample)
+	clear(n.waiting)
+	waits := false
+	for _, a := range n.All[n.from:] {
+		if a.Started > n.lastStart[a.Team] {
+			n.lastStart[a.Team] = a.Started
+		}
+		if a.Started < 0 && !a.Answered && !a.Left && n.Now-a.At > every {
+			n.waiting[a.Team]++
+			waits = waits || a.Group != "load" // loads wait for their order too
+		}
+	}
+	for n.from < len(n.All) && (n.All[n.from].Answered || n.All[n.from].Left) {
+		n.from++
+	}
+	for _, name := range n.Names {
+		if n.waiting[name] == 0 {
+			delete(n.gapSince, name)
+			continue
+		}
+		since, had := n.gapSince[name]
+		if !had || n.lastStart[name] > since {
+			since = max(n.lastStart[name], since)
+			if !had {
+				since = n.Now
+			}
+			n.gapSince[name] = since
+		}
+		n.MaxGap = max(n.MaxGap, n.Now-since)
+	}
+	if !waits {
+		return
+	}
+	n.WaitTime += every
+	for _, e := range n.Engines {
+		if e.Phase != "SERVING" || e.Silent() {
+			continue
+		}
+		if _, cores, _, _ := e.Load(n.Now); cores < 1-1.0/e.Cores {
+			n.IdleTime += every
+			break
+		}
+	}
+}
+
+// Ask has a team ask for one query of a kind.
+func (n *Night) Ask(team string, k Kind, plan float64) *world.Asked {
+	c := n.conns[team]
+	if c == nil || c.Gone {
+		c = n.Connect(team, netip.MustParseAddr("10.1.2.3"))
+		n.conns[team] = c
+	}
+	n.serial++
+	id := fmt.Sprintf("%016x", uint64(n.serial)<<20|n.rng.Uint64()&0xfffff)
+	w := engine.Work{Threads: k.Threads, MemoryMB: k.MemoryMB, Tables: int64(n.rng.IntN(200)), Load: k.Load, Rows: k.Rows, Plan: plan}
+	w.CPU = time.Duration(float64(k.CPU) * math.Exp(n.rng.NormFloat64()*k.Spread-k.Spread*k.Spread/2))
+	w.Disk = time.Duration(float64(w.CPU) / k.Threads * k.Disk)
+	key := ""
+	if k.Load {
+		key = fmt.Sprintf("k%d", n.rng.IntN(4000))
+	}
+	more := []string{"team", team}
+	if n.fair {
+		more = append(more, "tell", "1")
+	}
+	a := c.Ask(id, k.Name, key, k.Patience, w, more...)
+	n.All = append(n.All, a)
+	return a
+}
+
+// kind draws one of the mix.
+func (n *Night) kind() Kind {
+	x := n.rng.Float64()
+	for _, k := range n.Kinds {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return n.Kinds[0]
+}
+
+// meanWork is the core time of a query of the mix, in seconds.
+func (n *Night) meanWork() (sum float64) {
+	for _, k := range n.Kinds {
+		sum += k.Share * k.CPU.Seconds()
+	}
+	return sum
+}
+
+// Stream has a team ask at a rate of its own, a part of all engines' capacity,
+// from one time to another; arrivals don't wait for answers.
+func (n *Night) Stream(team string, part float64, from, to time.Duration, plan func() float64) {
+	mean := n.meanWork() / (part * n.capac)
+	var next func()
+	next = func() {
+		if n.Now >= to {
+			return
+		}
+		p := 1.0
+		if plan != nil {
+			p = plan()
+		}
+		n.Ask(team, n.kind(), p)
+		n.After(time.Duration(n.rng.ExpFloat64()*mean*float64(time.Second)), next)
+	}
+	n.At(from+time.Duration(n.rng.ExpFloat64()*mean*float64(time.Second)), next)
+}
+
+// Told is how well first estimates held.
+type Told struct {
+	Within, Of int
+	Worst      float64 // the largest wait had over the one told
+	P99        time.Duration
+	Finished   int
+	Deferred   int
+	Killed     int
+}
+
+func (t Told) Share() float64 { return float64(t.Within) / float64(max(1, t.Of)) }
+
+// Estimates compares first estimates with waits had, of those that started.
+func (n *Night) Estimates(of func(a *world.Asked) bool) (t Told) {
+	var waits []time.Duration
+	for _, a := range n.All {
+		if a.At >= nightLong || of != nil && !of(a) { // load goes on until those counted have started
+			continue
+		}
+		if a.Answered {
+			switch a.Answer {
+			case caller.Finished:
+				t.Finished++
+			case caller.Deferred:
+				t.Deferred++
+			case caller.Killed:
+				t.Killed++
+			}
+		}
+		if a.Started < 0 {
+			continue
+		}
+		had, told := a.Started-a.At, max(0, a.Told)
+		waits = append(waits, had)
+		t.Of++
+		off := had - told
+		if had < 125*time.Millisecond {
+			if off.Abs() <= 25*time.Millisecond {
+				t.Within++
+			}
+			continue
+		}
+		if off.Abs() <= had/5 {
+			t.Within++
+		}
+		t.Worst = max(t.Worst, had.Seconds()/max(told.Seconds(), 0.025))
+	}
+	slices.Sort(waits)
+	if len(waits) > 0 {
+		t.P99 = waits[len(waits)*99/100]
+	}
+	return t
+}
+
+// Jain is the fairness index of what teams used against their weights, from one
+// time to another: 1 is exactly by weight.
+func (n *Night) Jain(from, to time.Duration) float64 {
+	used := map[string]float64{}
+	for _, a := range n.All {
+		if a.Started >= from && a.Started < to {
+			used[a.Team] += a.Work.CPU.Seconds()
+		}
+	}
+	sum, squares := 0.0, 0.0
+	for i, name := range n.Names {
+		x := used[name] / n.Shares[i]
+		sum += x
+		squares += x * x
+	}
+	return sum * sum / (float64(len(n.Names)) * squares)
+}
+
+// pattern is one way of load.
+type pattern struct {
+	name string
+	beat bool // printed beside, not counted
+	play func(n *Night)
+}
+
+const nightLong = 40 * time.Second
+
+func patterns() []pattern {
+	each := func(n *Night, part float64, from, to time.Duration, plan func() float64) {
+		for i, name := range n.Names {
+			n.Stream(name, part*n.Shares[i], from, to, plan)
+		}
+	}
+	return []pattern{
+		{name: "steady", play: func(n *Night) { each(n, 1.3, 0, nightLong+fair.DefaultAge, nil) }},
+		{name: "alert", play: func(n *Night) {
+			each(n, 0.5, 0, nightLong, nil)
+			for at := 5 * time.Second; at < nightLong; at += 12 * time.Second {
+				n.At(at, func() {
+					for i, name := range n.Names { // all at once, over a third of a second
+						n.Stream(name, 9*n.Shares[i], n.Now, n.Now+time.Second/3, nil)
+					}
+				})
+			}
+		}},
+		{name: "badplans", play: func(n *Night) {
+			each(n, 1.1, 0, nightLong+fair.DefaultAge, func() float64 {
+				if n.rng.Float64() < 0.005 {
+					return 20
+				}
+				return 1
+			})
+		}},
+		{name: "enginelost", beat: true, play: func(n *Night) {
+			each(n, 1.1, 0, nightLong+fair.DefaultAge, nil)
+			n.At(15*time.Second, func() { n.Engines[0].Crash(30 * time.Second) })
+		}},
+	}
+}
+
+func shape() *fair.Shape { return &fair.Shape{} }
+
+// MeasureFair is the measurement of fair queues: patterns of load in virtual time
+// against stand-in engines, printed one by one, and a last line of all.
+func MeasureFair(out io.Writer, seed uint64) error {
+	const engines = 6
+	counted := Told{}
+	worst, gap, idle, wait := 0.0, time.Duration(0), time.Duration(0), time.Duration(0)
+	var faults []string
+	for _, p := range patterns() {
+		n := NewNight(seed, engines, Usual(), Teams(), shape(), nil)
+		p.play(n)
+		n.Until(nightLong + 20*time.Second)
+		if debugText != nil {
+			debugText(out, n)
+		}
+		faults = append(faults, n.History.Done(n.Now)...)
+		t := n.Estimates(nil)
+		fmt.Fprintf(out, "%-11s started %5d within20 %.3f finished %5d deferred %5d killed %d wait p99 %.2fs gap %.2fs idle while waiting %.4f\n",
+			p.name, t.Of, t.Share(), t.Finished, t.Deferred, t.Killed, t.P99.Seconds(), n.MaxGap.Seconds(), ratio(n.IdleTime, n.WaitTime))
+		for _, k := range n.Kinds {
+			t := n.Estimates(func(a *world.Asked) bool { return a.Group == k.Name })
+			fmt.Fprintf(out, "  %-9s started %5d within20 %.3f deferred %5d wait p99 %.2fs\n", k.Name, t.Of, t.Share(), t.Deferred, t.P99.Seconds())
+		}
+		gap = max(gap, n.MaxGap)
+		if p.beat {
+			continue
+		}
+		counted.Of, counted.Within = counted.Of+t.Of, counted.Within+t.Within
+		worst = max(worst, t.Worst)
+		idle, wait = idle+n.IdleTime, wait+n.WaitTime
+	}
+	jain := [2]float64{}
+	for i, s := range []*fair.Shape{shape(), nil} {
+		n := NewNight(seed, engines, Usual(), Teams(), s, nil)
+		for _, name := range n.Names { // all alike, whatever their weights: far more than any share
+			n.Stream(name, 4.0/float64(len(n.Names)), 0, 30*time.Second, nil)
+		}
+		n.Until(45 * time.Second)
+		faults = append(faults, n.History.Done(n.Now)...)
+		jain[i] = n.Jain(5*time.Second, 30*time.Second)
+	}
+	fmt.Fprintf(out, "jain over weighted shares: teams %.4f, first in first out (the program before) %.4f\n", jain[0], jain[1])
+	p99 := [2]time.Duration{}
+	for i, plan := range []float64{1, 20} {
+		n := NewNight(seed, engines, Usual(), Teams(), shape(), nil)
+		for k, name := range n.Names {
+			n.Stream(name, 0.7*n.Shares[k], 0, 30*time.Second, nil)
+		}
+		for at := 2 * time.Second; at < 30*time.Second; at += 3 * time.Second {
+			n.At(at, func() { n.Ask(n.Names[0], n.Kinds[1], plan) })
+		}
+		n.Until(45 * time.Second)
+		faults = append(faults, n.History.Done(n.Now)...)
+		p99[i] = n.Estimates(func(a *world.Asked) bool { return a.Team != n.Names[0] }).P99
+	}
+	bad := max(p99[1].Seconds(), 0.001) / max(p99[0].Seconds(), 0.001)
+	fmt.Fprintf(out, "p99 wait of the others: %v without bad plans, %v with, ratio %.3f\n", p99[0], p99[1], bad)
+	us := SpeedFair(10_000, 100_000, 300_000)
+	for _, f := range faults {
+		fmt.Fprintln(out, "broken:", f)
+	}
+	fmt.Fprintf(out, "measured within20=%.4f worst_wait_ratio=%.3f idle_while_waiting=%.5f max_start_gap_s=%.3f bound_s=%.3f jain=%.4f jain_before=%.4f bad_plan_ratio=%.3f us_per_query=%.3f broken=%d\n",
+		counted.Share(), worst, ratio(idle, wait), gap.Seconds(), fair.DefaultAge.Seconds(), jain[0], jain[1], bad, us, len(faults))
+	if len(faults) > 0 {
+		return fmt.Errorf("%d rules broken", len(faults))
+	}
+	return nil
+}
+
+func ratio(a, b time.Duration) float64 { return a.Seconds() / max(b.Seconds(), 1e-9) }
+
+// SpeedFair is the time of one in and one out, in microseconds, with so many
+// teams and queries waiting.
+func SpeedFair(teams, waiting, rounds int) float64 {
+	s := fair.Shape{Lanes: []fair.Lane{{Name: "a", Threads: 1, Value: 1, Usual: 50 * time.Millisecond},
+		{Name: "b", Threads: 3, Value: 5, Usual: 500 * time.Millisecond}}, Age: time.Hour, Waiting: 2 * waiting}
+	for i := range 100 {
+		k := fair.Team{Name: "k" + strconv.Itoa(i), Weight: 1 + float64(i%7)}
+		for j := range teams / 100 {
+			k.Teams = append(k.Teams, fair.Team{Name: fmt.Sprintf("t%d-%d", i, j), Weight: 1 + float64(j%5)})
+		}
+		s.Teams = append(s.Teams, k)
+	}
+	c := fair.New(s)
+	all := make([]fair.Waiter, waiting+rounds+1)
+	of := make([]int, 0, teams)
+	for i := range 100 {
+		for j := range teams / 100 {
+			of = append(of, c.Whose(netip.MustParseAddr("10.0.0.1"), fmt.Appendf(nil, "t%d-%d", i, j)))
+		}
+	}
+	_ = of
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Duration(1)
+	enter := func(w *fair.Waiter) {
+		*w = fair.Waiter{Lane: rng.IntN(2), Team: rng.IntN(teams) + teams/100, Key: -1, Chain: -1, Until: time.Hour}
+		w.Team = teamAt(w.Team)
+		c.Enter(now, w)
+	}
+	c.Full(now, 0, true)
+	c.Full(now, 1, true)
+	for i := range waiting {
+		enter(&all[i])
+	}
+	start := time.Now()
+	for i := range rounds {
+		now += 10 * time.Microsecond
+		enter(&all[waiting+i])
+		if w := c.Next(now, i%2); w != nil {
+			c.Started(now, w)
+			c.Ended(now, w, fair.Finished, 0, 0)
+		}
+	}
+	return float64(time.Since(start).Microseconds()) / float64(rounds)
+}
+
+// teamAt is the number of the n-th team of SpeedFair's tree: kinds stand between.
+func teamAt(n int) int {
+	n -= 100
+	n = max(n, 0)
+	return n/100*101 + n%100 + 1
+}
+
+var _ = cmp.Compare[int]
+
+var debugText func(io.Writer, *Night)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -1,13 +1,19 @@
 package relay
 
 import (
+	"cmp"
+	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/gaissmai/bart"
+
 	"railrelay.dev/railrelay/internal/clients"
 	"railrelay.dev/railrelay/internal/conn"
 )
 
+// The platform's figures, for whoever has no others.
 const (
 	openMost   = 32              // queries open on one connection, by the protocol
 	idleMost   = 6 * time.Second // clients close theirs after 4 s; one kept for good is let go
@@ -16,10 +22,56 @@
 	heardMost  = 4 * openMost    // messages on one connection between two sweeps
 )
 
+// Manners are what is expected of the connections from some addresses. A figure
+// of 0 is the platform's.
+type Manners struct {
+	From     []netip.Prefix
+	Open     int           // queries open on one connection
+	Messages int           // on one connection in a quarter of a second
+	Idle     time.Duration // one with nothing open is closed after
+	Whole    time.Duration // a message takes no longer, from connecting or from its first byte
+}
+
+func (m Manners) orPlatform() Manners {
+	m.Open, m.Messages = cmp.Or(m.Open, openMost), cmp.Or(m.Messages, heardMost)
+	m.Idle, m.Whole = cmp.Or(m.Idle, idleMost), cmp.Or(m.Whole, wholeMost)
+	return m
+}
+
+// manners finds those that hold for an address: the narrowest set it is in.
+type manners struct {
+	all  []Manners
+	sets *bart.Table[int] // nil: there are none
+}
+
+func newManners(l []Manners) manners {
+	m := manners{all: []Manners{Manners{}.orPlatform()}}
+	for _, x := range l {
+		if m.sets == nil {
+			m.sets = &bart.Table[int]{}
+		}
+		m.all = append(m.all, x.orPlatform())
+		for _, p := range x.From {
+			m.sets.Insert(p.Masked(), len(m.all)-1)
+		}
+	}
+	return m
+}
+
+func (m *manners) of(a netip.Addr) *Manners {
+	if m.sets != nil && a.IsValid() {
+		if i, ok := m.sets.Lookup(a.Unmap()); ok {
+			return &m.all[i]
+		}
+	}
+	return &m.all[0]
+}
+
 // crowd is the connections of clients, and the bounds on them.
 type crowd struct {
 	clients     []*client
 	clientsMost int
+	manners     manners
 	unread      int // bytes that clients have not taken yet
 	unreadMost  int
 }
@@ -28,6 +80,7 @@
 type client struct {
 	*Relay
 	link   *Link
+	wants  *Manners
 	open   []*asking     // in the order taken
 	stuck  time.Duration // since when it has taken nothing of what is written, -1: it has
 	unread int           // what was unread then
@@ -46,7 +99,7 @@
 }
 
 func (r *Relay) accept(l *Link) {
-	c := &client{Relay: r, link: l, stuck: -1, begun: r.now, idle: r.now}
+	c := &client{Relay: r, link: l, wants: r.manners.of(l.From), stuck: -1, begun: r.now, idle: r.now}
 	l.got, l.ended = c.got, c.ended
 	r.clients = append(r.clients, c)
 	r.tally.connections++
@@ -90,7 +143,11 @@
 func (c *client) got() {
 	whole := false
 	for !c.link.closed {
-		n, err := clients.Read(c.link.In.Bytes(), c.messageMost, c)
+		var hearer clients.Hearer = c
+		if c.heard >= c.wants.Messages { // one more and all the others would have to wait
+			hearer = &flooding{c}
+		}
+		n, err := clients.Read(c.link.In.Bytes(), c.messageMost, hearer)
 		switch {
 		case err != nil:
 			c.tally.malformed++
@@ -99,7 +156,7 @@
 		case n > 0:
 			whole, c.spoke = true, true
 			c.link.In.Drop(n)
-			if c.heard++; c.heard > heardMost { // it would have all the others wait
+			if c.heard++; c.heard > c.wants.Messages {
 				c.tally.turnedOff++
 				c.end(true)
 			}
@@ -113,6 +170,23 @@
 	}
 }
 
+// flooding tells a connection that is about to be closed why.
+type flooding struct{ *client }
+
+func (f *flooding) tell(msg uint32) {
+	if f.find(msg) == nil {
+		f.answer(clients.Killed(nil, msg, "more than "+strconv.Itoa(f.wants.Messages)+" messages in "+sweepEvery.String()+
+			" on one connection: it is closed"))
+	}
+}
+
+func (f *flooding) Query(msg uint32, _, _ []byte, _ time.Duration, _ []byte, _ bool, _ []byte, _ clients.Fields) {
+	f.tell(msg)
+}
+func (f *flooding) Alive(msg uint32)           { f.tell(msg) }
+func (f *flooding) Wrong(msg uint32, _ string) { f.tell(msg) }
+func (f *flooding) Left(msg uint32)            { f.client.Left(msg) }
+
 // end closes the connection from our side; what was open on it is lost to it.
 func (c *client) end(gently bool) {
 	c.shut(c.link, gently)
@@ -149,7 +223,7 @@
 		c.tally.malformed++
 		c.end(false)
 		return
-	case len(c.open) >= openMost:
+	case len(c.open) >= c.wants.Open:
 		if why := c.unfit(string(name), string(id), patience, keyed, len(statement)); why != "" {
 			c.Wrong(msg, why)
 			return
@@ -226,10 +300,10 @@
 		switch {
 		case c.link.closed:
 			continue
-		case c.stuck >= 0 && r.now-c.stuck > stuckMost, c.begun >= 0 && r.now-c.begun > wholeMost:
+		case c.stuck >= 0 && r.now-c.stuck > stuckMost, c.begun >= 0 && r.now-c.begun > c.wants.Whole:
 			r.tally.turnedOff++
 			c.end(false)
-		case c.begun < 0 && len(c.open) == 0 && p == 0 && r.now-c.idle > idleMost:
+		case c.begun < 0 && len(c.open) == 0 && p == 0 && r.now-c.idle > c.wants.Idle:
 			r.tally.idled++
 			c.end(true)
 		case worst == nil || p > worst.link.pending:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,6 +99,7 @@
 	Facts    map[string]string
 	Fair     *fair.Shape // teams, nil: there are none and whoever comes first goes first
 	Words    Words
+	Manners  []Manners // of clients, by address; whoever is in no set has the platform's
 	Started  time.Time // what the list's clock times are told against
 }
 
@@ -163,6 +164,7 @@
 	r.copies = f["may.copy"] == "true"
 	r.keys = newKeyring()
 	// their ends and their next connections may cross: a little over a third is let in
+	r.manners = newManners(means.Manners)
 	r.clientsMost = max(1, means.Sockets/3) + means.spare()/4
 	r.pool.most = max(2, means.Sockets-means.Sockets/3-means.spare())
 	memory := int(means.MemoryMB * (1 << 20))
@@ -337,9 +339,11 @@
 	}
 }
 
+const sweepEvery = 250 * time.Millisecond
+
 // sweep is the one periodic timer.
 func (r *Relay) sweep() {
-	r.after(250*time.Millisecond, r.sweep)
+	r.after(sweepEvery, r.sweep)
 	r.sweepLines()
 	r.sweepEngines()
 	r.sweepClients()
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,313 @@
+package engine
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Server speaks the engines' protocol on any number of connections, over bytes
+// and in virtual time. What it answers goes through the connection's Write.
+type Server struct {
+	*Model
+	// Cost tells what a statement takes; ParseCost unless set.
+	Cost func(group string, statement []byte) Work
+	// Posted is told of each query that comes to run here, if it is set.
+	Posted  func(id, group string, rank int, at time.Duration)
+	conns   []*Conn
+	holding []*Conn // those with a call that is held for news, in turn
+	silent  bool
+	// Calls counts what came, by method.
+	Calls map[string]int
+}
+
+// Conn is one connection. Write is called with whole answers, Close if the
+// engine ends it.
+type Conn struct {
+	Write func(p []byte)
+	Close func()
+	in    []byte
+	id    string        // of the call that is held
+	since time.Duration // when it came
+	held  bool
+	gone  bool
+}
+
+// NewServer puts the protocol round a model.
+func NewServer(m *Model) *Server {
+	return &Server{Model: m, Cost: ParseCost, Calls: map[string]int{}}
+}
+
+// Accept adds a connection.
+func (s *Server) Accept(c *Conn) { s.conns = append(s.conns, c) }
+
+// Gone takes one away that ended.
+func (s *Server) Gone(c *Conn) {
+	c.gone = true
+	is := func(x *Conn) bool { return x == c }
+	s.conns, s.holding = slices.DeleteFunc(s.conns, is), slices.DeleteFunc(s.holding, is)
+}
+
+// Got takes bytes that came on a connection.
+func (s *Server) Got(now time.Duration, c *Conn, p []byte) {
+	if s.silent || c.gone {
+		return // they lie in a buffer for ever
+	}
+	c.in = append(c.in, p...)
+	for !c.gone && !c.held {
+		head, rest, ok := bytes.Cut(c.in, []byte("\r\n\r\n"))
+		if !ok {
+			return
+		}
+		field := func(name string) string { return lookup(head, name) }
+		length, _ := strconv.Atoi(field("Content-Length"))
+		if len(rest) < length {
+			return
+		}
+		line, _, _ := bytes.Cut(head, []byte("\r\n"))
+		words := strings.Fields(string(line))
+		if len(words) < 2 || length < 0 {
+			s.end(c)
+			return
+		}
+		body := bytes.Clone(rest[:length])
+		c.in = append([]byte{}, rest[length:]...)
+		s.call(now, c, words[0], words[1], field, body)
+	}
+	s.Due(now)
+}
+
+func lookup(head []byte, name string) string {
+	for l := range bytes.SplitSeq(head, []byte("\r\n")) {
+		if n, v, ok := bytes.Cut(l, []byte(":")); ok && strings.EqualFold(string(n), name) {
+			return strings.TrimSpace(string(v))
+		}
+	}
+	return ""
+}
+
+func (s *Server) end(c *Conn) {
+	s.Gone(c)
+	if c.Close != nil {
+		c.Close()
+	}
+}
+
+func (s *Server) call(now time.Duration, c *Conn, method, path string, field func(string) string, body []byte) {
+	s.Calls[method]++
+	parts := strings.Split(strings.Trim(path, "/"), "/")
+	switch {
+	case path == "/ping":
+		c.answer(200, "", nil)
+	case path == "/stats":
+		held, cores, memory, disks := s.Load(now)
+		c.answer(200, fmt.Sprintf("X-Load: outstanding:%d;utilization:%.4f;x0:%.4f;x1:%.4f\r\n", held, cores, memory, disks), nil)
+	case method == "POST" && path == "/o":
+		id, group := field("X-Req"), field("X-Class")
+		wait, _ := strconv.Atoi(field("X-Wait-Ms"))
+		grant, _ := strconv.ParseFloat(field("Pool-Mb"), 64)
+		rank, err := strconv.Atoi(field("Pool-Rank"))
+		if err != nil {
+			rank = 1
+		}
+		if id == "" || wait <= 0 {
+			c.answer(504, "X-Not-Run: 1\r\n", nil)
+			return
+		}
+		if !s.Post(now, id, s.Cost(group, body), rank, grant, time.Duration(wait)*time.Millisecond) {
+			c.answer(503, "X-Not-Run: 1\r\n", nil)
+			return
+		}
+		if s.Posted != nil {
+			s.Posted(id, group, rank, now)
+		}
+		s.hold(now, c, id)
+	case method == "GET" && len(parts) == 3 && parts[0] == "o":
+		if page, _ := strconv.Atoi(parts[2]); page > 0 {
+			s.page(now, c, parts[1], page)
+			return
+		}
+		s.hold(now, c, parts[1])
+	case method == "PUT" && len(parts) == 2:
+		rank, _ := strconv.Atoi(string(body))
+		s.Rank(now, parts[1], rank)
+		c.answer(204, "", nil)
+	case method == "DELETE" && len(parts) == 2:
+		s.GiveUp(now, parts[1])
+		c.answer(204, "", nil)
+	default:
+		c.answer(500, "", nil)
+	}
+}
+
+// hold keeps a call until there is news of its query.
+func (s *Server) hold(now time.Duration, c *Conn, id string) {
+	c.held, c.id, c.since = true, id, now
+	s.Ask(now, id)
+	s.holding = append(s.holding, c)
+}
+
+// Due brings the engine to a time and answers what is due by then.
+func (s *Server) Due(now time.Duration) {
+	s.Advance(now)
+	if s.silent || s.stopped {
+		return
+	}
+	for _, c := range slices.Clone(s.holding) {
+		outcome := Bad
+		x := s.sessions[c.id]
+		if x != nil {
+			outcome = x.outcome
+		}
+		if outcome == Runs && now < c.since+s.News && now < x.noteAt+s.Notes {
+			continue
+		}
+		s.holding = slices.DeleteFunc(s.holding, func(y *Conn) bool { return y == c })
+		c.held = false
+		switch outcome {
+		case Runs:
+			x.askedAt = now
+			if n := s.note(x); n.Kind != "" {
+				c.answer(202, fmt.Sprintf("X-Cache: %s\r\nReading: %g\r\n", n.Kind, n.X), nil)
+			} else {
+				c.answer(202, "", nil)
+			}
+		case Good:
+			x.askedAt = now
+			pages := s.pages(x)
+			c.answer(200, fmt.Sprintf("Chunks: %d\r\nElapsed-Work: %.3f\r\nHigh-Water: %g\r\n", len(pages),
+				float64(x.work.CPU)/float64(time.Millisecond), x.work.MemoryMB), pages[0])
+		default:
+			c.answer(500, "", nil)
+		}
+		if len(c.in) > 0 && !c.gone { // a call that came behind it
+			s.Got(now, c, nil)
+		}
+	}
+}
+
+// Next is when something is due by itself.
+func (s *Server) Next() (time.Duration, bool) {
+	next, any := s.Model.Next()
+	if s.silent || s.stopped {
+		return 0, false
+	}
+	for _, c := range s.holding {
+		at := c.since + s.News
+		if x := s.sessions[c.id]; x != nil {
+			at = min(at, x.noteAt+s.Notes)
+		}
+		if !any || at < next {
+			next, any = at, true
+		}
+	}
+	return next, any
+}
+
+func (s *Server) page(now time.Duration, c *Conn, id string, page int) {
+	s.Ask(now, id)
+	if x := s.sessions[id]; x != nil && x.outcome == Good {
+		if pages := s.pages(x); page < len(pages) {
+			c.answer(200, fmt.Sprintf("Chunk: %d\r\n", page), pages[page])
+			return
+		}
+	}
+	c.answer(500, "", nil)
+}
+
+// Row is the text of a result's row: anybody can tell whether it is right.
+func Row(id string, i int) string { return id + "\trow\t" + strconv.Itoa(i) + "\n" }
+
+func (s *Server) pages(x *session) [][]byte {
+	pages := [][]byte{nil}
+	for i := range x.work.Rows {
+		row := Row(x.id, i)
+		if last := pages[len(pages)-1]; len(last)+len(row) > s.PageBytes && len(last) > 0 {
+			pages = append(pages, nil)
+		}
+		pages[len(pages)-1] = append(pages[len(pages)-1], row...)
+	}
+	return pages
+}
+
+// Silence has it say and hear nothing, with its connections left open, as a
+// machine that is cut off; what runs, runs on.
+func (s *Server) Silence(now time.Duration, silent bool) {
+	s.Advance(now)
+	s.silent = silent
+}
+
+// Reset ends all connections, and with cold its process: what ran is lost.
+func (s *Server) Reset(now time.Duration, cold bool) {
+	if s.silent = false; cold {
+		s.Restart(now)
+	}
+	for _, c := range slices.Clone(s.conns) {
+		s.end(c)
+	}
+}
+
+var texts = map[int]string{200: "OK", 202: "Accepted", 204: "No Content", 500: "Internal Server Error", 503: "Service Unavailable",
+	504: "Gateway Timeout"}
+
+func (c *Conn) answer(status int, fields string, body []byte) {
+	p := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s", status, texts[status], fields)
+	if status != 204 {
+		p = fmt.Appendf(p, "Content-Length: %d\r\n", len(body))
+	}
+	c.Write(append(append(p, "\r\n"...), body...))
+}
+
+// Statement writes a statement on a table group that tells a stand-in engine
+// what it takes; ParseCost reads it.
+func Statement(w Work) []byte {
+	verb := "SELECT * FROM"
+	if w.Load {
+		verb = "INSERT INTO"
+	}
+	return fmt.Appendf(nil, "%s sales_%d.orders -- takes threads=%g cpu_ms=%g disk_ms=%g memory_mb=%g rows=%d plan=%g load=%t waits=%t",
+		verb, w.Tables, w.Threads, ms(w.CPU), ms(w.Disk), w.MemoryMB, w.Rows, w.Plan, w.Load, w.Waits)
+}
+
+func ms(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
+
+// ParseCost reads what Statement wrote. What says nothing takes next to nothing.
+func ParseCost(_ string, statement []byte) Work {
+	w := Work{Threads: 1, Rows: 1}
+	text := string(statement)
+	if _, rest, ok := strings.Cut(text, "sales_"); ok {
+		digits, _, _ := strings.Cut(rest, ".")
+		w.Tables, _ = strconv.ParseInt(digits, 10, 64)
+	}
+	_, said, _ := strings.Cut(text, "-- takes ")
+	for pair := range strings.FieldsSeq(said) {
+		name, value, _ := strings.Cut(pair, "=")
+		x, _ := strconv.ParseFloat(value, 64)
+		span := time.Duration(x * float64(time.Millisecond))
+		switch name {
+		case "threads":
+			w.Threads = x
+		case "cpu_ms":
+			w.CPU = span
+		case "disk_ms":
+			w.Disk = span
+		case "memory_mb":
+			w.MemoryMB = x
+		case "rows":
+			w.Rows = int(x)
+		case "plan":
+			w.Plan = x
+		case "load":
+			w.Load = value == "true"
+		case "waits":
+			w.Waits = value == "true"
+		}
+	}
+	return w
+}
+
+// Silent tells whether it was cut off.
+func (s *Server) Silent() bool { return s.silent }
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,465 @@
+// Package world plays a controller's reducer, unchanged, against stand-in engines,
+// feed and clients in virtual time, on one event queue: same script and seed, same
+// history. Bytes go through the real parsers on both sides.
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/internal/check"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/standin/caller"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/feed"
+)
+
+// World is one run.
+type World struct {
+	Now     time.Duration
+	R       *relay.Relay
+	Engines []*Engine
+	Clients []*Client
+	Feed    feed.Log
+	History check.History
+	Rand    *rand.Rand
+	Quit    bool
+	Said    []string // what the controller logged aloud, and its counters
+
+	delay  time.Duration
+	events events
+	seq    uint64
+	ends   map[*relay.Link]*end
+	byAddr map[string]*Engine
+	feeds  []*end
+	woken  uint64
+}
+
+// Engine is one stand-in with its place in the list.
+type Engine struct {
+	*engine.Server
+	feed.Engine
+	w      *World
+	down   bool // refuses connections
+	wakeAt time.Duration
+}
+
+// end is a connection of the controller's as the world sees it.
+type end struct {
+	link  *relay.Link
+	conn  *engine.Conn
+	to    *Engine
+	from  *Client
+	gone  bool
+	feed  bool
+	known bool
+	in    []byte
+}
+
+// Client is one client's connection. Heard is called with each answer.
+type Client struct {
+	w     *World
+	Name  string
+	end   *end
+	in    []byte
+	next  uint32
+	open  map[uint32]*Asked
+	Gone  bool
+	Heard func(a *Asked, ans caller.Answer)
+}
+
+// Asked is a query that a client asked for.
+type Asked struct {
+	ID, Group, Team string
+	Msg             uint32
+	At, Until       time.Duration
+	Told            time.Duration // the first wait told, -1: none
+	Tells           int
+	Started         time.Duration // when an engine first got it, -1: never
+	Over            time.Duration
+	Answer          caller.Kind
+	Answered, Left  bool
+	Pause           time.Duration
+	Work            engine.Work
+	Rank            int // at the engine, when it came
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (l events) Len() int { return len(l) }
+func (l events) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+func (l events) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *events) Push(x any)   { *l = append(*l, x.(event)) }
+func (l *events) Pop() any {
+	x := (*l)[len(*l)-1]
+	(*l)[len(*l)-1] = event{}
+	*l = (*l)[:len(*l)-1]
+	return x
+}
+
+// New makes a world with engines of these figures and a controller of these
+// means, whose feed and list are the world's.
+func New(seed uint64, engines []engine.Figures, means relay.Means) *World {
+	w := &World{Rand: rand.New(rand.NewPCG(seed, 1)), ends: map[*relay.Link]*end{}, byAddr: map[string]*Engine{},
+		delay: 100 * time.Microsecond}
+	var all []feed.Engine
+	for i, f := range engines {
+		e := w.add(i, f, false)
+		all = append(all, e.Engine)
+	}
+	w.Feed.Tell(true, all...)
+	means.Seed, means.Feed, means.Known = seed, "feed", w.Feed.Known()
+	w.History.KeyRest = time.Duration(number(means.Facts["key.rest"])) * time.Millisecond
+	w.History.Grace = time.Duration(number(means.Facts["drain.grace"])) * time.Millisecond
+	w.History.Most = int(number(means.Facts["submissions.most"]))
+	for i := range int(number(means.Facts["groups"])) {
+		at := fmt.Sprintf("group.%d.", i)
+		w.History.Group(means.Facts[at+"name"], means.Facts[at+"effect"], means.Facts[at+"in-order"] == "true")
+	}
+	r, effects := relay.New(means)
+	w.R = r
+	w.perform(effects)
+	return w
+}
+
+func number(text string) float64 {
+	var x float64
+	fmt.Sscanf(text, "%g", &x)
+	return x
+}
+
+func (w *World) add(i int, f engine.Figures, cold bool) *Engine {
+	e := &Engine{Server: engine.NewServer(engine.NewModel(f, w.Now, cold)), w: w, wakeAt: -1}
+	e.Engine = feed.Engine{ID: fmt.Sprintf("e%d", i), HostPort: fmt.Sprintf("10.0.0.%d:6565", i+1), Locality: "here",
+		Flavor: "std", Cell: 1, Phase: "SERVING", Size: 1}
+	e.Posted = func(id, group string, rank int, at time.Duration) {
+		w.History.Submitted(at, id, e.ID, e.Phase == "SERVING")
+		for _, c := range w.Clients {
+			for _, a := range c.open {
+				if a.ID == id && a.Started < 0 {
+					a.Started, a.Rank = at, rank
+				}
+			}
+		}
+	}
+	e.Ended = func(id string, outcome engine.Outcome, at time.Duration) {
+		w.History.Ended(at, id, e.ID, outcome == engine.Good)
+	}
+	w.Engines = append(w.Engines, e)
+	w.byAddr[e.HostPort] = e
+	return e
+}
+
+// At has something done at a time.
+func (w *World) At(at time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{max(at, w.Now), w.seq, do})
+}
+
+// After has something done after a span.
+func (w *World) After(span time.Duration, do func()) { w.At(w.Now+span, do) }
+
+// Until plays up to a time.
+func (w *World) Until(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end && !w.Quit {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = max(w.Now, end)
+}
+
+func (w *World) step(ev relay.Event) { w.perform(w.R.Step(w.Now, ev)) }
+
+func (w *World) perform(effects []relay.Effect) {
+	for _, f := range effects {
+		e := w.ends[f.Link]
+		switch f.Verb {
+		case relay.Dial:
+			w.dial(f.Link, f.Address, f.Within)
+		case relay.Write:
+			if e == nil || e.gone {
+				break
+			}
+			p := append([]byte{}, f.Bytes...)
+			w.After(0, func() {
+				if !e.gone {
+					w.step(relay.Event{Kind: relay.Wrote, Link: e.link, N: len(p)})
+				}
+			})
+			w.After(w.delay, func() { w.arrived(e, p) })
+		case relay.Close:
+			if e != nil {
+				at := time.Duration(0)
+				if f.Gently { // what was written before comes first
+					at = w.delay
+				}
+				w.After(at, func() { w.lose(e) })
+			}
+		case relay.Wake:
+			w.woken++
+			mine := w.woken
+			w.After(f.Within, func() {
+				if mine == w.woken {
+					w.step(relay.Event{Kind: relay.Woken})
+				}
+			})
+		case relay.Say, relay.Count:
+			if f.Loud || f.Verb == relay.Count {
+				w.Said = append(w.Said, f.Text)
+			}
+		case relay.Quit:
+			w.Quit = true
+		}
+	}
+}
+
+func (w *World) dial(link *relay.Link, address string, within time.Duration) {
+	e := &end{link: link}
+	w.ends[link] = e
+	if address == "feed" {
+		e.feed = true
+		w.feeds = append(w.feeds, e)
+		w.After(2*w.delay, func() { w.step(relay.Event{Kind: relay.Up, Link: link}) })
+		return
+	}
+	to := w.byAddr[address]
+	switch {
+	case to != nil && to.down:
+		w.After(2*w.delay, func() {
+			delete(w.ends, link)
+			w.step(relay.Event{Kind: relay.Refused, Link: link})
+		})
+		return
+	case to == nil || to.Silent():
+		w.After(within, func() {
+			delete(w.ends, link)
+			w.step(relay.Event{Kind: relay.Unanswered, Link: link})
+		})
+		return
+	}
+	e.to = to
+	e.conn = &engine.Conn{
+		Write: func(p []byte) {
+			p = append([]byte{}, p...)
+			w.After(w.delay, func() { w.feedBytes(e, p) })
+		},
+		Close: func() { w.After(w.delay, func() { w.lose(e) }) },
+	}
+	w.After(2*w.delay, func() {
+		if !e.gone {
+			to.Accept(e.conn)
+			w.step(relay.Event{Kind: relay.Up, Link: link})
+		}
+	})
+}
+
+// arrived brings what the controller wrote to whoever it is for.
+func (w *World) arrived(e *end, p []byte) {
+	switch {
+	case e.gone:
+	case e.to != nil:
+		e.to.Got(w.Now, e.conn, p)
+		e.to.wake()
+	case e.from != nil:
+		e.from.got(p)
+	case e.feed:
+		if e.in = append(e.in, p...); !e.known && strings.Contains(string(e.in), "\n") {
+			e.known = true
+			n, _ := feed.Asked(e.in)
+			lines := w.Feed.Since(n)
+			w.After(w.delay, func() { w.feedBytes(e, lines) })
+			w.beat(e)
+		}
+	}
+}
+
+func (w *World) beat(e *end) {
+	w.After(time.Second, func() {
+		if !e.gone {
+			w.feedBytes(e, w.Feed.Beat())
+			w.beat(e)
+		}
+	})
+}
+
+// feedBytes brings bytes to the controller.
+func (w *World) feedBytes(e *end, p []byte) {
+	for len(p) > 0 && !e.gone {
+		n := copy(e.link.In.Space(), p)
+		p = p[n:]
+		w.step(relay.Event{Kind: relay.Got, Link: e.link, N: n})
+	}
+}
+
+func (w *World) lose(e *end) {
+	if e.gone {
+		return
+	}
+	e.gone = true
+	delete(w.ends, e.link)
+	if e.to != nil {
+		e.to.Server.Gone(e.conn)
+	}
+	if e.from != nil {
+		e.from.Gone = true
+		for _, a := range e.from.open {
+			if !a.Answered {
+				a.Left = true
+				w.History.Left(w.Now, a.ID)
+			}
+		}
+		clear(e.from.open)
+	}
+	w.step(relay.Event{Kind: relay.Ended, Link: e.link})
+}
+
+// wake asks for the engine's next due time.
+func (e *Engine) wake() {
+	at, ok := e.Next()
+	if !ok || e.wakeAt >= 0 && e.wakeAt <= at {
+		return
+	}
+	e.wakeAt = at
+	e.w.At(at, func() {
+		if e.wakeAt == at {
+			e.wakeAt = -1
+			e.Due(e.w.Now)
+			e.wake()
+		}
+	})
+}
+
+// Tell changes an engine's state in the list and tells all that follow it.
+func (w *World) Tell(e *Engine, phase string) {
+	from := w.Feed.Last()
+	e.Phase = phase
+	w.Feed.Tell(false, e.Engine)
+	lines := w.Feed.Since(from)
+	for _, f := range w.feeds {
+		if f.known && !f.gone {
+			w.After(w.delay, func() { w.feedBytes(f, lines) })
+		}
+	}
+	w.History.State(w.Now+w.delay, e.ID, phase == "SERVING")
+}
+
+// Vanish has a machine say nothing any more; Crash ends its process, which comes
+// back cold after a span.
+func (e *Engine) Vanish() { e.Silence(e.w.Now, true) }
+
+func (e *Engine) Crash(back time.Duration) {
+	e.down = true
+	e.Reset(e.w.Now, true)
+	e.w.After(back, func() {
+		e.down = false
+		e.Restart(e.w.Now)
+		e.Up = int64((e.w.Now) / time.Millisecond)
+		e.w.Tell(e, "SERVING")
+	})
+}
+
+// Stall stops an engine for a span.
+func (e *Engine) Stall(span time.Duration) {
+	e.Pause(e.w.Now)
+	e.w.After(span, func() {
+		e.Resume(e.w.Now)
+		e.Due(e.w.Now)
+		e.wake()
+	})
+}
+
+// Connect makes a client's connection from an address.
+func (w *World) Connect(name string, from netip.Addr) *Client {
+	c := &Client{w: w, Name: name, open: map[uint32]*Asked{}}
+	c.end = &end{link: &relay.Link{From: from}, from: c}
+	w.ends[c.end.link] = c.end
+	w.Clients = append(w.Clients, c)
+	w.step(relay.Event{Kind: relay.Accepted, Link: c.end.link})
+	return c
+}
+
+// Ask sends a query; more are further fields.
+func (c *Client) Ask(id, group, key string, patience time.Duration, work engine.Work, more ...string) *Asked {
+	w := c.w
+	c.next++
+	a := &Asked{ID: id, Group: group, Team: c.Name, Msg: c.next, At: w.Now, Until: w.Now + patience, Told: -1, Started: -1, Work: work}
+	fields := append([]string{"trace", id, "patience", fmt.Sprint(patience.Milliseconds())}, more...)
+	if key != "" {
+		fields = append(fields, "entity", key)
+	}
+	c.open[a.Msg] = a
+	w.History.Asked(w.Now, id, group, key, a.Until)
+	w.feedBytes(c.end, caller.Call(nil, a.Msg, group, engine.Statement(work), fields...))
+	return a
+}
+
+// Leave takes a query back.
+func (c *Client) Leave(a *Asked) {
+	if !a.Answered && !a.Left && !c.Gone {
+		a.Left = true
+		c.w.History.Left(c.w.Now, a.ID)
+		c.w.feedBytes(c.end, caller.Cancel(nil, a.Msg))
+	}
+}
+
+// Drop ends the client's connection.
+func (c *Client) Drop() { c.w.lose(c.end) }
+
+func (c *Client) got(p []byte) {
+	c.in = append(c.in, p...)
+	for {
+		ans, n, err := caller.Read(c.in)
+		if err != nil {
+			c.w.History.Broken(c.w.Now, c.Name+": "+err.Error())
+			c.Drop()
+			return
+		}
+		if n == 0 {
+			return
+		}
+		c.in = append([]byte{}, c.in[n:]...)
+		a := c.open[ans.Msg]
+		if a == nil {
+			if ans.Kind != caller.Told && ans.Kind != caller.Ready && !(ans.Kind == caller.Killed && ans.Msg > c.next) {
+				c.w.History.Broken(c.w.Now, fmt.Sprintf("%s: an answer to %d that nobody waits for", c.Name, ans.Msg))
+			}
+			continue
+		}
+		if ans.Kind == caller.Told {
+			if a.Tells++; a.Told < 0 {
+				a.Told = ans.Wait
+			}
+		} else {
+			a.Answered, a.Answer, a.Over, a.Pause = true, ans.Kind, c.w.Now, ans.Wait
+			delete(c.open, a.Msg)
+			if !a.Left {
+				c.w.History.Answered(c.w.Now, a.ID, check.Answer(ans.Kind), ans.Rows, Rows(a))
+			}
+		}
+		if c.Heard != nil {
+			c.Heard(a, ans)
+		}
+	}
+}
+
+// Rows is the result that engines make of a query.
+func Rows(a *Asked) []byte {
+	var b []byte
+	for i := range a.Work.Rows {
+		b = append(b, engine.Row(a.ID, i)...)
+	}
+	return b
+}
