Fair queues: lanes share by weight over all work, and estimates model all that comes before

What a query took beyond its usual work is paid over 20 s: at once it made waits of its team unforeseeable (loads of a team with a bad plan waited 4 to 6 s, told 0.3).

--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -5,25 +5,36 @@
 	"time"
 )
 
-// An estimate is a fluid model of the lane, solved anew for each query that
-// comes. The lane lets work go at the rate it was seen to while it was full. A
-// query starts when its team has been served what it has waiting before it; by
-// then each rival has been served up to the same level, but no more than it has
-// waiting and what it will send meanwhile, and no more than its budget:
+// An estimate is a fluid model of all that is to be done before a query starts,
+// solved anew for each that comes. Engines that are full do a certain amount of
+// work a second, whichever lanes it is for; that rate is seen best from what ends
+// while queries wait. What comes before the query is
 //
-//	level = (ahead + lead + elsewhere*T) / share
-//	T = (passed + ahead + sum over rivals of min(share*level - lead - elsewhere*T,
-//	     backlog + rate*T, tokens + budget*T)) / (flow - rate of those who don't wait)
+//	what runs beyond what usually does when one is let go,
+//	what was handed on and not sent, and what its team has waiting before it,
+//	of each rival of its lane what it is served until the level is reached at
+//	which the query's turn comes, but no more than it has waiting and will send
+//	meanwhile, and no more than its budget,
+//	of each other lane what goes of it beside, as it was seen while both waited,
+//	but no more than it has waiting and what comes there meanwhile:
 //
-// lead is what a team was charged beyond the mean of its siblings, elsewhere the
-// rate at which it is charged in other lanes. T stands on both sides; it is found
-// by going round a few times.
+//	level = (ahead + lead + paid) / share
+//	T = (excess + passed + ahead + sum over rivals of min(share*level - lead - paid,
+//	     backlog + rate*T, tokens + budget*T) + sum over lanes of min(beside,
+//	     backlog + rate*T)) / flow
+//
+// lead is what a team was charged beyond the mean of its siblings, paid what it
+// will have been charged for work in other lanes and for what queries took beyond
+// their usual work. T stands on both sides; it is found
+// by going round a few times. Where less comes than is done, no wait is longer than
+// it takes until nothing waits at all.
 
 // rival is a team with queries waiting in a lane.
 type rival struct {
 	n                *node
 	share            float64 // of all weights, down from the root
 	lead, backlog    float64 // as they are at the moment
+	owed             float64
 	rate, elsewhere  float64
 	tokens, refilled float64
 }
@@ -39,6 +50,9 @@
 	scanAt int
 }
 
+// amendsPart is how much of amends is paid while owedSpan's part of debts is.
+const amendsPart = float64(owedSpan) / float64(amendsSpan)
+
 const (
 	profileMost = 32
 	profileAge  = 20 * time.Millisecond
@@ -79,7 +93,7 @@
 			if p.scanAt++; p.scanAt%step != 0 && step > 1 {
 				continue
 			}
-			r := rival{n: x, share: e, rate: x.rate[i].per(c.now), tokens: math.Inf(1)}
+			r := rival{n: x, share: e, rate: x.rate[i].per(c.now), elsewhere: x.overrun, tokens: math.Inf(1)}
 			for k := range x.rate {
 				if k != i {
 					r.elsewhere += x.rate[k].per(c.now)
@@ -107,13 +121,13 @@
 	return part
 }
 
-// lead is what a team is ahead of its siblings, in thread seconds, with its part
-// of what its kind is ahead.
-func (n *node) lead() float64 {
+// lead is what a team is ahead of its siblings in a lane, in thread seconds, with
+// its part of what its kind is ahead.
+func (n *node) lead(k int) float64 {
 	sum, part := 0.0, 1.0
 	for x := n; x.parent != nil; x = x.parent {
 		if x.busy > 0 {
-			sum += part * x.weight * (x.tag - x.parent.mean())
+			sum += part * x.weight * (x.tags[k] - x.parent.mean(k))
 		}
 		part *= x.weight / max(x.weight, x.parent.heavy)
 	}
@@ -132,27 +146,59 @@
 	return part
 }
 
-// flowOf is what a lane lets go a second when full.
-func (c *Core) flowOf(l *lane) float64 {
-	r, known := l.flow.per()
-	// before enough of that was seen: what runs, over how long it runs
-	guess := 0.0
-	for i := range c.lanes {
-		x := &c.lanes[i]
-		guess += float64(x.running-x.handed) * x.cost.or(max(1e-4, x.Usual.Seconds())) / max(1e-3, c.runs(x))
+// capacity is the work done a second while queries wait: the part of the cores'
+// that was seen to be, less what queries take that run far beyond their usual work
+// and so is in nobody's estimate.
+func (c *Core) capacity() float64 {
+	used, known := c.done.per()
+	trust := known / (known + 1)
+	r := c.cores * min(1.5, trust*used+(1-trust))
+	return max(r-(c.overrun+c.overruns.value)/2, r/10, 1e-3)
+}
+
+// against is how much of lane h goes while so much of lane g does, and both wait.
+func (c *Core) against(h, g int) float64 {
+	p := &c.pairs[g*len(c.lanes)+h]
+	const prior = 0.5 // thread seconds of each
+	return (p[1] + prior) / (p[0] + prior)
+}
+
+// pairsKeep bounds the memory of pairs, in thread seconds.
+const pairsKeep = 200
+
+// went counts what goes of a lane against all others that wait too.
+func (c *Core) went(i int, work float64) {
+	n := len(c.lanes)
+	for k := range c.lanes {
+		if k == i || !c.lanes[k].busy || !c.lanes[i].busy {
+			continue
+		}
+		for _, p := range []*[2]float64{&c.pairs[i*n+k], &c.pairs[k*n+i]} {
+			if p == &c.pairs[i*n+k] {
+				p[0] += work
+			} else {
+				p[1] += work
+			}
+			if sum := p[0] + p[1]; sum > pairsKeep {
+				p[0], p[1] = p[0]*pairsKeep/sum, p[1]*pairsKeep/sum
+			}
+		}
 	}
-	trust := known / (known + 0.05)
-	return max(1e-6, trust*r+(1-trust)*guess)
 }
 
-// capacity is what all lanes let go a second, as far as that was seen.
-func (c *Core) capacity() float64 {
-	sum := 0.0
-	for i := range c.lanes {
-		r, _ := c.lanes[i].flow.per()
-		sum += r
+// remains is the work left of all that runs, as far as it goes by estimates:
+// engines share their cores among the threads that run.
+func (c *Core) remains() float64 {
+	return max(0, c.inFlight-min(c.threads, c.cores)*(c.now-c.sweptAt).Seconds())
+}
+
+// excess is the work that runs beyond what usually does when a query that waited
+// is let go: crowds get in before engines show that they are full.
+func (c *Core) excess() float64 {
+	if c.level.count < 5 {
+		return 0
 	}
-	return max(sum, 1)
+	return max(0, c.remains()-1.1*c.level.value)
 }
 
 // estimate is how long a query that comes now, or waits with so much of its team
@@ -173,57 +219,80 @@
 	n := w.leaf
 	over := ahead - c.lead(n)
 	if n.busy > 0 {
-		over += n.lead()
-	}
-	elsewhere := 0.0
-	for k := range n.rate {
-		if k != w.Lane {
-			elsewhere += n.rate[k].per(c.now)
-		}
+		over += n.lead(len(c.lanes))
 	}
-	gain := n.share() * c.capacity()
-	return max(0, over) / max(gain-min(elsewhere, 0.8*gain), 1e-3)
+	gain := max(n.share()*c.capacity(), 1e-3)
+	return max(0, over) / gain
 }
 
 func (c *Core) solve(w *Waiter, l *lane, ahead float64) float64 {
 	p := c.profile(w.Lane)
 	n := w.leaf
-	flow := c.flowOf(l)
-	free := max(flow-p.idle, flow/20)
-	share, lead, elsewhere := n.share(), 0.0, 0.0
+	flow := c.capacity()
+	share, lead, elsewhere := n.share(), 0.0, n.overrun
 	if n.busy > 0 {
-		lead = n.lead()
+		lead = n.lead(w.Lane)
 	}
 	for k := range n.rate {
 		if k != w.Lane {
 			elsewhere += n.rate[k].per(c.now)
 		}
 	}
+	owed := n.owed[w.Lane] + n.amends*amendsPart
 	for k := range p.rivals {
 		r := &p.rivals[k]
-		r.lead, r.backlog = r.n.lead(), r.n.backlog[w.Lane]
+		r.owed = r.n.owed[w.Lane] + r.n.amends*amendsPart
+		r.lead, r.backlog = r.n.lead(w.Lane), r.n.backlog[w.Lane]
+	}
+	crowd := 1.0 // while one comes, as much again is to be expected of it as came
+	if l.comes.surges(c.now) {
+		crowd = 2
+	}
+	excess := c.excess()
+	fixed := excess + l.passed + ahead
+	bound := math.Inf(1) // until nothing waits at all
+	all, come := fixed, 0.0
+	for i := range c.lanes {
+		x := &c.lanes[i]
+		if come += x.comes.per(c.now); x != l {
+			all += c.root.backlog[i] + x.passed
+		} else {
+			all += c.root.backlog[i] - ahead
+		}
+	}
+	if come < 0.95*flow && crowd == 1 {
+		bound = all / (flow - come)
 	}
 	// twice: as its weight has it, and as one beyond its budget has it, behind all
 	// who are within theirs
 	tokens, refilled := c.tokensOf(n)
 	fluid := func(last bool) float64 {
-		t := (l.passed + ahead) / free
+		t := fixed / flow
 		for range rounds {
-			level := max(0, ahead+lead+elsewhere*t) / share
-			sum := l.passed + ahead
+			paid := t / (t + owedSpan.Seconds()) // of what is owed, about
+			level := max(0, ahead+lead+(owed+elsewhere*t/2)*paid) / share
+			sum := fixed + p.idle*t
 			for k := range p.rivals {
 				r := &p.rivals[k]
 				if r.n == n {
 					continue
 				}
-				x := r.share*level - r.lead - r.elsewhere*t + w.est/2
+				x := r.share*level - r.lead - (r.owed+r.elsewhere*t/2)*paid + w.est/2
 				if last && r.tokens > 0 {
 					x = math.Inf(1)
 				}
-				x = min(x, r.backlog+r.rate*t, max(0, r.tokens)+r.refilled*t)
+				x = min(x, r.backlog*crowd+r.rate*t, max(0, r.tokens)+r.refilled*t)
 				sum += max(0, x) * p.scale
 			}
-			t = (t + 2*sum/free) / 3
+			own := sum - excess
+			for i := range c.lanes {
+				if x := &c.lanes[i]; x != l && x.waiting == 0 && !x.full {
+					sum += x.comes.per(c.now) * t
+				} else if x != l {
+					sum += min(c.against(i, w.Lane)*own, crowd*c.root.backlog[i]+x.passed+x.comes.per(c.now)*t)
+				}
+			}
+			t = min(bound, (t+2*sum/flow)/3)
 		}
 		return t
 	}
@@ -316,7 +385,7 @@
 		w.Estimate = 0
 	case w.state == passed:
 		l := &c.lanes[w.Lane]
-		w.Estimate = max(w.Estimate, seconds(min(w.est/c.flowOf(l), 1)))
+		w.Estimate = max(w.Estimate, seconds(min((c.excess()+l.passed)/c.capacity(), 1)))
 	}
 	w.told = c.now + w.Estimate
 	return w.Estimate
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -39,6 +39,9 @@
 	credit  float64 // charged for what it repeats
 	began   time.Duration
 	seenAt  time.Duration
+	remains float64 // of est
+	served  float64 // what service was when it was handed on
+	seen    float64 // of its work as it runs, for the capacity
 	ran     float64 // seconds since it began, as far as they were counted
 	lowered bool
 	repeats bool
@@ -87,12 +90,12 @@
 	Lane
 	oldest, newest *Waiter // of all that wait
 	waiting        int
+	busy, wasBusy  bool // it is at its capacity
 	full           bool // the decisions would take no more when last asked
 	fullAt         time.Duration
 	cost           mean // thread seconds of a query
 	stretch        mean // time taken over time alone
 	run            mean // seconds from start to end
-	flow           flow
 	off            mean // of estimates, as a logarithm
 	profile        profile
 	running        int
@@ -150,9 +153,19 @@
 	lines    map[lineID]*line
 	spare    *line // to use again
 	again    memory
-	running  list // in the order they were handed on
+	cores    float64
+	done     flow    // part of the cores' time that was used while queries waited
+	overrun  float64 // thread time a second of queries far beyond their usual work
+	overruns mean    // of it, while queries wait
+	pairs    [][2]float64
+	level    mean    // work in flight when one that waited was let go
+	inFlight float64 // work left of what runs, at the last sweep
+	threads  float64 // that run
+	service  float64 // seconds that each thread that runs was served so far
+	running  list    // in the order they were handed on
 	asking   []*Waiter
 
+	debtors             []*node
 	idleFirst, idleLast *node
 	sweptAt             time.Duration
 	// Total counts all teams together.
@@ -161,7 +174,7 @@
 
 // New makes a core. The shape must have passed Check.
 func New(shape Shape) *Core {
-	c := &Core{lines: map[lineID]*line{}}
+	c := &Core{lines: map[lineID]*line{}, cores: 1}
 	c.root = &node{weight: 1}
 	c.reshape(shape)
 	return c
@@ -192,6 +205,7 @@
 	c.who = newWho(&c.shape, c.plans)
 	if c.lanes == nil {
 		c.lanes = make([]lane, len(shape.Lanes))
+		c.pairs = make([][2]float64, len(shape.Lanes)*len(shape.Lanes))
 	}
 	for i, l := range shape.Lanes {
 		c.lanes[i].Lane = l
@@ -199,6 +213,7 @@
 	c.root.heaps[within], c.root.heaps[beyond] = make([]heap, len(c.lanes)), make([]heap, len(c.lanes))
 	c.root.ready = make([]int, len(c.lanes))
 	c.root.backlog = make([]float64, len(c.lanes))
+	c.root.clocks = make([]clock, len(c.lanes)+1)
 }
 
 func (c *Core) plan(l []Team, path string, parent int) {
@@ -238,6 +253,9 @@
 	}
 }
 
+// Cores tells how many cores the engines that take queries have.
+func (c *Core) Cores(cores float64) { c.cores = max(cores, 0.1) }
+
 // Enter takes a query in, or says that it had better come back. Next hands it on.
 func (c *Core) Enter(now time.Duration, w *Waiter) Verdict {
 	c.at(now)
@@ -517,7 +535,7 @@
 	if !c.contended(w.Lane) {
 		return false
 	}
-	return w.leaf.lead() > c.lead(w.leaf)
+	return w.leaf.lead(len(c.lanes)) > c.lead(w.leaf)
 }
 
 // contended: a query waits in another lane because engines have no room for it.
@@ -537,14 +555,20 @@
 }
 
 // leadMost is in seconds of a team's share of the engines.
-const leadMost = 0.25
+const leadMost = 0.5
 
 func (c *Core) release(w *Waiter, l *lane) {
 	c.unqueue(w, l)
 	w.state = passed
-	l.flow.add(c.now, w.est)
+	c.went(w.Lane, w.est)
+	if l.busy {
+		c.level.add(c.remains(), 100)
+	}
+	c.inFlight += w.est
+	c.threads += l.Threads
+	w.remains, w.served = w.est, c.service
 	w.charged = max(0, w.est-w.credit)
-	c.charge(w.leaf, w.charged)
+	c.charge(w.leaf, w.Lane, w.charged)
 	l.running++
 	l.handed++
 	l.passed += w.est
@@ -612,8 +636,18 @@
 	l := &c.lanes[i]
 	// one goes whenever there is room for it: the lane is at its capacity until
 	// there is room and nobody left for it
-	l.flow.full(c.now, full || l.flow.isFull && l.waiting > 0)
-	l.full = full
+	if l.busy = full || l.busy && l.waiting > 0; l.busy == l.wasBusy {
+		l.full = full
+		return
+	}
+	l.full, l.wasBusy = full, l.busy
+	busy := 0
+	for k := range c.lanes {
+		if c.lanes[k].busy {
+			busy++
+		}
+	}
+	c.done.full(c.now, busy > 0)
 }
 
 // Started: its first submission went out.
@@ -663,12 +697,16 @@
 		c.unqueue(w, l)
 	case passed: // never sent: it took nothing
 		c.unrun(w)
+		c.inFlight -= w.remains
+		c.threads -= l.Threads
 		l.running--
 		l.unpass(w)
-		c.charge(n, -w.charged)
+		c.charge(n, w.Lane, -w.charged)
 		w.charged = 0
 	case running:
 		c.unrun(w)
+		c.inFlight -= w.remains
+		c.threads -= l.Threads
 		l.running--
 		if took := (c.now - w.began).Seconds(); end == Finished {
 			l.run.add(took, 200)
@@ -677,10 +715,13 @@
 			}
 		}
 		if work > 0 {
-			l.cost.add(work.Seconds(), 400)
-			n.cost[w.Lane].add(work.Seconds(), 100)
+			// a bad plan is no usual work
+			usual := min(work.Seconds(), c.shape.Overrun*w.est)
+			l.cost.add(usual, 400)
+			n.cost[w.Lane].add(usual, 100)
+			c.done.add(c.now, max(0, work.Seconds()-w.seen)/c.cores)
 			real := max(0, work.Seconds()+lost.Seconds()*l.Threads/max(1, l.stretch.or(1))-w.credit)
-			c.charge(n, real-w.charged)
+			c.correct(n, real-w.charged)
 			w.charged = real
 		}
 	}
@@ -712,26 +753,43 @@
 func (c *Core) Sweep(now time.Duration, lower func(w *Waiter, on bool), retell func(w *Waiter, wait time.Duration)) {
 	c.at(now)
 	span := min(c.now-c.sweptAt, sweepMost)
+	c.service += span.Seconds() * min(1, c.cores/max(1, c.threads))
 	c.sweptAt = c.now
+	c.payAll(span)
 	waited := 0.0 // the most that what waits is worth for its work
 	for i := range c.lanes {
 		if l := &c.lanes[i]; l.waiting > 0 {
 			waited = max(waited, l.worth())
 		}
 	}
+	inFlight, overrun := 0.0, 0.0
+	for w := c.running.first; w != nil; w = w.next {
+		w.leaf.overrun = 0
+	}
 	for w := c.running.first; w != nil; w = w.next {
 		if w.state != running {
+			w.served = c.service
+			inFlight += w.remains
 			continue
 		}
 		l := &c.lanes[w.Lane]
 		w.ran += min(span, c.now-w.seenAt).Seconds()
 		w.seenAt = c.now
+		w.remains = max(0.05*w.est, w.est-l.Threads*(c.service-w.served))
+		inFlight += w.remains
 		// by the pace its lane usually has, of the threads it holds
 		work := w.ran*l.Threads/max(1, l.stretch.or(1)) - w.credit
 		if work > w.charged {
-			c.charge(w.leaf, work-w.charged)
+			c.correct(w.leaf, work-w.charged)
 			w.charged = work
 		}
+		if over := work > 2*w.est; over {
+			pace := l.Threads / max(1, l.stretch.or(1))
+			overrun += pace
+			w.leaf.overrun += pace
+			c.done.add(c.now, max(0, work-w.seen)/c.cores)
+			w.seen = max(w.seen, work)
+		}
 		on := c.waiting > 0 && !l.Ordered && !l.Chained &&
 			(work > c.shape.Overrun*w.est || c.beyondBudget(w.leaf) || l.worth() < waited/2)
 		if on != w.lowered {
@@ -744,6 +802,10 @@
 			}
 		}
 	}
+	if c.overrun = overrun; c.waiting > 0 {
+		c.overruns.add(overrun, 200)
+	}
+	c.inFlight = inFlight // sums of what came and went don't quite meet
 	if retell != nil {
 		c.retell(retell)
 	}
@@ -790,11 +852,12 @@
 		all = append(all, w)
 	}
 	type kept struct {
-		lead, tokens float64
-		tokensAt     time.Duration
-		counts       Counts
-		cost         []mean
-		rate         []rate
+		lead     []float64
+		tokens   float64
+		tokensAt time.Duration
+		counts   Counts
+		cost     []mean
+		rate     []rate
 	}
 	had := map[string]kept{}
 	names := make([]string, len(c.plans))
@@ -802,9 +865,16 @@
 		p := &c.plans[i]
 		names[i] = p.Name
 		if n := p.at; n != nil {
-			had[p.path] = kept{n.tag - n.parent.mean(), n.tokens, n.tokensAt, n.counts, n.cost, n.rate}
+			lead := make([]float64, len(n.tags))
+			for k := range lead {
+				lead[k] = n.tags[k] - n.parent.mean(k)
+			}
+			had[p.path] = kept{lead, n.tokens, n.tokensAt, n.counts, n.cost, n.rate}
 		}
 	}
+	for len(c.debtors) > 0 {
+		c.payAll(time.Hour)
+	}
 	c.idleFirst, c.idleLast, c.refills, c.nodes = nil, nil, nil, 0
 	c.root = &node{weight: 1}
 	c.reshape(shape)
@@ -818,7 +888,7 @@
 			continue
 		}
 		n := c.node(i)
-		n.tag, n.counts, n.tokensAt = was.lead, was.counts, was.tokensAt
+		n.tags, n.counts, n.tokensAt = was.lead, was.counts, was.tokensAt
 		if n.budget > 0 {
 			n.tokens = min(n.burst, was.tokens)
 		}
--- a/internal/fair/means.go
+++ b/internal/fair/means.go
@@ -24,38 +24,70 @@
 	return m.value
 }
 
-// rate is an amount a second, over the last rateSpan or so.
+// rate is an amount a second, from what came in whole seconds. A crowd counts for
+// no more than a few times the usual: it is not the start of an endless one, and
+// what it leaves behind waits already.
 type rate struct {
-	sum   float64
-	at    time.Duration
-	since time.Duration // of its first amount: young rates know less
+	value   float64
+	bucket  float64 // of the second under way
+	largest float64 // single amount in it
+	from    time.Duration
+	seconds int // that were seen
+	any     bool
+
+	recent   float64 // of the last surgeSpan or so
+	recentAt time.Duration
 }
 
-const rateSpan = 1500 * time.Millisecond
+const surgeSpan = 150 * time.Millisecond
+
+// surges: a crowd is coming right now.
+func (r *rate) surges(now time.Duration) bool {
+	return r.seconds > 0 && r.recent*math.Exp(-float64(max(0, now-r.recentAt))/float64(surgeSpan))/surgeSpan.Seconds() > 2.5*r.value
+}
+
+const (
+	rateSpan  = 8.0 // seconds that it remembers, about
+	crowdMost = 2.0
+)
 
 func (r *rate) add(now time.Duration, x float64) {
-	if r.since == 0 || now-r.at > 8*rateSpan {
-		r.since, r.sum = now, 0
+	if !r.any {
+		r.any, r.from = true, now
 	}
-	r.decay(now)
-	r.sum += x
+	r.pass(now)
+	r.recent = r.recent*math.Exp(-float64(max(0, now-r.recentAt))/float64(surgeSpan)) + x
+	r.recentAt = max(r.recentAt, now)
+	r.bucket += x
+	r.largest = max(r.largest, x)
 }
 
-func (r *rate) decay(now time.Duration) {
-	if now > r.at {
-		r.sum *= math.Exp(-float64(now-r.at) / float64(rateSpan))
-		r.at = now
+func (r *rate) pass(now time.Duration) {
+	for now-r.from >= time.Second {
+		if now-r.from > time.Minute { // long nothing
+			r.value, r.bucket, r.seconds, r.from = 0, 0, 0, now
+			return
+		}
+		x := r.bucket
+		if r.seconds >= 2 {
+			x = min(x, crowdMost*r.value+r.largest)
+		}
+		r.seconds++
+		r.value += (x - r.value) / min(float64(r.seconds), rateSpan)
+		r.bucket, r.largest = 0, 0
+		r.from += time.Second
 	}
 }
 
 func (r *rate) per(now time.Duration) float64 {
-	if r.since == 0 {
+	if !r.any {
 		return 0
 	}
-	sum := r.sum * math.Exp(-float64(max(0, now-r.at))/float64(rateSpan))
-	// what a steady rate since then would have gathered; a lone amount is no rate
-	gathered := rateSpan.Seconds() * (1 - math.Exp(-float64(now-r.since)/float64(rateSpan)))
-	return sum / max(gathered, 0.25)
+	r.pass(now)
+	if r.seconds == 0 { // of the first second, what came so far
+		return r.bucket / max(0.5, (now-r.from).Seconds())
+	}
+	return r.value
 }
 
 // flow measures how much a lane lets go a second while more is waiting than it
@@ -108,8 +140,7 @@
 	if f.span[0] < 1e-9 {
 		return long, 0
 	}
-	trust := min(1, f.span[0]/flowSpans[0])
-	return trust*f.amount[0]/f.span[0] + (1-trust)*long, f.span[1]
+	return long, f.span[1]
 }
 
 // memory keeps what repeats of calls need, bounded in number and age.
--- a/internal/fair/tree.go
+++ b/internal/fair/tree.go
@@ -17,7 +17,10 @@
 
 // node is a team's or kind's state while it is busy, and for a minute after.
 //
-// tag is the thread time it was charged over its weight. A node that becomes
+// A tag is the thread time it was charged over its weight: at once in the lane
+// where it was charged, and bit by bit in the others, so that a lane's order is as
+// smooth as its queries are small and what a team has all in all still comes out
+// by weight. A node that becomes
 // busy starts at the mean of its busy siblings (as the lag-keeping of EEVDF,
 // Stoica and Abdel-Wahab 1995, does), so that neither idling nor work done while
 // nobody else wanted the engines is held against it beyond debtMost.
@@ -28,16 +31,17 @@
 	parent *node
 	seq    uint64 // of its making: breaks ties, so that the same events give the same order
 
-	tag   float64
-	busy  int     // queries waiting or running below
-	base  float64 // of the children: tags are summed relative to it
-	sum   float64 // weight times tag less base, over busy children
-	heavy float64 // weights of busy children
-	last  float64 // mean when last one was busy
-	pos   []int   // place in the parent's heap by lane, -1: not there
-	in    []uint8 // in which band's
-	heaps [2][]heap
-	ready []int // by lane what may go: leaves count queries, others children
+	tags     []float64 // by lane, and one over all lanes
+	owed     []float64 // of a leaf by lane: thread time to be charged to the tag, or given back, bit by bit
+	amends   float64   // the same in all lanes, for what queries took beyond their usual work
+	indebted bool
+	busy     int     // queries waiting or running below
+	heavy    float64 // weights of busy children
+	clocks   []clock // of their tags
+	pos      []int   // place in the parent's heap by lane, -1: not there
+	in       []uint8 // in which band's
+	heaps    [2][]heap
+	ready    []int // by lane what may go: leaves count queries, others children
 
 	lists   []list // of a leaf: by lane, what may go, in the order of age
 	waiting int
@@ -45,6 +49,7 @@
 	gone    []float64 // thread time by lane that waited and does no more
 	rate    []rate    // of what comes in, by lane
 	cost    []mean    // thread time of a query by lane
+	overrun float64   // thread time a second of its queries far beyond their usual work
 
 	budget, burst float64
 	tokens        float64
@@ -76,16 +81,18 @@
 		budget: pl.Budget, burst: max(pl.Burst, pl.Budget), tokensAt: c.now, refillPos: -1, idleAt: c.now}
 	c.made++
 	n.tokens = n.burst
+	n.tags = make([]float64, lanes+1)
 	for i := range n.pos {
 		n.pos[i] = -1
 	}
 	if pl.leaf {
-		n.gone = make([]float64, lanes)
+		n.gone, n.owed = make([]float64, lanes), make([]float64, lanes)
 		n.lists, n.cost = make([]list, lanes), make([]mean, lanes)
 		if n.waitMost = pl.Waiting; n.waitMost == 0 {
 			n.waitMost = DefaultTeam
 		}
 	} else {
+		n.clocks = make([]clock, lanes+1)
 		n.heaps[within], n.heaps[beyond] = make([]heap, lanes), make([]heap, lanes)
 	}
 	if n.parent = c.root; pl.parent >= 0 {
@@ -105,18 +112,26 @@
 	return c.newNode(p)
 }
 
-// mean is the children's tag, over those busy and by weight.
-func (n *node) mean() float64 {
+// clock sums the tags of busy children, relative to base.
+type clock struct {
+	base, sum float64 // weight times tag less base
+	last      float64 // the mean when last one was busy
+}
+
+// mean is the children's tag in a lane, over those busy and by weight.
+func (n *node) mean(k int) float64 {
+	x := &n.clocks[k]
 	if n.heavy <= 1e-12 {
-		return n.last
+		return x.last
 	}
-	return n.base + n.sum/n.heavy
+	return x.base + x.sum/n.heavy
 }
 
 // rebase sums the children's tags relative to another one.
-func (n *node) rebase(base float64) {
-	n.sum += n.heavy * (n.base - base)
-	n.base = base
+func (n *node) rebase(k int, base float64) {
+	x := &n.clocks[k]
+	x.sum += n.heavy * (x.base - base)
+	x.base = base
 }
 
 // occupy counts a query into the busy ones of a leaf and all above.
@@ -127,14 +142,16 @@
 		}
 		c.fromIdle(n)
 		p := n.parent
-		v := p.mean()
-		share := n.weight / (n.weight + p.heavy)
-		n.tag = min(max(n.tag, v), v+debtMost*share/n.weight*c.capacity())
-		if p.heavy <= 1e-12 || math.Abs(n.tag-p.base) > 1e6 { // sums stay exact enough
-			p.rebase(n.tag)
+		most := debtMost * c.capacity() / (n.weight + p.heavy)
+		for k := range n.tags {
+			v := p.mean(k)
+			n.tags[k] = min(max(n.tags[k], v), v+most)
+			if p.heavy <= 1e-12 || math.Abs(n.tags[k]-p.clocks[k].base) > 1e6 { // sums stay exact enough
+				p.rebase(k, n.tags[k])
+			}
+			p.clocks[k].sum += n.weight * (n.tags[k] - p.clocks[k].base)
 		}
 		p.heavy += n.weight
-		p.sum += n.weight * (n.tag - p.base)
 	}
 }
 
@@ -144,36 +161,123 @@
 			continue
 		}
 		p := n.parent
-		p.last = p.mean()
-		p.heavy -= n.weight
-		p.sum -= n.weight * (n.tag - p.base)
-		if p.heavy < 1e-9 {
-			p.heavy, p.sum = 0, 0
+		left := p.heavy - n.weight
+		for k := range n.tags {
+			x := &p.clocks[k]
+			x.last = p.mean(k)
+			if x.sum -= n.weight * (n.tags[k] - x.base); left < 1e-9 {
+				x.sum = 0
+			}
+		}
+		if p.heavy = left; left < 1e-9 {
+			p.heavy = 0
 		}
 		n.idleAt = c.now
 		c.toIdle(n)
 	}
 }
 
-// charge adds thread time to a leaf and all above, or takes some back. Their
-// places in the heaps and their budgets follow.
-func (c *Core) charge(n *node, work float64) {
+// charge adds thread time to a leaf and all above: at once in its lane, and bit
+// by bit in the others.
+func (c *Core) charge(n *node, lane int, work float64) {
+	c.pay(n, lane, work)
+	c.pay(n, len(c.lanes), work)
+	c.owe(n, lane, work)
+	c.spend(n, work)
+}
+
+// correct adds, or takes back, what a query took beyond what it was charged. Its
+// budget has it at once. Its team's turns have it bit by bit over amendsSpan: what
+// queries take is only known as they run, and whoever waits behind them was told
+// before; this way the turns of the next seconds can be told when it comes, and a
+// bad plan costs its team a part of its share for long rather than all of it for
+// seconds.
+func (c *Core) correct(n *node, work float64) {
+	if work == 0 {
+		return
+	}
+	n.amends += work
+	c.indebt(n)
+	c.spend(n, work)
+}
+
+const (
+	owedSpan   = 5 * time.Second
+	amendsSpan = 20 * time.Second
+)
+
+// owe has a leaf pay in all lanes but one.
+func (c *Core) owe(n *node, but int, work float64) {
+	for k := range n.owed {
+		if k != but {
+			n.owed[k] += work
+		}
+	}
+	c.indebt(n)
+}
+
+func (c *Core) indebt(n *node) {
+	if !n.indebted {
+		n.indebted = true
+		c.debtors = append(c.debtors, n)
+	}
+}
+
+// payAll has the debtors pay what a span asks for.
+func (c *Core) payAll(span time.Duration) {
+	part := func(owed float64, over time.Duration) float64 {
+		if math.Abs(owed) < 1e-4 {
+			return owed
+		}
+		return owed * (1 - math.Exp(-span.Seconds()/over.Seconds()))
+	}
+	kept := c.debtors[:0]
+	for _, n := range c.debtors {
+		amends := part(n.amends, amendsSpan)
+		n.amends -= amends
+		n.indebted = n.amends != 0
+		c.pay(n, len(n.owed), amends)
+		for k, owed := range n.owed {
+			pay := part(owed, owedSpan)
+			n.owed[k] -= pay
+			c.pay(n, k, pay+amends)
+			n.indebted = n.indebted || n.owed[k] != 0
+		}
+		if n.indebted {
+			kept = append(kept, n)
+		}
+	}
+	clear(c.debtors[len(kept):])
+	c.debtors = kept
+}
+
+// pay moves the tags of a leaf and all above in a lane; their places in its heaps
+// follow.
+func (c *Core) pay(n *node, k int, work float64) {
 	if work == 0 {
 		return
 	}
-	n.counts.Charged += work
 	for ; n.parent != nil; n = n.parent {
 		d := work / n.weight
-		n.tag += d
+		n.tags[k] += d
 		if n.busy > 0 {
-			n.parent.sum += n.weight * d
+			n.parent.clocks[k].sum += n.weight * d
+		}
+		if k < len(n.pos) && n.pos[k] >= 0 {
+			n.parent.heaps[n.in[k]][k].fix(n.pos[k], k)
 		}
+	}
+}
+
+// spend takes thread time from the budgets of a leaf and all above.
+func (c *Core) spend(n *node, work float64) {
+	n.counts.Charged += work
+	for ; n.parent != nil; n = n.parent {
 		if n.budget > 0 {
 			c.refill(n)
 			n.tokens = min(n.burst, n.tokens-work)
 			c.judge(n)
 		}
-		c.resift(n)
 	}
 }
 
@@ -250,14 +354,6 @@
 	}
 }
 
-func (c *Core) resift(n *node) {
-	for lane, p := range n.pos {
-		if p >= 0 {
-			n.parent.heaps[n.in[lane]][lane].fix(p, lane)
-		}
-	}
-}
-
 // more and less count what may go in a lane, up to the root.
 func (c *Core) more(n *node, lane int) {
 	for ; n.parent != nil; n = n.parent {
@@ -345,7 +441,9 @@
 // heap orders siblings that wait in one lane by tag; each knows its place.
 type heap []*node
 
-func before(a, b *node) bool { return a.tag < b.tag || a.tag == b.tag && a.seq < b.seq }
+func before(a, b *node, lane int) bool {
+	return a.tags[lane] < b.tags[lane] || a.tags[lane] == b.tags[lane] && a.seq < b.seq
+}
 
 func (h *heap) push(n *node, lane int) {
 	*h = append(*h, n)
@@ -378,7 +476,7 @@
 	l := *h
 	for i > 0 {
 		p := (i - 1) / 2
-		if !before(l[i], l[p]) {
+		if !before(l[i], l[p], lane) {
 			break
 		}
 		l[i], l[p] = l[p], l[i]
@@ -395,10 +493,10 @@
 		if k >= len(l) {
 			return
 		}
-		if k+1 < len(l) && before(l[k+1], l[k]) {
+		if k+1 < len(l) && before(l[k+1], l[k], lane) {
 			k++
 		}
-		if !before(l[k], l[i]) {
+		if !before(l[k], l[i], lane) {
 			return
 		}
 		l[i], l[k] = l[k], l[i]
--- a/internal/lab/fairness.go
+++ b/internal/lab/fairness.go
@@ -40,7 +40,7 @@
 func Usual() []Kind {
 	return []Kind{
 		{Name: "lookup", Share: 0.60, Threads: 1, CPU: 60 * time.Millisecond, Spread: 0.5, Disk: 0.1, MemoryMB: 32,
-			Patience: 5 * time.Second, Target: time.Second, Value: 1, Rows: 3},
+			Patience: 5 * time.Second, Target: time.Second, Value: 2, Rows: 3},
 		{Name: "report", Share: 0.25, Threads: 3, CPU: 900 * time.Millisecond, Spread: 0.5, Disk: 0.1, MemoryMB: 300,
 			Patience: 12 * time.Second, Target: 2 * time.Second, Value: 10, Rows: 40},
 		{Name: "load", Share: 0.15, Threads: 2, CPU: 300 * time.Millisecond, Spread: 0.4, Disk: 0.2, MemoryMB: 200,
@@ -385,7 +385,7 @@
 
 // MeasureFair is the measurement of fair queues: patterns of load in virtual time
 // against stand-in engines, printed one by one, and a last line of all.
-func MeasureFair(out io.Writer, seed uint64) error {
+func MeasureFair(out io.Writer, seed uint64, detail bool) error {
 	const engines = 6
 	counted := Told{}
 	worst, gap, idle, wait := 0.0, time.Duration(0), time.Duration(0), time.Duration(0)
@@ -394,9 +394,6 @@
 		n := NewNight(seed, engines, Usual(), Teams(), shape(), nil)
 		p.play(n)
 		n.Until(nightLong + 20*time.Second)
-		if debugText != nil {
-			debugText(out, n)
-		}
 		faults = append(faults, n.History.Done(n.Now)...)
 		t := n.Estimates(nil)
 		fmt.Fprintf(out, "%-11s started %5d within20 %.3f finished %5d deferred %5d killed %d wait p99 %.2fs gap %.2fs idle while waiting %.4f\n",
@@ -405,6 +402,9 @@
 			t := n.Estimates(func(a *world.Asked) bool { return a.Group == k.Name })
 			fmt.Fprintf(out, "  %-9s started %5d within20 %.3f deferred %5d wait p99 %.2fs\n", k.Name, t.Of, t.Share(), t.Deferred, t.P99.Seconds())
 		}
+		if detail {
+			n.detail(out)
+		}
 		gap = max(gap, n.MaxGap)
 		if p.beat {
 			continue
@@ -451,6 +451,38 @@
 	return nil
 }
 
+// detail tells by kind where first estimates were off: of waits that are short,
+// under 125 ms, and long ones told too short or too long, by when they came.
+func (n *Night) detail(out io.Writer) {
+	for _, k := range n.Kinds {
+		var shortOK, shortOff, longOK, under, over int
+		when := map[string]int{}
+		for _, a := range n.All {
+			if a.Group != k.Name || a.Started < 0 || a.At >= nightLong {
+				continue
+			}
+			had, told := a.Started-a.At, max(0, a.Told)
+			at := int(a.At/(2*time.Second)) * 2
+			switch off := had - told; {
+			case had < 125*time.Millisecond && off.Abs() <= 25*time.Millisecond:
+				shortOK++
+			case had < 125*time.Millisecond:
+				shortOff++
+			case off > had/5:
+				under++
+				when[fmt.Sprintf("short@%02d", at)]++
+			case -off > had/5:
+				over++
+				when[fmt.Sprintf("long@%02d", at)]++
+			default:
+				longOK++
+			}
+		}
+		fmt.Fprintf(out, "  %-9s short waits: good %d off %d, long waits: good %d told short %d told long %d %v\n", k.Name,
+			shortOK, shortOff, longOK, under, over, when)
+	}
+}
+
 func ratio(a, b time.Duration) float64 { return a.Seconds() / max(b.Seconds(), 1e-9) }
 
 // SpeedFair is the time of one in and one out, in microseconds, with so many
@@ -506,5 +538,3 @@
 }
 
 var _ = cmp.Compare[int]
-
-var debugText func(io.Writer, *Night)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -15,6 +15,7 @@
 type engine struct {
 	id, address string
 	state       decide.EngineState
+	kind        int // its place in the list of kinds
 	lines       []*line
 	leaving     []*submission // ended for the decisions, perhaps not yet over there
 	waiting     []*submission // held until the one of the same id is over
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/clients"
 	"railrelay.dev/railrelay/internal/fair"
 )
@@ -44,6 +45,7 @@
 	s := *shape
 	s.Lanes = f.lanes()
 	f.core = fair.New(s)
+	f.cores()
 	f.sweep()
 	return f
 }
@@ -58,6 +60,17 @@
 	return l
 }
 
+// cores tells what the engines of the list can do.
+func (f *fairness) cores() {
+	n := 0.0
+	for _, e := range f.engines {
+		if e.state == decide.On {
+			n += max(1, number(item(f.Facts["kind.cores"], e.kind)))
+		}
+	}
+	f.core.Cores(n)
+}
+
 func (f *fairness) sweep() {
 	f.after(fair.SweepEvery, f.sweep)
 	f.core.Sweep(f.now, func(w *fair.Waiter, _ bool) {
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -141,7 +141,7 @@
 	if e.state != state && state == decide.Gone {
 		r.away(e)
 	}
-	e.state = state
+	e.state, e.kind = state, r.place("kinds", kind)
 	r.feed.named = append(r.feed.named, e)
 	for _, x := range r.engines {
 		if x == e || x.address == "" || x.address != e.address {
@@ -165,6 +165,9 @@
 		}
 	}
 	r.gate.ListEnds()
+	if r.fair != nil {
+		r.fair.cores()
+	}
 }
 
 func (r *Relay) away(e *engine) {
