--- a/cmd/railrelay/main.go
+++ b/cmd/railrelay/main.go
@@ -4,102 +4,123 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
 
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/run"
-	"railrelay.dev/railrelay/internal/terms"
+	"railrelay.dev/railrelay/internal/setup"
 )
 
 func main() {
-	level, err := zerolog.ParseLevel(os.Getenv("RAILRELAY_LOG"))
-	if err != nil || level == zerolog.NoLevel {
-		level = zerolog.WarnLevel
-	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("name", os.Getenv("ROUTER_NAME")).Logger()
-	if err := serve(log); err != nil {
+	// before all else: a signal that nobody has asked for ends the program
+	signals := make(chan os.Signal, 64)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	if err := commands(signals).Execute(); err != nil {
+		log := logger("", "")
 		log.Fatal().Err(err).Msg("railrelay ends")
 	}
 }
 
-// given is what the configuration file says.
-type given struct {
-	Listen, Seed, Feed string
-	Limits             struct {
-		Cores    float64
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int
+// commands is the command line. Without arguments it serves, as it always did.
+func commands(signals <-chan os.Signal) *cobra.Command {
+	path := ""
+	start := func(*cobra.Command, []string) error {
+		if path != "" {
+			return serveSetup(path, signals)
+		}
+		return servePlatform(signals)
 	}
-	Known, Settings json.RawMessage
+	root := &cobra.Command{Use: "railrelay", Short: "A front for query engines with limited memory", Args: cobra.NoArgs,
+		Long: "A front for query engines with limited memory. Without a command it serves.", RunE: start,
+		SilenceUsage: true, SilenceErrors: true}
+	serve := &cobra.Command{Use: "serve", Short: "Serve as one controller, until SIGTERM", Args: cobra.NoArgs, RunE: start,
+		Long: "Serve as one controller. --setup names the product's YAML; without it ROUTER_CONFIG, ROUTER_LISTEN and ROUTER_NAME\n" +
+			"say what the platform wants. SIGHUP reads the file again, SIGUSR1 logs the counters, SIGTERM ends once all that was\n" +
+			"taken is answered."}
+	serve.Flags().StringVar(&path, "setup", "", "the set-up, YAML; deploy/railrelay.yaml shows all there is")
+	serve.MarkFlagFilename("setup", "yaml", "yml")
+	check := &cobra.Command{Use: "check FILE...", Short: "Check set-up files and say all that is wrong", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			bad := 0
+			for _, f := range files {
+				if _, err := setup.Load(f); err != nil {
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					bad++
+					continue
+				}
+				fmt.Fprintln(c.OutOrStdout(), f+": good")
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of %d files can't be used", bad, len(files))
+			}
+			return nil
+		}}
+	version := &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+		fmt.Fprintln(c.OutOrStdout(), "railrelay", built())
+	}}
+	root.AddCommand(serve, check, version)
+	return root
 }
 
-func read(path string) (g given, err error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return g, fmt.Errorf("no config in ROUTER_CONFIG: %w", err)
-	}
-	if err := json.Unmarshal(text, &g); err != nil {
-		return g, fmt.Errorf("config: %w", err)
+// built is what the program was made of.
+func built() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
 	}
-	if g.Limits.Sockets <= 0 || g.Limits.MemoryMB <= 0 {
-		return g, errors.New("config: limits are missing")
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+			text += " " + s.Key[len("vcs."):] + " " + s.Value
+		}
 	}
-	return g, nil
+	return text + " " + info.GoVersion
 }
 
-func serve(log zerolog.Logger) error {
-	started := time.Now()
-	// before all else: a signal that nobody has asked for ends the program
-	signals := make(chan os.Signal, 64)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	path := os.Getenv("ROUTER_CONFIG")
-	g, err := read(path)
-	if err != nil {
-		return err
+// logger writes to standard error, one JSON object a line. level is the least one
+// logged; RAILRELAY_LOG goes before it.
+func logger(name, level string) zerolog.Logger {
+	if env := os.Getenv("RAILRELAY_LOG"); env != "" {
+		level = env
 	}
-	facts, err := terms.FromJSON(g.Settings)
-	if err != nil {
-		return err
-	}
-	seed, err := strconv.ParseUint(g.Seed, 16, 64)
-	if err != nil {
-		return fmt.Errorf("config: no seed: %w", err)
+	least, err := zerolog.ParseLevel(level)
+	if err != nil || least == zerolog.NoLevel {
+		least = zerolog.WarnLevel
 	}
-	listen := os.Getenv("ROUTER_LISTEN")
-	if listen == "" {
-		listen = g.Listen
+	if env := os.Getenv("ROUTER_NAME"); env != "" {
+		name = env
 	}
-	if listen == "" {
+	return zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("name", name).Logger()
+}
+
+// listen runs a controller until it is done.
+func listen(address string, cores float64, means relay.Means, asked func(zerolog.Logger) <-chan relay.Event, log zerolog.Logger) error {
+	if address == "" {
 		return errors.New("no address to listen on")
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(g.Limits.Cores))))
-	debug.SetMemoryLimit(int64(g.Limits.MemoryMB * (1 << 20) * 3 / 4))
-
-	listener, err := net.Listen("tcp", listen)
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
+	debug.SetMemoryLimit(int64(means.MemoryMB * (1 << 20) * 3 / 4))
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	means := relay.Means{Seed: seed, MemoryMB: g.Limits.MemoryMB, Sockets: g.Limits.Sockets,
-		Feed: g.Feed, Known: g.Known, Facts: facts, Started: started}
-	return run.Serve(context.Background(), listener, means, asked(signals, path, g, log), log)
+	return run.Serve(context.Background(), listener, means, asked(log), log)
 }
 
-// asked turns signals into what they ask for.
-func asked(signals <-chan os.Signal, path string, have given, log zerolog.Logger) <-chan relay.Event {
+// follow turns signals into what they ask for; again reads the configuration anew.
+func follow(signals <-chan os.Signal, again func() (relay.Event, error), log zerolog.Logger) <-chan relay.Event {
 	events := make(chan relay.Event)
 	go func() {
 		for s := range signals {
@@ -107,14 +128,13 @@
 			case syscall.SIGUSR1:
 				events <- relay.Event{Kind: relay.Tell}
 			case syscall.SIGHUP:
-				next, err := again(path, have, log)
+				ev, err := again()
 				if err != nil {
 					log.Log().Err(err).Msg("the configuration is kept as it was")
 					continue
 				}
-				have.Feed = next.Feed
-				log.Log().Str("feed", next.Feed).Msg("the configuration was read again")
-				events <- relay.Event{Kind: relay.Reload, Feed: next.Feed}
+				log.Log().Str("feed", ev.Feed).Msg("the configuration was read again")
+				events <- ev
 			default:
 				events <- relay.Event{Kind: relay.Stop}
 			}
@@ -123,30 +143,24 @@
 	return events
 }
 
-// again reads the configuration while running. The feed is all that may
-// change; what else does is said, since whoever wrote it expects it to act.
-func again(path string, have given, log zerolog.Logger) (given, error) {
-	next, err := read(path)
+// serveSetup serves by the product's YAML.
+func serveSetup(path string, signals <-chan os.Signal) error {
+	started := time.Now()
+	have, err := setup.Load(path)
 	if err != nil {
-		return next, err
-	}
-	if _, _, err := net.SplitHostPort(next.Feed); err != nil {
-		return next, fmt.Errorf("config: no feed: %w", err)
-	}
-	for name, same := range map[string]bool{
-		"listen": next.Listen == have.Listen, "limits": next.Limits == have.Limits,
-		"settings": alike(next.Settings, have.Settings),
-	} {
-		if !same {
-			log.Log().Str("what", name).Msg("can't be changed while running")
-		}
+		return err
 	}
-	return next, nil
-}
-
-// alike: the same settings, however they are laid out.
-func alike(a, b json.RawMessage) bool {
-	x, err := terms.FromJSON(a)
-	y, other := terms.FromJSON(b)
-	return err == nil && other == nil && maps.Equal(x, y)
+	log := logger(have.Name, have.Log)
+	return listen(have.Listen, have.Cores(), have.Means(started), func(log zerolog.Logger) <-chan relay.Event {
+		return follow(signals, func() (relay.Event, error) {
+			next, err := setup.Load(path)
+			if err != nil {
+				return relay.Event{}, err
+			}
+			for _, what := range have.Fixed(next) {
+				log.Log().Str("what", what).Msg("can't be changed while running")
+			}
+			return relay.Event{Kind: relay.Reload, Feed: next.Feed, Fair: next.Shape()}, nil
+		}, log)
+	}, log)
 }
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -73,8 +73,12 @@
 
 func (f *fairness) sweep() {
 	f.after(fair.SweepEvery, f.sweep)
-	f.core.Sweep(f.now, func(w *fair.Waiter, _ bool) {
-		for _, s := range w.Of.(*query).subs {
+	f.core.Sweep(f.now, func(w *fair.Waiter, on bool) {
+		q := w.Of.(*query)
+		if on {
+			f.sayOf(About{Query: q.id, Group: q.group.name, Team: f.core.Team(w.Team)}, "makes way: its priority is the least for now")
+		}
+		for _, s := range q.subs {
 			f.rank(s)
 		}
 	}, func(w *fair.Waiter, wait time.Duration) {
@@ -100,7 +104,8 @@
 	q.tables, q.number = tables, key
 	v := f.core.Enter(f.now, w)
 	if !v.Taken {
-		f.say(false, "query "+q.id+" of "+f.core.Team(w.Team)+" deferred: "+v.Why.String()+", "+v.Estimate.String())
+		f.sayOf(About{Query: q.id, Group: q.group.name, Team: f.core.Team(w.Team)},
+			"deferred: it "+v.Why.String()+", "+v.Estimate.String())
 		f.deferred(q, f.pause(v.Estimate))
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,9 +71,17 @@
 	Gently  bool
 	Loud    bool
 	Text    string
+	About   About // with Say
 	N       int
 }
 
+// About is what a line of the log is about; the log has each under its own name,
+// the same everywhere.
+type About struct {
+	Query, Group, Team, Engine string
+	Try                        int // from 1, 0: none
+}
+
 // Link is one connection, up or being dialled. What it is for stands in its
 // closures: each is handed the events that concern it.
 type Link struct {
@@ -313,8 +321,12 @@
 func (r *Relay) at(when time.Duration, what func())  { r.due.Add(when, what) }
 func (r *Relay) after(span time.Duration, do func()) { r.due.Add(r.now+span, do) }
 func (r *Relay) say(loud bool, text string)          { r.do(Effect{Verb: Say, Loud: loud, Text: text}) }
-func (r *Relay) count()                              { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
-func (r *Relay) soon(what func())                    { r.later = append(r.later, what) }
+func (r *Relay) sayOf(about About, text string) {
+	r.do(Effect{Verb: Say, Text: text, About: about})
+}
+
+func (r *Relay) count()           { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
+func (r *Relay) soon(what func()) { r.later = append(r.later, what) }
 
 func (r *Relay) write(l *Link, p []byte) {
 	if l.closed || len(p) == 0 {
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -240,8 +240,8 @@
 	took := s.now - s.at
 	s.endedAt = s.now
 	if outcome != decide.Finished && outcome != decide.Cancelled {
-		s.say(false, "query "+s.q.id+" of "+s.q.group.name+" at "+s.e.id+": "+outcomeNames[outcome]+" after "+
-			took.String()+", "+s.why)
+		s.sayOf(About{Query: s.q.id, Group: s.q.group.name, Engine: s.e.id, Try: s.try + 1},
+			outcomeNames[outcome]+" after "+took.String()+", "+s.why)
 	}
 	s.soon(func() {
 		s.told = true
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -122,9 +122,9 @@
 			l.timer.Reset(e.Within)
 		case relay.Say:
 			if e.Loud {
-				l.log.Log().Msg(e.Text)
+				told(l.log.Log(), e.About).Msg(e.Text)
 			} else {
-				l.log.Info().Msg(e.Text)
+				told(l.log.Info(), e.About).Msg(e.Text)
 			}
 		case relay.Count:
 			l.log.Log().Float64("cpu_ms_a_query", cpuMs()/float64(max(1, e.N))).Msg(e.Text)
@@ -135,6 +135,19 @@
 	return done
 }
 
+// told puts what a line is about into fields of its own.
+func told(line *zerolog.Event, a relay.About) *zerolog.Event {
+	for _, f := range [...][2]string{{"query", a.Query}, {"group", a.Group}, {"team", a.Team}, {"engine", a.Engine}} {
+		if f[1] != "" {
+			line = line.Str(f[0], f[1])
+		}
+	}
+	if a.Try > 0 {
+		line = line.Int("try", a.Try)
+	}
+	return line
+}
+
 // tell hands an event to the reducer; false once it is gone.
 func (l *loop) tell(kind relay.Kind, w *wire, n int) bool {
 	ev := event{Event: relay.Event{Kind: kind, Link: w.link, N: n}}
--- /dev/null
+++ b/internal/setup/setup_test.go
@@ -0,0 +1,97 @@
+package setup
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fair"
+)
+
+const example = "../../deploy/railrelay.yaml"
+
+func TestTheExampleIsAccepted(t *testing.T) {
+	s, err := Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := s.Means(time.Now())
+	if m.Seed != 0x8c1f30d27a5be964 || m.Fair == nil || len(m.Manners) != 1 || m.Facts["group.2.in-order"] != "true" ||
+		m.Facts["loads"] != "false,false,true" || m.Facts["threads"] != "1,3,2" || m.Facts["return.most"] != "60000" {
+		t.Fatalf("%+v", m)
+	}
+	m.Fair.Lanes = make([]fair.Lane, 3)
+	if err := m.Fair.Check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Each case spoils one line of the example; the error must name the file, that
+// line and the field, and show the line.
+func TestWhatIsWrongIsNamed(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, field, why string }{
+		{"idle: 5m ", "idel: 5m ", "idel", "unknown field"},
+		{"target: 2s", "target: 2", "2", "has no unit"},
+		{"target: 2s", "target: soon", "soon", "is no time"},
+		{"name: steyr,", "name: linz,", "fairness.teams[0].teams[1].name", "a second team"},
+		{"name: steyr, weight: 1", "name: steyr, weight: 0", "fairness.teams[0].teams[1].weight", "a weight is over 0"},
+		{"name: steyr, weight: 1", "name: steyr, weight: -2", "fairness.teams[0].teams[1].weight", "a weight is over 0"},
+		{"10.4.0.0/16", "10.3.7.0/24", "fairness.teams[1].teams[1].addresses[0]", `overlaps addresses of "fire-north"`},
+		{"10.4.0.0/16", "10.0.0.0/8", "fairness.teams[1].teams[1].addresses[0]", "overlaps addresses of"},
+		{"10.4.0.0/16", "10.4.0.0/99", "10.4.0.0/99", "is no set"},
+		{"effect: mutating", "effect: sometimes", "groups[2].effect", "none of"},
+		{"listen: 127.0.0.1:6565", "listen: 127.0.0.1", "listen", "no address"},
+		{"default: others", "default: anyone", "fairness.default", "no team"},
+		{"- name: report", "- name: lookup", "groups[1].name", "a second group"},
+		{"    team: team ", "    team: '' ", "fairness.trusted", "nothing to trust"},
+		{"report: probed", "report: [probed]", "", ""},
+		{"sockets: 4096 ", "sockets: 4 ", "limits.sockets", "under 64"},
+		{"seed: 8c1f30d27a5be964", "seed: xyz", "seed", ""},
+		{"fairness:\n  fields:", "fairness:\n   fields:", "", ""},
+	} {
+		spoilt := strings.Replace(string(text), c.old, c.new, 1)
+		if spoilt == string(text) {
+			t.Fatalf("%q is not in the example", c.old)
+		}
+		line := 1 + strings.Count(string(text)[:strings.Index(string(text), c.old)], "\n")
+		_, err := Parse("x.yaml", []byte(spoilt))
+		if err == nil {
+			t.Errorf("%q was taken", c.new)
+			continue
+		}
+		var f *Fault
+		if !errors.As(err, &f) {
+			t.Errorf("%q: no Fault: %v", c.new, err)
+			continue
+		}
+		if c.field != "" && (f.Field != c.field || f.Line != line && c.field != "fairness.trusted") || !strings.Contains(f.Why, c.why) ||
+			f.File != "x.yaml" || f.Line == 0 || !strings.Contains(f.Source, strings.TrimSpace(strings.Split(c.new, "\n")[0])) && c.field != "fairness.trusted" && c.field != "" {
+			t.Errorf("%q at line %d: %d %q %q\n%s", c.new, line, f.Line, f.Field, f.Why, f.Source)
+		}
+	}
+}
+
+func TestSeveralFaultsAreAllTold(t *testing.T) {
+	_, err := Parse("x.yaml", []byte("listen: a\nfeed: b\ngroups: []\nengines: {kinds: []}\n"))
+	if err == nil || strings.Count(err.Error(), "x.yaml:") < 4 {
+		t.Fatal(err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	text, _ := os.ReadFile(example)
+	f.Add(text)
+	f.Add([]byte("listen: [\n"))
+	f.Add([]byte("fairness: {teams: [{name: a, weight: 1e99}]}\n"))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		if s, err := Parse("x", p); err == nil && s.Listen == "" {
+			t.Fatal("taken without an address")
+		}
+	})
+}
