Tests of fair queues: seeded runs check every heap, count and order after each step

Floods, 500 small teams, budgets, bad plans, keys of two teams, repeats, reloads, jumping clocks and weights of 1:1000, each with a check that fails without its answer; one in and one out allocates nothing.

--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -235,6 +235,12 @@
 // Team is the name of a number that Whose gave.
 func (c *Core) Team(i int) string { return c.plans[i].Name }
 
+// Bound is how long a team with a query waiting goes without a start at the most:
+// Age, after which its query goes before all that came later, and a quarter of it
+// for those that came earlier. Nobody is let in to wait longer than Age by an
+// estimate that holds within a fifth of the wait, so that older ones are no more.
+func (c *Core) Bound() time.Duration { return c.shape.Age * 5 / 4 }
+
 // Waiting is how many wait, Running how many were handed on and are not over.
 func (c *Core) Waiting() int { return c.waiting }
 
--- /dev/null
+++ b/internal/fair/fair_test.go
@@ -0,0 +1,658 @@
+package fair
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201") // the same verdict every time
+	flag.Set("rapid.checks", "400")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// mill serves what a core lets go: so many queries of a lane at once, each for as
+// long as its work takes on its threads.
+type mill struct {
+	t       interface{ Fatalf(string, ...any) }
+	c       *Core
+	now     time.Duration
+	slots   []int
+	running []*job
+	jobs    []*job
+	used    map[string]float64
+	order   []*job
+}
+
+type job struct {
+	Waiter
+	team     string
+	work     float64 // thread seconds it really takes
+	at, over time.Duration
+	started  bool
+	done     bool
+	verdict  Verdict
+}
+
+var lanes = []Lane{
+	{Name: "lookup", Threads: 1, Value: 2, Usual: 50 * time.Millisecond},
+	{Name: "report", Threads: 3, Value: 5, Usual: 600 * time.Millisecond},
+	{Name: "load", Threads: 2, Value: 5, Usual: 300 * time.Millisecond, Ordered: true, Chained: true},
+}
+
+func newMill(t interface{ Fatalf(string, ...any) }, s Shape, slots ...int) *mill {
+	if s.Lanes == nil {
+		s.Lanes = lanes
+	}
+	if err := s.Check(); err != nil {
+		t.Fatalf("%v", err)
+	}
+	m := &mill{t: t, c: New(s), slots: slots, used: map[string]float64{}}
+	m.c.Cores(8)
+	return m
+}
+
+func teams(names ...string) (l []Team) {
+	for _, n := range names {
+		l = append(l, Team{Name: n, Weight: 1})
+	}
+	return l
+}
+
+func (m *mill) team(name string) int {
+	i, ok := m.c.who.names[name]
+	if !ok {
+		m.t.Fatalf("no team %s", name)
+	}
+	return i
+}
+
+func (m *mill) ask(team string, lane int, work float64, more ...func(*job)) *job {
+	j := &job{team: team, work: work, at: m.now}
+	j.Waiter = Waiter{Of: j, Lane: lane, Team: m.team(team), Key: -1, Chain: -1, Until: m.now + time.Hour}
+	for _, f := range more {
+		f(j)
+	}
+	m.jobs = append(m.jobs, j)
+	if j.verdict = m.c.Enter(m.now, &j.Waiter); j.verdict.Taken {
+		m.pump()
+		m.c.First(m.now, &j.Waiter)
+	}
+	return j
+}
+
+func key(k int64) func(*job)   { return func(j *job) { j.Key = k } }
+func chain(k int64) func(*job) { return func(j *job) { j.Chain = k } }
+
+// pump lets go whatever has a slot.
+func (m *mill) pump() {
+	for again := true; again; {
+		again = false
+		for lane := range m.slots {
+			busy := 0
+			for _, j := range m.running {
+				if j.Lane == lane {
+					busy++
+				}
+			}
+			full := busy >= m.slots[lane]
+			m.c.Full(m.now, lane, full)
+			if full {
+				continue
+			}
+			if w := m.c.Next(m.now, lane); w != nil {
+				j := w.Of.(*job)
+				j.started, j.over = true, m.now+time.Duration(j.work/lanes[lane].Threads*1e9)
+				m.c.Started(m.now, w)
+				m.running = append(m.running, j)
+				m.order = append(m.order, j)
+				again = true
+			}
+		}
+	}
+}
+
+// until plays on to a time, sweeping as the owner does.
+func (m *mill) until(end time.Duration) {
+	for {
+		next := m.c.sweptAt + SweepEvery
+		for _, j := range m.running {
+			next = min(next, j.over)
+		}
+		if next > end {
+			m.now = end
+			return
+		}
+		m.now = max(m.now, next)
+		for _, j := range slices.Clone(m.running) {
+			if j.over <= m.now {
+				m.end(j, Finished)
+			}
+		}
+		if m.now >= m.c.sweptAt+SweepEvery {
+			m.c.Sweep(m.now, nil, nil)
+		}
+		m.pump()
+		m.check()
+	}
+}
+
+func (m *mill) end(j *job, as End) {
+	m.running = slices.DeleteFunc(m.running, func(x *job) bool { return x == j })
+	if j.done = true; as == Finished {
+		m.used[j.team] += j.work
+		m.c.Ended(m.now, &j.Waiter, as, time.Duration(j.work*1e9), 0)
+	} else {
+		m.c.Ended(m.now, &j.Waiter, as, 0, 0)
+	}
+}
+
+// check holds after every step.
+func (m *mill) check() {
+	waits := make([]int, len(m.slots))
+	backlog := make([]float64, len(m.slots))
+	for _, j := range m.jobs {
+		if j.Waits() {
+			waits[j.Lane]++
+			backlog[j.Lane] += j.est
+		}
+	}
+	sum := 0
+	for i := range m.slots {
+		l := &m.c.lanes[i]
+		if l.waiting != waits[i] || math.Abs(m.c.root.backlog[i]-backlog[i]) > 1e-6*(1+backlog[i]) {
+			m.t.Fatalf("lane %d: %d wait and %d are counted, backlog %v and %v", i, waits[i], l.waiting, backlog[i], m.c.root.backlog[i])
+		}
+		sum += waits[i]
+	}
+	if sum != m.c.Waiting() {
+		m.t.Fatalf("%d wait, %d are counted", sum, m.c.Waiting())
+	}
+	heavy := 0.0
+	for i := range m.c.plans {
+		n := m.c.plans[i].at
+		if n == nil {
+			continue
+		}
+		if n.parent == m.c.root && n.busy > 0 {
+			heavy += n.weight
+		}
+		if n.budget > 0 && n.over != (n.tokens < 0) {
+			m.t.Fatalf("%s: over %v with %v tokens", n.name, n.over, n.tokens)
+		}
+		for lane := range n.pos {
+			if (n.pos[lane] >= 0) != (n.ready[lane] > 0) {
+				m.t.Fatalf("%s: place %d with %d ready", n.name, n.pos[lane], n.ready[lane])
+			}
+			if n.pos[lane] < 0 {
+				continue
+			}
+			h := n.parent.heaps[n.in[lane]][lane]
+			if h[n.pos[lane]] != n || int(n.in[lane]) != n.band(lane) {
+				m.t.Fatalf("%s: not where it is thought to be in lane %d", n.name, lane)
+			}
+			if p := (n.pos[lane] - 1) / 2; n.pos[lane] > 0 && before(n, h[p], lane) {
+				m.t.Fatalf("%s: before its parent in the heap", n.name)
+			}
+		}
+	}
+	if math.Abs(heavy-m.c.root.heavy) > 1e-6*(1+heavy) {
+		m.t.Fatalf("busy weights are %v, not %v", m.c.root.heavy, heavy)
+	}
+	// what goes next in a lane goes before younger ones of its key and chain
+	last := map[[2]int64]uint64{}
+	for _, j := range m.order {
+		for kind, id := range []int64{j.Key, j.Chain} {
+			if id < 0 || !m.c.lanes[j.Lane].Ordered {
+				continue
+			}
+			at := [2]int64{int64(kind), id}
+			if j.seq < last[at] {
+				m.t.Fatalf("%d went after a younger one of its %v", j.seq, at)
+			}
+			last[at] = j.seq
+		}
+	}
+}
+
+func TestRandomRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Shape{Age: time.Duration(rapid.IntRange(1, 20).Draw(t, "age")) * time.Second, Waiting: rapid.IntRange(5, 100).Draw(t, "most")}
+		var names []string
+		for k := range rapid.IntRange(1, 3).Draw(t, "kinds") {
+			kind := Team{Name: fmt.Sprint("k", k), Weight: float64(rapid.IntRange(1, 1000).Draw(t, "weight"))}
+			for i := range rapid.IntRange(0, 3).Draw(t, "teams") {
+				x := Team{Name: fmt.Sprint("t", k, i), Weight: float64(rapid.IntRange(1, 1000).Draw(t, "weight"))}
+				if rapid.Bool().Draw(t, "budget") {
+					x.Budget, x.Burst = rapid.Float64Range(0.05, 3).Draw(t, "rate"), rapid.Float64Range(0, 2).Draw(t, "burst")
+				}
+				kind.Teams = append(kind.Teams, x)
+				names = append(names, x.Name)
+			}
+			if len(kind.Teams) == 0 {
+				names = append(names, kind.Name)
+			}
+			s.Teams = append(s.Teams, kind)
+		}
+		m := newMill(t, s, 2, 2, 2)
+		var asking []*job
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			default:
+				lane := rapid.IntRange(0, 2).Draw(t, "lane")
+				work := rapid.Float64Range(0.01, 3).Draw(t, "work")
+				j := m.ask(rapid.SampledFrom(names).Draw(t, "team"), lane, work, func(j *job) {
+					j.Ask = rapid.Bool().Draw(t, "ask")
+					j.Until = m.now + time.Duration(rapid.IntRange(1, 30).Draw(t, "until"))*time.Second
+					if lane == 2 {
+						j.Key, j.Chain = int64(rapid.IntRange(0, 2).Draw(t, "key")), int64(rapid.IntRange(0, 2).Draw(t, "chain"))
+					}
+					if rapid.IntRange(0, 4).Draw(t, "again") == 0 {
+						j.Again = uint64(rapid.IntRange(1, 4).Draw(t, "first"))
+					}
+					j.Self = uint64(rapid.IntRange(0, 4).Draw(t, "self"))
+				})
+				if j.verdict.Taken {
+					asking = append(asking, j)
+				}
+			case 6: // left, waiting or not
+				if len(asking) > 0 {
+					if j := rapid.SampledFrom(asking).Draw(t, "leaves"); !j.done {
+						m.end(j, Left)
+						m.pump()
+					}
+				}
+			case 7:
+				m.until(m.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
+			case 8: // a clock that jumps ahead, and an event that brings an older time
+				m.now += time.Duration(rapid.IntRange(0, 100).Draw(t, "s")) * time.Second
+				m.c.Full(m.now-time.Minute, 0, false)
+				m.until(m.now + time.Second)
+			case 9:
+				next := s
+				next.Teams = slices.Clone(s.Teams)
+				if len(next.Teams) > 1 && rapid.Bool().Draw(t, "drop") {
+					next.Teams = next.Teams[1:]
+				}
+				m.c.Reload(m.now, withLanes(next))
+				m.c.Reload(m.now, withLanes(s))
+				m.pump()
+			}
+			m.check()
+		}
+		for _, j := range asking { // nothing is lost: whoever was taken goes in the end
+			_ = j
+		}
+		m.until(m.now + 10*time.Minute)
+		for _, j := range asking {
+			if !j.started && !j.done {
+				t.Fatalf("%s %d waits for ever in lane %d", j.team, j.seq, j.Lane)
+			}
+		}
+		if m.c.Waiting() != 0 || len(m.c.lines) != 0 || m.c.running.first != nil || math.Abs(m.c.root.heavy) > 1e-9 {
+			t.Fatalf("%d wait, %d lines, busy %v after all is over", m.c.Waiting(), len(m.c.lines), m.c.root.heavy)
+		}
+		if m.c.nodes != 0 {
+			t.Fatalf("%d teams have state after ten minutes of nothing", m.c.nodes)
+		}
+	})
+}
+
+func withLanes(s Shape) Shape { s.Lanes = lanes; return s }
+
+// flood keeps so many of a team's queries waiting.
+func (m *mill) flood(team string, lane, depth int, work float64) {
+	for waits := 0; waits < depth; waits++ {
+		m.ask(team, lane, work)
+	}
+}
+
+// share plays with all teams flooding and tells what each used.
+func (m *mill) share(span time.Duration, lane int, work map[string]float64) map[string]float64 {
+	for end := m.now + span; m.now < end; {
+		for team, w := range work {
+			if n := m.c.plans[m.team(team)].at; n == nil || n.waiting < 8 {
+				m.flood(team, lane, 8, w)
+			}
+		}
+		m.until(m.now + 100*time.Millisecond)
+	}
+	return m.used
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	l := []Team{{Name: "a", Weight: 1, Teams: []Team{{Name: "a1", Weight: 1}, {Name: "a2", Weight: 3}}}, {Name: "b", Weight: 2}}
+	m := newMill(t, Shape{Teams: l, Age: time.Hour}, 4, 4, 4)
+	// their queries differ in size: shares are of work, not of queries
+	used := m.share(120*time.Second, 1, map[string]float64{"a1": 0.2, "a2": 0.6, "b": 0.3})
+	all := used["a1"] + used["a2"] + used["b"]
+	for team, want := range map[string]float64{"a1": 1.0 / 12, "a2": 3.0 / 12, "b": 8.0 / 12} {
+		if got := used[team] / all; math.Abs(got-want) > 0.03 {
+			t.Errorf("%s has %.3f of the work, not %.3f", team, got, want)
+		}
+	}
+}
+
+func TestWeightsFarApart(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "small", Weight: 1}, {Name: "large", Weight: 1000}}, Age: 5 * time.Second}, 4, 4, 4)
+	for m.now < 40*time.Second {
+		m.flood("large", 0, 40, 0.05)
+		if n := m.c.plans[m.team("small")].at; n == nil || n.waiting == 0 {
+			m.ask("small", 0, 0.05)
+		}
+		m.until(m.now + 100*time.Millisecond)
+	}
+	// no share of a thousandth keeps a query longer than the bound
+	var worst time.Duration
+	m.c.Teams(func(path string, _ int, n Counts) {
+		if path == "small" {
+			worst = n.Worst
+		}
+	})
+	if worst == 0 || worst > m.c.Bound() {
+		t.Fatalf("the small team waited %v", worst)
+	}
+	if m.used["large"] < 20*m.used["small"] {
+		t.Fatalf("a weight of 1000 has %v beside %v", m.used["large"], m.used["small"])
+	}
+}
+
+func TestOneFloodsBesideManySmall(t *testing.T) {
+	names := []string{"flood"}
+	for i := range 500 {
+		names = append(names, fmt.Sprint("t", i))
+	}
+	m := newMill(t, Shape{Teams: teams(names...)}, 4, 4, 4)
+	m.flood("flood", 0, 2000, 0.05)
+	deferred := 0
+	for _, j := range m.jobs {
+		if !j.verdict.Taken {
+			deferred++
+		}
+	}
+	start := m.now
+	for i := range 500 {
+		m.ask(names[i+1], 0, 0.05)
+	}
+	m.until(start + 20*time.Second)
+	worst := time.Duration(0)
+	m.c.Teams(func(path string, waiting int, n Counts) {
+		if path != "flood" {
+			worst = max(worst, n.Worst)
+			if waiting > 0 {
+				t.Fatalf("%s still waits", path)
+			}
+		}
+	})
+	// 500 queries of 50 ms on four threads take 6.25 s; with the flood getting a
+	// team's share beside them, hardly more
+	if worst > 7*time.Second {
+		t.Fatalf("the flood kept others for %v", worst)
+	}
+	if deferred == 0 {
+		t.Fatal("a flood may wait for as long as it likes")
+	}
+}
+
+func TestABudgetUsedUpAndRefilled(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "rich", Weight: 1}, {Name: "poor", Weight: 1, Budget: 0.2, Burst: 1}}, Age: time.Hour}, 2, 2, 2)
+	for m.now < 60*time.Second {
+		for _, team := range []string{"rich", "poor"} {
+			if n := m.c.plans[m.team(team)].at; n == nil || n.waiting < 8 {
+				m.flood(team, 0, 8, 0.1)
+			}
+		}
+		m.until(m.now + 100*time.Millisecond)
+	}
+	// 60 s of 0.2 and the burst; while the other wants the rest
+	if got := m.used["poor"]; got < 8 || got > 17 {
+		t.Fatalf("a budget of 13 thread seconds came to %v", got)
+	}
+	before := m.used["poor"]
+	for m.now < 70*time.Second { // nobody else: nothing stands idle for a budget's sake
+		if n := m.c.plans[m.team("poor")].at; n.waiting < 8 {
+			m.flood("poor", 0, 8, 0.1)
+		}
+		m.until(m.now + 100*time.Millisecond)
+	}
+	if got := m.used["poor"] - before; got < 15 {
+		t.Fatalf("alone on two threads it did %v thread seconds in ten", got)
+	}
+}
+
+func TestABadPlanIsChargedAsItRuns(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "a", Weight: 1, Budget: 1, Burst: 1}, {Name: "b", Weight: 1}}}, 1, 1, 1)
+	m.ask("a", 1, 0.6)
+	m.until(2 * time.Second)
+	bad := m.ask("a", 1, 12) // twenty times the usual, 4 s on three threads
+	other := m.ask("b", 1, 0.6)
+	m.until(m.now + 2*time.Second)
+	n := m.c.plans[m.team("a")].at
+	if bad.done || n.tokens > -2 || !n.over {
+		t.Fatalf("it is charged at its end only: %v tokens", n.tokens)
+	}
+	if !bad.Lowered() {
+		t.Fatal("it makes no way, and another waits")
+	}
+	m.until(m.now + 10*time.Second)
+	if !bad.done || !other.done || other.Lowered() {
+		t.Fatal("not all is over")
+	}
+	if sum := n.counts.Charged; math.Abs(sum-12.6) > 0.01 {
+		t.Fatalf("charged %v in the end", sum)
+	}
+}
+
+func TestOrderedWorkIsNeverLowered(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "a", Weight: 1, Budget: 0.01, Burst: 0.01}, {Name: "b", Weight: 1}}}, 1, 1, 1)
+	load := m.ask("a", 2, 10, key(1), chain(1))
+	m.ask("b", 1, 3)
+	m.ask("b", 1, 3)
+	m.until(2 * time.Second)
+	if load.Lowered() || load.done {
+		t.Fatal("a load was lowered below younger ones")
+	}
+}
+
+func TestLoadsOfOneKeyFromTwoTeams(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1000}}}, 4, 4, 4)
+	var all []*job
+	for i := range 20 {
+		all = append(all, m.ask([]string{"a", "b"}[i%2], 2, 0.2, key(7), chain(int64(i%3))))
+	}
+	m.until(time.Minute)
+	for i := 1; i < len(all); i++ {
+		if !all[i].started || all[i].over < all[i-1].over {
+			t.Fatalf("%d went before %d of its key", i, i-1)
+		}
+	}
+	left := m.ask("a", 2, 1, key(9))
+	second, third := m.ask("b", 2, 1, key(9)), m.ask("b", 2, 1, key(9))
+	if second.started || third.started {
+		t.Fatal("two of one key at once")
+	}
+	m.end(second, Left)
+	m.until(m.now + 5*time.Second)
+	if !left.done || !third.done {
+		t.Fatal("one that left holds up its key")
+	}
+}
+
+func TestARepeatKeepsItsAgeAndIsNotChargedTwice(t *testing.T) {
+	m := newMill(t, Shape{Teams: teams("a", "b"), Age: 3 * time.Second}, 1, 1, 1)
+	for range 30 {
+		m.ask("b", 1, 0.6)
+	}
+	first := m.ask("a", 1, 0.6, func(j *job) { j.Self = 5; j.Until = m.now + time.Millisecond })
+	if first.verdict.Taken || first.verdict.Why != TooLate || first.verdict.Estimate <= 0 {
+		t.Fatalf("%+v", first.verdict)
+	}
+	m.until(1500 * time.Millisecond)
+	again := m.ask("a", 1, 0.6, func(j *job) { j.Again, j.Self = 5, 5 })
+	if !again.verdict.Taken || again.Arrived != 0 {
+		t.Fatalf("it came at %v: %+v", again.Arrived, again.verdict)
+	}
+	m.until(m.now + 4*time.Second)
+	// charged once although the first of it was killed halfway
+	killed := m.ask("a", 1, 0.6, func(j *job) { j.Self = 6 })
+	m.until(m.now + 10*time.Second)
+	_ = killed
+	n := m.c.plans[m.team("a")].at
+	before := n.counts.Charged
+	one := m.ask("a", 1, 0.6, func(j *job) { j.Self = 7 })
+	m.end(one, Killed)
+	charged := n.counts.Charged - before
+	two := m.ask("a", 1, 0.6, func(j *job) { j.Again, j.Self = 7, 7 })
+	m.until(m.now + 5*time.Second)
+	if got := n.counts.Charged - before; !two.done || charged <= 0 || got > 1.3*charged {
+		t.Fatalf("charged %v, and with its repeat %v", charged, got)
+	}
+}
+
+func TestAReloadThatRemovesATeam(t *testing.T) {
+	s := Shape{Teams: teams("a", "b", "rest"), Default: "rest"}
+	m := newMill(t, s, 1, 1, 1)
+	running := m.ask("a", 1, 3)
+	var waiting []*job
+	for range 5 {
+		waiting = append(waiting, m.ask("a", 1, 0.3), m.ask("b", 1, 0.3))
+	}
+	s.Teams = teams("b", "rest")
+	m.c.Reload(m.now, withLanes(s))
+	m.check()
+	if m.c.Team(waiting[0].Team) != "rest" || m.c.Team(waiting[1].Team) != "b" || m.c.Waiting() != 10 {
+		t.Fatal("its queries went astray")
+	}
+	m.until(m.now + 30*time.Second)
+	for _, j := range append(waiting, running) {
+		if !j.done {
+			t.Fatal("lost in the reload")
+		}
+	}
+}
+
+func TestAClockThatJumps(t *testing.T) {
+	m := newMill(t, Shape{Teams: teams("a", "b")}, 1, 1, 1)
+	j := m.ask("a", 1, 30)
+	waits := m.ask("b", 1, 0.6)
+	m.until(time.Second)
+	m.now += time.Hour // with j running: its span is not charged for the jump
+	m.c.Sweep(m.now, nil, nil)
+	if n := m.c.plans[m.team("a")].at; n.counts.Charged > 10 {
+		t.Fatalf("the jump was charged: %v", n.counts.Charged)
+	}
+	m.c.Full(m.now-2*time.Hour, 1, true) // and back again
+	if m.c.now < m.now {
+		t.Fatal("time ran backwards")
+	}
+	m.until(m.now + time.Minute)
+	if !j.done || !waits.done {
+		t.Fatal("something stands still after the jump")
+	}
+}
+
+func TestEstimatesOfAQueue(t *testing.T) {
+	m := newMill(t, Shape{Teams: teams("a", "b", "c")}, 4, 4, 4)
+	m.c.Cores(12)
+	good, all := 0, 0
+	for m.now < 40*time.Second {
+		for i, team := range []string{"a", "b", "c"} {
+			if (int(m.now/(100*time.Millisecond))+i)%3 < 2 {
+				m.ask(team, 1, 0.5+0.1*float64(int(m.now/time.Millisecond)%7), func(j *job) { j.Until = m.now + 8*time.Second })
+			}
+		}
+		m.until(m.now + 33*time.Millisecond)
+	}
+	m.until(m.now + 20*time.Second)
+	for _, j := range m.jobs {
+		if !j.started || j.at < 5*time.Second {
+			continue
+		}
+		had := j.began - j.at
+		if all++; (had - j.Estimate).Abs() <= max(25*time.Millisecond, had/5) {
+			good++
+		}
+	}
+	if all < 200 || float64(good) < 0.9*float64(all) {
+		t.Fatalf("%d of %d estimates held", good, all)
+	}
+}
+
+func TestWhose(t *testing.T) {
+	p := func(s string) netip.Prefix { return netip.MustParsePrefix(s) }
+	a := func(s string) netip.Addr { return netip.MustParseAddr(s) }
+	c := New(Shape{Lanes: lanes, Trusted: []netip.Prefix{p("10.0.0.0/16")}, Default: "rest", Teams: []Team{
+		{Name: "k", Weight: 1, Teams: []Team{{Name: "a", Weight: 1, Addresses: []netip.Prefix{p("10.1.0.0/16")}},
+			{Name: "b", Weight: 1, Addresses: []netip.Prefix{p("10.2.0.0/16"), p("fd00::/8")}}}}, {Name: "rest", Weight: 1}}})
+	for _, x := range []struct{ from, named, want string }{
+		{"10.1.2.3", "", "a"}, {"10.1.2.3", "b", "a"}, {"10.0.2.3", "b", "b"}, {"10.0.2.3", "nobody", "rest"},
+		{"::ffff:10.2.0.1", "", "b"}, {"fd00::1", "a", "b"}, {"192.0.2.1", "a", "rest"}, {"10.0.0.1", "k", "rest"},
+	} {
+		if got := c.Team(c.Whose(a(x.from), []byte(x.named))); got != x.want {
+			t.Errorf("%s naming %q is %s, not %s", x.from, x.named, got, x.want)
+		}
+	}
+	if c.Team(c.Whose(netip.Addr{}, nil)) != "rest" {
+		t.Error("a call from nowhere has no team")
+	}
+}
+
+func TestWhatDoesNotFitIsRefused(t *testing.T) {
+	m := newMill(t, Shape{Teams: []Team{{Name: "a", Weight: 1, Waiting: 3}, {Name: "b", Weight: 1}}, Waiting: 6}, 1, 1, 1)
+	why := map[Refusal]int{}
+	for range 6 {
+		why[m.ask("a", 0, 0.01).verdict.Why]++
+	}
+	for range 6 {
+		why[m.ask("b", 0, 0.01).verdict.Why]++
+	}
+	if why[TooMany] != 2 || why[AllFull] != 3 {
+		t.Fatal(why)
+	}
+}
+
+func TestOneInAndOneOutAllocatesNothing(t *testing.T) {
+	m := newMill(t, Shape{Teams: teams("a", "b"), Age: time.Hour}, 1, 1, 1)
+	var l [4096]Waiter
+	i := 0
+	step := func() {
+		w := &l[i%len(l)]
+		*w = Waiter{Lane: 0, Team: i % 2, Key: -1, Chain: -1, Until: time.Hour}
+		i++
+		m.now += time.Millisecond
+		m.c.Full(m.now, 0, true)
+		m.c.Enter(m.now, w)
+		if x := m.c.Next(m.now, 0); x != nil {
+			m.c.Started(m.now, x)
+			m.c.Ended(m.now, x, Finished, 10*time.Millisecond, 0)
+		}
+	}
+	for range 2000 {
+		step()
+	}
+	if n := testing.AllocsPerRun(1000, step); n > 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func TestShapesThatCantBe(t *testing.T) {
+	for _, s := range []Shape{
+		{}, {Lanes: lanes, Teams: []Team{{Name: "a"}}}, {Lanes: lanes, Teams: teams("a", "a")},
+		{Lanes: lanes, Teams: teams("a"), Default: "b"}, {Lanes: lanes, Teams: []Team{{Name: "a", Weight: math.Inf(1)}}},
+		{Lanes: lanes, Teams: []Team{{Name: "a", Weight: 1, Budget: math.NaN()}}}, {Lanes: lanes, Teams: []Team{{Weight: 1}}},
+	} {
+		if s.Check() == nil {
+			t.Errorf("%+v passes", s)
+		}
+	}
+}
