--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -345,6 +345,7 @@
 
 func TestWeightsFarApart(t *testing.T) {
 	m := newMill(t, Shape{Teams: []Team{{Name: "small", Weight: 1}, {Name: "large", Weight: 1000}}, Age: 5 * time.Second}, 4, 4, 4)
+	m.c.Cores(4)
 	for m.now < 40*time.Second {
 		m.flood("large", 0, 40, 0.05)
 		if n := m.c.plans[m.team("small")].at; n == nil || n.waiting == 0 {
