--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,8 @@
 IN ?= ./internal/clients
 fuzz:
 	go test -fuzz $(FUZZ) -fuzztime 30s $(IN)
+
+# Six stand-in engines, a feed and a controller with teams; 20 s of queries, one
+# team flooding; a table by team.
+try: build
+	bin/raillab try
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -309,10 +309,7 @@
 	n.waiting++
 	c.waiting++
 	l.waiting++
-	for x := n; x.parent != nil; x = x.parent {
-		x.backlog[w.Lane] += w.est
-	}
-	c.root.backlog[w.Lane] += w.est
+	c.queue(w)
 	l.append(w)
 	if l.Ordered && w.Key >= 0 {
 		c.join(w, 0, w.Key)
@@ -326,6 +323,17 @@
 	return v
 }
 
+// queue counts a query among those that wait, up to the root.
+func (c *Core) queue(w *Waiter) {
+	for x := w.leaf; x.parent != nil; x = x.parent {
+		if x.queued++; x.queued == 1 {
+			x.catchUp(len(c.lanes))
+		}
+		x.backlog[w.Lane] += w.est
+	}
+	c.root.backlog[w.Lane] += w.est
+}
+
 // runs is how long a query of a lane usually takes once it started, in seconds.
 func (c *Core) runs(l *lane) float64 { return l.run.or(l.Usual.Seconds() / max(1, l.Threads)) }
 
@@ -561,7 +569,7 @@
 }
 
 // leadMost is in seconds of a team's share of the engines.
-const leadMost = 0.5
+const leadMost = 3.0
 
 func (c *Core) release(w *Waiter, l *lane) {
 	c.unqueue(w, l)
@@ -591,6 +599,7 @@
 	w.leaf.waiting--
 	w.leaf.gone[w.Lane] += w.est
 	for x := w.leaf; x.parent != nil; x = x.parent {
+		x.queued--
 		if x.backlog[w.Lane] -= w.est; x.lists != nil && x.waiting == 0 {
 			x.backlog[w.Lane] = 0 // sums of what came and went don't quite meet
 		}
@@ -915,10 +924,7 @@
 		}
 		n.waiting++
 		w.ahead = n.backlog[w.Lane]
-		for x := n; x.parent != nil; x = x.parent {
-			x.backlog[w.Lane] += w.est
-		}
-		c.root.backlog[w.Lane] += w.est
+		c.queue(w)
 		offered := w.inLeaf
 		w.prev, w.next, w.inLeaf = nil, nil, false
 		if offered {
--- a/internal/fair/tree.go
+++ b/internal/fair/tree.go
@@ -45,6 +45,7 @@
 
 	lists   []list // of a leaf: by lane, what may go, in the order of age
 	waiting int
+	queued  int       // queries waiting below
 	backlog []float64 // thread time waiting by lane, as estimated; of all below
 	gone    []float64 // thread time by lane that waited and does no more
 	rate    []rate    // of what comes in, by lane
@@ -177,6 +178,18 @@
 	}
 }
 
+// catchUp: what a team didn't ask for it can't ask for later, though some of its
+// queries ran all the time. Else one that asks for less than its share would
+// gather a claim without end, and who takes what is left over a debt.
+func (n *node) catchUp(k int) {
+	if d := n.parent.mean(k) - n.tags[k]; d > 0 {
+		n.tags[k] += d
+		if n.busy > 0 {
+			n.parent.clocks[k].sum += n.weight * d
+		}
+	}
+}
+
 // charge adds thread time to a leaf and all above: at once in its lane, and bit
 // by bit in the others.
 func (c *Core) charge(n *node, lane int, work float64) {
@@ -363,6 +376,7 @@
 		if n.lists != nil {
 			c.lanes[lane].teams++
 		}
+		n.catchUp(lane)
 		c.put(n, lane)
 	}
 	c.rise(n)
--- /dev/null
+++ b/internal/lab/try.go
@@ -0,0 +1,385 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"railrelay.dev/railrelay/internal/standin/caller"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/feed"
+)
+
+// Trial is a short look at a controller with teams, on sockets of this machine.
+type Trial struct {
+	Program string // the built railrelay
+	Engines int
+	Long    time.Duration
+	Seed    uint64
+	Log     io.Writer // what the controller logs
+}
+
+// trialTeams are its teams; the last floods.
+var trialTeams = []struct {
+	kind, name   string
+	share, asks  float64 // of the engines: by weight, and asked for
+	kindW, teamW int
+}{
+	{"municipalities", "linz", 0.30, 0.28, 5, 3}, {"municipalities", "steyr", 0.20, 0.15, 5, 2},
+	{"brigades", "fire-north", 0.15, 0.10, 3, 1}, {"brigades", "fire-south", 0.15, 0.10, 3, 1},
+	{"gauges", "upper", 0.10, 0.05, 2, 1}, {"gauges", "flood", 0.10, 3.0, 2, 1},
+}
+
+// Row is what a trial saw of a team.
+type Row struct {
+	Team                              string
+	Asked, Finished, Deferred, Killed int
+	Share, Weight                     float64 // of the work done, and by weight
+	Told, Had                         time.Duration
+	Within                            float64 // of first estimates
+}
+
+// trialEngine is its engines' figures. They only reckon: six of them take a small
+// part of one core.
+func trialEngine() engine.Figures {
+	f := engine.Usual()
+	f.Cores, f.Disks, f.MemoryMB = 8, 16, 16384
+	return f
+}
+
+func (t *Trial) setup(feedAddress, listen string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name: try\nlisten: %s\nfeed: %s\nseed: %x\nlog: warn\nlimits: {cores: 1, memory_mb: 256, sockets: 1024}\n", listen, feedAddress, t.Seed)
+	f := trialEngine()
+	fmt.Fprintf(&b, "engines:\n  kinds: [{name: std, cores: %g, memory_mb: %g}]\ngroups:\n", f.Cores, f.MemoryMB)
+	for _, k := range Usual() {
+		effect := "read-only"
+		if k.Load {
+			effect = "mutating"
+		}
+		fmt.Fprintf(&b, "  - {name: %s, threads: %g, value: %g, target: %v, stretch: 2, effect: %s, in_order: %t, load: %t}\n",
+			k.Name, k.Threads, k.Value, k.Target, effect, k.Load, k.Load)
+	}
+	b.WriteString("clients:\n  - {name: all, addresses: [127.0.0.0/8], open: 4096, messages: 20000, idle: 1m}\n")
+	b.WriteString("fairness:\n  fields: {team: team, tell: tell, again: first}\n  trusted: [127.0.0.0/8]\n  teams:\n")
+	kind := ""
+	for _, x := range trialTeams {
+		if x.kind != kind {
+			kind = x.kind
+			fmt.Fprintf(&b, "    - name: %s\n      weight: %d\n      teams:\n", kind, x.kindW)
+		}
+		fmt.Fprintf(&b, "        - {name: %s, weight: %d}\n", x.name, x.teamW)
+	}
+	return b.String()
+}
+
+// trialQuery is one query of a trial.
+type trialQuery struct {
+	team          int
+	id            string
+	work          engine.Work
+	at            time.Time
+	told          time.Duration
+	started, over time.Time
+	answer        caller.Kind
+}
+
+// trialLog keeps what the clients and engines saw.
+type trialLog struct {
+	mu   sync.Mutex
+	byID map[string]*trialQuery
+	all  []*trialQuery
+}
+
+// Run plays it and gives what was seen of each team.
+func (t *Trial) Run(ctx context.Context) (rows []Row, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	seen := &trialLog{byID: map[string]*trialQuery{}}
+	var list feed.Log
+	var entries []feed.Engine
+	for i := range t.Engines {
+		e, err := engine.Listen(ctx, "127.0.0.1:0", trialEngine(), false)
+		if err != nil {
+			return nil, err
+		}
+		defer e.Close()
+		e.Do(func(_ time.Duration, s *engine.Server) {
+			s.Posted = func(id, _ string, _ int, _ time.Duration) {
+				seen.mu.Lock()
+				if q := seen.byID[id]; q != nil && q.started.IsZero() {
+					q.started = time.Now()
+				}
+				seen.mu.Unlock()
+			}
+		})
+		entries = append(entries, feed.Engine{ID: fmt.Sprintf("e%d", i), HostPort: e.Addr().String(), Locality: "here", Flavor: "std",
+			Cell: 1, Phase: "SERVING", Size: 1})
+	}
+	list.Tell(true, entries...)
+	f, err := feed.Listen(ctx, "127.0.0.1:0", &list)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "railrelay-try")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "try.yaml")
+	if err := os.WriteFile(path, []byte(t.setup(f.Addr().String(), address)), 0o600); err != nil {
+		return nil, err
+	}
+	program := exec.CommandContext(ctx, t.Program, "serve", "--setup", path)
+	program.Stderr = t.Log
+	if err := program.Start(); err != nil {
+		return nil, err
+	}
+	defer func() {
+		program.Process.Signal(syscall.SIGTERM)
+		ended := make(chan error, 1)
+		go func() { ended <- program.Wait() }()
+		select {
+		case e := <-ended:
+			if e != nil && err == nil {
+				err = fmt.Errorf("the controller ended badly: %w", e)
+			}
+		case <-time.After(40 * time.Second):
+			program.Process.Kill()
+			err = errors.New("the controller didn't end")
+		}
+	}()
+	if err := ready(ctx, address); err != nil {
+		return nil, err
+	}
+	var wg sync.WaitGroup
+	faults := make([]error, len(trialTeams))
+	for i := range trialTeams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			faults[i] = t.client(ctx, address, i, seen)
+		}()
+	}
+	wg.Wait()
+	if err := errors.Join(faults...); err != nil {
+		return nil, err
+	}
+	return t.rows(seen), nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// ready waits until a controller says that it is.
+func ready(ctx context.Context, address string) error {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.SetDeadline(time.Now().Add(time.Second))
+			c.Write(caller.Alive(nil, 1))
+			p := make([]byte, 64)
+			n, _ := c.Read(p)
+			c.Close()
+			if a, _, err := caller.Read(p[:n]); err == nil && a.Ready {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return errors.New("the controller isn't ready after 20 s")
+}
+
+// client asks for one team's queries at its rate, whatever the answers, and reads
+// these until all are there.
+func (t *Trial) client(ctx context.Context, address string, team int, seen *trialLog) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	rng := rand.New(rand.NewPCG(t.Seed, uint64(team)+100))
+	kinds, mean := Usual(), 0.0
+	for _, k := range kinds {
+		mean += k.Share * k.CPU.Seconds()
+	}
+	rate := trialTeams[team].asks * float64(t.Engines) * trialEngine().Cores / mean
+	var mu sync.Mutex
+	open := map[uint32]*trialQuery{}
+	asking := true
+	done := make(chan error, 1)
+	go func() {
+		var in []byte
+		p := make([]byte, 64<<10)
+		for {
+			n, err := c.Read(p)
+			in = append(in, p[:n]...)
+			for {
+				a, took, bad := caller.Read(in)
+				if bad != nil {
+					done <- fmt.Errorf("team %s: %w", trialTeams[team].name, bad)
+					return
+				}
+				if took == 0 {
+					break
+				}
+				in = append([]byte{}, in[took:]...)
+				mu.Lock()
+				q := open[a.Msg]
+				if q != nil {
+					seen.mu.Lock()
+					if a.Kind == caller.Told {
+						if q.told < 0 {
+							q.told = a.Wait
+						}
+					} else {
+						q.answer, q.over = a.Kind, time.Now()
+						delete(open, a.Msg)
+					}
+					seen.mu.Unlock()
+				}
+				over := !asking && len(open) == 0
+				mu.Unlock()
+				if over {
+					done <- nil
+					return
+				}
+			}
+			if err != nil {
+				done <- fmt.Errorf("team %s: %w", trialTeams[team].name, err)
+				return
+			}
+		}
+	}()
+	start := time.Now()
+	next := start
+	for msg := uint32(1); ; msg++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / rate * 1e9))
+		if next.Sub(start) > t.Long {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-done:
+			return err
+		case <-time.After(time.Until(next)):
+		}
+		x, k := rng.Float64(), kinds[0]
+		for _, k = range kinds {
+			if x -= k.Share; x < 0 {
+				break
+			}
+		}
+		w := engine.Work{Threads: k.Threads, MemoryMB: k.MemoryMB, Tables: int64(rng.IntN(100)), Load: k.Load, Rows: k.Rows,
+			CPU: time.Duration(float64(k.CPU) * math.Exp(rng.NormFloat64()*k.Spread-k.Spread*k.Spread/2))}
+		q := &trialQuery{team: team, id: fmt.Sprintf("%08x%08x", team+1, msg), work: w, at: time.Now(), told: -1}
+		fields := []string{"trace", q.id, "patience", fmt.Sprint(k.Patience.Milliseconds()), "team", trialTeams[team].name, "tell", "1"}
+		if k.Load {
+			fields = append(fields, "entity", fmt.Sprintf("k%d", rng.IntN(1000)))
+		}
+		seen.mu.Lock()
+		seen.byID[q.id], seen.all = q, append(seen.all, q)
+		seen.mu.Unlock()
+		mu.Lock()
+		open[msg] = q
+		mu.Unlock()
+		if _, err := c.Write(caller.Call(nil, msg, k.Name, engine.Statement(w), fields...)); err != nil {
+			return err
+		}
+	}
+	mu.Lock()
+	asking = false
+	none := len(open) == 0
+	mu.Unlock()
+	if none {
+		return nil
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(30 * time.Second):
+		return fmt.Errorf("team %s: answers are missing", trialTeams[team].name)
+	}
+}
+
+func (t *Trial) rows(seen *trialLog) []Row {
+	rows := make([]Row, len(trialTeams))
+	all := 0.0
+	weights := 0.0
+	for _, x := range trialTeams {
+		weights += x.share
+	}
+	within, of := make([]int, len(rows)), make([]int, len(rows))
+	for _, q := range seen.all {
+		r := &rows[q.team]
+		r.Asked++
+		switch q.answer {
+		case caller.Finished:
+			r.Finished++
+			r.Share += q.work.CPU.Seconds()
+			all += q.work.CPU.Seconds()
+		case caller.Deferred:
+			r.Deferred++
+		case caller.Killed:
+			r.Killed++
+		}
+		if q.started.IsZero() {
+			continue
+		}
+		told, had := max(0, q.told), q.started.Sub(q.at)
+		of[q.team]++
+		r.Told += told
+		r.Had += had
+		if (told - had).Abs() <= max(25*time.Millisecond, had/5) {
+			within[q.team]++
+		}
+	}
+	for i := range rows {
+		n := max(1, of[i])
+		rows[i].Team, rows[i].Weight = trialTeams[i].name, trialTeams[i].share/weights
+		rows[i].Share /= max(all, 1e-9)
+		rows[i].Told /= time.Duration(n)
+		rows[i].Had /= time.Duration(n)
+		rows[i].Within = float64(within[i]) / float64(n)
+	}
+	return rows
+}
+
+// PrintRows writes a table by team.
+func PrintRows(out io.Writer, rows []Row) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "team\tasked\tfinished\tdeferred\tkilled\tshare\tby weight\twait told\twait had\twithin 20%\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3fs\t%.3fs\t%.2f\t\n", r.Team, r.Asked, r.Finished, r.Deferred, r.Killed,
+			r.Share, r.Weight, r.Told.Seconds(), r.Had.Seconds(), r.Within)
+	}
+	w.Flush()
+}
