--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -54,9 +54,9 @@
 const amendsPart = float64(owedSpan) / float64(amendsSpan)
 
 const (
-	profileMost = 32
+	profileMost = 16
 	profileAge  = 20 * time.Millisecond
-	rounds      = 5
+	rounds      = 4
 )
 
 func (c *Core) profile(i int) *profile {
@@ -300,7 +300,7 @@
 	if need := ahead + w.est - tokens; need > 0 {
 		t = max(t, min(need/max(refilled-elsewhere, refilled/10), fluid(true)))
 	}
-	return t * l.bias()
+	return t
 }
 
 // tokensOf is the tightest budget over a team: what is left, and what comes back
@@ -344,6 +344,9 @@
 				by = max(by, min(over(last), t+min(run, chainHeld)))
 			}
 		}
+		if x, ok := c.links[w.Chain]; ok {
+			by = max(by, min(max(0, x.until-c.now), t+chainHeld))
+		}
 	}
 	return by
 }
@@ -351,6 +354,29 @@
 // chainHeld is how long the decisions hold a load behind another of its tables.
 const chainHeld = time.Second
 
+// chainLink is what of a chain was handed on and isn't over.
+type chainLink struct {
+	out   int
+	until time.Duration // when it should be
+}
+
+// linked counts a load that was handed on, unlinked one that is over.
+func (c *Core) linked(w *Waiter, l *lane) {
+	x := c.links[w.Chain]
+	x.out++
+	x.until = max(x.until, c.now) + seconds(c.runs(l))
+	c.links[w.Chain] = x
+}
+
+func (c *Core) unlinked(w *Waiter) {
+	if x := c.links[w.Chain]; x.out > 1 {
+		x.out--
+		c.links[w.Chain] = x
+	} else {
+		delete(c.links, w.Chain)
+	}
+}
+
 // lastBefore is the one before w, or the last if w isn't in the line yet.
 func (x *line) lastBefore(w *Waiter, kind int) *Waiter {
 	if w.links[kind].line == x {
@@ -359,22 +385,6 @@
 	return x.last
 }
 
-// bias corrects what the model leaves out, by how its estimates came out of late.
-func (l *lane) bias() float64 { return math.Exp(l.off.value) }
-
-// learn compares the first estimate of one that started with what it waited.
-func (l *lane) learn(told, had time.Duration) {
-	const least = 125 * time.Millisecond
-	if told < least || had < least/2 {
-		return
-	}
-	// what was told held the bias of then; small steps find the rest
-	err := math.Log(had.Seconds() / told.Seconds())
-	l.off.value = min(0.5, max(-0.5, l.off.value+biasStep*min(1, max(-1, err))))
-}
-
-const biasStep = 0.004
-
 // First is the first estimate of a query that Enter took, once all that may go
 // at once went: nothing if it started, else what Enter told, and for one that was
 // handed on and not sent the time to the lane's next start.
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -98,7 +98,6 @@
 	cost           mean // thread seconds of a query
 	stretch        mean // time taken over time alone
 	run            mean // seconds from start to end
-	off            mean // of estimates, as a logarithm
 	profile        profile
 	running        int
 	handed         int     // handed on and not sent
@@ -153,6 +152,7 @@
 	waiting  int
 	refills  refillHeap
 	lines    map[lineID]*line
+	links    map[int64]chainLink
 	spare    *line // to use again
 	again    memory
 	cores    float64
@@ -176,7 +176,7 @@
 
 // New makes a core. The shape must have passed Check.
 func New(shape Shape) *Core {
-	c := &Core{lines: map[lineID]*line{}, cores: 1}
+	c := &Core{lines: map[lineID]*line{}, links: map[int64]chainLink{}, cores: 1}
 	c.root = &node{weight: 1}
 	c.reshape(shape)
 	return c
@@ -246,7 +246,7 @@
 func (c *Core) Waiting() int { return c.waiting }
 
 // Known is how many teams have state, for the bounds on memory.
-func (c *Core) Known() int { return c.nodes + len(c.lines) + c.again.len() }
+func (c *Core) Known() int { return c.nodes + len(c.lines) + len(c.links) + c.again.len() }
 
 func (c *Core) at(now time.Duration) {
 	c.now = max(c.now, now)
@@ -623,6 +623,9 @@
 	c.unqueue(w, l)
 	w.state = passed
 	c.went(w.Lane, w.est)
+	if l.Chained {
+		c.linked(w, l)
+	}
 	if l.busy {
 		c.level.add(c.remains(), 100)
 	}
@@ -723,7 +726,6 @@
 	had := c.now - w.entered
 	l := &c.lanes[w.Lane]
 	l.unpass(w)
-	l.learn(w.Estimate, had)
 	n := &w.leaf.counts
 	n.Started++
 	n.Told += w.Estimate
@@ -805,6 +807,9 @@
 	if end != Finished {
 		c.remember(w)
 	}
+	if l.Chained && (w.state == passed || w.state == running) {
+		c.unlinked(w)
+	}
 	w.state = away
 	c.part(w, 0)
 	c.vacate(n)
--- /dev/null
+++ b/internal/lab/speed_test.go
@@ -0,0 +1,5 @@
+package lab
+
+import "testing"
+
+func BenchmarkFair(b *testing.B) { SpeedFair(10_000, 100_000, b.N) }
