--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -41,7 +41,15 @@
 	try.Flags().StringVar(&trial.Program, "program", "bin/railrelay", "the controller")
 	try.Flags().DurationVar(&trial.Long, "for", 20*time.Second, "how long to ask")
 	try.Flags().Uint64Var(&trial.Seed, "seed", 1, "what is drawn at random follows from")
-	root.AddCommand(measure, try)
+	turns := 3
+	speed := &cobra.Command{Use: "speed", Short: "queries a second with fairness on and off, on sockets", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := lab.SpeedOnSockets(c.Context(), c.OutOrStdout(), trial.Program, 3*time.Second, turns)
+			return err
+		}}
+	speed.Flags().StringVar(&trial.Program, "program", "bin/railrelay", "the controller")
+	speed.Flags().IntVar(&turns, "turns", 3, "of three seconds each, on and off")
+	root.AddCommand(measure, try, speed)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
 	}
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -133,7 +133,7 @@
 	AllFull         // too many wait in all
 )
 
-var refusals = [...]string{"", "would start too late", "would wait longer than any may", "too many of its team wait", "too many wait"}
+var refusals = [...]string{"", "it would start too late", "it would wait longer than any may", "too many of its team wait", "too many wait"}
 
 func (r Refusal) String() string { return refusals[r] }
 
--- a/internal/lab/try.go
+++ b/internal/lab/try.go
@@ -105,52 +105,77 @@
 
 // Run plays it and gives what was seen of each team.
 func (t *Trial) Run(ctx context.Context) (rows []Row, err error) {
+	seen := &trialLog{byID: map[string]*trialQuery{}}
+	err = t.with(ctx, t.setup, func(id string) {
+		seen.mu.Lock()
+		if q := seen.byID[id]; q != nil && q.started.IsZero() {
+			q.started = time.Now()
+		}
+		seen.mu.Unlock()
+	}, func(ctx context.Context, address string) error {
+		var wg sync.WaitGroup
+		faults := make([]error, len(trialTeams))
+		for i := range trialTeams {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				faults[i] = t.client(ctx, address, i, seen)
+			}()
+		}
+		wg.Wait()
+		return errors.Join(faults...)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return t.rows(seen), nil
+}
+
+// with has something done with engines, a feed and a controller of a set-up, which
+// setup writes for the feed's address and the one to listen on.
+func (t *Trial) with(ctx context.Context, setup func(feedAddress, listen string) string, posted func(id string),
+	do func(ctx context.Context, address string) error) (err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	seen := &trialLog{byID: map[string]*trialQuery{}}
 	var list feed.Log
 	var entries []feed.Engine
 	for i := range t.Engines {
 		e, err := engine.Listen(ctx, "127.0.0.1:0", trialEngine(), false)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		defer e.Close()
-		e.Do(func(_ time.Duration, s *engine.Server) {
-			s.Posted = func(id, _ string, _ int, _ time.Duration) {
-				seen.mu.Lock()
-				if q := seen.byID[id]; q != nil && q.started.IsZero() {
-					q.started = time.Now()
-				}
-				seen.mu.Unlock()
-			}
-		})
+		if posted != nil {
+			e.Do(func(_ time.Duration, s *engine.Server) {
+				s.Posted = func(id, _ string, _ int, _ time.Duration) { posted(id) }
+			})
+		}
 		entries = append(entries, feed.Engine{ID: fmt.Sprintf("e%d", i), HostPort: e.Addr().String(), Locality: "here", Flavor: "std",
 			Cell: 1, Phase: "SERVING", Size: 1})
 	}
 	list.Tell(true, entries...)
 	f, err := feed.Listen(ctx, "127.0.0.1:0", &list)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer f.Close()
 	address, err := freeAddress()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	dir, err := os.MkdirTemp("", "railrelay-try")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "try.yaml")
-	if err := os.WriteFile(path, []byte(t.setup(f.Addr().String(), address)), 0o600); err != nil {
-		return nil, err
+	if err := os.WriteFile(path, []byte(setup(f.Addr().String(), address)), 0o600); err != nil {
+		return err
 	}
 	program := exec.CommandContext(ctx, t.Program, "serve", "--setup", path)
 	program.Stderr = t.Log
 	if err := program.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	defer func() {
 		program.Process.Signal(syscall.SIGTERM)
@@ -167,22 +192,9 @@
 		}
 	}()
 	if err := ready(ctx, address); err != nil {
-		return nil, err
-	}
-	var wg sync.WaitGroup
-	faults := make([]error, len(trialTeams))
-	for i := range trialTeams {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			faults[i] = t.client(ctx, address, i, seen)
-		}()
-	}
-	wg.Wait()
-	if err := errors.Join(faults...); err != nil {
-		return nil, err
+		return err
 	}
-	return t.rows(seen), nil
+	return do(ctx, address)
 }
 
 func freeAddress() (string, error) {
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -105,7 +105,7 @@
 	v := f.core.Enter(f.now, w)
 	if !v.Taken {
 		f.sayOf(About{Query: q.id, Group: q.group.name, Team: f.core.Team(w.Team)},
-			"deferred: it "+v.Why.String()+", "+v.Estimate.String())
+			"deferred: "+v.Why.String()+", "+v.Estimate.String())
 		f.deferred(q, f.pause(v.Estimate))
 		return
 	}
