A sample of rivals is looked at once in 20 ms; the speed measurement reuses what went out

One in and one out took 2.6 us with 10,000 teams and 100,000 waiting: the sampled rivals' standing was read anew for each query, from cold memory.

--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -46,6 +46,7 @@
 	at     time.Duration
 	teams  int // how many waited when it was made
 	scale  float64
+	fresh  bool    // its rivals' standing was looked at since
 	idle   float64 // the rate of those of whom none wait
 	scanAt int
 }
@@ -68,7 +69,7 @@
 	}
 	p.at, p.teams, p.rivals, p.scanAt = max(1, c.now), l.teams, p.rivals[:0], 0
 	step := max(1, (l.teams+profileMost-1)/profileMost)
-	p.scale = float64(step)
+	p.scale, p.fresh = float64(step), false
 	c.gather(p, c.root, i, 1, step)
 	waiting := 0.0
 	for _, r := range p.rivals {
@@ -240,11 +241,15 @@
 	}
 	owed := n.owed[w.Lane] + n.amends*amendsPart
 	for k := range p.rivals {
+		if p.scale > 1 && p.fresh { // a sample is as good a few ms later
+			break
+		}
 		r := &p.rivals[k]
 		r.owed = r.n.owed[w.Lane] + r.n.amends*amendsPart
 		r.lead, r.backlog = r.n.lead(w.Lane), r.n.backlog[w.Lane]
 	}
 	excess := c.excess()
+	p.fresh = true
 	fixed := excess + l.passed + ahead
 	bound := math.Inf(1) // until nothing waits at all
 	all, come := fixed, 0.0
--- a/internal/lab/fairness.go
+++ b/internal/lab/fairness.go
@@ -2,13 +2,13 @@
 package lab
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strconv"
 	"time"
@@ -510,14 +510,7 @@
 		s.Teams = append(s.Teams, k)
 	}
 	c := fair.New(s)
-	all := make([]fair.Waiter, waiting+rounds+1)
-	of := make([]int, 0, teams)
-	for i := range 100 {
-		for j := range teams / 100 {
-			of = append(of, c.Whose(netip.MustParseAddr("10.0.0.1"), fmt.Appendf(nil, "t%d-%d", i, j)))
-		}
-	}
-	_ = of
+	all := make([]fair.Waiter, waiting+1)
 	rng := rand.New(rand.NewPCG(1, 1))
 	now := time.Duration(1)
 	enter := func(w *fair.Waiter) {
@@ -530,13 +523,21 @@
 	for i := range waiting {
 		enter(&all[i])
 	}
+	free := []*fair.Waiter{&all[waiting]} // one goes out for each that comes in, or nearly
+	runtime.GC()
 	start := time.Now()
 	for i := range rounds {
 		now += 10 * time.Microsecond
-		enter(&all[waiting+i])
+		if len(free) == 0 {
+			free = append(free, &fair.Waiter{})
+		}
+		last := len(free) - 1
+		enter(free[last])
+		free = free[:last]
 		if w := c.Next(now, i%2); w != nil {
 			c.Started(now, w)
 			c.Ended(now, w, fair.Finished, 0, 0)
+			free = append(free, w)
 		}
 	}
 	return float64(time.Since(start).Microseconds()) / float64(rounds)
@@ -548,5 +549,3 @@
 	n = max(n, 0)
 	return n/100*101 + n%100 + 1
 }
-
-var _ = cmp.Compare[int]
