--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -94,12 +94,7 @@
 			if p.scanAt++; p.scanAt%step != 0 && step > 1 {
 				continue
 			}
-			r := rival{n: x, share: e, rate: x.rate[i].per(c.now), elsewhere: x.overrun, tokens: math.Inf(1)}
-			for k := range x.rate {
-				if k != i {
-					r.elsewhere += x.rate[k].per(c.now)
-				}
-			}
+			r := rival{n: x, share: e, rate: x.rate[i].per(c.now), elsewhere: x.elsewhere(c.now, i), tokens: math.Inf(1)}
 			for up := x; up.parent != nil; up = up.parent {
 				if up.budget > 0 {
 					t := up.tokens + up.budget*(c.now-up.tokensAt).Seconds()
@@ -135,6 +130,20 @@
 	return sum
 }
 
+// elsewhere is the rate at which a team is charged beside what it asks for in a lane.
+func (n *node) elsewhere(now time.Duration, lane int) float64 {
+	sum := n.overrun
+	for k := range n.rate {
+		if k != lane {
+			sum += n.rate[k].per(now)
+		}
+	}
+	return sum
+}
+
+// owes is what it is charged in a lane by and by, as fast as debts are.
+func (n *node) owes(lane int) float64 { return n.owed[lane] + n.amends*amendsPart }
+
 func (n *node) share() float64 {
 	part := 1.0
 	for x := n; x.parent != nil; x = x.parent {
@@ -174,12 +183,9 @@
 		if k == i || c.lanes[k].waiting == 0 || c.lanes[i].waiting == 0 {
 			continue
 		}
+		c.pairs[i*n+k][0] += work
+		c.pairs[k*n+i][1] += work
 		for _, p := range []*[2]float64{&c.pairs[i*n+k], &c.pairs[k*n+i]} {
-			if p == &c.pairs[i*n+k] {
-				p[0] += work
-			} else {
-				p[1] += work
-			}
 			if sum := p[0] + p[1]; sum > pairsKeep {
 				p[0], p[1] = p[0]*pairsKeep/sum, p[1]*pairsKeep/sum
 			}
@@ -230,22 +236,17 @@
 	p := c.profile(w.Lane)
 	n := w.leaf
 	flow := c.capacity()
-	share, lead, elsewhere := n.share(), 0.0, n.overrun
+	share, lead, elsewhere := n.share(), 0.0, n.elsewhere(c.now, w.Lane)
 	if n.busy > 0 {
 		lead = n.lead(w.Lane)
 	}
-	for k := range n.rate {
-		if k != w.Lane {
-			elsewhere += n.rate[k].per(c.now)
-		}
-	}
-	owed := n.owed[w.Lane] + n.amends*amendsPart
+	owed := n.owes(w.Lane)
 	for k := range p.rivals {
 		if p.scale > 1 && p.fresh { // a sample is as good a few ms later
 			break
 		}
 		r := &p.rivals[k]
-		r.owed = r.n.owed[w.Lane] + r.n.amends*amendsPart
+		r.owed = r.n.owes(w.Lane)
 		r.lead, r.backlog = r.n.lead(w.Lane), r.n.backlog[w.Lane]
 	}
 	excess := c.excess()
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -44,7 +44,6 @@
 	seen    float64 // of its work as it runs, for the capacity
 	ran     float64 // seconds since it began, as far as they were counted
 	lowered bool
-	repeats bool
 
 	Estimate time.Duration // first told
 	told     time.Duration // when it was last told to start
@@ -84,9 +83,38 @@
 	id   int64
 }
 
-// list is what may go of a leaf in a lane, oldest first.
+// list is what may go of a leaf in a lane, oldest first, or what runs.
 type list struct{ first, last *Waiter }
 
+// insert puts a query behind another, nil for the front.
+func (l *list) insert(w, at *Waiter) {
+	w.prev = at
+	if at != nil {
+		w.next, at.next = at.next, w
+	} else {
+		w.next, l.first = l.first, w
+	}
+	if w.next != nil {
+		w.next.prev = w
+	} else {
+		l.last = w
+	}
+}
+
+func (l *list) remove(w *Waiter) {
+	if w.prev != nil {
+		w.prev.next = w.next
+	} else {
+		l.first = w.next
+	}
+	if w.next != nil {
+		w.next.prev = w.prev
+	} else {
+		l.last = w.prev
+	}
+	w.prev, w.next = nil, nil
+}
+
 // lane is the state of one resource group.
 type lane struct {
 	Lane
@@ -94,12 +122,10 @@
 	waiting        int
 	busy, wasBusy  bool // it is at its capacity
 	full           bool // the decisions would take no more when last asked
-	fullAt         time.Duration
 	cost           mean // thread seconds of a query
 	stretch        mean // time taken over time alone
 	run            mean // seconds from start to end
 	profile        profile
-	running        int
 	handed         int     // handed on and not sent
 	passed         float64 // thread seconds of those
 	teams          int     // with a query that may go
@@ -270,12 +296,11 @@
 	l := &c.lanes[w.Lane]
 	n := c.node(w.Team)
 	w.leaf, w.entered, w.Arrived = n, c.now, c.now
-	w.repeats = false
 	n.counts.Asked++
 	c.Total.Asked++
 	if w.Again != 0 {
 		if was, ok := c.again.take(w.Again); ok && was.team == w.Team {
-			w.Arrived, w.credit, w.repeats = was.arrived, was.charged, true
+			w.Arrived, w.credit = was.arrived, was.charged
 			n.counts.Repeated++
 			c.Total.Repeated++
 		}
@@ -481,17 +506,7 @@
 	for at != nil && older(w, at) {
 		at = at.prev
 	}
-	w.prev = at
-	if at != nil {
-		w.next, at.next = at.next, w
-	} else {
-		w.next, l.first = l.first, w
-	}
-	if w.next != nil {
-		w.next.prev = w
-	} else {
-		l.last = w
-	}
+	l.insert(w, at)
 	w.inLeaf = true
 	c.more(n, w.Lane)
 	if x := w.links[1].line; x != nil && x.first == w && x.parked > 0 {
@@ -507,18 +522,8 @@
 	if !w.inLeaf {
 		return
 	}
-	l := &w.leaf.lists[w.Lane]
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		l.first = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		l.last = w.prev
-	}
-	w.prev, w.next, w.inLeaf = nil, nil, false
+	w.leaf.lists[w.Lane].remove(w)
+	w.inLeaf = false
 	c.less(w.leaf, w.Lane)
 }
 
@@ -635,10 +640,9 @@
 	w.remains, w.served = w.est, c.service
 	w.charged = max(0, w.est-w.credit)
 	c.charge(w.leaf, w.Lane, w.charged)
-	l.running++
 	l.handed++
 	l.passed += w.est
-	c.run(w)
+	c.running.insert(w, c.running.last)
 }
 
 // unqueue takes a query out of all that it waits in.
@@ -673,30 +677,6 @@
 	}
 }
 
-// run appends to the running list.
-func (c *Core) run(w *Waiter) {
-	if w.prev = c.running.last; w.prev != nil {
-		w.prev.next = w
-	} else {
-		c.running.first = w
-	}
-	c.running.last, w.next = w, nil
-}
-
-func (c *Core) unrun(w *Waiter) {
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		c.running.first = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		c.running.last = w.prev
-	}
-	w.prev, w.next = nil, nil
-}
-
 // Full tells whether the decisions would take no more of a lane.
 func (c *Core) Full(now time.Duration, i int, full bool) {
 	c.at(now)
@@ -762,18 +742,16 @@
 	case waits:
 		c.unqueue(w, l)
 	case passed: // never sent: it took nothing
-		c.unrun(w)
+		c.running.remove(w)
 		c.inFlight -= w.remains
 		c.threads -= l.Threads
-		l.running--
 		l.unpass(w)
 		c.charge(n, w.Lane, -w.charged)
 		w.charged = 0
 	case running:
-		c.unrun(w)
+		c.running.remove(w)
 		c.inFlight -= w.remains
 		c.threads -= l.Threads
-		l.running--
 		if took := (c.now - w.began).Seconds(); end == Finished {
 			l.run.add(took, 200)
 			if work > 0 {
--- a/internal/fair/means.go
+++ b/internal/fair/means.go
@@ -78,16 +78,15 @@
 	return r.value
 }
 
-// flow measures how much a lane lets go a second while more is waiting than it
-// takes: that is its capacity, and nothing else is. Two memories, a short and a
-// long one: the long one serves until the short one knows enough.
+// flow measures an amount a second while queries wait, and at no other time: that
+// is what the engines can do.
 type flow struct {
-	amount, span [2]float64
+	amount, span float64
 	at           time.Duration
 	isFull       bool
 }
 
-var flowSpans = [2]float64{1.2, 20}
+const flowSpan = 20.0 // seconds of waiting that it remembers, about
 
 func (f *flow) pass(now time.Duration) {
 	dt := (now - f.at).Seconds()
@@ -98,12 +97,9 @@
 	if !f.isFull {
 		return // what was learned keeps, and what goes now says nothing
 	}
-	dt = min(dt, 1)
-	for i, tau := range flowSpans {
-		k := math.Exp(-dt / tau)
-		f.amount[i] *= k
-		f.span[i] = f.span[i]*k + tau*(1-k)
-	}
+	k := math.Exp(-min(dt, 1) / flowSpan)
+	f.amount *= k
+	f.span = f.span*k + flowSpan*(1-k)
 }
 
 func (f *flow) full(now time.Duration, full bool) {
@@ -114,21 +110,16 @@
 func (f *flow) add(now time.Duration, x float64) {
 	f.pass(now)
 	if f.isFull {
-		f.amount[0] += x
-		f.amount[1] += x
+		f.amount += x
 	}
 }
 
 // per is the rate; known says for how many seconds it was seen of late.
 func (f *flow) per() (r, known float64) {
-	if f.span[1] < 1e-9 {
+	if f.span < 1e-9 {
 		return 0, 0
 	}
-	long := f.amount[1] / f.span[1]
-	if f.span[0] < 1e-9 {
-		return long, 0
-	}
-	return long, f.span[1]
+	return f.amount / f.span, f.span
 }
 
 // memory keeps what repeats of calls need, bounded in number and age.
