--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -290,9 +290,7 @@
 			}
 			m.check()
 		}
-		for _, j := range asking { // nothing is lost: whoever was taken goes in the end
-			_ = j
-		}
+		// nothing is lost: whoever was taken goes in the end
 		m.until(m.now + 10*time.Minute)
 		for _, j := range asking {
 			if !j.started && !j.done {
@@ -528,9 +526,8 @@
 	}
 	m.until(m.now + 4*time.Second)
 	// charged once although the first of it was killed halfway
-	killed := m.ask("a", 1, 0.6, func(j *job) { j.Self = 6 })
+	m.ask("a", 1, 0.6, func(j *job) { j.Self = 6 })
 	m.until(m.now + 10*time.Second)
-	_ = killed
 	n := m.c.plans[m.team("a")].at
 	before := n.counts.Charged
 	one := m.ask("a", 1, 0.6, func(j *job) { j.Self = 7 })
--- a/internal/lab/fairness.go
+++ b/internal/lab/fairness.go
@@ -125,8 +125,6 @@
 	lastStart          map[string]time.Duration
 	from               int // those before are over
 	MaxGap             time.Duration
-	Starts             map[string]int
-	Used               map[string]float64 // core seconds of queries that started
 }
 
 // NewNight makes one. shape nil: the program without teams.
@@ -143,8 +141,7 @@
 		shape.Teams, shape.Trusted = teams, []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
 	}
 	n := &Night{Kinds: kinds, rng: rand.New(rand.NewPCG(seed, 2)), conns: map[string]*world.Client{}, capac: float64(engines) * f.Cores,
-		fair: shape != nil, gapSince: map[string]time.Duration{}, waiting: map[string]int{}, lastStart: map[string]time.Duration{}, Starts: map[string]int{},
-		Used: map[string]float64{}}
+		fair: shape != nil, gapSince: map[string]time.Duration{}, waiting: map[string]int{}, lastStart: map[string]time.Duration{}}
 	leaves(teams, 1, func(name string, share float64) {
 		n.Names, n.Shares = append(n.Names, name), append(n.Shares, share)
 	})
@@ -270,6 +267,11 @@
 	n.At(from+time.Duration(n.rng.ExpFloat64()*mean*float64(time.Second)), next)
 }
 
+// holds: an estimate is within a fifth of the wait, or 25 ms of a short one.
+func holds(told, had time.Duration) bool {
+	return (told - had).Abs() <= max(25*time.Millisecond, had/5)
+}
+
 // Told is how well first estimates held.
 type Told struct {
 	Within, Of int
@@ -305,16 +307,12 @@
 		had, told := a.Started-a.At, max(0, a.Told)
 		waits = append(waits, had)
 		t.Of++
-		off := had - told
+		if holds(told, had) {
+			t.Within++
+		}
 		if had < 125*time.Millisecond {
-			if off.Abs() <= 25*time.Millisecond {
-				t.Within++
-			}
 			continue
 		}
-		if off.Abs() <= had/5 {
-			t.Within++
-		}
 		t.Worst = max(t.Worst, had.Seconds()/max(told.Seconds(), 0.025))
 	}
 	slices.Sort(waits)
@@ -514,8 +512,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	now := time.Duration(1)
 	enter := func(w *fair.Waiter) {
-		*w = fair.Waiter{Lane: rng.IntN(2), Team: rng.IntN(teams) + teams/100, Key: -1, Chain: -1, Until: time.Hour}
-		w.Team = teamAt(w.Team)
+		*w = fair.Waiter{Lane: rng.IntN(2), Team: teamAt(rng.IntN(teams)), Key: -1, Chain: -1, Until: time.Hour}
 		c.Enter(now, w)
 	}
 	c.Full(now, 0, true)
@@ -545,7 +542,5 @@
 
 // teamAt is the number of the n-th team of SpeedFair's tree: kinds stand between.
 func teamAt(n int) int {
-	n -= 100
-	n = max(n, 0)
 	return n/100*101 + n%100 + 1
 }
--- a/internal/lab/fairness_test.go
+++ b/internal/lab/fairness_test.go
@@ -15,9 +15,7 @@
 	"pgregory.net/rapid"
 
 	"railrelay.dev/railrelay/internal/fair"
-	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/standin/caller"
-	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/world"
 )
 
@@ -333,6 +331,3 @@
 		t.Fatal(table.String())
 	}
 }
-
-var _ = engine.Good
-var _ = relay.Stop
--- a/internal/lab/try.go
+++ b/internal/lab/try.go
@@ -370,7 +370,7 @@
 		of[q.team]++
 		r.Told += told
 		r.Had += had
-		if (told - had).Abs() <= max(25*time.Millisecond, had/5) {
+		if holds(told, had) {
 			within[q.team]++
 		}
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -533,7 +533,7 @@
 	if len(f.Trusted) > 0 && f.Fields.Team == "" {
 		c.wrong("fairness.trusted", "nothing to trust: fields.team names no field")
 	}
-	if shape := s(f); len(c.faults) == 0 {
+	if shape := shapeOf(f); len(c.faults) == 0 {
 		shape.Lanes = []fair.Lane{{}}
 		if err := shape.Check(); err != nil {
 			c.wrong("fairness.teams", "%v", err)
@@ -555,8 +555,8 @@
 	return owner{}, false
 }
 
-// s is the shape that fairness is given.
-func s(f *Fairness) *fair.Shape {
+// shapeOf is the shape that fairness is given.
+func shapeOf(f *Fairness) *fair.Shape {
 	var walk func(l []Team) []fair.Team
 	walk = func(l []Team) (all []fair.Team) {
 		for _, t := range l {
@@ -579,7 +579,7 @@
 			Idle: time.Duration(set.Idle), Whole: time.Duration(set.Message)})
 	}
 	if f := x.Fairness; f != nil {
-		m.Fair = s(f)
+		m.Fair = shapeOf(f)
 		m.Words = relay.Words{Team: f.Fields.Team, Wait: f.Fields.Tell, Again: f.Fields.Again}
 	}
 	return m
@@ -590,7 +590,7 @@
 	if x.Fairness == nil {
 		return nil
 	}
-	return s(x.Fairness)
+	return shapeOf(x.Fairness)
 }
 
 // Cores is how many the program may use.
