Estimates see crowds coming and take over what the last ones were off by

A crowd (three times the usual in 100 ms) is now seen, kept out of the usual rates and expected to go on as long as crowds lately did. Errors of short waits are taken over at once, of long ones slowly, by seven tenths and a quarter at most.

--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -54,6 +54,10 @@
 // amendsPart is how much of amends is paid while owedSpan's part of debts is.
 const amendsPart = float64(owedSpan) / float64(amendsSpan)
 
+// hardly is the part of a query's wait that a lane's queue may take which has all
+// it asks for meanwhile: it waits for moments only.
+const hardly = 0.05
+
 const (
 	profileMost = 16
 	profileAge  = 20 * time.Millisecond
@@ -166,6 +170,25 @@
 	return max(r-(c.overrun+c.overruns.value)/2, r/10, 1e-3)
 }
 
+// comes is the work that usually comes a second.
+func (c *Core) comes() (sum float64) {
+	for i := range c.lanes {
+		sum += c.lanes[i].comes.per(c.now)
+	}
+	return sum
+}
+
+// crowdLeast is how many queries of the largest lane at once are no crowd.
+const crowdLeast = 6
+
+// meanEst is what a query of the lane with the largest takes.
+func (c *Core) meanEst() (most float64) {
+	for i := range c.lanes {
+		most = max(most, c.lanes[i].cost.or(0))
+	}
+	return most
+}
+
 // against is how much of lane h goes while so much of lane g does, and both wait.
 func (c *Core) against(h, g int) float64 {
 	p := &c.pairs[g*len(c.lanes)+h]
@@ -174,7 +197,7 @@
 }
 
 // pairsKeep bounds the memory of pairs, in thread seconds.
-const pairsKeep = 200
+const pairsKeep = 25
 
 // went counts what goes of a lane against all others that wait too.
 func (c *Core) went(i int, work float64) {
@@ -218,6 +241,8 @@
 	} else if c.contended(w.Lane) {
 		t = c.way(w, w.leaf.backlog[w.Lane])
 	}
+	w.raw = t
+	t *= l.trim.by(c.now, t)
 	return max(seconds(t), c.inLine(w, l, seconds(t)))
 }
 
@@ -262,8 +287,9 @@
 			all += c.root.backlog[i] - ahead
 		}
 	}
+	times, left := c.crowd.times(c.now, come), c.crowd.left(c.now)
 	if come < 0.95*flow {
-		bound = all / (flow - come)
+		bound = (all + (times-1)*come*left) / (flow - come)
 	}
 	// twice: as its weight has it, and as one beyond its budget has it, behind all
 	// who are within theirs
@@ -273,6 +299,7 @@
 		for range rounds {
 			paid := t / (t + owedSpan.Seconds()) // of what is owed, about
 			level := max(0, ahead+lead+(owed+elsewhere*t/2)*paid) / share
+			ct := t + (times-1)*min(t, left) // as much comes by then as usually in ct
 			sum := fixed + p.idle*t
 			for k := range p.rivals {
 				r := &p.rivals[k]
@@ -283,15 +310,15 @@
 				if last && r.tokens > 0 {
 					x = math.Inf(1)
 				}
-				x = min(x, r.backlog+r.rate*t, max(0, r.tokens)+r.refilled*t)
+				x = min(x, r.backlog+r.rate*ct, max(0, r.tokens)+r.refilled*t)
 				sum += max(0, x) * p.scale
 			}
 			own := sum - excess
 			for i := range c.lanes {
-				if x := &c.lanes[i]; x != l && x.waiting == 0 && !x.full {
-					sum += x.comes.per(c.now) * t
+				if x := &c.lanes[i]; x != l && c.root.backlog[i] <= hardly*flow*t {
+					sum += c.root.backlog[i] + x.passed + x.comes.per(c.now)*ct
 				} else if x != l {
-					sum += min(c.against(i, w.Lane)*own, c.root.backlog[i]+x.passed+x.comes.per(c.now)*t)
+					sum += min(c.against(i, w.Lane)*own, c.root.backlog[i]+x.passed+x.comes.per(c.now)*ct)
 				}
 			}
 			t = min(bound, (t+2*sum/flow)/3)
@@ -417,6 +444,7 @@
 		if l.full {
 			t = c.solve(w, l, max(0, w.ahead-w.leaf.gone[w.Lane]))
 		}
+		t *= l.trim.by(c.now, t)
 		wait := max(seconds(t), c.inLine(w, l, seconds(t)))
 		left := max(0, w.told-c.now)
 		if change := max(wait-left, left-wait); change > retellLeast &&
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -35,6 +35,7 @@
 	leaf    *node
 	state   state
 	est     float64 // thread seconds it is thought to take
+	raw     float64 // seconds until its start, before what the lane's last ones taught
 	charged float64
 	credit  float64 // charged for what it repeats
 	began   time.Duration
@@ -130,6 +131,7 @@
 	passed         float64 // thread seconds of those
 	teams          int     // with a query that may go
 	comes          rate    // of those let in
+	trim           trim
 }
 
 // Counts are what happened to a team's queries.
@@ -187,6 +189,7 @@
 	overrun  float64 // thread time a second of queries far beyond their usual work
 	overruns mean    // of it, while queries wait
 	pairs    [][2]float64
+	crowd    crowd
 	level    mean    // work in flight when one that waited was let go
 	inFlight float64 // work left of what runs, at the last sweep
 	threads  float64 // that run
@@ -329,8 +332,9 @@
 		c.refuse(w, n)
 		return v
 	}
-	n.rate[w.Lane].add(c.now, w.est)
-	l.comes.add(c.now, w.est)
+	usual := w.est / c.crowd.add(c.now, w.est, c.comes(), crowdLeast*c.meanEst())
+	n.rate[w.Lane].add(c.now, usual)
+	l.comes.add(c.now, usual)
 	w.ahead = n.backlog[w.Lane] + n.gone[w.Lane]
 	if w.Ask && !w.listed && len(c.asking) < askingMost {
 		w.listed = true
@@ -707,6 +711,9 @@
 	had := c.now - w.entered
 	l := &c.lanes[w.Lane]
 	l.unpass(w)
+	if w.raw > 0 && !l.Chained && w.links[0].line == nil {
+		l.trim.add(c.now, w.raw, had.Seconds())
+	}
 	n := &w.leaf.counts
 	n.Started++
 	n.Told += w.Estimate
--- a/internal/fair/means.go
+++ b/internal/fair/means.go
@@ -38,7 +38,7 @@
 
 const (
 	rateSpan  = 8.0 // seconds that it remembers, about
-	crowdMost = 2.0
+	timesMost = 2.0
 )
 
 func (r *rate) add(now time.Duration, x float64) {
@@ -58,7 +58,7 @@
 		}
 		x := r.bucket
 		if r.seconds >= 2 {
-			x = min(x, crowdMost*r.value+r.largest)
+			x = min(x, timesMost*r.value+r.largest)
 		}
 		r.seconds++
 		r.value += (x - r.value) / min(float64(r.seconds), rateSpan)
