--- /dev/null
+++ b/internal/store/verify.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Checked is what a look at every record found.
+type Checked struct {
+	Segments, Records, Results, Pages int
+	Bytes, Dead                       int64
+	Faults                            []string // what is promised and not there, or spoilt
+}
+
+const faultsMost = 100
+
+// Verify reads every record of every segment, and every page that was promised.
+func (s *Store) Verify() (c Checked, err error) {
+	fault := func(format string, args ...any) {
+		if len(c.Faults) < faultsMost {
+			c.Faults = append(c.Faults, fmt.Sprintf(format, args...))
+		}
+	}
+	for _, n := range s.numbers() {
+		g := s.segments[n]
+		f, err := s.files.Open(g.name())
+		if err != nil {
+			return c, err
+		}
+		odd := int64(0)
+		err = walk(f, n, headSize, g.size, func(Record, place) error {
+			c.Records++
+			return nil
+		}, func(n int64) { odd += n })
+		f.Close()
+		if err != nil {
+			return c, err
+		}
+		if odd > 0 {
+			fault("%s: %d bytes are no records", g.name(), odd)
+		}
+		c.Segments++
+		c.Bytes += g.size
+		c.Dead += g.size - headSize - g.live
+	}
+	err = s.index.Each(func(m *Meta) error {
+		c.Results++
+		for i, at := range m.places {
+			c.Pages++
+			if _, err := s.read(at, m.Result); err != nil {
+				fault("result %016x of query %s, team %q: page %d of %d: %v", m.Result, m.Query, m.Team, i, len(m.places), err)
+			}
+		}
+		return nil
+	})
+	return c, err
+}
+
+// GC drops results that are past their life at a time, in milliseconds since 1970,
+// and compacts until nothing dead is left in what was closed.
+func (s *Store) GC(now int64) (dropped int, err error) {
+	var past []uint64
+	if err := s.index.Each(func(m *Meta) error {
+		if m.Ends <= now {
+			past = append(past, m.Result)
+		}
+		return nil
+	}); err != nil {
+		return 0, err
+	}
+	for l := range slices.Chunk(past, 512) {
+		if err := s.drop(l); err != nil {
+			return dropped, err
+		}
+		dropped += len(l)
+		if err := s.checkpoint(); err != nil {
+			return dropped, err
+		}
+	}
+	s.terms.Garbage = 0.01
+	for {
+		if more, err := s.Tick(); err != nil || !more {
+			return dropped, err
+		}
+	}
+}
