--- a/cmd/railrelay/main.go
+++ b/cmd/railrelay/main.go
@@ -21,6 +21,7 @@
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/run"
 	"railrelay.dev/railrelay/internal/setup"
+	"railrelay.dev/railrelay/internal/store"
 )
 
 func main() {
@@ -70,7 +71,7 @@
 	version := &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 		fmt.Fprintln(c.OutOrStdout(), "railrelay", built())
 	}}
-	root.AddCommand(serve, check, version)
+	root.AddCommand(serve, check, version, spoolCommand())
 	return root
 }
 
@@ -106,7 +107,7 @@
 }
 
 // listen runs a controller until it is done.
-func listen(address string, cores float64, means relay.Means, asked func(zerolog.Logger) <-chan relay.Event, log zerolog.Logger) error {
+func listen(address string, cores float64, means relay.Means, disk *store.Keeper, asked func(zerolog.Logger) <-chan relay.Event, log zerolog.Logger) error {
 	if address == "" {
 		return errors.New("no address to listen on")
 	}
@@ -116,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	return run.Serve(context.Background(), listener, means, asked(log), log)
+	return run.Serve(context.Background(), listener, means, disk, asked(log), log)
 }
 
 // follow turns signals into what they ask for; again reads the configuration anew.
@@ -151,7 +152,15 @@
 		return err
 	}
 	log := logger(have.Name, have.Log)
-	return listen(have.Listen, have.Cores(), have.Means(started), func(log zerolog.Logger) <-chan relay.Event {
+	means := have.Means(started)
+	disk, err := have.OpenSpool(&means, log)
+	if err != nil {
+		return err
+	}
+	if disk != nil {
+		defer disk.Close()
+	}
+	return listen(have.Listen, have.Cores(), means, disk, func(log zerolog.Logger) <-chan relay.Event {
 		return follow(signals, func() (relay.Event, error) {
 			next, err := setup.Load(path)
 			if err != nil {
--- a/cmd/railrelay/platform.go
+++ b/cmd/railrelay/platform.go
@@ -63,7 +63,7 @@
 	}
 	means := relay.Means{Seed: seed, MemoryMB: g.Limits.MemoryMB, Sockets: g.Limits.Sockets,
 		Feed: g.Feed, Known: g.Known, Facts: facts, Started: started}
-	return listen(address, g.Limits.Cores, means, func(log zerolog.Logger) <-chan relay.Event {
+	return listen(address, g.Limits.Cores, means, nil, func(log zerolog.Logger) <-chan relay.Event {
 		return follow(signals, func() (relay.Event, error) {
 			next, err := again(path, g, log)
 			if err != nil {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -12,6 +12,8 @@
 // keeps of a slice it must copy.
 type Hearer interface {
 	Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte, all Fields)
+	// Page asks for a page, by number, of a result that a token opens.
+	Page(msg uint32, token []byte, number int, all Fields)
 	Alive(msg uint32)
 	Left(msg uint32)
 	// Wrong is a call that can be answered but not understood.
@@ -84,6 +86,9 @@
 		}
 		return func() { h.Alive(msg) }
 	}
+	if string(method) == "page" && params == 1 {
+		return page(c, msg, h)
+	}
 	if params != 2 {
 		c.fail(errForm)
 		return nil
@@ -129,6 +134,25 @@
 	return func() { h.Query(msg, method, id, patience, key, key != nil, statement, all) }
 }
 
+// page reads a call for a page: its one parameter names a token and a number.
+func page(c *cursor, msg uint32, h Hearer) func() {
+	count, from := c.fields(), c.at
+	for n := count; n > 0 && c.err == nil; n-- {
+		c.str()
+		c.skip(0)
+	}
+	all := Fields{c.p[min(from, c.at):c.at], count}
+	number, err := strconv.ParseUint(string(all.Get("page")), 10, 31)
+	token := all.Get("token")
+	switch {
+	case len(token) == 0:
+		return func() { h.Wrong(msg, "no token") }
+	case err != nil:
+		return func() { h.Wrong(msg, "no page") }
+	}
+	return func() { h.Page(msg, token, int(number), all) }
+}
+
 // Fields are all fields of a call, for those that only some set-ups know.
 type Fields struct {
 	p     []byte
@@ -213,6 +237,30 @@
 	return append(dst, 0x80)
 }
 
+// Paging is what a client is told of a result that it reads page by page.
+type Paging struct {
+	Pages       int
+	Bytes, Rows int64
+	Token       string
+	Lasts       time.Duration // unless a page is read, from now
+}
+
+// Paged writes a finished query's first page and how to ask for the others. A result
+// of one page has no token.
+func Paged(dst []byte, msg uint32, first []byte, p Paging) []byte {
+	dst = append(appendWhole(append(dst, 0x94, 1), msg), 0xc0, 0x92)
+	dst = append(appendBinHead(dst, len(first)), first...)
+	pairs := []string{"pages", strconv.Itoa(p.Pages), "bytes", strconv.FormatInt(p.Bytes, 10), "rows", strconv.FormatInt(p.Rows, 10)}
+	if p.Pages > 1 {
+		pairs = append(pairs, "token", p.Token, "lasts", strconv.FormatInt(p.Lasts.Milliseconds(), 10))
+	}
+	dst = append(dst, 0x80|byte(len(pairs)/2))
+	for _, s := range pairs {
+		dst = appendStr(dst, s)
+	}
+	return dst
+}
+
 // Deferred writes that trying again is harmless, after a pause if one is named.
 func Deferred(dst []byte, msg uint32, pause time.Duration) []byte {
 	dst = appendStr(append(appendWhole(append(dst, 0x94, 1), msg), 0x92), "Throttled")
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -15,6 +15,9 @@
 func (n *notes) Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte, _ Fields) {
 	n.add("query %d %s %s %v %s %v %s", msg, group, id, patience, key, keyed, statement)
 }
+func (n *notes) Page(msg uint32, token []byte, number int, _ Fields) {
+	n.add("page %d %s %d", msg, token, number)
+}
 func (n *notes) Alive(msg uint32)             { n.add("alive %d", msg) }
 func (n *notes) Left(msg uint32)              { n.add("left %d", msg) }
 func (n *notes) Wrong(msg uint32, why string) { n.add("wrong %d %s", msg, why) }
--- /dev/null
+++ b/internal/lab/spool.go
@@ -0,0 +1,425 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"railrelay.dev/railrelay/internal/standin/caller"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/world"
+	"railrelay.dev/railrelay/internal/store"
+)
+
+// spoolSetup is a controller that keeps results in a directory; without one it is the
+// program as it was.
+func spoolSetup(t *Trial, s *stage, directory string) string {
+	text, _, _ := strings.Cut(t.setup(s.feed, s.address), "fairness:")
+	text = strings.Replace(text, "memory_mb: 256", "memory_mb: 64", 1)
+	if directory != "" {
+		text += fmt.Sprintf("spool: {field: pages, directory: %q, memory_mb: 8, disk_mb: 2048, team_share: 1, team_results: 10000}\n", directory)
+	}
+	return text
+}
+
+// reader is a client's connection that takes one answer at a time.
+type reader struct {
+	net.Conn
+	in   []byte
+	msg  uint32
+	pace int // bytes a second, 0: as fast as they come
+}
+
+func dial(address string, pace int) (*reader, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if pace > 0 {
+		c.(*net.TCPConn).SetReadBuffer(4096)
+	}
+	return &reader{Conn: c, pace: pace}, nil
+}
+
+func (r *reader) answer(ctx context.Context) (caller.Answer, error) {
+	p := make([]byte, 64<<10)
+	if r.pace > 0 {
+		p = p[:r.pace/4]
+	}
+	for {
+		if a, n, err := caller.Read(r.in); err != nil || n > 0 {
+			r.in = slices.Clone(r.in[n:])
+			return a, err
+		}
+		if r.pace > 0 {
+			select {
+			case <-ctx.Done():
+				return caller.Answer{}, ctx.Err()
+			case <-time.After(time.Second / 4):
+			}
+		}
+		n, err := r.Read(p)
+		if r.in = append(r.in, p[:n]...); err != nil {
+			return caller.Answer{}, err
+		}
+	}
+}
+
+func (r *reader) ask(id string, rows int, paged bool) error {
+	r.msg++
+	fields := []string{"trace", id, "patience", "12000"}
+	if paged {
+		fields = append(fields, "pages", "1")
+	}
+	_, err := r.Write(caller.Call(nil, r.msg, "report", engine.Statement(engine.Work{Threads: 1, CPU: 2 * time.Millisecond, MemoryMB: 10, Rows: rows}), fields...))
+	return err
+}
+
+func (r *reader) page(ctx context.Context, token string, page int) (caller.Answer, error) {
+	r.msg++
+	if _, err := r.Write(caller.Page(nil, r.msg, token, strconv.Itoa(page))); err != nil {
+		return caller.Answer{}, err
+	}
+	return r.answer(ctx)
+}
+
+// promised is a result that a client was told it has.
+type promised struct {
+	id    string
+	rows  int
+	first []byte
+	about map[string]string
+}
+
+// whole reads a promised result's other pages and compares all with what engines make.
+func (p *promised) whole(ctx context.Context, r *reader) (lost, corrupt bool) {
+	n, _ := strconv.Atoi(p.about["pages"])
+	got := slices.Clone(p.first)
+	for i := 1; i < n; i++ {
+		a, err := r.page(ctx, p.about["token"], i)
+		if err != nil || a.Kind != caller.Finished {
+			return true, false
+		}
+		got = append(got, a.Rows...)
+	}
+	return false, !bytes.Equal(got, world.Rows(&world.Asked{ID: p.id, Work: engine.Work{Rows: p.rows}}))
+}
+
+// rid keeps when engines had done a query and when they were rid of it.
+type rid struct {
+	mu       sync.Mutex
+	done     map[string]time.Time
+	released map[string]time.Time
+}
+
+func (x *rid) hear(_ int, s *engine.Server) {
+	s.Model.Ended = func(id string, how engine.Outcome, _ time.Duration) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if how == engine.Good {
+			x.done[id] = time.Now()
+		}
+	}
+	s.Released = func(id string, _ time.Duration) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if _, again := x.released[id]; !again {
+			x.released[id] = time.Now()
+		}
+	}
+}
+
+// p99 is how long engines kept what they had done; what they were not told to forget
+// they keep until they forget it by themselves.
+func (x *rid) p99(forgets time.Duration) float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var l []time.Duration
+	for id, at := range x.done {
+		if r, ok := x.released[id]; ok {
+			l = append(l, r.Sub(at))
+		} else {
+			l = append(l, forgets)
+		}
+	}
+	if len(l) == 0 {
+		return 0
+	}
+	slices.Sort(l)
+	return l[len(l)*99/100].Seconds()
+}
+
+// resident is a program's memory in MB.
+func resident(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	return kb / 1024
+}
+
+// slow has so many clients read at 1 KB/s for a time, and says how long engines were
+// held and what memory the controller had at the most.
+func slow(ctx context.Context, t *Trial, out io.Writer, readers int, paged bool, long time.Duration) (p99, rss float64, err error) {
+	x := &rid{done: map[string]time.Time{}, released: map[string]time.Time{}}
+	s, err := newStage(ctx, t.Program, t.Engines, t.Log, x.hear)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.close()
+	directory := ""
+	if paged {
+		directory = filepath.Join(s.dir, "spool")
+	}
+	if err := s.begin(spoolSetup(t, s, directory)); err != nil {
+		return 0, 0, err
+	}
+	within, stop := context.WithTimeout(ctx, long)
+	defer stop()
+	var wg sync.WaitGroup
+	for i := range readers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, err := dial(s.address, 1024)
+			if err != nil {
+				return
+			}
+			defer r.Close()
+			context.AfterFunc(within, func() { r.Close() })
+			if r.ask(fmt.Sprintf("%016x", 0xa0000+i), 8000, paged) != nil {
+				return
+			}
+			a, err := r.answer(within)
+			for page := 1; err == nil && a.About["token"] != ""; page++ {
+				_, err = r.page(within, a.About["token"], page)
+			}
+		}()
+	}
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(long); time.Now().Before(end); <-tick.C {
+		rss = max(rss, resident(s.running.Process.Pid))
+	}
+	wg.Wait()
+	p99 = x.p99(engine.Usual().Forgets)
+	fmt.Fprintf(out, "slow readers, pages %v: %d at 1 KB/s, results of %d KB, %d done by engines, held for %.3f s (p99), %.1f MB resident at the most\n",
+		paged, readers, len(world.Rows(&world.Asked{ID: fmt.Sprintf("%016x", 1), Work: engine.Work{Rows: 8000}}))>>10, len(x.done), p99, rss)
+	return p99, rss, s.end()
+}
+
+// killed is what kills and new starts left of what was promised.
+type killed struct{ promised, resumed, lost, corrupt, kills int }
+
+// kills has clients ask while the controller is killed at random, again and again, and
+// reads after each start all that was promised before it.
+func kills(ctx context.Context, t *Trial, rounds int) (k killed, err error) {
+	s, err := newStage(ctx, t.Program, t.Engines, t.Log, func(int, *engine.Server) {})
+	if err != nil {
+		return k, err
+	}
+	defer s.close()
+	rng := rand.New(rand.NewPCG(t.Seed, 77))
+	directory := filepath.Join(s.dir, "spool")
+	var mu sync.Mutex
+	var all []*promised
+	id := 0
+	for range rounds {
+		if err := s.begin(spoolSetup(t, s, directory)); err != nil {
+			return k, err
+		}
+		r, err := dial(s.address, 0)
+		if err != nil {
+			return k, err
+		}
+		for _, p := range all {
+			switch lost, corrupt := p.whole(ctx, r); {
+			case lost:
+				k.lost++
+				r.Close()
+				if r, err = dial(s.address, 0); err != nil {
+					return k, err
+				}
+			case corrupt:
+				k.corrupt++
+			default:
+				k.resumed++
+			}
+		}
+		r.Close()
+		k.promised += len(all)
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r, err := dial(s.address, 0)
+				if err != nil {
+					return
+				}
+				defer r.Close()
+				for {
+					mu.Lock()
+					id++
+					p := &promised{id: fmt.Sprintf("%016x", 0xb000000+id), rows: 1500 + rng.IntN(6000)}
+					mu.Unlock()
+					if r.ask(p.id, p.rows, true) != nil {
+						return
+					}
+					a, err := r.answer(ctx)
+					if err != nil {
+						return
+					}
+					if a.Kind != caller.Finished || a.About["token"] == "" {
+						continue
+					}
+					p.first, p.about = a.Rows, a.About
+					mu.Lock()
+					all = append(all, p)
+					mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(150*time.Millisecond + time.Duration(rng.IntN(500))*time.Millisecond)
+		s.kill()
+		k.kills++
+		wg.Wait()
+		if len(all) > 60 { // the latest are the ones at stake
+			all = all[len(all)-60:]
+		}
+	}
+	return k, nil
+}
+
+// writeRatio is what the store takes in a second beside what plain writes to one file
+// take with the same syncs.
+func writeRatio(dir string) (ours, plain float64, err error) {
+	const results, pages, size = 60, 32, 32 << 10
+	body := bytes.Repeat([]byte("0123456789abcde\n"), size/16)
+	begin := time.Now()
+	f, err := os.Create(filepath.Join(dir, "plain"))
+	if err != nil {
+		return 0, 0, err
+	}
+	for range results {
+		for range pages {
+			if _, err := f.Write(body); err != nil {
+				return 0, 0, err
+			}
+		}
+		if err := f.Sync(); err != nil {
+			return 0, 0, err
+		}
+	}
+	f.Close()
+	os.Remove(f.Name())
+	total := float64(results*pages*size) / (1 << 20)
+	plain = total / time.Since(begin).Seconds()
+	k, err := store.OpenKeeper(filepath.Join(dir, "ours"), store.Terms{})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer k.Close()
+	begin = time.Now()
+	for i := range results {
+		id := k.First() + uint64(i) + 1
+		rows := make([]uint32, pages)
+		for n := range pages {
+			j := &store.Job{Pages: []store.Record{{Kind: store.Page, Result: id, Page: uint32(n), Body: body}}}
+			if n == pages-1 {
+				j.Promise = &store.Meta{Result: id, Rows: rows}
+			}
+			if k.Do([]*store.Job{j}); j.Err != nil {
+				return 0, 0, j.Err
+			}
+		}
+	}
+	ours = total / time.Since(begin).Seconds()
+	return ours, plain, nil
+}
+
+// reopen is how long it takes to open so many results.
+func reopen(dir string, results int) (time.Duration, error) {
+	path := filepath.Join(dir, "many")
+	k, err := store.OpenKeeper(path, store.Terms{Sync: store.Never, Keep: 20_000})
+	if err != nil {
+		return 0, err
+	}
+	for i := range results {
+		id := k.First() + uint64(i) + 1
+		j := &store.Job{Pages: []store.Record{{Kind: store.Page, Result: id, Body: []byte("a\tb\tc\n")}, {Kind: store.Page, Result: id, Page: 1, Body: []byte("d\te\tf\n")}},
+			Promise: &store.Meta{Result: id, Query: fmt.Sprintf("%016x", i), Team: "linz", Ends: 1 << 60, Rows: []uint32{1, 1}}}
+		if k.Do([]*store.Job{j}); j.Err != nil {
+			return 0, j.Err
+		}
+		if k.Behind() {
+			if _, err := k.Tick(); err != nil {
+				return 0, err
+			}
+		}
+	}
+	if err := k.Close(); err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	if k, err = store.OpenKeeper(path, store.Terms{}); err != nil {
+		return 0, err
+	}
+	took := time.Since(begin)
+	if k.Found.Results != results {
+		err = fmt.Errorf("%d results of %d", k.Found.Results, results)
+	}
+	return took, errors.Join(err, k.Close())
+}
+
+// MeasureSpool is the measurement of spooled results, on sockets and real files.
+func MeasureSpool(ctx context.Context, out io.Writer, program string, seed uint64) error {
+	t := &Trial{Program: program, Engines: 4, Seed: seed, Log: io.Discard}
+	const readers = 200
+	beforeP99, beforeRSS, err := slow(ctx, t, out, readers, false, 6*time.Second)
+	if err != nil {
+		return err
+	}
+	p99, rss, err := slow(ctx, t, out, readers, true, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	k, err := kills(ctx, t, 10)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "kill -9: %d times, %d times a promised result was asked for after it, %d whole, %d lost, %d corrupt\n", k.kills, k.promised, k.resumed, k.lost, k.corrupt)
+	dir, err := os.MkdirTemp("", "railrelay-spool")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	ours, plain, err := writeRatio(dir)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "taking in: %.0f MB/s, plain writes with the same syncs: %.0f MB/s\n", ours, plain)
+	took, err := reopen(dir, 100_000)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "measured release_p99_s=%.4f release_p99_before_s=%.4f slow_readers=%d resumed=%.3f promised=%d lost=%d corrupt_served=%d write_ratio=%.3f reopen_s=%.3f rss_mb=%.1f rss_before_mb=%.1f\n",
+		p99, beforeP99, readers, float64(k.resumed)/float64(max(1, k.promised)), k.promised, k.lost, k.corrupt, ours/plain, took.Seconds(), rss, beforeRSS)
+	if k.lost+k.corrupt > 0 {
+		return errors.New("what was promised is lost or spoilt")
+	}
+	return nil
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -89,6 +89,7 @@
 	idle   time.Duration // since when nothing is open
 	faults int
 	heard  int // messages since the last sweep
+	pages  int // being read from the spool
 }
 
 // asking is what a query of a MessagePack connection belongs to.
@@ -183,9 +184,10 @@
 func (f *flooding) Query(msg uint32, _, _ []byte, _ time.Duration, _ []byte, _ bool, _ []byte, _ clients.Fields) {
 	f.tell(msg)
 }
-func (f *flooding) Alive(msg uint32)           { f.tell(msg) }
-func (f *flooding) Wrong(msg uint32, _ string) { f.tell(msg) }
-func (f *flooding) Left(msg uint32)            { f.client.Left(msg) }
+func (f *flooding) Page(msg uint32, _ []byte, _ int, _ clients.Fields) { f.tell(msg) }
+func (f *flooding) Alive(msg uint32)                                   { f.tell(msg) }
+func (f *flooding) Wrong(msg uint32, _ string)                         { f.tell(msg) }
+func (f *flooding) Left(msg uint32)                                    { f.client.Left(msg) }
 
 // end closes the connection from our side; what was open on it is lost to it.
 func (c *client) end(gently bool) {
@@ -244,6 +246,10 @@
 
 func (a *asking) finished(pages [][]byte) { a.c.answer(clients.Answer(nil, a.msg, pages)) }
 
+func (a *asking) paged(first []byte, rest clients.Paging) {
+	a.c.answer(clients.Paged(nil, a.msg, first, rest))
+}
+
 func (a *asking) deferred(comeBack time.Duration) {
 	a.c.answer(clients.Deferred(nil, a.msg, comeBack))
 }
@@ -303,7 +309,7 @@
 		case c.stuck >= 0 && r.now-c.stuck > stuckMost, c.begun >= 0 && r.now-c.begun > c.wants.Whole:
 			r.tally.turnedOff++
 			c.end(false)
-		case c.begun < 0 && len(c.open) == 0 && p == 0 && r.now-c.idle > c.wants.Idle:
+		case c.begun < 0 && len(c.open) == 0 && c.pages == 0 && p == 0 && r.now-c.idle > c.wants.Idle:
 			r.tally.idled++
 			c.end(true)
 		case worst == nil || p > worst.link.pending:
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -19,6 +19,7 @@
 	Team  string // whose the call is, believed from where the set-up says
 	Wait  string // its client wants to be told how long it waits
 	Again string // the trace of the call that this one repeats
+	Pages string // its client reads the result page by page
 }
 
 // From is where a call comes from and what it says beside the query itself.
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -7,6 +7,7 @@
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/must"
+	"railrelay.dev/railrelay/internal/spool"
 )
 
 // asker is whoever a query belongs to: a call on a connection, or what stands
@@ -14,6 +15,8 @@
 // and nothing but closed if it left by itself.
 type asker interface {
 	finished(pages [][]byte)
+	// paged: finished, with the first page of a result that is kept.
+	paged(first []byte, rest clients.Paging)
 	deferred(comeBack time.Duration)
 	killed(why string)
 	// told: it should start after so long. Only those that asked are told.
@@ -34,6 +37,7 @@
 	priority, grantMB int
 	subs              []*submission
 	answered          bool
+	kept              *spool.Result // its client reads page by page
 
 	// where teams wait for their turn, and only there
 	turn           *fair.Waiter
@@ -97,6 +101,9 @@
 	r.asked = r.now
 	// once all that has come is read: what is taken back in one breath goes nowhere
 	r.soon(func() {
+		if r.paging != nil && !q.answered {
+			r.paging.wants(q, from)
+		}
 		switch tables := clients.Tables(q.statement); {
 		case q.answered:
 		case r.fair != nil:
@@ -129,6 +136,9 @@
 	return true
 }
 
+// finishedEnd is how a query that was answered page by page came out.
+const finishedEnd = fair.Finished
+
 func (r *Relay) finished(q *query, pages [][]byte) {
 	if r.close(q, fair.Finished) {
 		r.tally.finished++
@@ -165,6 +175,9 @@
 		r.soon(func() {
 			if r.queries[q.id] == q {
 				delete(r.queries, q.id)
+				if r.paging != nil {
+					r.paging.over(q)
+				}
 				if r.fair != nil {
 					r.fair.over(q)
 				}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/list"
 	"railrelay.dev/railrelay/internal/must"
+	"railrelay.dev/railrelay/internal/spool"
 )
 
 // What an Event tells.
@@ -37,6 +38,7 @@
 	Stop                   // end once what was taken is answered
 	Tell                   // say the counters
 	Reload                 // Feed is where the list comes from now
+	Stored                 // Work is done
 )
 
 // Event is one thing that happened.
@@ -46,6 +48,7 @@
 	N    int
 	Feed string
 	Fair *fair.Shape // with Reload: the teams, nil to leave them as they are
+	Work *spool.Work
 }
 
 // What an Effect asks for.
@@ -59,6 +62,7 @@
 	Say               // Text, Loud if it is to be seen without being asked for
 	Count             // Text, the counters, with what N queries cost
 	Quit              // the program is done
+	Store             // Work, on the spool's disk
 )
 
 // Effect is one thing to be done.
@@ -73,6 +77,7 @@
 	Text    string
 	About   About // with Say
 	N       int
+	Work    *spool.Work
 }
 
 // About is what a line of the log is about; the log has each under its own name,
@@ -107,6 +112,7 @@
 	Facts    map[string]string
 	Fair     *fair.Shape // teams, nil: there are none and whoever comes first goes first
 	Words    Words
+	Spool    *Spool    // nil: results are answered whole
 	Manners  []Manners // of clients, by address; whoever is in no set has the platform's
 	Started  time.Time // what the list's clock times are told against
 }
@@ -139,6 +145,7 @@
 	feed    feed
 	groups  map[string]*group
 	fair    *fairness
+	paging  *paging
 
 	buffered     int // memory of all connections' buffers
 	bufferedMost int
@@ -195,6 +202,9 @@
 	if means.Fair != nil {
 		r.fair = newFairness(r, means.Fair, means.Words)
 	}
+	if means.Spool != nil {
+		r.paging = newPaging(r, means.Spool)
+	}
 	r.follow()
 	r.sweep()
 	r.settle()
@@ -264,6 +274,8 @@
 		r.stop()
 	case Tell:
 		r.count()
+	case Stored:
+		r.paging.did(ev.Work)
 	case Reload:
 		r.refeed(ev.Feed)
 		if r.fair != nil && ev.Fair != nil {
--- /dev/null
+++ b/internal/relay/spool.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/spool"
+)
+
+// Spool is what the program starts the spool with.
+type Spool struct {
+	Limits spool.Limits
+	Keys   *spool.Keyring
+	First  uint64 // number for its results
+	// Restore hands over what the disk held; nil if there is none.
+	Restore func(each func(f *spool.Found)) error
+}
+
+// paging keeps results for clients that read them page by page. Without a spool it
+// is nil, and costs nothing.
+type paging struct {
+	*Relay
+	core *spool.Core
+}
+
+func newPaging(r *Relay, s *Spool) *paging {
+	p := &paging{Relay: r}
+	p.core = spool.New(s.Limits, s.Keys, r.Started.UnixMilli(), s.First, func(w *spool.Work) {
+		r.do(Effect{Verb: Store, Work: w})
+	})
+	if s.Restore != nil {
+		if err := s.Restore(p.core.Restore); err != nil {
+			r.say(true, "what was spooled can't be read: "+err.Error())
+		}
+	}
+	p.sweep()
+	return p
+}
+
+func (p *paging) sweep() {
+	p.after(time.Second, p.sweep)
+	p.core.Sweep(p.now)
+}
+
+// teamOf is whose a call is, as the spool's limits and tokens have it.
+func (r *Relay) teamOf(from From) string {
+	if r.fair == nil {
+		return ""
+	}
+	return r.fair.core.Team(r.fair.core.Whose(from.Address, from.Fields.Get(r.fair.words.Team)))
+}
+
+// wants notes that a query's client reads page by page; where it can't be kept it is
+// deferred, before anything of it is sent.
+func (p *paging) wants(q *query, from From) {
+	if len(from.Fields.Get(p.Words.Pages)) == 0 {
+		return
+	}
+	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from))
+	if err != nil {
+		p.sayOf(About{Query: q.id, Group: q.group.name}, "deferred: "+err.Error())
+		p.deferred(q, spoolPause)
+		return
+	}
+	q.kept = kept
+}
+
+// spoolPause is named to those for whom there was no place: results go as they are read.
+const spoolPause = time.Second
+
+// left gives back what a query that is over was kept for.
+func (p *paging) over(q *query) {
+	if q.kept != nil {
+		p.core.Drop(p.now, q.kept)
+		q.kept = nil
+	}
+}
+
+// take takes a page of a submission's result from its engine.
+func (p *paging) take(s *submission, number, of int, rows []byte) {
+	if s.result == nil {
+		s.result, s.of = p.core.Again(p.now, s.q.kept), of
+	}
+	verdict, err := p.core.Add(p.now, s.result, rows, uint32(bytes.Count(rows, []byte("\n"))))
+	switch verdict {
+	case spool.Never:
+		p.drop(s)
+		p.release(s)
+		if !s.q.answered {
+			p.killed(s.q, err.Error())
+		}
+		s.end(decide.Finished)
+	case spool.Wait:
+		// its engine keeps it for as long as it is asked for
+		waited := false
+		again := func() {
+			if !waited && !s.ended {
+				waited = true
+				s.ask(number)
+			}
+		}
+		p.core.Room(func() { p.soon(again) })
+		p.after(forgets/2, again)
+	default:
+		s.drawn++
+		if s.drawn < s.of {
+			s.ask(s.drawn)
+			return
+		}
+		p.release(s)
+		p.whole(s)
+	}
+}
+
+// release ends the query at its engine, which has nothing more to give.
+func (p *paging) release(s *submission) {
+	s.released = true
+	p.giveUp(s, func() {})
+}
+
+// whole answers once the result is promised.
+func (p *paging) whole(s *submission) {
+	p.core.Whole(p.now, s.result, func(err error) {
+		r := s.result
+		switch {
+		case s.ended: // given up meanwhile
+			p.soon(func() { p.core.Drop(p.now, r) })
+		case err != nil:
+			p.sayOf(About{Query: s.q.id, Group: s.q.group.name, Engine: s.e.id, Try: s.try + 1}, "its result can't be kept: "+err.Error())
+			s.result = nil
+			if !s.q.answered {
+				p.killed(s.q, fmt.Sprintf("the result of %d bytes can't be kept: %v", r.Bytes(), err))
+			}
+			s.end(decide.Finished)
+		default:
+			s.kept = true
+			token := p.core.Token(r)
+			p.core.First(p.now, r, func(body []byte, err error) {
+				p.answer(s, r, token, body, err)
+			})
+		}
+	})
+}
+
+func (p *paging) answer(s *submission, r *spool.Result, token string, body []byte, err error) {
+	switch {
+	case s.q.answered:
+		p.soon(func() { p.core.Drop(p.now, r) }) // another was first, or its client left
+	case err != nil:
+		p.killed(s.q, "its result can't be read: "+err.Error())
+		p.soon(func() { p.core.Drop(p.now, r) })
+	case p.close(s.q, finishedEnd):
+		p.tally.finished++
+		s.q.asker.paged(body, clients.Paging{Pages: r.Pages(), Bytes: r.Bytes(), Rows: r.Rows(), Token: token, Lasts: p.core.Kept(r)})
+	}
+	if !s.ended {
+		s.end(decide.Finished)
+	}
+}
+
+// drop gives up what a submission took in.
+func (p *paging) drop(s *submission) {
+	if s.result != nil && !s.kept {
+		p.core.Drop(p.now, s.result)
+		s.result = nil
+	}
+}
+
+// did: work on the disk is done.
+func (p *paging) did(w *spool.Work) {
+	if w.Err != nil && w.Fetch == nil {
+		p.say(true, "the spool's disk: "+w.Err.Error())
+	} else if w.Err != nil {
+		p.say(true, fmt.Sprintf("the spool's disk: page %d of result %016x: %v", w.Fetch.Page, w.Fetch.Result, w.Err))
+	}
+	w.Done(p.now)
+}
+
+func (p *paging) text() string {
+	n := &p.core.Counts
+	results, memory, disk := p.core.Held()
+	return fmt.Sprintf("; spool holds %d results, bytes %d in memory %d on disk, promised %d refused %d too large %d not kept %d, pages %d from disk %d bad tokens %d spoilt %d, evicted %d expired %d read out %d, waited %d",
+		results, memory, disk, n.Promised, n.Refused, n.TooLarge, n.Failed, n.Pages, n.FromDisk, n.BadTokens, n.Spoilt,
+		n.Evicted, n.Expired, n.ReadOut, n.Waited)
+}
+
+// Page is a client's call for a page of a result that was promised.
+func (c *client) Page(msg uint32, token []byte, number int, all clients.Fields) {
+	if c.paging == nil {
+		c.Wrong(msg, "no such method")
+		return
+	}
+	if c.pages >= c.wants.Open {
+		c.answer(clients.Deferred(nil, msg, spoolBusy))
+		return
+	}
+	c.pages++
+	c.paging.core.Read(c.now, token, c.teamOf(From{c.link.From, all}), number, func(body []byte, err error) {
+		c.pages--
+		c.idle = c.now
+		switch {
+		case c.link.closed:
+		case err == spool.ErrBusy:
+			c.answer(clients.Deferred(nil, msg, spoolBusy))
+		case err != nil:
+			c.answer(clients.Killed(nil, msg, spool.ErrNone.Error()))
+		default:
+			c.answer(clients.Answer(nil, msg, [][]byte{body}))
+		}
+	})
+}
+
+const spoolBusy = 100 * time.Millisecond
+
+// Spooled is what the spool holds: results, and bytes in memory and on disk; nothing
+// without one. It is for reports, between two steps.
+func (r *Relay) Spooled() (results int, memory, disk int64) {
+	if r.paging == nil {
+		return 0, 0, 0
+	}
+	return r.paging.core.Held()
+}
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -7,6 +7,7 @@
 	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/engines"
+	"railrelay.dev/railrelay/internal/spool"
 )
 
 // submission is one sending of a query to an engine. It is tied to no
@@ -38,6 +39,12 @@
 	memory  float64
 	goodAt  time.Duration // when an answer last could be read, or the first call was made
 	why     string        // its last call's result, for the log
+
+	// where its client reads page by page
+	result   *spool.Result
+	drawn    int  // pages
+	released bool // its engine was told that it may forget it
+	kept     bool // the result is promised
 }
 
 // An engine keeps a query for forgets while nobody asks for it, and holds a call
@@ -195,6 +202,12 @@
 
 func (h *hearing) Page(number, of int, rows []byte) {
 	s := h.submission
+	if s.q.kept != nil {
+		if number == s.drawn && !s.released {
+			s.paging.take(s, number, of, rows)
+		}
+		return
+	}
 	if number == 0 {
 		s.pages = make([][]byte, 0, min(of, 64))
 		s.of = of
@@ -235,6 +248,9 @@
 
 func (s *submission) tell(outcome decide.Outcome) {
 	s.pages = nil
+	if s.paging != nil {
+		s.paging.drop(s)
+	}
 	s.due.Drop(s.limit)
 	s.tally.ends[outcome]++
 	took := s.now - s.at
@@ -327,7 +343,7 @@
 
 // rank passes a change of priority on to what is out.
 func (r *Relay) rank(s *submission) {
-	if !s.sent || s.ended || s.ranking || s.q.rank() == s.ranked {
+	if !s.sent || s.ended || s.released || s.ranking || s.q.rank() == s.ranked {
 		return
 	}
 	s.ranking, s.ranked = true, s.q.rank()
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -55,6 +55,9 @@
 	if r.fair != nil {
 		b.WriteString(r.fair.text())
 	}
+	if r.paging != nil {
+		b.WriteString(r.paging.text())
+	}
 	fmt.Fprintf(&b, "; did not hold %d", must.Broken())
 	return b.String()
 }
--- /dev/null
+++ b/internal/run/disk.go
@@ -0,0 +1,78 @@
+package run
+
+import (
+	"sync"
+
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/spool"
+)
+
+// backlog is what is to be written to disk. The spool bounds what is in it; the
+// reducer never waits for the disk.
+type backlog struct {
+	mu    sync.Mutex
+	l     []*spool.Work
+	ready chan struct{}
+}
+
+func (b *backlog) add(w *spool.Work) {
+	b.mu.Lock()
+	b.l = append(b.l, w)
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (b *backlog) take() []*spool.Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.l
+	b.l = nil
+	return l
+}
+
+// store has work done: reads each on its own, all else in order.
+func (l *loop) store(w *spool.Work) {
+	if w.Fetch == nil {
+		l.work.add(w)
+		return
+	}
+	l.group.Go(func() error {
+		l.disk.Read(w)
+		l.stored(w)
+		return nil
+	})
+}
+
+func (l *loop) stored(w *spool.Work) {
+	select {
+	case l.events <- event{Event: relay.Event{Kind: relay.Stored, Work: w}}:
+	case <-l.ctx.Done():
+	}
+}
+
+// keep writes what is to be written until the controller is done.
+func (l *loop) keep() error {
+	work := make(chan *spool.Work)
+	l.group.Go(func() error {
+		defer close(work)
+		for {
+			select {
+			case <-l.work.ready:
+			case <-l.ctx.Done():
+				return nil
+			}
+			for _, w := range l.work.take() {
+				select {
+				case work <- w:
+				case <-l.ctx.Done():
+					return nil
+				}
+			}
+		}
+	})
+	l.disk.Serve(work, l.stored, func(err error) { l.log.Log().Err(err).Msg("the spool's disk") })
+	return nil
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/store"
 )
 
 // loop is the one goroutine that owns the reducer, with those that read and
@@ -28,6 +29,8 @@
 	start  time.Time
 	timer  *time.Timer
 	room   chan struct{} // one a client's connection: there are never more than it holds
+	disk   *store.Keeper // nil: there is no spool on disk
+	work   backlog
 }
 
 // event is one for the reducer, with its link's connection where that is new.
@@ -51,11 +54,15 @@
 }
 
 // Serve runs a controller on a listener until it is done or ctx ends.
-func Serve(ctx context.Context, listener net.Listener, means relay.Means, asked <-chan relay.Event, log zerolog.Logger) error {
+func Serve(ctx context.Context, listener net.Listener, means relay.Means, disk *store.Keeper, asked <-chan relay.Event, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
-		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost())}
+		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost()), disk: disk}
+	if disk != nil {
+		l.work.ready = make(chan struct{}, 1)
+		group.Go(l.keep)
+	}
 	log.Info().Str("address", listener.Addr().String()).Msg("listening")
 	group.Go(func() error { return l.accept(listener) })
 	group.Go(func() error {
@@ -128,6 +135,8 @@
 			}
 		case relay.Count:
 			l.log.Log().Float64("cpu_ms_a_query", cpuMs()/float64(max(1, e.N))).Msg(e.Text)
+		case relay.Store:
+			l.store(e.Work)
 		case relay.Quit:
 			done = true
 		}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -39,6 +39,7 @@
 	Groups   []Group   `yaml:"groups"`
 	Clients  []Clients `yaml:"clients"`
 	Fairness *Fairness `yaml:"fairness"` // left out: whoever comes first goes first
+	Spool    *Spool    `yaml:"spool"`    // left out: results are answered whole
 }
 
 // Limits are the machine's.
@@ -309,6 +310,9 @@
 	if s.Fairness != nil {
 		c.fairness(s.Fairness)
 	}
+	if s.Spool != nil {
+		c.spool(s.Spool, s.Limits)
+	}
 }
 
 // number wants a figure from least to most; 0 is left out and has its default
@@ -666,7 +670,7 @@
 		"name": x.Name == next.Name, "listen": x.Listen == next.Listen, "seed": x.Seed == next.Seed, "log": x.Log == next.Log,
 		"limits": x.Limits == next.Limits, "engines": reflect.DeepEqual(x.Engines, next.Engines),
 		"groups": reflect.DeepEqual(x.Groups, next.Groups), "clients": reflect.DeepEqual(x.Clients, next.Clients),
-		"fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
+		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
 	} {
 		if !same {
 			what = append(what, name)
--- /dev/null
+++ b/internal/setup/spool.go
@@ -0,0 +1,129 @@
+package setup
+
+import (
+	"cmp"
+	"crypto/rand"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/spool"
+	"railrelay.dev/railrelay/internal/store"
+)
+
+// Spool is where results are kept that clients read page by page.
+type Spool struct {
+	Field       string  `yaml:"field"`        // of a call that asks for pages
+	Directory   string  `yaml:"directory"`    // left out: results are kept in memory and end with the program
+	MemoryMB    float64 `yaml:"memory_mb"`    // pages in memory: 16
+	DiskMB      float64 `yaml:"disk_mb"`      // pages on disk: 1024
+	ResultMB    float64 `yaml:"result_mb"`    // one result: 1024, no more than the room
+	Results     int     `yaml:"results"`      // at once: 10000
+	TeamShare   float64 `yaml:"team_share"`   // of the room before a team's are the first to go: 0.25
+	TeamResults int     `yaml:"team_results"` // of one team at once: 1000
+	Idle        Span    `yaml:"idle"`         // a result lives from its last read: 15m
+	Life        Span    `yaml:"life"`         // and in all: 2h
+	PageKB      float64 `yaml:"page_kb"`      // pages of engines are joined up to: 32
+	FlightMB    float64 `yaml:"flight_mb"`    // being written at once: 4
+	Reads       int     `yaml:"reads"`        // pages being read from disk at once: 64
+	Sync        string  `yaml:"sync"`         // promise, ticks or never: promise
+	Keys        Span    `yaml:"keys"`         // a key makes tokens for: 24h
+}
+
+var syncs = map[string]store.Sync{"": store.AtPromise, "promise": store.AtPromise, "ticks": store.AtTicks, "never": store.Never}
+
+func (c *checker) spool(s *Spool, l Limits) {
+	if s.Field == "" {
+		c.wrong("spool.field", "is missing: without it no call asks for pages")
+	}
+	c.maybe("spool.memory_mb", s.MemoryMB, 1, 1<<20)
+	c.maybe("spool.disk_mb", s.DiskMB, 1, 1<<30)
+	c.maybe("spool.result_mb", s.ResultMB, 0.001, 1<<20)
+	c.maybe("spool.results", float64(s.Results), 1, 10_000_000)
+	c.maybe("spool.team_share", s.TeamShare, 0.001, 1)
+	c.maybe("spool.team_results", float64(s.TeamResults), 1, 10_000_000)
+	c.maybe("spool.page_kb", s.PageKB, 1, 1024)
+	c.maybe("spool.flight_mb", s.FlightMB, 0.1, 1024)
+	c.maybe("spool.reads", float64(s.Reads), 1, 10_000)
+	if _, ok := syncs[s.Sync]; !ok {
+		c.wrong("spool.sync", "%q is none of promise, ticks and never", s.Sync)
+	}
+	if s.Directory == "" && s.DiskMB > 0 {
+		c.wrong("spool.disk_mb", "there is no directory")
+	}
+	if s.MemoryMB > cmp.Or(l.MemoryMB, 512)/2 {
+		c.wrong("spool.memory_mb", "is over half of limits.memory_mb")
+	}
+	if idle, life := s.Idle.or(spool.Usual().Idle), s.Life.or(spool.Usual().Life); idle > life {
+		c.wrong("spool.idle", "%v is longer than the life of %v", idle, life)
+	}
+	if k := time.Duration(s.Keys); k > 0 && k < time.Minute {
+		c.wrong("spool.keys", "%v is under a minute", k)
+	}
+}
+
+// Limits are the spool's figures.
+func (s *Spool) Limits() spool.Limits {
+	const mb = 1 << 20
+	l := spool.Usual()
+	l.Memory = int64(cmp.Or(s.MemoryMB, 16) * mb)
+	if s.Directory != "" {
+		l.Disk = int64(cmp.Or(s.DiskMB, 1024) * mb)
+	}
+	l.Result = int64(cmp.Or(s.ResultMB, 1024) * mb)
+	l.Results, l.TeamResults = cmp.Or(s.Results, l.Results), cmp.Or(s.TeamResults, l.TeamResults)
+	l.Team, l.Idle, l.Life = cmp.Or(s.TeamShare, l.Team), s.Idle.or(l.Idle), s.Life.or(l.Life)
+	l.Page, l.Flight, l.Reads = int(cmp.Or(s.PageKB, 32)*1024), int64(cmp.Or(s.FlightMB, 4)*mb), cmp.Or(s.Reads, l.Reads)
+	return l
+}
+
+// OpenSpool opens the spool that the set-up names and puts it into means. Nothing
+// is opened where it names none.
+func (x *Setup) OpenSpool(means *relay.Means, log zerolog.Logger) (*store.Keeper, error) {
+	s := x.Spool
+	if s == nil {
+		return nil, nil
+	}
+	fresh := func() []byte {
+		p := make([]byte, 32)
+		rand.Read(p)
+		return p
+	}
+	part := &relay.Spool{Limits: s.Limits()}
+	means.Words.Pages = s.Field
+	means.Spool = part
+	wall := means.Started.UnixMilli()
+	var disk *store.Keeper
+	var text []byte
+	if s.Directory != "" {
+		var err error
+		if disk, err = store.OpenKeeper(s.Directory, store.Terms{Sync: syncs[s.Sync]}); err != nil {
+			return nil, err
+		}
+		f := &disk.Found
+		line := log.Info()
+		if len(f.Lost) > 0 || f.Torn > 0 {
+			line = log.Log()
+		}
+		line.Int("results", f.Results).Int("segments", f.Segments).Int("half_written", f.Dropped).Int64("torn_bytes", f.Torn).
+			Int("lost", len(f.Lost)).Bool("index_rebuilt", f.Rebuilt).Msg("the spool is open")
+		if text, err = disk.Keys(); err != nil {
+			disk.Close()
+			return nil, err
+		}
+		part.First, part.Restore = disk.First(), disk.Restore
+	}
+	keys, err := spool.NewKeyring(text, s.Keys.or(24*time.Hour), wall, fresh)
+	if err == nil && disk != nil {
+		err = disk.KeepKeys(keys.Text())
+	}
+	if err != nil {
+		if disk != nil {
+			disk.Close()
+		}
+		return nil, err
+	}
+	part.Keys = keys
+	return disk, nil
+}
--- /dev/null
+++ b/internal/spool/spool.go
@@ -0,0 +1,803 @@
+// Package spool decides what becomes of results that clients read page by page:
+// which are let in, what of them stays in memory and what goes to disk, when drawing
+// a result from its engine has to wait, which are given up for room, and whose token
+// opens what. It is a pure core: no I/O, no clock, no goroutine. What is to be done to
+// the disk it hands out as Work, and hears of when it is done.
+//
+// Times are spans since the start, sizes bytes. A result is taken in while its engine
+// hands out its pages, then promised (on disk whole, where there is one), then read.
+package spool
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits are the spool's figures. All must be set but Disk.
+type Limits struct {
+	Memory      int64         // pages in memory, those on their way to disk too
+	Disk        int64         // pages on disk, 0: there is no disk, and no result outlives the program
+	Results     int           // at once
+	Result      int64         // one result
+	Team        float64       // part of the room that a team may have before it is the first to lose some
+	TeamResults int           // of one team at once
+	Idle        time.Duration // a result lives since it was last read
+	Life        time.Duration // and no longer than this from when it was promised
+	Page        int           // pages from the engine are joined up to this size
+	Flight      int64         // being written at once
+	Reads       int           // pages being read from disk at once
+}
+
+// Usual are the figures where the set-up says nothing.
+func Usual() Limits {
+	return Limits{Memory: 16 << 20, Results: 10_000, Result: 1 << 30, Team: 0.25, TeamResults: 1000, Idle: 15 * time.Minute,
+		Life: 2 * time.Hour, Page: 32 << 10, Flight: 4 << 20, Reads: 64}
+}
+
+// Work is one thing for the edge to do to the disk. Done is to be called once with
+// what came of it, whatever that is.
+type Work struct {
+	Pages   []Page
+	Promise *Promise
+	Drop    []uint64
+	Fetch   *Fetch
+	Keys    []byte // the keyring's text, to be kept
+
+	Err   error
+	Body  []byte // fetched
+	Total int64  // on disk, all that is dead counted
+	Done  func(now time.Duration)
+}
+
+// Page is one to be written.
+type Page struct {
+	Result uint64
+	Number uint32
+	Body   []byte
+}
+
+// Promise is a result that is whole.
+type Promise struct {
+	Result      uint64
+	Query, Team string
+	Made, Ends  int64 // milliseconds since 1970
+	Rows        []uint32
+}
+
+// Fetch is a page to be read.
+type Fetch struct {
+	Result uint64
+	Page   int
+}
+
+// Found is a result that the disk held at the start.
+type Found struct {
+	Promise
+	Bytes []uint32 // by page
+}
+
+// Refusal is why a call for pages isn't taken, or a result is killed.
+type Refusal string
+
+func (r Refusal) Error() string { return string(r) }
+
+// recordCost is what a page takes on disk beyond what it holds.
+const recordCost = 32
+
+// Core is one controller's spool.
+type Core struct {
+	Limits
+	keys    *Keyring
+	wall    int64 // milliseconds since 1970 at the start
+	next    uint64
+	now     time.Duration
+	do      func(*Work)
+	results map[uint64]*Result
+	taking  map[*Result]bool
+	serial  uint64
+	noneAt  time.Duration // when nothing was found to evict
+	none    bool
+	teams   map[string]*team
+	count   int // results and those let in to become one
+	memory  int64
+	disk    int64
+	dead    int64 // on disk, as last told
+	flight  int64
+	reads   int
+	first   *Result // with pages in memory that are on disk too, the longest unread first
+	last    *Result
+	room    []func() // wait for room, in turn
+	sweepAt time.Duration
+
+	// Counts is what happened so far.
+	Counts Counts
+}
+
+// Counts are counted since the start.
+type Counts struct {
+	Taken, Promised, Refused, TooLarge, Failed int
+	Pages, FromDisk, BadTokens, Spoilt         int
+	Evicted, Expired, ReadOut, Waited          int
+	BytesIn                                    int64
+}
+
+type team struct {
+	name    string
+	results int
+	bytes   int64
+}
+
+// Result is one that is being taken in or was promised.
+type Result struct {
+	id       uint64
+	serial   uint64 // in which they came
+	query    string
+	team     *team
+	pages    []page // while taken in, and as long as any is in memory
+	sizes    uint64
+	bytes    int64
+	rows     int64
+	onDisk   int64 // what it takes there
+	inMemory int64
+	count    int
+	whole    bool
+	gone     bool
+	writing  int // pages on their way to disk
+	failed   error
+	promised func(error)
+	reading  int // pages being read from disk
+	read     []uint64
+	unread   int
+	made     time.Duration
+	readAt   time.Duration
+	ends     time.Duration
+	endsWall int64
+	older    *Result
+	newer    *Result
+	listed   bool
+	begun    bool // it was asked for pages beyond the first
+}
+
+type page struct {
+	body  []byte // nil: on disk only
+	size  uint32
+	rows  uint32
+	state pageState
+}
+
+type pageState uint8
+
+const (
+	inMemory pageState = iota
+	toDisk
+	onDisk
+)
+
+// sums is a sum of what pages hold, for the token.
+func sums(bytes, rows func(i int) uint32, count int) uint64 {
+	d := xxhash.New()
+	var p []byte
+	for i := range count {
+		p = binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(p[:0], bytes(i)), rows(i))
+		d.Write(p)
+	}
+	return d.Sum64()
+}
+
+// New makes a spool. wall is the start in milliseconds since 1970, first the first
+// number for its results, do where work goes.
+func New(l Limits, keys *Keyring, wall int64, first uint64, do func(*Work)) *Core {
+	return &Core{Limits: l, keys: keys, wall: wall, next: first, do: do, results: map[uint64]*Result{}, taking: map[*Result]bool{}, teams: map[string]*team{}}
+}
+
+func (c *Core) at(now time.Duration) { c.now = max(c.now, now) }
+
+// Restore takes in what the disk held at the start. Its life goes on as the clock on
+// the wall has it, but lasts no longer than a new one's, whatever that clock says.
+func (c *Core) Restore(f *Found) {
+	r := &Result{id: f.Result, query: f.Query, team: c.teamOf(f.Team), count: len(f.Rows), whole: true}
+	r.sizes = sums(func(i int) uint32 { return f.Bytes[i] }, func(i int) uint32 { return f.Rows[i] }, r.count)
+	for i, rows := range f.Rows {
+		r.bytes += int64(f.Bytes[i])
+		r.rows += int64(rows)
+		r.onDisk += int64(f.Bytes[i]) + recordCost
+	}
+	r.unread = max(0, r.count-1)
+	r.endsWall = f.Ends
+	r.ends = min(time.Duration(f.Ends-c.wall)*time.Millisecond, c.Life)
+	r.readAt = 0
+	c.results[r.id] = r
+	c.count++
+	c.disk += r.onDisk
+	r.team.results++
+	r.team.bytes += r.bytes
+}
+
+func (c *Core) teamOf(name string) *team {
+	t := c.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		c.teams[name] = t
+	}
+	return t
+}
+
+func (c *Core) forgetTeam(t *team) {
+	if t.results == 0 && t.bytes == 0 {
+		delete(c.teams, t.name)
+	}
+}
+
+// Held is what the spool holds, for the log and for tests.
+func (c *Core) Held() (results int, memory, disk int64) { return c.count, c.memory, c.disk }
+
+// Enter lets a call for pages in, before anything of it is sent, or says why not.
+func (c *Core) Enter(now time.Duration, query, teamName string) (*Result, error) {
+	c.at(now)
+	t := c.teamOf(teamName)
+	if t.results >= c.TeamResults && !c.evictOne(t, readOut|pastLife) {
+		c.Counts.Refused++
+		c.forgetTeam(t)
+		return nil, Refusal("too many results of its team are kept")
+	}
+	if c.count >= c.Results && !c.evictOne(nil, readOut|pastLife|overShare) {
+		c.Counts.Refused++
+		c.forgetTeam(t)
+		return nil, Refusal("too many results are kept")
+	}
+	c.Counts.Taken++
+	return c.begin(query, t), nil
+}
+
+// Again begins the same result for another submission that hands it out.
+func (c *Core) Again(now time.Duration, r *Result) *Result {
+	c.at(now)
+	return c.begin(r.query, r.team)
+}
+
+func (c *Core) begin(query string, t *team) *Result {
+	c.count++
+	t.results++
+	c.teams[t.name] = t
+	c.serial++
+	r := &Result{query: query, team: t, serial: c.serial}
+	c.taking[r] = true
+	return r
+}
+
+// Verdict is what becomes of a page that came from an engine.
+type Verdict int
+
+const (
+	Taken Verdict = iota // ask for the next
+	Wait                 // there is no room yet: hand it over again when told
+	Never                // there can't be: Killed has why
+)
+
+// Add takes a page from the engine. The body is copied.
+func (c *Core) Add(now time.Duration, r *Result, body []byte, rows uint32) (Verdict, error) {
+	c.at(now)
+	if r.failed != nil {
+		return Never, r.failed
+	}
+	size := int64(len(body))
+	if total := r.bytes + size; total > c.most() {
+		c.Counts.TooLarge++
+		return Never, Refusal(fmt.Sprintf("the result is too large: over %d bytes, more than the %d that one may have", total, c.most()))
+	}
+	if !c.makeRoom(r, size) {
+		c.Counts.Waited++
+		return Wait, nil
+	}
+	c.Counts.BytesIn += size
+	r.bytes += size
+	r.rows += int64(rows)
+	r.team.bytes += size
+	c.memory += size
+	r.inMemory += size
+	if n := len(r.pages); n > 0 && r.pages[n-1].state == inMemory && len(r.pages[n-1].body)+len(body) <= c.Page {
+		p := &r.pages[n-1]
+		p.body = append(p.body, body...)
+		p.size += uint32(size)
+		p.rows += rows
+	} else {
+		r.pages = append(r.pages, page{body: append(make([]byte, 0, max(len(body), min(c.Page, 4*len(body)))), body...), size: uint32(size), rows: rows})
+	}
+	if c.Disk > 0 {
+		c.spill(r)
+	}
+	return Taken, nil
+}
+
+// most is what any result may have at all.
+func (c *Core) most() int64 {
+	if c.Disk > 0 {
+		return min(c.Result, c.Disk-c.Disk/16)
+	}
+	return min(c.Result, c.Memory)
+}
+
+// makeRoom finds room for a page, by giving up what may be.
+func (c *Core) makeRoom(r *Result, size int64) bool {
+	for c.memory+size > c.Memory {
+		if c.uncache() {
+			continue
+		}
+		if c.Disk > 0 {
+			c.flush()
+			return false
+		}
+		if !c.evictOne(nil, readOut|pastLife|overShare) {
+			return false
+		}
+	}
+	if c.Disk == 0 {
+		return true
+	}
+	if c.flight > c.Flight {
+		return false
+	}
+	for c.disk+r.unwritten()+size+recordCost > c.Disk {
+		if !c.evictOne(nil, readOut|pastLife|overShare) {
+			return false
+		}
+	}
+	// the dead are still there until they are compacted
+	return c.disk+c.dead+r.unwritten()+size+recordCost <= c.Disk+c.Disk/8
+}
+
+// flush sends what has most in memory to disk, its last page too: else all memory may
+// be held by pages that wait for more to come.
+func (c *Core) flush() {
+	var most *Result
+	for r := range c.taking {
+		if r.written() < len(r.pages) && (most == nil || r.inMemory > most.inMemory || r.inMemory == most.inMemory && r.serial < most.serial) {
+			most = r
+		}
+	}
+	if most != nil {
+		c.write(most, len(most.pages), nil)
+	}
+}
+
+// unwritten is what of a result still has to go to disk.
+func (r *Result) unwritten() int64 {
+	if r.whole {
+		return 0
+	}
+	return r.bytes + int64(len(r.pages))*recordCost - r.onDisk
+}
+
+// share is what pages being taken in may have of the memory before they go to disk.
+func (c *Core) share() int64 { return c.Memory / 2 }
+
+// spill writes full pages of a result once memory is used beyond its share: all but
+// the last, which may still grow.
+func (c *Core) spill(r *Result) {
+	if c.memory <= c.share() {
+		return
+	}
+	c.write(r, len(r.pages)-1, nil)
+}
+
+// write sends pages that are in memory only to disk, up to one of them.
+func (c *Core) write(r *Result, to int, promise *Promise) {
+	r.number(c)
+	w := &Work{}
+	var sent []int
+	size := int64(0)
+	for i := r.written(); i < to; i++ {
+		p := &r.pages[i]
+		if p.state != inMemory {
+			continue
+		}
+		p.state = toDisk
+		sent = append(sent, i)
+		size += int64(p.size)
+		w.Pages = append(w.Pages, Page{r.id, uint32(i), p.body})
+		r.onDisk += int64(p.size) + recordCost
+		c.disk += int64(p.size) + recordCost
+	}
+	if len(sent) == 0 && promise == nil {
+		return
+	}
+	w.Promise = promise
+	c.flight += size
+	r.writing++
+	w.Done = func(now time.Duration) {
+		c.at(now)
+		c.flight -= size
+		r.writing--
+		c.dead = max(0, w.Total-c.disk)
+		for _, i := range sent {
+			if w.Err != nil || r.gone {
+				break
+			}
+			if p := &r.pages[i]; promise == nil {
+				p.state = onDisk
+				c.uncachePage(r, p)
+			} else {
+				p.state = onDisk
+			}
+		}
+		if w.Err != nil && r.failed == nil {
+			r.failed = w.Err
+			c.Counts.Failed++
+		}
+		c.settled(r)
+		c.wake()
+	}
+	c.do(w)
+}
+
+// written is how many of its first pages need no writing any more.
+func (r *Result) written() int {
+	n := 0
+	for n < len(r.pages) && r.pages[n].state != inMemory {
+		n++
+	}
+	return n
+}
+
+func (c *Core) uncachePage(r *Result, p *page) {
+	if p.body != nil {
+		c.memory -= int64(p.size)
+		r.inMemory -= int64(p.size)
+		p.body = nil
+	}
+}
+
+// settled goes on once nothing of a result is on its way to disk.
+func (c *Core) settled(r *Result) {
+	if r.writing > 0 || r.promised == nil {
+		return
+	}
+	tell := r.promised
+	r.promised = nil
+	if r.gone {
+		return
+	}
+	if r.failed != nil {
+		err := r.failed
+		tell(err)
+		c.Drop(c.now, r)
+		return
+	}
+	c.promise(r, tell)
+}
+
+// Whole: its last page was taken. tell hears whether it is promised, perhaps at once.
+func (c *Core) Whole(now time.Duration, r *Result, tell func(error)) {
+	c.at(now)
+	r.promised = tell
+	r.number(c)
+	r.made, r.ends = c.now, c.now+c.Life
+	r.endsWall = c.wall + r.ends.Milliseconds()
+	r.count = len(r.pages)
+	r.sizes = sums(func(i int) uint32 { return r.pages[i].size }, func(i int) uint32 { return r.pages[i].rows }, r.count)
+	if c.Disk == 0 || r.count == 1 { // one page is all handed out with the answer
+		c.settled(r)
+		return
+	}
+	rows := make([]uint32, r.count)
+	for i := range r.pages {
+		rows[i] = r.pages[i].rows
+	}
+	c.write(r, r.count, &Promise{Result: r.id, Query: r.query, Team: r.team.name, Made: c.wall + c.now.Milliseconds(), Ends: r.endsWall, Rows: rows})
+}
+
+// number gives it the number that it has on disk.
+func (r *Result) number(c *Core) {
+	if r.id == 0 {
+		c.next++
+		r.id = c.next
+	}
+}
+
+func (c *Core) promise(r *Result, tell func(error)) {
+	r.whole, r.readAt = true, c.now
+	r.unread = r.count - 1
+	c.results[r.id] = r
+	c.Counts.Promised++
+	delete(c.taking, r)
+	tell(nil)
+	switch {
+	case r.count == 1: // nothing is left to ask for
+		c.Drop(c.now, r)
+	case c.Disk == 0 || r.gone:
+	case c.memory > c.share() || r.inMemory == 0:
+		c.forget(r)
+	default:
+		c.list(r)
+	}
+}
+
+// forget frees the memory of a result that is on disk.
+func (c *Core) forget(r *Result) {
+	c.unlist(r)
+	for i := range r.pages {
+		c.uncachePage(r, &r.pages[i])
+	}
+	r.pages = nil
+}
+
+// First hands out a whole result's first page, now or once it was read from disk.
+func (c *Core) First(now time.Duration, r *Result, tell func(body []byte, err error)) {
+	c.at(now)
+	if len(r.pages) > 0 && r.pages[0].body != nil {
+		tell(r.pages[0].body, nil)
+		return
+	}
+	c.fetch(r, 0, tell)
+}
+
+// Pages, Bytes and Rows are what a result holds; Kept is how long it lasts unless it
+// is read.
+func (r *Result) Pages() int   { return max(r.count, len(r.pages)) }
+func (r *Result) Bytes() int64 { return r.bytes }
+func (r *Result) Rows() int64  { return r.rows }
+
+// Number is the result's.
+func (r *Result) Number() uint64 { return r.id }
+
+// Kept is for how long a result can be asked for, from its last read.
+func (c *Core) Kept(r *Result) time.Duration { return min(c.Idle, r.ends-c.now) }
+
+// Drop gives a result up, whether it is whole or not.
+func (c *Core) Drop(now time.Duration, r *Result) {
+	c.at(now)
+	if r.gone {
+		return
+	}
+	r.gone = true
+	delete(c.taking, r)
+	c.forget(r)
+	c.none = false
+	r.team.bytes -= r.bytes
+	r.team.results--
+	c.forgetTeam(r.team)
+	c.count--
+	if c.results[r.id] == r {
+		delete(c.results, r.id)
+	}
+	if r.onDisk > 0 {
+		c.disk -= r.onDisk
+		c.dead += r.onDisk
+		r.onDisk = 0
+		w := &Work{Drop: []uint64{r.id}}
+		w.Done = func(now time.Duration) {
+			c.at(now)
+			c.dead = max(0, w.Total-c.disk)
+			c.wake()
+		}
+		c.do(w)
+	}
+	r.promised = nil
+	c.wake()
+}
+
+// Room has do called once there may be room again: who waits longest first.
+func (c *Core) Room(do func()) { c.room = append(c.room, do) }
+
+// wake tells the first that waits, which, served, leaves the next to the next time.
+func (c *Core) wake() {
+	l := c.room
+	c.room = nil
+	for _, do := range l {
+		do()
+	}
+}
+
+// Why results are evicted.
+const (
+	readOut = 1 << iota
+	pastLife
+	overShare
+)
+
+// noneFor is how long it isn't looked again for what may be evicted where there was
+// nothing, unless a result went or was read to its end.
+const noneFor = 100 * time.Millisecond
+
+// life is when a result's life is over unless it is read before.
+func (r *Result) life(c *Core) time.Duration { return min(r.readAt+c.Idle, r.ends) }
+
+// mayGo: nothing of it is being read, or written.
+func (r *Result) mayGo() bool { return r.whole && r.reading == 0 && r.writing == 0 }
+
+// beingRead: its client is between its first and last page, within its life.
+func (r *Result) beingRead(c *Core) bool { return r.begun && r.unread > 0 && c.now < r.life(c) }
+
+// evictOne gives a result up for room, of one team or of any: first one that was read
+// to its end, then one past its life, then the largest of a team over its share. One
+// that is being read within its life is never given up.
+func (c *Core) evictOne(of *team, why int) bool {
+	if c.none && c.now-c.noneAt < noneFor {
+		return false
+	}
+	var best *Result
+	bestRank := 0
+	for _, r := range c.results {
+		if !r.mayGo() || of != nil && r.team != of || r.beingRead(c) {
+			continue
+		}
+		rank := 0
+		switch {
+		case why&readOut != 0 && r.unread == 0:
+			rank = 3
+		case why&pastLife != 0 && c.now >= r.life(c):
+			rank = 2
+		case why&overShare != 0 && c.over(r.team):
+			rank = 1
+		default:
+			continue
+		}
+		if best == nil || rank > bestRank || rank == bestRank && (r.bytes > best.bytes || r.bytes == best.bytes && r.id < best.id) {
+			best, bestRank = r, rank
+		}
+	}
+	if best == nil {
+		if of == nil && why == readOut|pastLife|overShare {
+			c.none, c.noneAt = true, c.now
+		}
+		return false
+	}
+	switch bestRank {
+	case 3:
+		c.Counts.ReadOut++
+	case 2:
+		c.Counts.Expired++
+	case 1:
+		c.Counts.Evicted++
+	}
+	c.Drop(c.now, best)
+	return true
+}
+
+// over: a team has more than its share of the room.
+func (c *Core) over(t *team) bool {
+	all := c.Disk
+	if all == 0 {
+		all = c.Memory
+	}
+	return float64(t.bytes) > c.Team*float64(all)
+}
+
+// uncache frees memory of the page set longest unread that is on disk too.
+func (c *Core) uncache() bool {
+	r := c.first
+	if r == nil {
+		return false
+	}
+	c.forget(r)
+	return true
+}
+
+// list has a result's pages in memory go last of all.
+func (c *Core) list(r *Result) {
+	c.unlist(r)
+	r.listed = true
+	if r.older = c.last; c.last != nil {
+		c.last.newer = r
+	} else {
+		c.first = r
+	}
+	c.last = r
+}
+
+func (c *Core) unlist(r *Result) {
+	if !r.listed {
+		return
+	}
+	if r.older != nil {
+		r.older.newer = r.newer
+	} else {
+		c.first = r.newer
+	}
+	if r.newer != nil {
+		r.newer.older = r.older
+	} else {
+		c.last = r.older
+	}
+	r.older, r.newer, r.listed = nil, nil, false
+}
+
+// ErrNone is all that is told of a token or page that opens nothing.
+var ErrNone = Refusal("no such page")
+
+// ErrBusy: too many pages are being read from disk.
+var ErrBusy = Refusal("too many pages are being read")
+
+// Read hands out a page to whoever holds its result's token, now or once it was read
+// from disk. It tells one reason for refusing from another in nothing.
+func (c *Core) Read(now time.Duration, token []byte, teamName string, number int, tell func(body []byte, err error)) {
+	c.at(now)
+	r := c.opened(token, teamName)
+	if r == nil || number < 0 || number >= r.count {
+		c.Counts.BadTokens++
+		tell(nil, ErrNone)
+		return
+	}
+	r.readAt, r.begun = c.now, true
+	if r.inMemory > 0 && c.Disk > 0 && r.listed {
+		c.list(r)
+	}
+	if number < len(r.pages) && r.pages[number].body != nil {
+		c.handed(r, number)
+		tell(r.pages[number].body, nil)
+		return
+	}
+	if c.reads >= c.Reads {
+		tell(nil, ErrBusy)
+		return
+	}
+	c.fetch(r, number, tell)
+}
+
+func (c *Core) fetch(r *Result, number int, tell func(body []byte, err error)) {
+	c.reads++
+	r.reading++
+	c.Counts.FromDisk++
+	w := &Work{Fetch: &Fetch{r.id, number}}
+	w.Done = func(now time.Duration) {
+		c.at(now)
+		c.reads--
+		r.reading--
+		switch {
+		case w.Err != nil:
+			c.Counts.Spoilt++
+			tell(nil, w.Err)
+		default:
+			r.readAt = c.now
+			c.handed(r, number)
+			tell(w.Body, nil)
+		}
+	}
+	c.do(w)
+}
+
+// handed marks a page as read.
+func (c *Core) handed(r *Result, number int) {
+	c.Counts.Pages++
+	if number == 0 || r.unread == 0 {
+		return
+	}
+	if r.read == nil {
+		r.read = make([]uint64, (r.count+63)/64)
+	}
+	if bit := uint64(1) << (number % 64); r.read[number/64]&bit == 0 {
+		r.read[number/64] |= bit
+		if r.unread--; r.unread == 0 {
+			r.read, c.none = nil, false
+		}
+	}
+}
+
+// Sweep is due now and then: what is past its life goes, and keys are renewed.
+func (c *Core) Sweep(now time.Duration) {
+	c.at(now)
+	if c.now-c.sweepAt < time.Second {
+		return
+	}
+	c.sweepAt = c.now
+	var past []*Result
+	for _, r := range c.results {
+		if r.mayGo() && c.now >= r.life(c) {
+			past = append(past, r)
+		}
+	}
+	slices.SortFunc(past, func(a, b *Result) int { return cmp.Compare(a.id, b.id) })
+	for _, r := range past {
+		c.Counts.Expired++
+		c.Drop(c.now, r)
+	}
+	c.renew()
+	if len(c.room) > 0 {
+		c.wake()
+	}
+}
--- /dev/null
+++ b/internal/spool/spool_test.go
@@ -0,0 +1,411 @@
+package spool
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func secrets(seed uint64) func() []byte {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	return func() []byte {
+		p := make([]byte, 32)
+		for i := range p {
+			p[i] = byte(rng.Uint32())
+		}
+		return p
+	}
+}
+
+func keys(t interface{ Fatal(...any) }) *Keyring {
+	k, err := NewKeyring(nil, time.Hour, 1_700_000_000_000, secrets(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// held is a whole result as the test knows it.
+type held struct {
+	r      *Result
+	token  string
+	team   string
+	pages  [][]byte
+	read   map[int]bool
+	readAt time.Duration
+	made   time.Duration
+}
+
+// bench plays a spool at random against a disk that takes its time.
+type bench struct {
+	t      *rapid.T
+	c      *Core
+	now    time.Duration
+	work   []*Work
+	disk   map[uint64]map[int][]byte
+	takes  []*take
+	wholes map[uint64]*held
+	fails  bool
+}
+
+type take struct {
+	r     *Result
+	team  string
+	bytes []byte
+	wait  bool
+	over  bool // asked to be promised
+}
+
+func (b *bench) perform(w *Work) {
+	for _, p := range w.Pages {
+		if b.disk[p.Result] == nil {
+			b.disk[p.Result] = map[int][]byte{}
+		}
+		b.disk[p.Result][int(p.Number)] = bytes.Clone(p.Body)
+	}
+	if b.fails && len(w.Pages) > 0 {
+		w.Err = errors.New("no space")
+	}
+	for _, id := range w.Drop {
+		if h := b.wholes[id]; h != nil {
+			b.mayGo(h)
+			delete(b.wholes, id)
+		}
+		delete(b.disk, id)
+	}
+	if f := w.Fetch; f != nil {
+		p, ok := b.disk[f.Result][f.Page]
+		if !ok {
+			b.t.Fatal("a page is read that isn't on disk")
+		}
+		w.Body = p
+	}
+	for _, l := range b.disk {
+		for _, p := range l {
+			w.Total += int64(len(p)) + recordCost
+		}
+	}
+	w.Done(b.now)
+}
+
+// mayGo: what was given up was read to its end, past its life, or not being read.
+func (b *bench) mayGo(h *held) {
+	within := b.now < min(h.readAt+b.c.Idle, h.made+b.c.Life)
+	if within && len(h.read) > 0 && len(h.read) < len(h.pages)-1 {
+		b.t.Fatalf("given up while it was being read: %d of %d pages", len(h.read), len(h.pages))
+	}
+}
+
+func (b *bench) check() {
+	memory, disk, count := int64(0), int64(0), 0
+	see := func(r *Result) {
+		for _, p := range r.pages {
+			if p.body != nil {
+				memory += int64(p.size)
+			}
+		}
+		disk += r.onDisk
+		count++
+	}
+	for r := range b.c.taking {
+		see(r)
+	}
+	for _, r := range b.c.results {
+		see(r)
+	}
+	results, m, d := b.c.Held()
+	if results != count || m != memory || d != disk {
+		b.t.Fatalf("it holds %d results, %d and %d bytes, and says %d, %d, %d", count, memory, disk, results, m, d)
+	}
+	if m > b.c.Memory || d > b.c.Disk || count > b.c.Results+len(b.c.taking) {
+		b.t.Fatalf("beyond its bounds: %d results, %d of %d in memory, %d of %d on disk", count, m, b.c.Memory, d, b.c.Disk)
+	}
+	for name, team := range b.c.teams {
+		n, size := 0, int64(0)
+		for _, l := range []map[*Result]bool{b.c.taking} {
+			for r := range l {
+				if r.team == team {
+					n, size = n+1, size+r.bytes
+				}
+			}
+		}
+		for _, r := range b.c.results {
+			if r.team == team {
+				n, size = n+1, size+r.bytes
+			}
+		}
+		if n != team.results || size != team.bytes {
+			b.t.Fatalf("team %s has %d results of %d bytes, not %d of %d", name, n, size, team.results, team.bytes)
+		}
+	}
+}
+
+func TestSeeded(t *testing.T) {
+	promised, evicted, waited, served := 0, 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Memory: 4000, Disk: 20_000, Results: 12, Result: 9000, Team: 0.3, TeamResults: 6, Idle: 20 * time.Second,
+			Life: time.Minute, Page: 300, Flight: 1500, Reads: 4}
+		if rapid.Bool().Draw(t, "no disk") {
+			l.Disk = 0
+		}
+		b := &bench{t: t, disk: map[uint64]map[int][]byte{}, wholes: map[uint64]*held{}}
+		b.c = New(l, keys(t), 1_700_000_000_000, 1<<32, func(w *Work) { b.work = append(b.work, w) })
+		add := func(k *take) {
+			p := bytes.Repeat([]byte{byte('a' + len(k.bytes)%26)}, rapid.IntRange(1, 400).Draw(t, "size"))
+			v, err := b.c.Add(b.now, k.r, p, 1)
+			if err != nil != (v == Never) {
+				t.Fatal("a verdict without its reason")
+			}
+			switch v {
+			case Taken:
+				k.bytes = append(k.bytes, p...)
+			case Wait:
+				k.wait = true
+				b.c.Room(func() { k.wait = false })
+			case Never:
+				b.c.Drop(b.now, k.r)
+				k.r = nil
+			}
+		}
+		for range 250 {
+			b.now += time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond
+			b.fails = rapid.IntRange(0, 30).Draw(t, "fails") == 0
+			switch x := rapid.IntRange(0, 11).Draw(t, "what"); {
+			case x == 0:
+				team := []string{"linz", "steyr", "enns"}[rapid.IntRange(0, 2).Draw(t, "team")]
+				if r, err := b.c.Enter(b.now, fmt.Sprint("q", len(b.takes)), team); err == nil {
+					b.takes = append(b.takes, &take{r: r, team: team})
+				}
+			case x < 6 && len(b.takes) > 0:
+				k := b.takes[rapid.IntRange(0, len(b.takes)-1).Draw(t, "take")]
+				if k.r != nil && !k.wait && !k.over {
+					add(k)
+				}
+			case x == 6 && len(b.takes) > 0:
+				k := b.takes[rapid.IntRange(0, len(b.takes)-1).Draw(t, "take")]
+				if k.r == nil || k.over || len(k.bytes) == 0 {
+					break
+				}
+				k.over = true
+				b.c.Whole(b.now, k.r, func(err error) {
+					if err != nil {
+						return
+					}
+					promised++
+					h := &held{r: k.r, token: b.c.Token(k.r), team: k.team, read: map[int]bool{}, readAt: b.now, made: k.r.made}
+					from := 0
+					for i := range k.r.pages {
+						h.pages = append(h.pages, k.bytes[from:from+int(k.r.pages[i].size)])
+						from += int(k.r.pages[i].size)
+					}
+					if from != len(k.bytes) {
+						t.Fatal("bytes are lost")
+					}
+					if len(h.pages) > 1 {
+						b.wholes[k.r.id] = h
+					}
+				})
+			case x == 7 && len(b.takes) > 0:
+				if k := b.takes[rapid.IntRange(0, len(b.takes)-1).Draw(t, "take")]; k.r != nil && !k.over {
+					b.c.Drop(b.now, k.r)
+					k.r = nil
+				}
+			case x < 10 && len(b.wholes) > 0:
+				var h *held
+				n := rapid.IntRange(0, len(b.wholes)-1).Draw(t, "whole")
+				for id := uint64(0); id < 1<<40 && h == nil; id++ { // the n-th by number
+					if x := b.wholes[1<<32+id]; x != nil {
+						if n--; n < 0 {
+							h = x
+						}
+					}
+				}
+				i := rapid.IntRange(0, len(h.pages)-1).Draw(t, "page")
+				live := !h.r.gone && b.now < min(h.readAt+l.Idle, h.made+l.Life)
+				told := false
+				b.c.Read(b.now, []byte(h.token), h.team, i, func(p []byte, err error) {
+					told = true
+					switch {
+					case err == nil && !bytes.Equal(p, h.pages[i]):
+						t.Fatalf("page %d is not what it was", i)
+					case err == nil:
+						served++
+						if h.readAt = b.now; i > 0 {
+							h.read[i] = true
+						}
+					case err == ErrNone && live:
+						t.Fatal("a result within its life isn't found")
+					}
+				})
+				if live {
+					h.readAt = b.now
+				} else if !told {
+					t.Fatal("what is past its life is read")
+				}
+			case len(b.work) > 0:
+				w := b.work[0]
+				b.work = b.work[1:]
+				b.perform(w)
+			default:
+				b.c.Sweep(b.now)
+			}
+			b.check()
+		}
+		for len(b.work) > 0 {
+			w := b.work[0]
+			b.work = b.work[1:]
+			b.perform(w)
+			b.check()
+		}
+		evicted += b.c.Counts.Evicted + b.c.Counts.ReadOut
+		waited += b.c.Counts.Waited
+		for _, k := range b.takes { // all is given back
+			if k.r != nil && !k.r.whole {
+				b.c.Drop(b.now, k.r)
+			}
+		}
+		b.now += l.Life
+		b.c.Sweep(b.now)
+		b.check()
+		if n, m, d := b.c.Held(); n != 0 || m != 0 || d != 0 {
+			t.Fatalf("left behind: %d results, %d and %d bytes", n, m, d)
+		}
+	})
+	if promised < 50 || evicted < 20 || waited < 20 || served < 50 {
+		t.Fatalf("the runs say nothing: promised %d evicted %d waited %d served %d", promised, evicted, waited, served)
+	}
+}
+
+// whole makes a promised result of two pages.
+func whole(t testing.TB, c *Core, team string) (*Result, string) {
+	r, err := c.Enter(c.now, "q", team)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if v, err := c.Add(c.now, r, bytes.Repeat([]byte("x"), c.Page), 1); v != Taken {
+			t.Fatal(v, err)
+		}
+	}
+	token := ""
+	c.Whole(c.now, r, func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		token = c.Token(r)
+	})
+	return r, token
+}
+
+func usualCore(t testing.TB) *Core {
+	l := Usual()
+	l.Page = 100
+	return New(l, keys(t), 1_700_000_000_000, 1<<32, func(w *Work) { t.Fatal("work without a disk") })
+}
+
+// Whatever is wrong with a token it opens nothing, is told the same, and costs the same.
+func TestTokens(t *testing.T) {
+	c := usualCore(t)
+	r, good := whole(t, c, "linz")
+	read := func(token, team string, page int) (err error, macs int) {
+		before := c.keys.macs
+		c.Read(c.now, []byte(token), team, page, func(_ []byte, e error) { err = e })
+		return err, c.keys.macs - before
+	}
+	if err, _ := read(good, "linz", 1); err != nil {
+		t.Fatal(err)
+	}
+	_, other := whole(t, c, "steyr")
+	raw, _ := base64.RawURLEncoding.DecodeString(good)
+	bad := map[string][2]string{"another team's": {good, "steyr"}, "of no team": {good, ""}, "another's": {other, "linz"}, "nothing": {"", "linz"},
+		"half": {good[:20], "linz"}, "longer": {good + "A", "linz"}, "no base64": {"!" + good[1:], "linz"}}
+	for i := range raw {
+		p := bytes.Clone(raw)
+		p[i] ^= 1 << (i % 8)
+		bad[fmt.Sprint("byte ", i, " changed")] = [2]string{base64.RawURLEncoding.EncodeToString(p), "linz"}
+	}
+	for what, x := range bad {
+		if err, macs := read(x[0], x[1], 1); err != ErrNone || macs != 1 {
+			t.Errorf("%s: %v after %d macs", what, err, macs)
+		}
+	}
+	for _, page := range []int{-1, 2, 1 << 30} {
+		if err, macs := read(good, "linz", page); err != ErrNone || macs != 1 {
+			t.Errorf("page %d: %v", page, err)
+		}
+	}
+	c.now += c.Idle // past its life, and not swept yet
+	if err, macs := read(good, "linz", 1); err != ErrNone || macs != 1 || r.gone {
+		t.Error("past its life: ", err)
+	}
+}
+
+func TestKeysRotate(t *testing.T) {
+	c := usualCore(t)
+	c.Life, c.Idle = 3*time.Hour, 3*time.Hour
+	_, first := whole(t, c, "linz")
+	for h := range 40 {
+		c.Sweep(time.Duration(h) * time.Hour / 4)
+		ok := false
+		c.Read(c.now, []byte(first), "linz", 1, func(_ []byte, err error) { ok = err == nil })
+		if want := c.now < c.Life; ok != want {
+			t.Fatalf("after %v it opens: %v", c.now, ok)
+		}
+	}
+	if n := len(c.keys.keys); n < 3 || n > 8 {
+		t.Fatalf("%d keys after ten hours of one an hour", n)
+	}
+	k, err := NewKeyring(c.keys.Text(), time.Hour, 0, secrets(2))
+	if err != nil || string(k.Text()) != string(c.keys.Text()) {
+		t.Fatal("keys don't survive: ", err)
+	}
+	for _, text := range []string{"{", `[{"ID":1,"Secret":"AAAA"}]`} {
+		if _, err := NewKeyring([]byte(text), time.Hour, 0, secrets(2)); err == nil {
+			t.Error("taken for keys: ", text)
+		}
+	}
+}
+
+// A clock set back or forward makes a result that was found live no longer than a new one.
+func TestClockSetBack(t *testing.T) {
+	for _, off := range []time.Duration{-48 * time.Hour, -time.Minute, 0, time.Hour, 48 * time.Hour} {
+		l := Usual()
+		l.Disk = 1 << 30
+		wall := int64(1_700_000_000_000)
+		c := New(l, keys(t), wall+off.Milliseconds(), 2<<32, func(w *Work) { w.Done(0) })
+		c.Restore(&Found{Promise{1, "q", "linz", wall, wall + l.Life.Milliseconds(), []uint32{1, 1}}, []uint32{10, 10}})
+		r := c.results[1]
+		left := c.Kept(r)
+		if want := min(l.Idle, max(0, l.Life-max(0, off))); left > l.Idle || off <= 0 && left != want || off > l.Life && left > 0 {
+			t.Errorf("clock off by %v: it lives on for %v", off, left)
+		}
+	}
+}
+
+func FuzzToken(f *testing.F) {
+	c := usualCore(f)
+	_, good := whole(f, c, "linz")
+	f.Add([]byte(good), "linz")
+	f.Add([]byte(good), "")
+	f.Add([]byte("AQAAAAEAAAABAAAAAQ"), "linz")
+	f.Fuzz(func(t *testing.T, token []byte, team string) {
+		if r := c.opened(token, team); (r != nil) != (string(token) == good && team == "linz") {
+			t.Fatalf("%q opens %v for %q", token, r, team)
+		}
+	})
+}
+
+func BenchmarkRead(b *testing.B) {
+	c := usualCore(b)
+	_, good := whole(b, c, "linz")
+	token := []byte(good)
+	for b.Loop() {
+		c.Read(c.now, token, "linz", 1, func([]byte, error) {})
+	}
+}
--- /dev/null
+++ b/internal/spool/token.go
@@ -0,0 +1,173 @@
+package spool
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// A token is, in base64 (RFC 4648, section 5, without padding):
+//
+//	version (1), key (4), result (8), end of life (8, milliseconds since 1970), mac (16)
+//
+// the mac being the first half of HMAC-SHA-256 (RFC 2104) under that key over what
+// stands before it, a sum of the sizes of all pages, the query and the team.
+const (
+	tokenVersion = 1
+	tokenHead    = 1 + 4 + 8 + 8
+	macSize      = 16
+	tokenSize    = tokenHead + macSize
+)
+
+// Key is one of the keys that tokens are made with.
+type Key struct {
+	ID     uint32
+	Made   int64  // milliseconds since 1970
+	Secret []byte // 32 bytes
+}
+
+// Keyring makes tokens with its newest key and takes those of older ones, for as long
+// as any of their results may live.
+type Keyring struct {
+	keys   []Key // the newest last
+	rotate time.Duration
+	fresh  func() []byte
+	renews bool
+	dummy  Key
+	macs   int // computed so far
+}
+
+// NewKeyring makes one whose keys are renewed now and then. fresh gives 32 bytes that
+// nobody can guess. text is what Text gave before, nil for none.
+func NewKeyring(text []byte, rotate time.Duration, wall int64, fresh func() []byte) (*Keyring, error) {
+	k := &Keyring{rotate: rotate, fresh: fresh, dummy: Key{Secret: make([]byte, 32)}}
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &k.keys); err != nil {
+			return nil, fmt.Errorf("the keys can't be read: %w", err)
+		}
+		for _, x := range k.keys {
+			if len(x.Secret) != 32 {
+				return nil, fmt.Errorf("key %d has %d bytes, not 32", x.ID, len(x.Secret))
+			}
+		}
+	}
+	if len(k.keys) == 0 {
+		k.add(wall)
+	}
+	return k, nil
+}
+
+func (k *Keyring) add(wall int64) {
+	id := uint32(1)
+	if n := len(k.keys); n > 0 {
+		id = k.keys[n-1].ID + 1
+	}
+	k.keys = append(k.keys, Key{id, wall, k.fresh()})
+}
+
+// Text is the keys as they are to be kept, readable by nobody else.
+func (k *Keyring) Text() []byte {
+	text, err := json.Marshal(k.keys)
+	if err != nil {
+		panic(err) // numbers and bytes
+	}
+	return text
+}
+
+func (k *Keyring) mac(x *Key, head []byte, r *Result) []byte {
+	k.macs++
+	h := hmac.New(sha256.New, x.Secret)
+	h.Write(head)
+	p := binary.BigEndian.AppendUint64(nil, r.sizes)
+	p = binary.BigEndian.AppendUint32(p, uint32(len(r.query)))
+	h.Write(append(append(p, r.query...), r.team.name...))
+	return h.Sum(nil)[:macSize]
+}
+
+// Token is what opens a whole result.
+func (c *Core) Token(r *Result) string {
+	x := &c.keys.keys[len(c.keys.keys)-1]
+	p := binary.BigEndian.AppendUint32([]byte{tokenVersion}, x.ID)
+	p = binary.BigEndian.AppendUint64(p, r.id)
+	p = binary.BigEndian.AppendUint64(p, uint64(r.endsWall))
+	return base64.RawURLEncoding.EncodeToString(append(p, c.keys.mac(x, p, r)...))
+}
+
+var nobody = &team{}
+
+// opened is the result that a token opens for a team, nil if it opens none. All
+// that can be wrong costs the same: one look-up of each kind and one mac.
+func (c *Core) opened(text []byte, teamName string) *Result {
+	good := 1
+	need := func(ok bool) {
+		if !ok {
+			good = 0
+		}
+	}
+	var p [tokenSize]byte
+	if len(text) == base64.RawURLEncoding.EncodedLen(tokenSize) {
+		n, err := base64.RawURLEncoding.Strict().Decode(p[:], text)
+		need(err == nil && n == tokenSize)
+	} else {
+		need(false)
+	}
+	need(p[0] == tokenVersion)
+	x := &c.keys.dummy
+	id := binary.BigEndian.Uint32(p[1:])
+	if i := slices.IndexFunc(c.keys.keys, func(y Key) bool { return y.ID == id }); i >= 0 {
+		x = &c.keys.keys[i]
+	} else {
+		need(false)
+	}
+	r := c.results[binary.BigEndian.Uint64(p[5:])]
+	if r == nil {
+		need(false)
+		r = &Result{team: nobody}
+	}
+	good &= subtle.ConstantTimeCompare(c.keys.mac(x, p[:tokenHead], r), p[tokenHead:])
+	good &= subtle.ConstantTimeCompare([]byte(r.team.name), []byte(teamName))
+	need(int64(binary.BigEndian.Uint64(p[13:])) == r.endsWall)
+	need(c.now < r.life(c) && !r.gone)
+	if good != 1 {
+		return nil
+	}
+	return r
+}
+
+// keysMost bounds the keys, however often the clock is set.
+const keysMost = 64
+
+// renew makes a new key where the newest is old, to be used once it is kept, and
+// drops those whose tokens have all ended.
+func (c *Core) renew() {
+	k := c.keys
+	wall := c.wall + c.now.Milliseconds()
+	newest := k.keys[len(k.keys)-1]
+	if k.renews || k.rotate <= 0 || time.Duration(wall-newest.Made)*time.Millisecond < k.rotate && wall >= newest.Made {
+		return
+	}
+	next := *k
+	next.keys = slices.DeleteFunc(slices.Clone(k.keys), func(x Key) bool {
+		return x.ID != newest.ID && time.Duration(wall-x.Made)*time.Millisecond > 2*k.rotate+c.Life
+	})
+	next.keys = next.keys[max(0, len(next.keys)-keysMost+1):]
+	next.add(wall)
+	if c.Disk == 0 {
+		k.keys = next.keys
+		return
+	}
+	k.renews = true
+	w := &Work{Keys: next.Text()}
+	w.Done = func(time.Duration) {
+		if k.renews = false; w.Err == nil {
+			k.keys = next.keys
+		}
+	}
+	c.do(w)
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -21,6 +21,17 @@
 	return append(dst, statement...)
 }
 
+// Page asks for a page of a result.
+func Page(dst []byte, msg uint32, token, page string, fields ...string) []byte {
+	dst = append(str(whole(append(dst, 0x94, 0), msg), "page"), 0x91)
+	fields = append([]string{"token", token, "page", page}, fields...)
+	dst = append(dst, 0x80|byte(len(fields)/2))
+	for _, f := range fields {
+		dst = str(dst, f)
+	}
+	return dst
+}
+
 // Alive asks whether a controller is ready.
 func Alive(dst []byte, msg uint32) []byte {
 	return append(str(whole(append(dst, 0x94, 0), msg), "alive"), 0x91, 0x80)
@@ -58,6 +69,7 @@
 	Wait  time.Duration // Told: until it starts; Deferred: the pause, 0 if none is named
 	Why   string        // Killed
 	Ready bool
+	About map[string]string // what else an answer told
 }
 
 var errForm = errors.New("not an answer")
@@ -193,6 +205,7 @@
 		r.err = errForm
 		return a
 	}
+	a.About, _ = good[1].(map[string]string)
 	switch x := good[0].(type) {
 	case bool:
 		a.Kind, a.Ready = Ready, x
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -101,6 +101,7 @@
 	noteAt   time.Duration
 	until    time.Duration
 	seq      uint64
+	made     [][]byte // its result, once it was asked for
 }
 
 // Model is one engine's insides. Times never run backwards.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -16,10 +16,12 @@
 	// Cost tells what a statement takes; ParseCost unless set.
 	Cost func(group string, statement []byte) Work
 	// Posted is told of each query that comes to run here, if it is set.
-	Posted  func(id, group string, rank int, at time.Duration)
-	conns   []*Conn
-	holding []*Conn // those with a call that is held for news, in turn
-	silent  bool
+	Posted func(id, group string, rank int, at time.Duration)
+	// Released is told of each query that it was told to end or to forget, if it is set.
+	Released func(id string, at time.Duration)
+	conns    []*Conn
+	holding  []*Conn // those with a call that is held for news, in turn
+	silent   bool
 	// Calls counts what came, by method.
 	Calls map[string]int
 }
@@ -137,6 +139,9 @@
 		c.answer(204, "", nil)
 	case method == "DELETE" && len(parts) == 2:
 		s.GiveUp(now, parts[1])
+		if s.Released != nil {
+			s.Released(parts[1], now)
+		}
 		c.answer(204, "", nil)
 	default:
 		c.answer(500, "", nil)
@@ -222,6 +227,9 @@
 func Row(id string, i int) string { return id + "\trow\t" + strconv.Itoa(i) + "\n" }
 
 func (s *Server) pages(x *session) [][]byte {
+	if x.made != nil {
+		return x.made
+	}
 	pages := [][]byte{nil}
 	for i := range x.work.Rows {
 		row := Row(x.id, i)
@@ -230,6 +238,7 @@
 		}
 		pages[len(pages)-1] = append(pages[len(pages)-1], row...)
 	}
+	x.made = pages
 	return pages
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -90,7 +90,7 @@
 	next    uint64
 	starts  uint64
 	tombs   []Record // that could not be written yet
-	dirty   bool // something was written since the last sync
+	dirty   bool     // something was written since the last sync
 	compact *compaction
 	buffer  []byte
 	total   int64
