Spool: no waiting for each other's room, pages found at once, checked on sockets

Results being drawn that filled the disk between them all waited until their queue timeouts: who can't have room in its time is now killed at once with the sizes.

--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -53,7 +53,14 @@
 		}}
 	speed.Flags().StringVar(&trial.Program, "program", "bin/railrelay", "the controller")
 	speed.Flags().IntVar(&turns, "turns", 3, "of three seconds each, on and off")
-	root.AddCommand(measure, try, speed)
+	results := 1
+	large := &cobra.Command{Use: "large", Short: "results of a gigabyte through a program of 64 MB, on the disk of this machine", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return lab.Large(c.Context(), c.OutOrStdout(), program, results)
+		}}
+	large.Flags().StringVar(&program, "program", program, "the controller")
+	large.Flags().IntVar(&results, "results", results, "all of them are kept: a gigabyte of disk each")
+	root.AddCommand(measure, try, speed, large)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
 	}
--- a/internal/lab/fairness_test.go
+++ b/internal/lab/fairness_test.go
@@ -308,11 +308,17 @@
 	}
 }
 
-func TestTryOnSockets(t *testing.T) {
+// built is the controller, as a debug build.
+func built(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "railrelay")
 	if out, err := exec.Command("go", "build", "-tags", "debug", "-o", program, "../../cmd/railrelay").CombinedOutput(); err != nil {
 		t.Fatal(string(out))
 	}
+	return program
+}
+
+func TestTryOnSockets(t *testing.T) {
+	program := built(t)
 	var log bytes.Buffer
 	trial := &Trial{Program: program, Engines: 2, Long: 2 * time.Second, Seed: 3, Log: &log}
 	rows, err := trial.Run(context.Background())
--- a/internal/lab/spool.go
+++ b/internal/lab/spool.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"railrelay.dev/railrelay/internal/standin/caller"
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/world"
@@ -76,6 +78,14 @@
 	}
 }
 
+// askFor asks for pages, and waits for as long as a group's longest queue timeout.
+func (r *reader) askFor(id string, rows int) error {
+	r.msg++
+	_, err := r.Write(caller.Call(nil, r.msg, "report", engine.Statement(engine.Work{Threads: 1, CPU: 2 * time.Millisecond, MemoryMB: 10, Rows: rows}),
+		"trace", id, "patience", "30000", "pages", "1"))
+	return err
+}
+
 func (r *reader) ask(id string, rows int, paged bool) error {
 	r.msg++
 	fields := []string{"trace", id, "patience", "12000"}
@@ -175,7 +185,7 @@
 // held and what memory the controller had at the most.
 func slow(ctx context.Context, t *Trial, out io.Writer, readers int, paged bool, long time.Duration) (p99, rss float64, err error) {
 	x := &rid{done: map[string]time.Time{}, released: map[string]time.Time{}}
-	s, err := newStage(ctx, t.Program, t.Engines, t.Log, x.hear)
+	s, err := newStage(ctx, t.Program, t.Engines, trialEngine(), t.Log, x.hear)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -227,7 +237,7 @@
 // kills has clients ask while the controller is killed at random, again and again, and
 // reads after each start all that was promised before it.
 func kills(ctx context.Context, t *Trial, rounds int) (k killed, err error) {
-	s, err := newStage(ctx, t.Program, t.Engines, t.Log, func(int, *engine.Server) {})
+	s, err := newStage(ctx, t.Program, t.Engines, trialEngine(), t.Log, func(int, *engine.Server) {})
 	if err != nil {
 		return k, err
 	}
@@ -293,7 +303,21 @@
 				}
 			}()
 		}
-		time.Sleep(150*time.Millisecond + time.Duration(rng.IntN(500))*time.Millisecond)
+		mu.Lock()
+		enough := len(all) + 5
+		mu.Unlock()
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			mu.Lock()
+			got := len(all) >= enough
+			mu.Unlock()
+			if got {
+				break
+			}
+		}
+		mu.Lock()
+		wait := time.Duration(rng.IntN(500)) * time.Millisecond
+		mu.Unlock()
+		time.Sleep(wait)
 		s.kill()
 		k.kills++
 		wg.Wait()
@@ -306,20 +330,24 @@
 
 // writeRatio is what the store takes in a second beside what plain writes to one file
 // take with the same syncs.
-func writeRatio(dir string) (ours, plain float64, err error) {
+func writeRatio(dir string, sync store.Sync) (ours, plain float64, err error) {
 	const results, pages, size = 60, 32, 32 << 10
+	const segment = 16 // results of 1 MB: one that was filled is synced, whatever the setting but never
 	body := bytes.Repeat([]byte("0123456789abcde\n"), size/16)
 	begin := time.Now()
 	f, err := os.Create(filepath.Join(dir, "plain"))
 	if err != nil {
 		return 0, 0, err
 	}
-	for range results {
+	for n := range results {
 		for range pages {
 			if _, err := f.Write(body); err != nil {
 				return 0, 0, err
 			}
 		}
+		if sync == store.Never || sync == store.AtTicks && n%segment != segment-1 {
+			continue
+		}
 		if err := f.Sync(); err != nil {
 			return 0, 0, err
 		}
@@ -328,7 +356,7 @@
 	os.Remove(f.Name())
 	total := float64(results*pages*size) / (1 << 20)
 	plain = total / time.Since(begin).Seconds()
-	k, err := store.OpenKeeper(filepath.Join(dir, "ours"), store.Terms{})
+	k, err := store.OpenKeeper(filepath.Join(dir, fmt.Sprint("ours", sync)), store.Terms{Sync: sync})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -351,6 +379,67 @@
 	return ours, plain, nil
 }
 
+// costs is the controller's processor time, in microseconds, for a page that is in
+// memory, and for an answer of the same size to a query that engines do at once.
+func costs(ctx context.Context, t *Trial) (page, answer float64, err error) {
+	s, err := newStage(ctx, t.Program, t.Engines, trialEngine(), t.Log, func(int, *engine.Server) {})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.close()
+	if err := s.begin(spoolSetup(t, s, filepath.Join(s.dir, "spool"))); err != nil {
+		return 0, 0, err
+	}
+	r, err := dial(s.address, 0)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer r.Close()
+	const calls = 400
+	used := func() float64 { return processor(s.running.Process.Pid) }
+	before := used()
+	size := 0
+	for i := range calls {
+		if err := r.ask(fmt.Sprintf("%016x", 0xd0000+i), 1150, false); err != nil {
+			return 0, 0, err
+		}
+		a, err := r.answer(ctx)
+		if err != nil || a.Kind != caller.Finished {
+			return 0, 0, fmt.Errorf("an answer: %v %v", err, a.Kind)
+		}
+		size = len(a.Rows)
+	}
+	answer = (used() - before) / calls * 1e6
+	if err := r.ask(fmt.Sprintf("%016x", 0xe0000), 4000, true); err != nil {
+		return 0, 0, err
+	}
+	a, err := r.answer(ctx)
+	if err != nil || a.About["token"] == "" {
+		return 0, 0, fmt.Errorf("no pages: %v %v", err, a.About)
+	}
+	before = used()
+	for range 5 * calls {
+		b, err := r.page(ctx, a.About["token"], 1)
+		if err != nil || b.Kind != caller.Finished || len(b.Rows) < size*4/5 {
+			return 0, 0, fmt.Errorf("a page: %v %v, %d bytes of %d", err, b.Kind, len(b.Rows), size)
+		}
+	}
+	return (used() - before) / (5 * calls) * 1e6, answer, s.end()
+}
+
+// processor is the time a program has had of processors, in seconds.
+func processor(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / 100 // ticks of the system's, a hundredth of a second each
+}
+
 // reopen is how long it takes to open so many results.
 func reopen(dir string, results int) (time.Duration, error) {
 	path := filepath.Join(dir, "many")
@@ -407,19 +496,117 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	ours, plain, err := writeRatio(dir)
+	ratio := 0.0
+	for i, name := range []string{"promise", "ticks", "never"} {
+		ours, plain, err := writeRatio(dir, store.Sync(i))
+		if err != nil {
+			return err
+		}
+		if ours/plain < ratio || i == 0 {
+			ratio = ours / plain
+		}
+		fmt.Fprintf(out, "taking in, sync %s: %.0f MB/s, plain writes with the same syncs: %.0f MB/s\n", name, ours, plain)
+	}
+	page, answer, err := costs(ctx, t)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "taking in: %.0f MB/s, plain writes with the same syncs: %.0f MB/s\n", ours, plain)
+	fmt.Fprintf(out, "processor time of a page from memory: %.1f us, of an answer as before, of the same size: %.1f us\n", page, answer)
 	took, err := reopen(dir, 100_000)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "measured release_p99_s=%.4f release_p99_before_s=%.4f slow_readers=%d resumed=%.3f promised=%d lost=%d corrupt_served=%d write_ratio=%.3f reopen_s=%.3f rss_mb=%.1f rss_before_mb=%.1f\n",
-		p99, beforeP99, readers, float64(k.resumed)/float64(max(1, k.promised)), k.promised, k.lost, k.corrupt, ours/plain, took.Seconds(), rss, beforeRSS)
+	fmt.Fprintf(out, "measured release_p99_s=%.4f release_p99_before_s=%.4f slow_readers=%d resumed=%.3f promised=%d lost=%d corrupt_served=%d write_ratio=%.3f page_cost=%.3f reopen_s=%.3f rss_mb=%.1f rss_before_mb=%.1f\n",
+		p99, beforeP99, readers, float64(k.resumed)/float64(max(1, k.promised)), k.promised, k.lost, k.corrupt, ratio, page/answer, took.Seconds(), rss, beforeRSS)
 	if k.lost+k.corrupt > 0 {
 		return errors.New("what was promised is lost or spoilt")
 	}
 	return nil
 }
+
+// Large draws so many results of about a gigabyte through a program of 64 MB, one
+// after another, and reads each to its end; all are kept. It takes long and much disk.
+func Large(ctx context.Context, out io.Writer, program string, results int) error {
+	const wide, rows = 4000, 265_000
+	f := trialEngine()
+	f.PageBytes, f.Wide = 48_000, wide
+	t := &Trial{Program: program, Engines: 1, Seed: 1, Log: os.Stderr}
+	s, err := newStage(ctx, program, 1, f, t.Log, func(int, *engine.Server) {})
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	text := strings.Replace(spoolSetup(t, s, filepath.Join(s.dir, "spool")), "disk_mb: 2048", fmt.Sprintf("disk_mb: %d, result_mb: 2000, idle: 2h", 1400*(results+1)), 1)
+	if err := s.begin(text); err != nil {
+		return err
+	}
+	most := 0.0
+	done := make(chan struct{})
+	var sampled sync.WaitGroup
+	sampled.Add(1)
+	pid := s.running.Process.Pid
+	go func() {
+		defer sampled.Done()
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Millisecond):
+				most = max(most, resident(pid))
+			}
+		}
+	}()
+	finish := sync.OnceFunc(func() {
+		close(done)
+		sampled.Wait()
+	})
+	defer finish()
+	spooled := int64(0)
+	var drawn, read time.Duration
+	for n := range results {
+		r, err := dial(s.address, 0)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		id := fmt.Sprintf("%016x", 0xc0000+n)
+		begin := time.Now()
+		if err := r.askFor(id, rows); err != nil {
+			return err
+		}
+		a, err := r.answer(ctx)
+		if err != nil || a.Kind != caller.Finished {
+			return fmt.Errorf("result %d: %v, %v %s", n, err, a.Kind, a.Why)
+		}
+		drawn += time.Since(begin)
+		begin = time.Now()
+		want, got := xxhash.New(), xxhash.New()
+		for i := range rows {
+			want.WriteString(engine.WideRow(id, i, wide))
+		}
+		pages, _ := strconv.Atoi(a.About["pages"])
+		size := int64(len(a.Rows))
+		got.Write(a.Rows)
+		begin = time.Now()
+		for i := 1; i < pages; i++ {
+			b, err := r.page(ctx, a.About["token"], i)
+			if err != nil || b.Kind != caller.Finished {
+				return fmt.Errorf("result %d, page %d of %d: %v, %s", n, i, pages, err, b.Why)
+			}
+			got.Write(b.Rows)
+			size += int64(len(b.Rows))
+			if i%30 == 0 { // as one address may
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		read += time.Since(begin)
+		spooled += size
+		if got.Sum64() != want.Sum64() {
+			return fmt.Errorf("result %d of %d bytes is not what its engine made", n, size)
+		}
+	}
+	finish()
+	mb := float64(spooled) / (1 << 20)
+	fmt.Fprintf(out, "measured results=%d spooled_mb=%.0f draw_mb_s=%.0f read_mb_s=%.0f rss_mb=%.1f\n", results, mb, mb/drawn.Seconds(), mb/read.Seconds(), most)
+	return s.end()
+}
--- a/internal/lab/try.go
+++ b/internal/lab/try.go
@@ -136,7 +136,7 @@
 // setup writes for the feed's address and the one to listen on.
 func (t *Trial) with(ctx context.Context, setup func(feedAddress, listen string) string, posted func(id string),
 	do func(ctx context.Context, address string) error) (err error) {
-	s, err := newStage(ctx, t.Program, t.Engines, t.Log, func(_ int, s *engine.Server) {
+	s, err := newStage(ctx, t.Program, t.Engines, trialEngine(), t.Log, func(_ int, s *engine.Server) {
 		if posted != nil {
 			s.Posted = func(id, _ string, _ int, _ time.Duration) { posted(id) }
 		}
@@ -164,7 +164,7 @@
 }
 
 // newStage starts engines and a feed; each is told of each engine.
-func newStage(ctx context.Context, program string, engines int, log io.Writer, each func(i int, s *engine.Server)) (s *stage, err error) {
+func newStage(ctx context.Context, program string, engines int, figures engine.Figures, log io.Writer, each func(i int, s *engine.Server)) (s *stage, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	s = &stage{ctx: ctx, program: program, log: log, closers: []func(){stop}}
 	defer func() {
@@ -175,7 +175,7 @@
 	var list feed.Log
 	var entries []feed.Engine
 	for i := range engines {
-		e, err := engine.Listen(ctx, "127.0.0.1:0", trialEngine(), false)
+		e, err := engine.Listen(ctx, "127.0.0.1:0", figures, false)
 		if err != nil {
 			return s, err
 		}
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -84,7 +84,7 @@
 	if s.result == nil {
 		s.result, s.of = p.core.Again(p.now, s.q.kept), of
 	}
-	verdict, err := p.core.Add(p.now, s.result, rows, uint32(bytes.Count(rows, []byte("\n"))))
+	verdict, err := p.core.Add(p.now, s.result, rows, uint32(bytes.Count(rows, []byte("\n"))), s.until)
 	switch verdict {
 	case spool.Never:
 		p.drop(s)
@@ -182,8 +182,8 @@
 func (p *paging) text() string {
 	n := &p.core.Counts
 	results, memory, disk := p.core.Held()
-	return fmt.Sprintf("; spool holds %d results, bytes %d in memory %d on disk, promised %d refused %d too large %d not kept %d, pages %d from disk %d bad tokens %d spoilt %d, evicted %d expired %d read out %d, waited %d",
-		results, memory, disk, n.Promised, n.Refused, n.TooLarge, n.Failed, n.Pages, n.FromDisk, n.BadTokens, n.Spoilt,
+	return fmt.Sprintf("; spool holds %d results, bytes %d in memory %d on disk, promised %d refused %d too large %d without room %d not kept %d, pages %d from disk %d bad tokens %d spoilt %d, evicted %d expired %d read out %d, waited %d",
+		results, memory, disk, n.Promised, n.Refused, n.TooLarge, n.NoRoom, n.Failed, n.Pages, n.FromDisk, n.BadTokens, n.Spoilt,
 		n.Evicted, n.Expired, n.ReadOut, n.Waited)
 }
 
--- a/internal/relay/spool_test.go
+++ b/internal/relay/spool_test.go
@@ -119,6 +119,9 @@
 			}
 			parts[i] = ans.Rows
 		})
+		if left >= 20 { // a few at once
+			s.Until(s.Now + 300*time.Millisecond)
+		}
 	}
 	s.Until(s.Now + 2*time.Second)
 	if all := bytes.Join(parts, nil); left > 0 || !bytes.Equal(all, world.Rows(a)) || strconv.Itoa(len(all)) != a.Paging["bytes"] ||
@@ -316,6 +319,62 @@
 	s.done()
 }
 
+// An engine that drains hands out what it has; one whose answers are spoilt is asked again.
+func TestEngineDrainsOrGarblesWhileDrawn(t *testing.T) {
+	for name, trouble := range map[string]func(s *spooled){
+		"drains": func(s *spooled) {
+			for _, e := range s.Engines {
+				s.Tell(e, "DRAINING")
+			}
+		},
+		"garbles": func(s *spooled) {
+			for _, e := range s.Engines {
+				e.Spoil = 3
+			}
+		},
+		"ends its connections": func(s *spooled) {
+			for _, e := range s.Engines {
+				e.Reset(s.Now, false)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := fresh(t)
+			c := s.client()
+			a := s.ask(c, 120_000)
+			s.Until(100 * time.Millisecond)
+			trouble(s)
+			s.Until(8 * time.Second)
+			if a.Answer != caller.Finished || !a.Answered {
+				t.Fatal("not finished: ", a.Answered, a.Answer)
+			}
+			s.reads(s.client(), a, from1(pagesOf(a)))
+			s.done()
+		})
+	}
+}
+
+// A mutating query whose result can't be kept is killed, and never run again.
+func TestMutatingIsNotRunAgain(t *testing.T) {
+	s := fresh(t)
+	c := s.client()
+	s.serial++
+	a := c.Ask(fmt.Sprintf("%016x", s.serial), "load", "k", 12*time.Second,
+		engine.Work{Threads: 1, CPU: 20 * time.Millisecond, MemoryMB: 10, Rows: 120_000, Load: true}, "pages", "1")
+	s.Until(100 * time.Millisecond)
+	s.d.Fail = func(verb, _ string) error {
+		if verb == "write" {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	s.Until(20 * time.Second)
+	if !a.Answered || a.Answer != caller.Killed || s.History.Sent != 1 {
+		t.Error(a.Answered, a.Answer, s.History.Sent)
+	}
+	s.done()
+}
+
 func TestFlippedBitIsNeverServed(t *testing.T) {
 	s := fresh(t)
 	c := s.client()
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -121,6 +121,7 @@
 // Counts are counted since the start.
 type Counts struct {
 	Taken, Promised, Refused, TooLarge, Failed int
+	NoRoom                                     int
 	Pages, FromDisk, BadTokens, Spoilt         int
 	Evicted, Expired, ReadOut, Waited          int
 	BytesIn                                    int64
@@ -279,8 +280,10 @@
 	Never                // there can't be: Killed has why
 )
 
-// Add takes a page from the engine. The body is copied.
-func (c *Core) Add(now time.Duration, r *Result, body []byte, rows uint32) (Verdict, error) {
+// Add takes a page from the engine. The body is copied. Who waits for room until a
+// time by which none can come is refused at once: the room it holds may be what
+// another needs.
+func (c *Core) Add(now time.Duration, r *Result, body []byte, rows uint32, until time.Duration) (Verdict, error) {
 	c.at(now)
 	if r.failed != nil {
 		return Never, r.failed
@@ -291,6 +294,10 @@
 		return Never, Refusal(fmt.Sprintf("the result is too large: over %d bytes, more than the %d that one may have", total, c.most()))
 	}
 	if !c.makeRoom(r, size) {
+		if !c.comes(until) {
+			c.Counts.NoRoom++
+			return Never, Refusal(fmt.Sprintf("there is no room for more than %d bytes of the result: %d are held by results that are read", r.bytes, c.disk-r.onDisk))
+		}
 		c.Counts.Waited++
 		return Wait, nil
 	}
@@ -314,6 +321,20 @@
 	return Taken, nil
 }
 
+// comes: room may come by a time, because something is being written or compacted,
+// or a result's life ends.
+func (c *Core) comes(until time.Duration) bool {
+	if c.flight > 0 || c.dead > 0 {
+		return true
+	}
+	for _, r := range c.results {
+		if r.life(c) <= until || r.reading > 0 || r.writing > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // most is what any result may have at all.
 func (c *Core) most() int64 {
 	if c.Disk > 0 {
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -4,14 +4,24 @@
 	"bytes"
 	"encoding/base64"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201") // the same verdict every time
+	flag.Set("rapid.checks", "300")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 func secrets(seed uint64) func() []byte {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	return func() []byte {
@@ -150,7 +160,7 @@
 	promised, evicted, waited, served := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limits{Memory: 4000, Disk: 20_000, Results: 12, Result: 9000, Team: 0.3, TeamResults: 6, Idle: 20 * time.Second,
-			Life: time.Minute, Page: 300, Flight: 1500, Reads: 4}
+			Life: time.Minute, Page: 300, Flight: 400, Reads: 4}
 		if rapid.Bool().Draw(t, "no disk") {
 			l.Disk = 0
 		}
@@ -158,7 +168,7 @@
 		b.c = New(l, keys(t), 1_700_000_000_000, 1<<32, func(w *Work) { b.work = append(b.work, w) })
 		add := func(k *take) {
 			p := bytes.Repeat([]byte{byte('a' + len(k.bytes)%26)}, rapid.IntRange(1, 400).Draw(t, "size"))
-			v, err := b.c.Add(b.now, k.r, p, 1)
+			v, err := b.c.Add(b.now, k.r, p, 1, b.now+rapid.SampledFrom([]time.Duration{time.Second, 15 * time.Second}).Draw(t, "until"))
 			if err != nil != (v == Never) {
 				t.Fatal("a verdict without its reason")
 			}
@@ -289,7 +299,7 @@
 		t.Fatal(err)
 	}
 	for range 2 {
-		if v, err := c.Add(c.now, r, bytes.Repeat([]byte("x"), c.Page), 1); v != Taken {
+		if v, err := c.Add(c.now, r, bytes.Repeat([]byte("x"), c.Page), 1, c.now+time.Second); v != Taken {
 			t.Fatal(v, err)
 		}
 	}
@@ -409,3 +419,56 @@
 		c.Read(c.now, token, "linz", 1, func([]byte, error) {})
 	}
 }
+
+// Results being drawn that fill the disk between them don't wait for each other for
+// good: who can't have room in its time is refused, and the rest goes on.
+func TestNobodyWaitsForEachOther(t *testing.T) {
+	l := Limits{Memory: 20_000, Disk: 40_000, Results: 100, Result: 30_000, Team: 1, TeamResults: 100, Idle: time.Hour, Life: time.Hour,
+		Page: 1000, Flight: 10_000, Reads: 4}
+	var work []*Work
+	c := New(l, keys(t), 0, 1<<32, func(w *Work) { work = append(work, w) })
+	perform := func() {
+		for len(work) > 0 {
+			w := work[0]
+			work = work[1:]
+			w.Done(c.now)
+		}
+	}
+	var all []*Result
+	for i := range 10 {
+		r, err := c.Enter(c.now, fmt.Sprint(i), "linz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, r)
+	}
+	finished, refused := 0, 0
+	for range 1000 {
+		for i, r := range all {
+			if r == nil {
+				continue
+			}
+			switch v, err := c.Add(c.now, r, make([]byte, 1000), 1, c.now+10*time.Second); {
+			case v == Never:
+				c.Drop(c.now, r)
+				all[i] = nil
+				refused++
+				if !bytes.Contains([]byte(err.Error()), []byte("no room")) {
+					t.Fatal(err)
+				}
+			case v == Taken && r.bytes >= 9000:
+				all[i] = nil
+				c.Whole(c.now, r, func(err error) {
+					if err != nil {
+						t.Error(err)
+					}
+					finished++
+				})
+			}
+		}
+		perform()
+	}
+	if finished != 4 || refused != 6 { // 4 of them fit
+		t.Fatalf("%d finished and %d refused of 10", finished, refused)
+	}
+}
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -32,6 +32,7 @@
 	// Swapping is how much slower all gets for each part of memory granted too much.
 	Swapping  float64
 	PageBytes int
+	Wide      int // bytes that rows have beyond those of Row
 	Most      int // queries at once; more are turned away
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -19,9 +19,11 @@
 	Posted func(id, group string, rank int, at time.Duration)
 	// Released is told of each query that it was told to end or to forget, if it is set.
 	Released func(id string, at time.Duration)
-	conns    []*Conn
-	holding  []*Conn // those with a call that is held for news, in turn
-	silent   bool
+	// Spoil is how many of the next pages are spoilt on their way.
+	Spoil   int
+	conns   []*Conn
+	holding []*Conn // those with a call that is held for news, in turn
+	silent  bool
 	// Calls counts what came, by method.
 	Calls map[string]int
 }
@@ -216,6 +218,11 @@
 	s.Ask(now, id)
 	if x := s.sessions[id]; x != nil && x.outcome == Good {
 		if pages := s.pages(x); page < len(pages) {
+			if s.Spoil > 0 {
+				s.Spoil--
+				c.answer(200, fmt.Sprintf("Chunk: %d\r\n", page), pages[page][:len(pages[page])-3])
+				return
+			}
 			c.answer(200, fmt.Sprintf("Chunk: %d\r\n", page), pages[page])
 			return
 		}
@@ -226,13 +233,21 @@
 // Row is the text of a result's row: anybody can tell whether it is right.
 func Row(id string, i int) string { return id + "\trow\t" + strconv.Itoa(i) + "\n" }
 
+// WideRow is a row with so many bytes more.
+func WideRow(id string, i, wide int) string {
+	if wide == 0 {
+		return Row(id, i)
+	}
+	return id + "\trow" + strings.Repeat("-", wide) + "\t" + strconv.Itoa(i) + "\n"
+}
+
 func (s *Server) pages(x *session) [][]byte {
 	if x.made != nil {
 		return x.made
 	}
 	pages := [][]byte{nil}
 	for i := range x.work.Rows {
-		row := Row(x.id, i)
+		row := WideRow(x.id, i, s.Wide)
 		if last := pages[len(pages)-1]; len(last)+len(row) > s.PageBytes && len(last) > 0 {
 			pages = append(pages, nil)
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -85,6 +85,7 @@
 	recent   map[uint64]*Meta // promised since the index was last written
 	gone     map[uint64]bool  // and no more since
 	open     map[uint64]*taking
+	lately   lately
 
 	active  *segment
 	next    uint64
@@ -596,6 +597,7 @@
 		s.counts(m, -1)
 		delete(s.recent, id)
 		s.gone[id] = true
+		s.lately.drop(id)
 		s.mu.Unlock()
 		tombs = append(tombs, Record{Kind: Gone, Result: id})
 	}
@@ -613,6 +615,7 @@
 	}
 }
 
+// meta is what is known of a result that was promised, for certain.
 func (s *Store) meta(id uint64) (*Meta, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -625,25 +628,39 @@
 	return s.index.Get(id)
 }
 
+// glance is meta for readers, who may be told of a place that its page has just left.
+// They find that out, since its segment's file is gone; compaction would not.
+func (s *Store) glance(id uint64) (*Meta, error) {
+	if m := s.lately.find(id); m != nil {
+		return m, nil
+	}
+	m, err := s.meta(id)
+	if err == nil {
+		s.lately.keep(m)
+	}
+	return m, err
+}
+
 // ErrSpoilt: a page is not what was written. It is never handed out.
 var ErrSpoilt = errors.New("the page is spoilt")
 
 // Fetch reads a page of a result that was promised, or is being taken.
 func (s *Store) Fetch(id uint64, page int) ([]byte, error) {
 	for try := 0; ; try++ {
-		at, err := s.find(id, page)
+		at, err := s.find(id, page, s.glance)
 		if err != nil {
 			return nil, err
 		}
 		p, err := s.read(at, id)
 		if errors.Is(err, os.ErrNotExist) && try < 3 {
-			continue // it was moved meanwhile
+			s.lately.drop(id) // it was moved meanwhile
+			continue
 		}
 		return p, err
 	}
 }
 
-func (s *Store) find(id uint64, page int) (place, error) {
+func (s *Store) find(id uint64, page int, meta func(id uint64) (*Meta, error)) (place, error) {
 	s.mu.RLock()
 	t := s.open[id]
 	var places []place
@@ -652,7 +669,7 @@
 	}
 	s.mu.RUnlock()
 	if t == nil {
-		m, err := s.meta(id)
+		m, err := meta(id)
 		if err != nil {
 			return place{}, err
 		}
@@ -786,6 +803,15 @@
 	var l []Record
 	left := s.terms.StepBytes
 	older := s.numbers()[0] < c.g.number
+	known := map[uint64]*Meta{} // for this step, in which nothing else changes
+	meta := func(id uint64) (m *Meta, err error) {
+		if m = known[id]; m == nil {
+			if m, err = s.meta(id); err == nil {
+				known[id] = m
+			}
+		}
+		return m, err
+	}
 	err = walk(c.file, c.g.number, c.at, c.g.size, func(r Record, at place) error {
 		if left <= 0 {
 			return stop
@@ -795,11 +821,11 @@
 		r.Body = slices.Clone(r.Body)
 		switch r.Kind {
 		case Page:
-			if now, err := s.find(r.Result, int(r.Page)); err == nil && now == at {
+			if now, err := s.find(r.Result, int(r.Page), meta); err == nil && now == at {
 				l = append(l, r)
 			}
 		case Whole:
-			if m, err := s.meta(r.Result); err == nil && m.at == at {
+			if m, err := meta(r.Result); err == nil && m.at == at {
 				c.wholes[r.Result] = true
 			}
 		case Gone:
@@ -910,6 +936,7 @@
 	s.counts(m, -1)
 	s.counts(&fresh, 1)
 	s.recent[id] = &fresh
+	s.lately.drop(id)
 	s.mu.Unlock()
 	return nil
 }
