--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -71,7 +71,7 @@
 // spoolPause is named to those for whom there was no place: results go as they are read.
 const spoolPause = time.Second
 
-// left gives back what a query that is over was kept for.
+// over gives back what a query that is over was kept for.
 func (p *paging) over(q *query) {
 	if q.kept != nil {
 		p.core.Drop(p.now, q.kept)
@@ -95,15 +95,18 @@
 		s.end(decide.Finished)
 	case spool.Wait:
 		// its engine keeps it for as long as it is asked for
-		waited := false
+		asked := false
 		again := func() {
-			if !waited && !s.ended {
-				waited = true
+			if !asked && !s.ended {
+				asked = true
 				s.ask(number)
 			}
 		}
-		p.core.Room(func() { p.soon(again) })
-		p.after(forgets/2, again)
+		at := p.due.Add(p.now+forgets/2, again)
+		p.core.Room(func() {
+			p.due.Drop(at)
+			p.soon(again)
+		})
 	default:
 		s.drawn++
 		if s.drawn < s.of {
@@ -147,8 +150,8 @@
 
 func (p *paging) answer(s *submission, r *spool.Result, token string, body []byte, err error) {
 	switch {
-	case s.q.answered:
-		p.soon(func() { p.core.Drop(p.now, r) }) // another was first, or its client left
+	case s.q.answered, s.ended:
+		p.soon(func() { p.core.Drop(p.now, r) }) // another was first, its client left, or its time was over
 	case err != nil:
 		p.killed(s.q, "its result can't be read: "+err.Error())
 		p.soon(func() { p.core.Drop(p.now, r) })
--- a/internal/setup/spool.go
+++ b/internal/setup/spool.go
@@ -22,6 +22,7 @@
 	Results     int     `yaml:"results"`      // at once: 10000
 	TeamShare   float64 `yaml:"team_share"`   // of the room before a team's are the first to go: 0.25
 	TeamResults int     `yaml:"team_results"` // of one team at once: 1000
+	TeamMB      float64 `yaml:"team_mb"`      // of one team: no bound of its own
 	Idle        Span    `yaml:"idle"`         // a result lives from its last read: 15m
 	Life        Span    `yaml:"life"`         // and in all: 2h
 	PageKB      float64 `yaml:"page_kb"`      // pages of engines are joined up to: 32
@@ -43,6 +44,7 @@
 	c.maybe("spool.results", float64(s.Results), 1, 10_000_000)
 	c.maybe("spool.team_share", s.TeamShare, 0.001, 1)
 	c.maybe("spool.team_results", float64(s.TeamResults), 1, 10_000_000)
+	c.maybe("spool.team_mb", s.TeamMB, 0.001, 1<<30)
 	c.maybe("spool.page_kb", s.PageKB, 1, 1024)
 	c.maybe("spool.flight_mb", s.FlightMB, 0.1, 1024)
 	c.maybe("spool.reads", float64(s.Reads), 1, 10_000)
@@ -71,6 +73,7 @@
 	if s.Directory != "" {
 		l.Disk = int64(cmp.Or(s.DiskMB, 1024) * mb)
 	}
+	l.TeamBytes = int64(s.TeamMB * mb)
 	l.Result = int64(cmp.Or(s.ResultMB, 1024) * mb)
 	l.Results, l.TeamResults = cmp.Or(s.Results, l.Results), cmp.Or(s.TeamResults, l.TeamResults)
 	l.Team, l.Idle, l.Life = cmp.Or(s.TeamShare, l.Team), s.Idle.or(l.Idle), s.Life.or(l.Life)
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -26,6 +26,7 @@
 	Result      int64         // one result
 	Team        float64       // part of the room that a team may have before it is the first to lose some
 	TeamResults int           // of one team at once
+	TeamBytes   int64         // of one team, 0: only its share counts, and that where room is short
 	Idle        time.Duration // a result lives since it was last read
 	Life        time.Duration // and no longer than this from when it was promised
 	Page        int           // pages from the engine are joined up to this size
@@ -294,7 +295,7 @@
 		return Never, Refusal(fmt.Sprintf("the result is too large: over %d bytes, more than the %d that one may have", total, c.most()))
 	}
 	if !c.makeRoom(r, size) {
-		if !c.comes(until) {
+		if !c.comes(until, r) {
 			c.Counts.NoRoom++
 			return Never, Refusal(fmt.Sprintf("there is no room for more than %d bytes of the result: %d are held by results that are read", r.bytes, c.disk-r.onDisk))
 		}
@@ -323,11 +324,15 @@
 
 // comes: room may come by a time, because something is being written or compacted,
 // or a result's life ends.
-func (c *Core) comes(until time.Duration) bool {
-	if c.flight > 0 || c.dead > 0 {
+func (c *Core) comes(until time.Duration, of *Result) bool {
+	own := c.teamFull(of, 1) // then only room of its own team's helps
+	if !own && (c.flight > 0 || c.dead > 0) {
 		return true
 	}
 	for _, r := range c.results {
+		if own && r.team != of.team {
+			continue
+		}
 		if r.life(c) <= until || r.reading > 0 || r.writing > 0 {
 			return true
 		}
@@ -335,16 +340,30 @@
 	return false
 }
 
+// teamFull: with so much more a result's team would have more than any may.
+func (c *Core) teamFull(r *Result, size int64) bool {
+	return c.TeamBytes > 0 && r.team.bytes+size > c.TeamBytes
+}
+
 // most is what any result may have at all.
 func (c *Core) most() int64 {
+	most := min(c.Result, c.Memory)
 	if c.Disk > 0 {
-		return min(c.Result, c.Disk-c.Disk/16)
+		most = min(c.Result, c.Disk-c.Disk/16)
 	}
-	return min(c.Result, c.Memory)
+	if c.TeamBytes > 0 {
+		most = min(most, c.TeamBytes)
+	}
+	return most
 }
 
 // makeRoom finds room for a page, by giving up what may be.
 func (c *Core) makeRoom(r *Result, size int64) bool {
+	for c.teamFull(r, size) {
+		if !c.evictOne(r.team, readOut|pastLife) {
+			return false
+		}
+	}
 	for c.memory+size > c.Memory {
 		if c.uncache() {
 			continue
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -150,6 +150,9 @@
 				n, size = n+1, size+r.bytes
 			}
 		}
+		if size > b.c.TeamBytes {
+			b.t.Fatalf("team %s has %d bytes of %d", name, size, b.c.TeamBytes)
+		}
 		if n != team.results || size != team.bytes {
 			b.t.Fatalf("team %s has %d results of %d bytes, not %d of %d", name, n, size, team.results, team.bytes)
 		}
@@ -159,7 +162,7 @@
 func TestSeeded(t *testing.T) {
 	promised, evicted, waited, served := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		l := Limits{Memory: 4000, Disk: 20_000, Results: 12, Result: 9000, Team: 0.3, TeamResults: 6, Idle: 20 * time.Second,
+		l := Limits{Memory: 4000, Disk: 20_000, Results: 12, Result: 9000, Team: 0.3, TeamResults: 6, TeamBytes: 14_000, Idle: 20 * time.Second,
 			Life: time.Minute, Page: 300, Flight: 400, Reads: 4}
 		if rapid.Bool().Draw(t, "no disk") {
 			l.Disk = 0
