--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -475,3 +475,66 @@
 		t.Fatalf("%d finished and %d refused of 10", finished, refused)
 	}
 }
+
+// What is evicted for room, and in which order: read to the end, past its life, the
+// largest of a team over its share; what is being read within its life never is.
+func TestEvictionOrder(t *testing.T) {
+	l := Limits{Memory: 100_000, Disk: 0, Results: 100, Result: 50_000, Team: 0.3, TeamResults: 100, Idle: time.Minute, Life: time.Hour,
+		Page: 1000, Flight: 10_000, Reads: 4}
+	c := New(l, keys(t), 1_700_000_000_000, 1<<32, func(*Work) { t.Fatal("work without a disk") })
+	type kept struct {
+		r     *Result
+		token string
+	}
+	keep := func(team string, pages int) (k kept, v Verdict) {
+		r, err := c.Enter(c.now, "q", team)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range pages {
+			if v, _ = c.Add(c.now, r, bytes.Repeat([]byte("y"), 1000), 1, c.now+time.Second); v != Taken {
+				c.Drop(c.now, r)
+				return kept{}, v
+			}
+		}
+		c.Whole(c.now, r, func(error) {})
+		return kept{r, c.Token(r)}, Taken
+	}
+	read := func(k kept, pages ...int) {
+		for _, i := range pages {
+			c.Read(c.now, []byte(k.token), k.r.team.name, i, func(_ []byte, err error) {
+				if err != nil {
+					t.Fatal(err)
+				}
+			})
+		}
+	}
+	old, _ := keep("enns", 20) // is past its life when room is short
+	c.now += 50 * time.Second
+	reading, _ := keep("linz", 25) // the largest of a team over its share, and being read
+	unread, _ := keep("linz", 20)
+	small, _ := keep("linz", 5)
+	done, _ := keep("steyr", 25)
+	read(reading, 1, 2)
+	read(done, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24)
+	c.now += 15 * time.Second
+	all := []kept{done, old, unread}
+	for n := range all {
+		if _, v := keep(fmt.Sprint("wels ", n), 22); v != Taken {
+			t.Fatal("there is no room: ", v)
+		}
+		for i, k := range all {
+			if k.r.gone != (i <= n) {
+				t.Fatalf("after %d more, the %d. of the order is gone: %v", n+1, i+1, k.r.gone)
+			}
+		}
+		if reading.r.gone || small.r.gone {
+			t.Fatal("one that is being read is gone, or a smaller one before the largest")
+		}
+	}
+	c.now += 2 * time.Minute // its client is gone for longer than its life
+	c.Sweep(c.now)
+	if !reading.r.gone {
+		t.Fatal("it outlives its life")
+	}
+}
