--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -53,13 +53,14 @@
 		}}
 	speed.Flags().StringVar(&trial.Program, "program", "bin/railrelay", "the controller")
 	speed.Flags().IntVar(&turns, "turns", 3, "of three seconds each, on and off")
-	results := 1
-	large := &cobra.Command{Use: "large", Short: "results of a gigabyte through a program of 64 MB, on the disk of this machine", Args: cobra.NoArgs,
+	results, size := 1, 1024
+	large := &cobra.Command{Use: "large", Short: "large results through a program of 64 MB, on the disk of this machine", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return lab.Large(c.Context(), c.OutOrStdout(), program, results)
+			return lab.Large(c.Context(), c.OutOrStdout(), program, results, size)
 		}}
 	large.Flags().StringVar(&program, "program", program, "the controller")
-	large.Flags().IntVar(&results, "results", results, "all of them are kept: a gigabyte of disk each")
+	large.Flags().IntVar(&results, "results", results, "all of them are kept on disk")
+	large.Flags().IntVar(&size, "mb", size, "of each")
 	root.AddCommand(measure, try, speed, large)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
--- a/internal/lab/spool.go
+++ b/internal/lab/spool.go
@@ -524,10 +524,11 @@
 	return nil
 }
 
-// Large draws so many results of about a gigabyte through a program of 64 MB, one
+// Large draws so many results, each of so many MB, through a program of 64 MB, one
 // after another, and reads each to its end; all are kept. It takes long and much disk.
-func Large(ctx context.Context, out io.Writer, program string, results int) error {
-	const wide, rows = 4000, 265_000
+func Large(ctx context.Context, out io.Writer, program string, results, size int) error {
+	const wide = 4000
+	rows := size << 20 / (wide + 28)
 	f := trialEngine()
 	f.PageBytes, f.Wide = 48_000, wide
 	t := &Trial{Program: program, Engines: 1, Seed: 1, Log: os.Stderr}
@@ -536,7 +537,7 @@
 		return err
 	}
 	defer s.close()
-	text := strings.Replace(spoolSetup(t, s, filepath.Join(s.dir, "spool")), "disk_mb: 2048", fmt.Sprintf("disk_mb: %d, result_mb: 2000, idle: 2h", 1400*(results+1)), 1)
+	text := strings.Replace(spoolSetup(t, s, filepath.Join(s.dir, "spool")), "disk_mb: 2048", fmt.Sprintf("disk_mb: %d, result_mb: %d, idle: 2h", size*(results+2)*5/4, 2*size), 1)
 	if err := s.begin(text); err != nil {
 		return err
 	}
@@ -576,7 +577,7 @@
 		}
 		a, err := r.answer(ctx)
 		if err != nil || a.Kind != caller.Finished {
-			return fmt.Errorf("result %d: %v, %v %s", n, err, a.Kind, a.Why)
+			return fmt.Errorf("result %d: error %v, answer of kind %d %s", n, err, a.Kind, a.Why)
 		}
 		drawn += time.Since(begin)
 		begin = time.Now()
