Spool: dead code and an error that never was gone, one way to ask, comments that hold

A read of the whole change found a method nobody calls, a constant that renamed another, an error of the store's drop that was always nil, two functions of the measurement that asked in nearly the same words, and a comment on waiting for room that told of an order which isn't kept.

--- a/internal/lab/spool.go
+++ b/internal/lab/spool.go
@@ -35,6 +35,9 @@
 	return text
 }
 
+// patience is what clients wait for an answer.
+const patience = 12 * time.Second
+
 // reader is a client's connection that takes one answer at a time.
 type reader struct {
 	net.Conn
@@ -78,17 +81,10 @@
 	}
 }
 
-// askFor asks for pages, and waits for as long as a group's longest queue timeout.
-func (r *reader) askFor(id string, rows int) error {
-	r.msg++
-	_, err := r.Write(caller.Call(nil, r.msg, "report", engine.Statement(engine.Work{Threads: 1, CPU: 2 * time.Millisecond, MemoryMB: 10, Rows: rows}),
-		"trace", id, "patience", "30000", "pages", "1"))
-	return err
-}
-
-func (r *reader) ask(id string, rows int, paged bool) error {
+// ask asks for a result of so many rows, by pages or whole.
+func (r *reader) ask(id string, rows int, paged bool, patience time.Duration) error {
 	r.msg++
-	fields := []string{"trace", id, "patience", "12000"}
+	fields := []string{"trace", id, "patience", strconv.FormatInt(patience.Milliseconds(), 10)}
 	if paged {
 		fields = append(fields, "pages", "1")
 	}
@@ -210,7 +206,7 @@
 			}
 			defer r.Close()
 			context.AfterFunc(within, func() { r.Close() })
-			if r.ask(fmt.Sprintf("%016x", 0xa0000+i), 8000, paged) != nil {
+			if r.ask(fmt.Sprintf("%016x", 0xa0000+i), 8000, paged, patience) != nil {
 				return
 			}
 			a, err := r.answer(within)
@@ -286,7 +282,7 @@
 					id++
 					p := &promised{id: fmt.Sprintf("%016x", 0xb000000+id), rows: 1500 + rng.IntN(6000)}
 					mu.Unlock()
-					if r.ask(p.id, p.rows, true) != nil {
+					if r.ask(p.id, p.rows, true, patience) != nil {
 						return
 					}
 					a, err := r.answer(ctx)
@@ -400,7 +396,7 @@
 	before := used()
 	size := 0
 	for i := range calls {
-		if err := r.ask(fmt.Sprintf("%016x", 0xd0000+i), 1150, false); err != nil {
+		if err := r.ask(fmt.Sprintf("%016x", 0xd0000+i), 1150, false, patience); err != nil {
 			return 0, 0, err
 		}
 		a, err := r.answer(ctx)
@@ -410,7 +406,7 @@
 		size = len(a.Rows)
 	}
 	answer = (used() - before) / calls * 1e6
-	if err := r.ask(fmt.Sprintf("%016x", 0xe0000), 4000, true); err != nil {
+	if err := r.ask(fmt.Sprintf("%016x", 0xe0000), 4000, true, patience); err != nil {
 		return 0, 0, err
 	}
 	a, err := r.answer(ctx)
@@ -572,7 +568,7 @@
 		defer r.Close()
 		id := fmt.Sprintf("%016x", 0xc0000+n)
 		begin := time.Now()
-		if err := r.askFor(id, rows); err != nil {
+		if err := r.ask(id, rows, true, 30*time.Second); err != nil {
 			return err
 		}
 		a, err := r.answer(ctx)
--- a/internal/lab/spool_test.go
+++ b/internal/lab/spool_test.go
@@ -56,7 +56,7 @@
 	}
 	defer r.Close()
 	const id = "00000000000000f1"
-	if err := r.ask(id, 5000, true); err != nil {
+	if err := r.ask(id, 5000, true, patience); err != nil {
 		t.Fatal(err)
 	}
 	a, err := r.answer(t.Context())
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -136,9 +136,6 @@
 	return true
 }
 
-// finishedEnd is how a query that was answered page by page came out.
-const finishedEnd = fair.Finished
-
 func (r *Relay) finished(q *query, pages [][]byte) {
 	if r.close(q, fair.Finished) {
 		r.tally.finished++
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -7,6 +7,7 @@
 
 	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/spool"
 )
 
@@ -155,7 +156,7 @@
 	case err != nil:
 		p.killed(s.q, "its result can't be read: "+err.Error())
 		p.soon(func() { p.core.Drop(p.now, r) })
-	case p.close(s.q, finishedEnd):
+	case p.close(s.q, fair.Finished):
 		p.tally.finished++
 		s.q.asker.paged(body, clients.Paging{Pages: r.Pages(), Bytes: r.Bytes(), Rows: r.Rows(), Token: token, Lasts: p.core.Kept(r)})
 	}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -458,11 +458,9 @@
 			if w.Err != nil || r.gone {
 				break
 			}
-			if p := &r.pages[i]; promise == nil {
-				p.state = onDisk
+			p := &r.pages[i]
+			if p.state = onDisk; promise == nil {
 				c.uncachePage(r, p)
-			} else {
-				p.state = onDisk
 			}
 		}
 		if w.Err != nil && r.failed == nil {
@@ -582,9 +580,6 @@
 func (r *Result) Bytes() int64 { return r.bytes }
 func (r *Result) Rows() int64  { return r.rows }
 
-// Number is the result's.
-func (r *Result) Number() uint64 { return r.id }
-
 // Kept is for how long a result can be asked for, from its last read.
 func (c *Core) Kept(r *Result) time.Duration { return min(c.Idle, r.ends-c.now) }
 
@@ -621,10 +616,10 @@
 	c.wake()
 }
 
-// Room has do called once there may be room again: who waits longest first.
+// Room has do called once, when there may be room again.
 func (c *Core) Room(do func()) { c.room = append(c.room, do) }
 
-// wake tells the first that waits, which, served, leaves the next to the next time.
+// wake tells all that wait, in the order in which they came; who finds none waits anew.
 func (c *Core) wake() {
 	l := c.room
 	c.room = nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -528,9 +528,7 @@
 }
 
 func (s *Store) do(j *Job) error {
-	if err := s.drop(j.Drop); err != nil {
-		return err
-	}
+	s.drop(j.Drop)
 	places, err := s.write(j.Pages)
 	if err != nil {
 		return err
@@ -576,7 +574,7 @@
 }
 
 // drop has results be no more.
-func (s *Store) drop(l []uint64) error {
+func (s *Store) drop(l []uint64) {
 	var tombs []Record
 	for _, id := range l {
 		s.mu.Lock()
@@ -603,7 +601,6 @@
 	}
 	s.tombs = append(s.tombs, tombs...)
 	s.bury()
-	return nil
 }
 
 // bury writes that results are gone. Where the disk is full that has to wait: they are
--- a/internal/store/verify.go
+++ b/internal/store/verify.go
@@ -69,9 +69,7 @@
 		return 0, err
 	}
 	for l := range slices.Chunk(past, 512) {
-		if err := s.drop(l); err != nil {
-			return dropped, err
-		}
+		s.drop(l)
 		dropped += len(l)
 		if err := s.checkpoint(); err != nil {
 			return dropped, err
