Order: a query its engine does not know yet is given up, not taken for over

The log told nothing of it, so every call is now said at level debug (Means.Trace, times in microseconds).

Cause: hearing.Ends (internal/relay/submission.go) took a 500 to an ask for an end. Ruled out: another order of reading (each pair was taken 60 to 1,100 ms apart, in the order of the rule's line), a short rest (300 ms were kept from what was held to be the end), two queries out at once by decide (the first was told as ended before each second).

Change: such a query is withdrawn: DELETE until that is answered or the query has gone unasked for as long as engines keep it; only then its end is told and its rest begins. Three more of the same kind, by argument: a line cut off with a call under way is aborted (SO_LINGER 0), or the kernel would deliver the POST whenever the link heals, minutes later; a DELETE counts only if the POST's line had ended 50 ms before; and what was last asked for is over no sooner than its call could have arrived (2.70 s after it was written, 2.30 before).

--- a/cmd/railrelay/main.go
+++ b/cmd/railrelay/main.go
@@ -93,6 +93,7 @@
 // logger writes to standard error, one JSON object a line. level is the least one
 // logged; RAILRELAY_LOG goes before it.
 func logger(name, level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000000Z07:00" // one id is followed through several controllers
 	if env := os.Getenv("RAILRELAY_LOG"); env != "" {
 		level = env
 	}
@@ -111,6 +112,7 @@
 	if address == "" {
 		return errors.New("no address to listen on")
 	}
+	means.Trace = log.GetLevel() <= zerolog.DebugLevel
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
 	debug.SetMemoryLimit(int64(means.MemoryMB * (1 << 20) * 3 / 4))
 	listener, err := net.Listen("tcp", address)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -345,7 +345,7 @@
 		}
 	}
 	if line != nil {
-		r.shut(line.link, false)
+		r.cut(line)
 	}
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -31,6 +31,7 @@
 // line is a connection to an engine, for one call at a time.
 type line struct {
 	link      *Link
+	n         int // in the log
 	e         *engine
 	up        bool
 	call      *call
@@ -56,6 +57,7 @@
 
 // call is one call to an engine and what to do with its result.
 type call struct {
+	what   string // in the log
 	e      *engine
 	s      *submission // nil for probes
 	write  func(dst []byte) []byte
@@ -72,6 +74,7 @@
 // pool shares out the descriptors that are for engines.
 type pool struct {
 	most, links  int // links: every one that may hold a descriptor
+	dialled      int
 	lines        []*line
 	urgent, asks []*call // waiting for a line
 }
@@ -125,7 +128,7 @@
 		}
 	}
 	if found != nil && r.now-found.idleSince > r.lineIdle*3/4 {
-		r.shut(found.link, false)
+		r.cut(found)
 		return nil
 	}
 	return found
@@ -141,12 +144,16 @@
 		}
 	}
 	if oldest != nil {
-		r.shut(oldest.link, false)
+		r.cut(oldest)
 	}
 }
 
 func (r *Relay) dial(c *call) {
-	l := &line{link: &Link{}, e: c.e, call: c}
+	r.pool.dialled++
+	l := &line{link: &Link{}, n: r.pool.dialled, e: c.e, call: c}
+	if c.s != nil {
+		r.trace(c.s.q, c.s, "line %d dialled for %s", l.n, c.what)
+	}
 	c.e.lines, r.pool.lines = append(c.e.lines, l), append(r.pool.lines, l)
 	r.pool.links++
 	l.link.up = func() {
@@ -178,6 +185,16 @@
 	r.do(Effect{Verb: Dial, Link: l.link, Address: c.e.address, Within: r.connectWithin})
 }
 
+// cut closes a line. With a call under way its bytes must not arrive later: a
+// kernel that is left to it goes on sending for minutes, and would start a
+// query behind a link that heals long after it was held to be over.
+func (r *Relay) cut(l *line) {
+	if !l.link.closed {
+		l.link.closed = true
+		r.do(Effect{Verb: Close, Link: l.link, Abort: l.call != nil})
+	}
+}
+
 func (r *Relay) gone(l *line) {
 	is := func(x *line) bool { return x == l }
 	l.e.lines, r.pool.lines = slices.DeleteFunc(l.e.lines, is), slices.DeleteFunc(r.pool.lines, is)
@@ -202,10 +219,13 @@
 	}
 	text := c.write(nil)
 	l.call, l.last, c.size = c, c.s, len(text)
+	if c.s != nil {
+		r.trace(c.s.q, c.s, "%s on line %d", c.what, l.n)
+	}
 	r.write(l.link, text)
 	c.limit = r.due.Add(r.now+c.within, func() {
 		if !c.over {
-			r.shut(l.link, false)
+			r.cut(l)
 			l.call = nil
 			r.over(c, mute, 0, nil, nil)
 		}
@@ -249,7 +269,7 @@
 	if l.call == nil {
 		if len(in.Bytes()) > 0 {
 			r.tally.odd++ // nobody asked
-			r.shut(l.link, false)
+			r.cut(l)
 		}
 		return
 	}
@@ -272,14 +292,14 @@
 		// with something behind it, a length may be off: then a result is not all there
 		if err != nil || !sound || behind && rows {
 			r.tally.odd++
-			r.shut(l.link, false)
+			r.cut(l)
 			r.fail(l, garbled)
 			return
 		}
 		r.tally.answers++
 		if !keep || behind {
 			l.call = nil
-			r.shut(l.link, false)
+			r.cut(l)
 		} else {
 			r.free(l)
 		}
@@ -291,6 +311,9 @@
 	if !c.over {
 		c.over = true
 		r.due.Drop(c.limit)
+		if c.s != nil {
+			r.trace(c.s.q, c.s, "%s came to %s %d", c.what, hows[as], status)
+		}
 		c.then(as, status, field, body)
 	}
 }
@@ -300,7 +323,7 @@
 func (r *Relay) vacate(e *engine) {
 	e.address = ""
 	for _, l := range e.lines {
-		r.shut(l.link, false)
+		r.cut(l)
 	}
 }
 
@@ -317,7 +340,7 @@
 func (r *Relay) sweepLines() {
 	for _, l := range r.pool.lines {
 		if l.up && l.call == nil && r.lineIdle > 0 && r.now-l.idleSince > r.lineIdle*3/4 {
-			r.shut(l.link, false)
+			r.cut(l)
 		}
 	}
 }
@@ -325,7 +348,7 @@
 // probe looks at an engine; no answer in the time a connection may take is one too.
 func (r *Relay) probe(e *engine) {
 	r.tally.probes++
-	r.call(&call{e: e, within: r.connectWithin, fits: engines.FitsProbe,
+	r.call(&call{what: "probe", e: e, within: r.connectWithin, fits: engines.FitsProbe,
 		write: func(dst []byte) []byte { return engines.Probe(dst, e.address, r.reports) },
 		then: func(as how, status int, field func(string) string, _ []byte) {
 			outcome, report := decide.TimedOut, map[string]float64(nil)
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -135,7 +135,7 @@
 	if address != "" && address != e.address {
 		e.address = address
 		for _, l := range e.lines {
-			r.shut(l.link, false)
+			r.cut(l)
 		}
 	}
 	if e.state != state && state == decide.Gone {
@@ -174,7 +174,7 @@
 	e.state, e.goneAt = decide.Gone, r.now
 	for _, l := range e.lines {
 		if l.up && l.call == nil {
-			r.shut(l.link, false)
+			r.cut(l)
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,9 +57,9 @@
 const (
 	Dial  Verb = iota // Link to Address, up Within a time
 	Write             // Bytes, after all that was asked to be written before
-	Close             // Link, once what was asked to be written is out if Gently, or Within a time
+	Close             // Link, once what was asked to be written is out if Gently, or Within a time; with Abort what is not there yet never arrives
 	Wake              // a Woken Within a time; only the last one asked for
-	Say               // Text, Loud if it is to be seen without being asked for
+	Say               // Text, Loud if it is to be seen without being asked for, Fine if only by those who trace
 	Count             // Text, the counters, with what N queries cost
 	Quit              // the program is done
 	Store             // Work, on the spool's disk
@@ -73,7 +73,9 @@
 	Within  time.Duration
 	Bytes   []byte
 	Gently  bool
+	Abort   bool
 	Loud    bool
+	Fine    bool
 	Text    string
 	About   About // with Say
 	N       int
@@ -115,6 +117,7 @@
 	Spool    *Spool    // nil: results are answered whole
 	Manners  []Manners // of clients, by address; whoever is in no set has the platform's
 	Started  time.Time // what the list's clock times are told against
+	Trace    bool      // say every call of every query: who reads it follows one id through what became of it
 }
 
 // spare: a third of the descriptors is for clients; of the rest some is kept
@@ -337,6 +340,18 @@
 	r.do(Effect{Verb: Say, Text: text, About: about})
 }
 
+// trace says what becomes of a query, step by step, where that was asked for.
+func (r *Relay) trace(q *query, s *submission, what string, more ...any) {
+	if !r.Trace {
+		return
+	}
+	about := About{Query: q.id, Group: q.group.name}
+	if s != nil {
+		about.Engine, about.Try = s.e.id, s.try+1
+	}
+	r.do(Effect{Verb: Say, Fine: true, About: about, Text: fmt.Sprintf(what, more...)})
+}
+
 func (r *Relay) count()           { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
 func (r *Relay) soon(what func()) { r.later = append(r.later, what) }
 
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -21,7 +21,8 @@
 	endedAt time.Duration // when its end was told
 	until   time.Duration
 	sent    bool          // its first byte was let go
-	settled bool          // the call that starts it has come out, in one way or another
+	posted  bool          // the call that starts it has come out, in one way or another
+	settled bool          // the call that starts it can't arrive any more, or has
 	ended   bool          // no more is done for it
 	told    bool          // and the decisions know
 	askedAt time.Duration // when its news were last asked for
@@ -48,8 +49,8 @@
 }
 
 // An engine keeps a query for forgets while nobody asks for it, and holds a call
-// for news until newsMost has passed: so long somebody asks. The rest is for the
-// way there and back.
+// for news until newsMost has passed: so long somebody asks. onTheWay is for what
+// is on the network when its line ends.
 const (
 	forgets  = 2 * time.Second
 	newsMost = 250 * time.Millisecond
@@ -58,7 +59,10 @@
 
 // gone is when it is over at its engine at the latest, whether that was heard
 // to answer or not, if nobody asks for it again.
-func (s *submission) gone() time.Duration { return s.askedAt + newsMost + forgets + onTheWay }
+// The call it was asked by may have arrived as late as it was let wait for its answer.
+func (s *submission) gone() time.Duration {
+	return s.askedAt + answerMost + onTheWay + newsMost + forgets
+}
 
 func (r *Relay) submit(q *query, e *engine, within time.Duration) {
 	until := q.deadline
@@ -95,7 +99,7 @@
 	if s.ended {
 		return
 	}
-	s.call(&call{e: s.e, s: s, fits: s.fits(0),
+	s.call(&call{what: "POST", e: s.e, s: s, fits: s.fits(0),
 		fit: func() bool {
 			return !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
 		},
@@ -109,14 +113,24 @@
 		},
 		then: func(as how, status int, field func(string) string, body []byte) {
 			s.came(0, as, status, field, body)
-			s.settled = true
-			for _, do := range s.onSet {
-				do()
+			s.posted = true
+			if as == answered {
+				s.settle()
+			} else { // what is on its way when its line ends may still arrive
+				s.after(onTheWay, s.settle)
 			}
-			s.onSet = nil
 		}})
 }
 
+// settle: the call that starts it has arrived, or never will.
+func (s *submission) settle() {
+	s.settled = true
+	for _, do := range s.onSet {
+		do()
+	}
+	s.onSet = nil
+}
+
 func (s *submission) fits(page int) func(int, func(string) string, []byte) bool {
 	return func(status int, field func(string) string, body []byte) bool {
 		return engines.Fits(page, status, field, body)
@@ -125,7 +139,7 @@
 
 // ask asks for the query's news, or for a page of its result.
 func (s *submission) ask(page int) {
-	s.call(&call{e: s.e, s: s, poll: page == 0, fits: s.fits(page),
+	s.call(&call{what: "GET", e: s.e, s: s, poll: page == 0, fits: s.fits(page),
 		fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte {
 			s.astray = s.astray || s.now > s.askedAt+forgets
@@ -152,7 +166,7 @@
 			}
 		}
 		engines.Hear(page, status, field, body, &hearing{s})
-	case !s.sent && as == unfit, !s.settled && as == unwritten:
+	case !s.sent && as == unfit, !s.posted && as == unwritten:
 		// a connection that ends says nothing against its engine
 		s.end(decide.NeverSent)
 	case !s.sent:
@@ -228,11 +242,14 @@
 }
 
 // Ends: an error after it went unheard of may just mean that it is not known
-// any more. When it ended is then not known either, and its key has to rest.
-// Where there is no order the engine, which answers, is not to be held to have died.
+// there. It is no end: the call that starts it may have come to a machine that
+// has not taken it up yet, and still runs it, for all this one says. Where order
+// is asked for it is given up, so that the next of its key never overtakes it.
+// Where there is none the engine, which answers, is not to be held to have died.
 func (h *hearing) Ends(outcome decide.Outcome) {
 	if h.astray && outcome == decide.Errored && h.late() {
-		outcome = decide.Reset
+		h.withdraw(h.submission, decide.Reset)
+		return
 	}
 	h.end(outcome)
 }
@@ -255,6 +272,7 @@
 	s.tally.ends[outcome]++
 	took := s.now - s.at
 	s.endedAt = s.now
+	s.trace(s.q, s, "told %s after %v, %s", outcomeNames[outcome], took, s.why)
 	if outcome != decide.Finished && outcome != decide.Cancelled {
 		s.sayOf(About{Query: s.q.id, Group: s.q.group.name, Engine: s.e.id, Try: s.try + 1},
 			outcomeNames[outcome]+" after "+took.String()+", "+s.why)
@@ -276,6 +294,7 @@
 		return
 	}
 	s.ended = true
+	r.trace(s.q, s, "withdrawn")
 	if !s.sent {
 		s.tell(decide.NeverSent)
 		return
@@ -311,7 +330,7 @@
 
 // giveUp ends it at its engine, asking until that came whole or is moot.
 func (r *Relay) giveUp(s *submission, then func()) {
-	r.call(&call{e: s.e, s: s, fits: engines.FitsDone,
+	r.call(&call{what: "DELETE", e: s.e, s: s, fits: engines.FitsDone,
 		write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
 		then: func(as how, _ int, _ func(string) string, _ []byte) {
 			if as == answered || s.died(as) || r.now >= s.gone() {
@@ -347,7 +366,7 @@
 		return
 	}
 	s.ranking, s.ranked = true, s.q.rank()
-	r.call(&call{e: s.e, s: s, fits: engines.FitsDone, fit: func() bool { return !s.ended },
+	r.call(&call{what: "PUT", e: s.e, s: s, fits: engines.FitsDone, fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte { return engines.Rank(dst, s.e.address, s.q.id, s.ranked) },
 		then: func(how, int, func(string) string, []byte) {
 			s.ranking = false
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -123,13 +123,15 @@
 			if w != nil && e.Gently {
 				w.closeGently(e.Within)
 			} else if w != nil {
-				w.close()
+				w.end(e.Abort)
 			}
 		case relay.Wake:
 			l.timer.Reset(e.Within)
 		case relay.Say:
 			if e.Loud {
 				told(l.log.Log(), e.About).Msg(e.Text)
+			} else if e.Fine {
+				told(l.log.Debug(), e.About).Msg(e.Text)
 			} else {
 				told(l.log.Info(), e.About).Msg(e.Text)
 			}
@@ -330,11 +332,17 @@
 	w.poke()
 }
 
-func (w *wire) close() {
+func (w *wire) close() { w.end(false) }
+
+// end closes it; with abort the kernel forgets what it has not delivered.
+func (w *wire) end(abort bool) {
 	w.stop()
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
+		if c, ok := w.conn.(*net.TCPConn); ok && abort {
+			c.SetLinger(0)
+		}
 		if w.conn != nil {
 			w.conn.Close()
 		}
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -34,3 +34,43 @@
 		}
 	}
 }
+
+// Bytes that lie in our kernel must not arrive once a call was given up: left to
+// it they go out for minutes after, whenever the other end listens again.
+func TestWhatIsAbortedNeverArrives(t *testing.T) {
+	arrives := func(abort bool) (n int) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		ours, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		theirs, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer theirs.Close()
+		ours.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		out, _ := ours.Write(make([]byte, 32<<20)) // as much as both kernels hold: nobody reads
+		w := newWire(&relay.Link{}, ours)
+		w.end(abort)
+		theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
+		p := make([]byte, 1<<20)
+		for {
+			m, err := theirs.Read(p)
+			if n += m; err != nil {
+				break
+			}
+		}
+		return out - n
+	}
+	if left := arrives(false); left != 0 {
+		t.Fatalf("%d bytes are missing though nothing was aborted: this test proves nothing", left)
+	}
+	if arrives(true) == 0 {
+		t.Fatal("all of it came after the connection was aborted")
+	}
+}
