A key's line holds no more than can be done in time: the rest is given up as it comes

Checked and ruled out: a stall of ours (the node took and answered others at 24.849, 24.853, 24.856, 24.860), a full table of connections (238 descriptors of 608), a message in pieces (time counts from the last byte).

Cause: take (decide/decide.go) lets a key's line grow without bound, and hopeless judges only its head: once a slow head is over, each next one is past its target, with others waiting, and goes in the same step. All come back in step, their client spaces them. Change: a query that what stands before it alone leaves no time is deferred as it comes (behind), so that a line holds no more than can be done.

Also: which engine has an address is looked up, not searched for among all for each entry of a list (1,024 squared at the start).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,12 +59,27 @@
 	g.of(q, q.aim, func() { g.setTerms(q) })
 	if line := g.line(q); line != nil {
 		if line.line = append(line.line, q); line.line[0] != q {
+			g.behind(q, line)
 			return
 		}
 	}
 	g.begin(q)
 }
 
+// behind: what those before it in its key's line should take alone leaves it no time. Given up
+// at once it comes back in its own time; kept, a long line is given up in one moment when its
+// head ends late, comes back in one, and clients, who space a key's queries, send the last of
+// them with most of their time gone: queries were lost so.
+func (g *Gateway) behind(q *query, line *keyLine) {
+	before := 0.0
+	for _, x := range line.line {
+		before += g.expect(x)
+	}
+	if before > g.left(q) {
+		g.giveUp(q)
+	}
+}
+
 func (g *Gateway) begin(q *query) {
 	if q.over {
 		return
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -40,6 +40,7 @@
 	taken    time.Duration
 	deadline time.Duration
 	answered bool
+	overAt   time.Duration
 	subs     []*try
 }
 
@@ -292,7 +293,7 @@
 	if q.answered {
 		w.t.Fatalf("rule 1: %s answered twice", id)
 	}
-	q.answered = true
+	q.answered, q.overAt = true, w.now
 	w.did = append(w.did, id+" "+how)
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -21,6 +21,7 @@
 	waiting     []*submission // held until the one of the same id is over
 	untold      int           // submissions to it whose end the decisions don't know
 	goneAt      time.Duration
+	named       int64 // the event that last named it
 }
 
 // alive: a connection to it stands.
@@ -321,6 +322,9 @@
 // vacate: another has the engine's address, so its process is no more, and its
 // calls must not reach the other one, which may run a query of the same id.
 func (r *Relay) vacate(e *engine) {
+	if r.atAddress[e.address] == e {
+		delete(r.atAddress, e.address)
+	}
 	e.address = ""
 	for _, l := range e.lines {
 		r.cut(l)
@@ -331,6 +335,7 @@
 func (r *Relay) sweepEngines() {
 	for id, e := range r.engines {
 		if e.state == decide.Gone && r.now-e.goneAt > r.longest && e.untold+len(e.lines)+len(e.leaving)+len(e.waiting) == 0 {
+			r.vacate(e)
 			delete(r.engines, id)
 		}
 	}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"railrelay.dev/railrelay/decide"
@@ -16,7 +15,6 @@
 	heard  time.Duration
 	wait   time.Duration // before the next try
 	whole  bool          // the event at hand lists all there are
-	named  []*engine     // by it
 }
 
 const (
@@ -106,7 +104,7 @@
 		r.gap()
 		return false
 	}
-	r.feed.last, r.feed.listed, r.feed.whole, r.feed.named = number, true, whole, nil
+	r.feed.last, r.feed.listed, r.feed.whole = number, true, whole
 	r.tally.events++
 	r.gate.ListBegins(r.now, whole)
 	return true
@@ -133,25 +131,23 @@
 		r.engines[id] = e
 	}
 	if address != "" && address != e.address {
+		r.vacate(e)
 		e.address = address
-		for _, l := range e.lines {
-			r.cut(l)
-		}
 	}
 	if e.state != state && state == decide.Gone {
 		r.away(e)
 	}
 	e.state, e.kind = state, r.place("kinds", kind)
-	r.feed.named = append(r.feed.named, e)
-	for _, x := range r.engines {
-		if x == e || x.address == "" || x.address != e.address {
-			continue
-		}
-		if state == decide.Gone && x.state != decide.Gone {
-			x = e
+	e.named = r.feed.last
+	switch x := r.atAddress[e.address]; {
+	case e.address == "" || x == e:
+	case x != nil && state == decide.Gone && x.state != decide.Gone:
+		r.vacate(e)
+	default:
+		if x != nil {
+			r.vacate(x)
 		}
-		r.vacate(x)
-		break
+		r.atAddress[e.address] = e
 	}
 	started := time.UnixMilli(startedMs).Sub(r.Started)
 	r.gate.ListEngine(id, r.place("locations", location), r.place("kinds", kind), cell, state, started, startedMs != 0)
@@ -160,7 +156,7 @@
 // EventEnds: what a whole list leaves out is gone.
 func (r *Relay) EventEnds() {
 	for _, e := range r.engines {
-		if r.feed.whole && e.state != decide.Gone && !slices.Contains(r.feed.named, e) {
+		if r.feed.whole && e.state != decide.Gone && e.named != r.feed.last {
 			r.away(e)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,12 +143,13 @@
 	crowd
 	messageMost int
 
-	engines map[string]*engine
-	pool    pool
-	feed    feed
-	groups  map[string]*group
-	fair    *fairness
-	paging  *paging
+	engines   map[string]*engine
+	atAddress map[string]*engine // the one that has an address now
+	pool      pool
+	feed      feed
+	groups    map[string]*group
+	fair      *fairness
+	paging    *paging
 
 	buffered     int // memory of all connections' buffers
 	bufferedMost int
@@ -173,7 +174,7 @@
 // New makes a controller and what it does first.
 func New(means Means) (*Relay, []Effect) {
 	r := &Relay{Means: means, woken: -1, hand: hand{queries: map[string]*query{}},
-		engines: map[string]*engine{}, groups: map[string]*group{}}
+		engines: map[string]*engine{}, atAddress: map[string]*engine{}, groups: map[string]*group{}}
 	f := means.Facts
 	r.connectWithin, r.lineIdle = r.span("connect.timeout"), r.span("idle.most")
 	r.keyRest = r.span("key.rest")
