Cold engines get the light queries that their chance names, and fewer heavy ones at once

Checked and ruled out: the list (all 48 were sent something), room (they were empty), rule 3 and 6 (not in play). Cause: coldFits (decide/decide.go) lets a query go to a cold engine by a chance that makes a part of the limit "were all who may to go", but pick then drew it among all engines with room, or looked at one or two of all unseen: a chance times a chance.

Change: a light query goes to the cold engine that its chance names, looked at first (names); and the room that a heavy one is thought to need is no less than would be guessed of an unknown group, more while few were seen.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -198,7 +198,7 @@
 	if !g.maySend(q) {
 		return nil, true
 	}
-	var clear, blocked, unseen []*engine
+	var clear, named, blocked, unseen []*engine
 	barred, hold := true, 0
 	weigh := func(e *engine) {
 		if !g.allowed(q, e) {
@@ -209,17 +209,25 @@
 		switch room := g.hasRoom(e, q); {
 		case room && (locked || e == q.avoid):
 			blocked = append(blocked, e)
+		case room && g.names(q, e):
+			named = append(named, e)
 		case room:
 			clear = append(clear, e)
 		case !locked && g.ready(e):
 			hold++ // better held for this one than standing still behind a load
 		}
 	}
+	near := 0 // of the unseen, those that the query's chance names
 	for _, e := range g.on() {
 		if g.known(e) {
 			weigh(e)
 		} else if e.state == On && g.now >= e.restUntil {
 			unseen = append(unseen, e) // a silent one too: this is how it is heard again
+			if g.names(q, e) && g.allowed(q, e) {
+				last := len(unseen) - 1
+				unseen[near], unseen[last] = unseen[last], unseen[near]
+				near++
+			}
 		}
 	}
 	// among many gateways one's own queries tell nothing of an engine: some drawn
@@ -228,16 +236,16 @@
 	if g.light(q.rg) {
 		want = 1
 	}
-	if len(clear) < want && len(unseen) > 0 {
+	if len(named) == 0 && (len(clear) < want && len(unseen) > 0 || near > 0) {
 		waits := slices.ContainsFunc(q.looks, func(e *engine) bool { return e.probing })
 		if waits && g.now < q.lookedAt+50*time.Millisecond {
 			return nil, false
 		}
-		g.rng.shuffle(unseen)
+		g.rng.shuffle(unseen[near:])
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
 			q.looks, q.lookedAt = nil, g.now
-			for _, e := range unseen {
-				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
+			for i, e := range unseen {
+				if (i < near && len(q.looks) == 0 || len(clear)+len(q.looks) < want) && g.probeLeft >= 1 && g.allowed(q, e) {
 					g.probeLeft--
 					g.look(e)
 					q.looks = append(q.looks, e)
@@ -251,12 +259,15 @@
 			weigh(unseen[i])
 		}
 	}
-	if len(clear) == 0 {
+	if len(clear)+len(named) == 0 {
 		if len(blocked) > 0 && hold >= len(blocked) {
 			return nil, true // it waits for a load, not for its turn: others may pass
 		}
 		clear = blocked
 	}
+	if len(named) > 0 {
+		clear = named
+	}
 	return g.rng.draw(clear, g.room), barred && len(unseen) == 0
 }
 
@@ -439,6 +450,14 @@
 	return from + (1-from)*min(1, age.Seconds()/span.Seconds())
 }
 
+// names: among many, a cold engine that a light query's chance allows gets the query. Were
+// it drawn for among all others besides, next to nothing would go there, while what is warm
+// is full. Heavy queries are drawn for: a cold engine stands one or two of them in a window,
+// and chance lets several gateways send theirs at once; so are groups little is known of.
+func (g *Gateway) names(q *query, e *engine) bool {
+	return g.now < e.coldUntil && g.facts.num("gateways", 1) > 1 && g.light(q.rg) && q.rg.work.count >= 10
+}
+
 // coldFits keeps all gateways together under what a cold engine stands, however many
 // they are and however unevenly traffic lies among them: each query may go there by a
 // chance that in sum, were all who may to go, makes a part of the limit; a smaller one
@@ -457,6 +476,8 @@
 	ofGroup := work * q.rg.taken / max(0.1, g.workRate)
 	chance := part * limit / window.Seconds() / (e.cores * float64(len(g.on())) * ofGroup)
 	draw := float64((uint32(q.seq)*2654435761^e.mark)*2246822519>>8) / (1 << 24)
+	// a few that were small say little: no less than would be guessed of a group not known yet
+	work = max(work, q.rg.target.Seconds()/2*q.rg.threads) * (1 + 1/math.Sqrt(max(1, q.rg.work.count)))
 	return draw < chance && e.coldSum(g.now-window)+work <= most*limit
 }
 
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,436 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// fleet is many gateways that share engines, all in virtual time: what one does
+// alone is summed at the engines, which is where rule 4 is judged.
+type fleet struct {
+	now      time.Duration
+	events   moments
+	rng      *rand.Rand
+	gates    []*member
+	engines  map[string]*worker
+	names    []string
+	seq      int
+	offered  float64 // value, once the first of the new engines has started
+	served   float64
+	from     time.Duration
+	coldWork float64 // sent to engines while cold
+	coldAble float64 // what those could do meanwhile
+	worst    float64 // of rule 4's limit, in any window
+	over     int     // submissions that passed it
+}
+
+type moment struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].seq < m[j].seq
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	x := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return x
+}
+
+func (f *fleet) after(span time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, moment{f.now + span, f.seq, do})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		next := heap.Pop(&f.events).(moment)
+		f.now = next.at
+		next.do()
+	}
+	f.now = until
+}
+
+// member is one gateway with what stands round it.
+type member struct {
+	f    *fleet
+	g    *Gateway
+	open map[string]*wanted
+}
+
+type wanted struct {
+	group  int
+	work   float64
+	at     time.Duration
+	aim    time.Duration
+	tries  int
+	runs   map[int]*task
+	closed bool
+}
+
+// worker is an engine: its threads share its cores, which warm up by its age.
+type worker struct {
+	id      string
+	started time.Duration // 0: long ago
+	state   EngineState
+	tasks   []*task
+	last    time.Duration
+	version int
+	sent    []sent
+	held    int // as it reports
+}
+
+type task struct {
+	m       *member
+	id      string
+	try     int
+	threads float64
+	left    float64
+	at      time.Duration
+}
+
+const (
+	fleetCores = 8.0
+	fleetFrom  = 0.33
+	fleetSpan  = 15 * time.Second
+)
+
+var fleetWork, fleetThreads, fleetValue = []float64{0.22, 4.4, 4.5}, []float64{1, 3, 2}, []float64{1, 10, 6}
+var fleetLate, fleetTarget = []float64{0.1, 0.4, 0.5}, []float64{1, 2, 3}
+
+func (w *worker) able(now time.Duration) float64 {
+	if w.started == 0 || now >= w.started+fleetSpan {
+		return 1
+	}
+	return fleetFrom + (1-fleetFrom)*(now-w.started).Seconds()/fleetSpan.Seconds()
+}
+
+// on has a worker do what it does until now, and looks when its next task ends.
+func (f *fleet) on(w *worker) {
+	threads := 0.0
+	for _, t := range w.tasks {
+		threads += t.threads
+	}
+	if threads > 0 {
+		rate := w.able(f.now) * min(1, fleetCores/threads) * (f.now - w.last).Seconds()
+		for _, t := range w.tasks {
+			t.left -= rate * t.threads
+		}
+	}
+	w.last = f.now
+	for i := 0; i < len(w.tasks); {
+		if t := w.tasks[i]; t.left <= 1e-9 {
+			w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+			threads -= t.threads
+			f.after(500*time.Microsecond, func() { t.m.done(t, Finished) })
+			continue
+		}
+		i++
+	}
+	next := math.Inf(1)
+	for _, t := range w.tasks {
+		next = min(next, t.left/(w.able(f.now)*min(1, fleetCores/threads)*t.threads))
+	}
+	w.version++
+	if version := w.version; !math.IsInf(next, 1) {
+		f.after(seconds(next)+time.Microsecond, func() {
+			if w.version == version {
+				f.on(w)
+			}
+		})
+	}
+}
+
+func (m *member) done(t *task, o Outcome) {
+	q := m.open[t.id]
+	if q == nil || q.runs[t.try] != t {
+		return
+	}
+	delete(q.runs, t.try)
+	if o == Finished && !q.closed {
+		q.closed = true
+		m.f.earn(q)
+	}
+	closed := q.closed
+	if closed && len(q.runs) == 0 {
+		delete(m.open, t.id)
+	}
+	work := 0.0
+	if o == Finished {
+		work = q.work
+	}
+	m.g.Ended(m.f.now, t.id, t.try, o, m.f.now-t.at, closed, seconds(work), 100, nil)
+}
+
+func (f *fleet) earn(q *wanted) {
+	switch {
+	case q.at < f.from:
+	case f.now <= q.aim:
+		f.served += fleetValue[q.group]
+	default:
+		f.served += fleetValue[q.group] * fleetLate[q.group]
+	}
+}
+
+func (m *member) Submit(id, engine string, _ time.Duration) {
+	q, w, f := m.open[id], m.f.engines[engine], m.f
+	t := &task{m: m, id: id, try: q.tries, threads: fleetThreads[q.group], left: q.work, at: f.now}
+	q.tries++
+	q.runs[t.try] = t
+	f.after(500*time.Microsecond, func() {
+		f.weigh(w, q.group)
+		if len(w.tasks) >= 32 || w.state == Gone {
+			f.after(500*time.Microsecond, func() { m.done(t, Full) })
+			return
+		}
+		f.on(w)
+		w.tasks = append(w.tasks, t)
+		f.on(w)
+	})
+}
+
+// weigh judges rule 4: the work of all gateways in any window, by its group's usual.
+func (f *fleet) weigh(w *worker, group int) {
+	able := w.able(f.now)
+	if able == 1 {
+		return
+	}
+	f.coldWork += fleetWork[group]
+	w.sent = append(w.sent, sent{f.now, fleetWork[group]})
+	for w.sent[0].at <= f.now-time.Second {
+		w.sent = w.sent[1:]
+	}
+	sum := 0.0
+	for _, s := range w.sent {
+		sum += s.work
+	}
+	part := sum / (3 * able * 0.85 * fleetCores)
+	f.worst = max(f.worst, part)
+	if part > 1 {
+		f.over++
+	}
+}
+
+func (m *member) Cancel(id string, try int) {
+	q := m.open[id]
+	if q == nil || q.runs[try] == nil {
+		return
+	}
+	t := q.runs[try]
+	m.f.after(time.Millisecond, func() {
+		for _, w := range m.f.engines {
+			for i, x := range w.tasks {
+				if x == t {
+					m.f.on(w)
+					for i = range w.tasks {
+						if w.tasks[i] == t {
+							w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+							break
+						}
+					}
+					m.f.on(w)
+					m.done(t, Cancelled)
+					return
+				}
+			}
+		}
+		m.done(t, Cancelled)
+	})
+}
+
+func (m *member) close(id string) {
+	if q := m.open[id]; q != nil {
+		if q.closed = true; len(q.runs) == 0 {
+			delete(m.open, id)
+		}
+	}
+}
+func (m *member) Defer(id string, _ time.Duration) { m.close(id) }
+func (m *member) Kill(id string)                   { m.close(id) }
+func (m *member) Terms(string, int, int)           {}
+func (m *member) Subscribe()                       {}
+func (m *member) Tell([]byte)                      {}
+func (m *member) Log(string)                       {}
+func (m *member) Probe(engine string) {
+	w, f := m.f.engines[engine], m.f
+	f.after(time.Millisecond, func() {
+		if w.state == Gone {
+			m.g.Probed(f.now, engine, Unreachable, nil)
+			return
+		}
+		m.g.Probed(f.now, engine, Finished, map[string]float64{"held": float64(w.held)})
+	})
+}
+func (m *member) Wake(in time.Duration, tag int) {
+	m.f.after(in, func() { m.g.Woken(m.f.now, tag) })
+}
+
+// newFleet starts gateways and engines with a share of all they can do as load,
+// spread unevenly over the gateways.
+func newFleet(seed uint64, gateways, engines int, load float64, length time.Duration) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*worker{}}
+	facts := plainFacts(map[string]string{"gateways": strconv.Itoa(gateways), "may.copy": "true", "note.period": "2000",
+		"report.how": "probed", "memory.short": "swap", "answers.cost": "true", "submissions.most": "3",
+		"group.0.target": "1000", "group.0.stretch": "1.5", "group.0.timeout": "5000",
+		"group.1.target": "2000", "group.1.stretch": "2.5", "group.1.timeout": "15000",
+		"group.2.target": "3000", "group.2.stretch": "2.5", "group.2.timeout": "25000", "group.2.in-order": "",
+		"loads": "", "waits": ""})
+	for i := range engines {
+		f.add(fmt.Sprint("e", i), 0)
+	}
+	total := 0.0
+	var shares []float64
+	for i := range gateways {
+		facts["own.number"] = strconv.Itoa(i)
+		m := &member{f: f, open: map[string]*wanted{}}
+		m.g = New(m, f.rng.Uint64(), facts)
+		f.gates = append(f.gates, m)
+		f.list(m, f.names...)
+		x := math.Exp(0.6 * f.rng.NormFloat64())
+		if i%60 == 7 {
+			x *= 4
+		}
+		shares, total = append(shares, x), total+x
+	}
+	mix := []float64{14, 2.5, 1}
+	perQuery := 0.0
+	for i := range mix {
+		perQuery += mix[i] / 17.5 * fleetWork[i]
+	}
+	rate := load * float64(engines) * fleetCores * 0.85 / perQuery
+	for i, m := range f.gates {
+		var next func()
+		gap := func() time.Duration { return seconds(f.rng.ExpFloat64() / (rate * shares[i] / total)) }
+		next = func() {
+			if f.now < length {
+				m.ask(mix)
+				f.after(gap(), next)
+			}
+		}
+		f.after(gap(), next)
+	}
+	var report func()
+	report = func() {
+		for _, id := range f.names {
+			w := f.engines[id]
+			held := len(w.tasks)
+			f.after(150*time.Millisecond, func() { w.held = held })
+		}
+		if f.now < length {
+			f.after(400*time.Millisecond, report)
+		}
+	}
+	f.after(0, report)
+	return f
+}
+
+func (m *member) ask(mix []float64) {
+	f, group, x := m.f, 0, m.f.rng.Float64()*17.5
+	for x >= mix[group] {
+		x -= mix[group]
+		group++
+	}
+	const cv = 1.4
+	work := fleetWork[group] * math.Exp(cv*f.rng.NormFloat64()-cv*cv/2)
+	f.seq++
+	id := strconv.Itoa(f.seq)
+	patience := []time.Duration{5 * sec, 15 * sec, 25 * sec}[group]
+	stretch := []float64{1.5, 2.5, 2.5}[group]
+	q := &wanted{group: group, at: f.now, work: work, runs: map[int]*task{},
+		aim: f.now + seconds(fleetTarget[group]+stretch*work/fleetThreads[group])}
+	m.open[id] = q
+	if f.now >= f.from {
+		f.offered += fleetValue[group]
+	}
+	m.g.Take(f.now, id, group, patience, int64(f.rng.IntN(160)), -1, 0, 0)
+	f.after(patience, func() {
+		if m.open[id] == q && !q.closed {
+			q.closed = true
+			m.g.ClientLeft(f.now, id)
+		}
+	})
+}
+
+func (f *fleet) add(id string, started time.Duration) {
+	f.engines[id] = &worker{id: id, started: started, last: f.now}
+	f.names = append(f.names, id)
+}
+
+func (f *fleet) list(m *member, ids ...string) {
+	m.g.ListBegins(f.now, false)
+	for _, id := range ids {
+		w := f.engines[id]
+		m.g.ListEngine(id, 0, 0, len(id), w.state, w.started, w.started > 0)
+	}
+	m.g.ListEnds()
+}
+
+// release replaces engines: drained, and gone while a cold one comes under a new id.
+// Each gateway hears of it in its own time.
+func (f *fleet) release(at time.Duration, ids ...string) {
+	tell := func(id string) {
+		for _, m := range f.gates {
+			f.after(seconds(0.5+f.rng.Float64()), func() { f.list(m, id) })
+		}
+	}
+	for _, id := range ids {
+		f.after(at, func() {
+			w := f.engines[id]
+			w.state = Draining
+			tell(id)
+			f.after(3*time.Second, func() {
+				w.state = Gone
+				tell(id)
+				f.add(id+"n", f.now)
+				tell(id + "n")
+			})
+		})
+	}
+}
+
+// Three in five engines are replaced at fleet size. What all gateways together send to
+// each cold one stays, in any window, under rule 4's limit; and they are used: a twentieth
+// of what they could do was sent to them once, while queries were refused for want of room.
+// FLEET_SEEDS asks for more than the usual few.
+func TestColdEnginesUnderTheSumOfAll(t *testing.T) {
+	seeds := 3
+	if more, err := strconv.Atoi(os.Getenv("FLEET_SEEDS")); err == nil {
+		seeds = more
+	}
+	for seed := range seeds {
+		f := newFleet(uint64(seed+1), 300, 80, 0.75, 22*sec)
+		f.from = 8 * sec
+		for i := range 48 {
+			f.release(5*sec+time.Duration(i/8)*sec, fmt.Sprint("e", i))
+		}
+		f.run(30 * sec)
+		for _, id := range f.names {
+			if w := f.engines[id]; w.started > 0 {
+				for at := w.started; at < min(22*sec, w.started+fleetSpan); at += 100 * ms {
+					f.coldAble += w.able(at) * fleetCores * 0.85 * 0.1
+				}
+			}
+		}
+		use := f.coldWork / f.coldAble
+		t.Logf("seed %d: cold_worst=%.2f over=%d cold_use=%.2f service=%.3f", seed+1, f.worst, f.over, use, f.served/f.offered)
+		if f.over > 0 {
+			t.Fatalf("seed %d: a cold engine was sent %.2f times what it stands, %d submissions over it", seed+1, f.worst, f.over)
+		}
+		if use < 0.12 {
+			t.Fatalf("seed %d: cold engines were sent %.2f of what they can do: safe by starving them", seed+1, use)
+		}
+	}
+}
