A look and the query that it lets go share a connection; a thousand engines in a test

Cause: idle (internal/relay/engine.go) keeps a line that has just answered from any other query for 10 ms, against second copies; the query that a look lets go is sent in the same moment, so each look cost two connections. In one controller harmless, in 300 a price. Change: after a good look its line carries any call. A late copy of the look's answer (200 without Chunks) fits none of them: the call counts as garbled and is asked for again. A look answered 503 keeps the rest. TestAfterALookItsLineCarriesTheQuery fails without it ("1 looks, 2 connections").

Also a test that starts the program with 1,024 and with 1,500 controllers told and as many engines listed, all replaced in one event, under 256 descriptors and 32 MB: it serves before and after, and stays under 32 MB.

--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -59,7 +60,7 @@
 	e, f := newStand(t, serves(false)), newFeed(t)
 	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
 	a := c.client()
-	a.ask("lookup", "0001", "\xcd\x27\x10", "")
+	a.ask("lookup", "0001", "9000", "")
 	a.answer()
 	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", c.cmd.Process.Pid))
 	if len(tasks) == 0 {
@@ -216,10 +217,15 @@
 {"name":"load","effect":"non_idempotent","importance":6.0,"objective_ms":3000.0,"deadline_ms":25000.0,"aim_stretch":2.5,"fifo_by_key":true,"key_scope":"all"}]}`
 
 func start(t *testing.T, feed string, sockets int, listen string, entries ...string) *controller {
+	t.Helper()
+	return startWith(t, settings, 192, feed, sockets, listen, entries...)
+}
+
+func startWith(t *testing.T, settings string, memoryMB int, feed string, sockets int, listen string, entries ...string) *controller {
 	t.Helper()
 	c := &controller{t: t, config: filepath.Join(t.TempDir(), "config.json")}
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
-		"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`, sockets, feed, event(1, true, entries...), settings)
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
+		"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`, memoryMB, sockets, feed, event(1, true, entries...), settings)
 	if err := os.WriteFile(c.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -754,3 +760,45 @@
 		}
 	}
 }
+
+// Other deployments have more controllers and engines than any that was played:
+// nothing may be sized for those. Each of the engines has an address of its own,
+// behind which one stand-in listens on all.
+func TestAThousandOfEach(t *testing.T) {
+	for _, n := range []int{1024, 1500} {
+		e, f := newStand(t, serves(false)), newFeed(t)
+		all, err := net.Listen("tcp", "0.0.0.0:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go http.Serve(all, e.Config.Handler)
+		defer all.Close()
+		_, port, _ := net.SplitHostPort(all.Addr().String())
+		var first, later []string
+		for i := range n {
+			address := fmt.Sprintf("127.1.%d.%d:%s", i/200, 1+i%200, port)
+			first = append(first, entry(fmt.Sprint("e", i), address, "SERVING"))
+			later = append(later, entry(fmt.Sprint("e", i), address, "DELETED"), entry(fmt.Sprint("n", i), address, "SERVING"))
+		}
+		c := startWith(t, strings.Replace(settings, `"balancers":1,"me":0`, fmt.Sprintf(`"balancers":%d,"me":%d`, n, n-1), 1), 32,
+			f.Addr().String(), 256, "127.0.0.1:0", first...)
+		<-f.lines
+		a := c.client()
+		a.ask("lookup", "0001", "9000", "")
+		a.expect(1, "0001\tfirst")
+		conn := <-f.conns // every one of them is replaced, in one event
+		fmt.Fprintln(conn, event(2, false, later...))
+		a.ask("load", "0002", "9000", "k")
+		a.expect(2, "0002\tfirst")
+		c.signal(syscall.SIGUSR1)
+		if said := c.said("list event")["message"].(string); !strings.Contains(said, "list event 2 ") {
+			t.Fatal(said)
+		}
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cmd.Process.Pid))
+		_, resident, _ := strings.Cut(string(text), "VmRSS:")
+		resident, _, _ = strings.Cut(strings.TrimSpace(resident), " ")
+		if kB, err := strconv.Atoi(resident); err != nil || kB > 32<<10 {
+			t.Fatalf("%s kB with %d engines, of 32 MB", resident, n)
+		}
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -38,6 +38,7 @@
 	call      *call
 	idleSince time.Duration
 	last      *submission // whose call it carried last
+	looked    bool        // that was a probe, and all was well
 }
 
 // how a call came out, when no answer did.
@@ -120,10 +121,12 @@
 
 // idle finds a line that its engine is not about to close, the one used last.
 // One that has just answered goes on with the same query only: a second copy
-// of an answer there fits none of its further calls, or says the same.
+// of an answer there fits none of its further calls, or says the same. After a
+// good look it goes on with any: a copy of that fits no call but a look, and
+// what was looked at is sent to at once. Else each look costs two connections.
 func (r *Relay) idle(c *call) (found *line) {
 	for _, l := range c.e.lines {
-		if l.up && l.call == nil && !l.link.closed && (r.now-l.idleSince >= lineRest || c.s != nil && l.last == c.s) &&
+		if l.up && l.call == nil && !l.link.closed && (r.now-l.idleSince >= lineRest || c.s != nil && (l.last == c.s || l.looked)) &&
 			(found == nil || l.idleSince > found.idleSince) {
 			found = l
 		}
@@ -219,7 +222,7 @@
 		return
 	}
 	text := c.write(nil)
-	l.call, l.last, c.size = c, c.s, len(text)
+	l.call, l.last, l.looked, c.size = c, c.s, false, len(text)
 	if c.s != nil {
 		r.trace(c.s.q, c.s, "%s on line %d", c.what, l.n)
 	}
@@ -276,10 +279,10 @@
 	}
 	for !l.link.closed && l.call != nil {
 		var say func()
-		sound, rows := false, false
+		sound, rows, status := false, false, 0
 		c := l.call
-		n, keep, err := engines.Read(in.Bytes(), answerBytes, func(status int, field func(string) string, body []byte) {
-			sound, rows = c.fits(status, field, body), len(body) > 0
+		n, keep, err := engines.Read(in.Bytes(), answerBytes, func(as int, field func(string) string, body []byte) {
+			sound, rows, status = c.fits(as, field, body), len(body) > 0, as
 			say = func() { r.over(c, answered, status, field, body) }
 		})
 		if n == 0 && err == nil {
@@ -302,6 +305,7 @@
 			l.call = nil
 			r.cut(l)
 		} else {
+			l.looked = c.s == nil && status == 200
 			r.free(l)
 		}
 		say() // now that the line may take the call this leads to
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1266,3 +1266,24 @@
 		}
 	}
 }
+
+// Each look dialled twice, once for itself and once for what it let go there: three
+// hundred controllers made a connection a query. A copy of the look's answer that
+// comes late fits no other call, and costs no more than asking once more.
+func TestAfterALookItsLineCarriesTheQuery(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	a := s.query(s.connect(), "lookup", "", 5*time.Second, 1)
+	h := s.one("POST", a.id)
+	if s.r.tally.probes != 1 || s.r.tally.dials != 1 {
+		t.Fatalf("%d looks, %d connections", s.r.tally.probes, s.r.tally.dials)
+	}
+	s.held = nil // answered behind the copy, on a line that is then gone
+	s.read(h.e, []byte("HTTP/1.1 200 x\r\nX-Load: inflight:3;util:0.5\r\nContent-Length: 0\r\n\r\n"))
+	if !h.e.gone || a.answer != "" {
+		t.Fatalf("%v %q", h.e.gone, a.answer)
+	}
+	s.good(h.s)
+	if s.until(s.now + 500*time.Millisecond); a.answer != "finished" || len(a.subs) != 1 {
+		t.Fatalf("%q after %d", a.answer, len(a.subs))
+	}
+}
