--- a/decide/decide.go
+++ b/decide/decide.go
@@ -75,7 +75,7 @@
 	for _, x := range line.line {
 		before += g.expect(x)
 	}
-	if before > g.left(q) {
+	if g.now+seconds(before-g.expect(q)) > g.latest(q) {
 		g.giveUp(q)
 	}
 }
@@ -180,11 +180,16 @@
 
 // hopeless: what can't earn its keep is given up before it takes room from what can.
 func (g *Gateway) hopeless(q *query, backlog bool) bool {
+	return g.left(q) < g.lone(q)/2 || backlog && g.now > g.latest(q)
+}
+
+// latest is when a query has to start at the latest to be done when it should be.
+func (g *Gateway) latest(q *query) time.Duration {
 	by := q.aim
 	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
 		by = min(by, q.takenAt+seconds(q.rg.patience.value))
 	}
-	return g.left(q) < g.lone(q)/2 || backlog && g.now+seconds(1.25*g.expect(q)) > by
+	return by - seconds(1.25*g.expect(q))
 }
 
 // ---- which engine
