Cold engines' reports say nothing of warm ones; nothing slow is begun anew where all is full

Cause: reported (decide/decide.go) takes reports of cold engines, nearly empty and looked at most, into fillSeen, memorySeen and allHeld, and sums counts cold engines as room of the bound. And noted moves whatever goes slowly, also where all engines are as slow. Change: what is thought of the fleet's fill comes from warm engines, and the bound in the mean is that of warm engines; a query that is slow stays where engines seen are three quarters full on average (what can't be done in time is given up as before). Tests: TestColdEnginesSayNothingOfWarmOnes, TestSlowQueriesStayWhereAllIsFull, both seen failing without.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -334,7 +334,8 @@
 	if g.allHeld.count == 0 {
 		return 1 / n
 	}
-	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, float64(len(g.on())))/g.allHeld.value))
+	_, _, _, warm := g.sums()
+	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, warm)/g.allHeld.value))
 }
 
 // filled guesses how full an engine is with the work of all gateways; 1 is full. A
@@ -654,7 +655,12 @@
 	e.report, e.restUntil = nil, max(e.restUntil, g.now+2*time.Second)
 }
 
+// reported: cold engines, nearly empty and looked at most while there are some, say nothing of
+// how full the others are; with theirs in the mean all gateways took warm ones for half empty.
 func (g *Gateway) reported(e *engine, report map[string]float64) {
+	if g.now < e.coldUntil {
+		return
+	}
 	g.fillSeen.add(max(g.filled(e), 0.85*report["disks"]), 20) // busy everywhere is full, busy here is not
 	g.memorySeen.add(g.memoryOn(e), 20)
 	if held := report["held"]; held > 0 {
@@ -705,8 +711,9 @@
 	if s.behind || q.over || q.rg.effect != "read-only" || !g.facts.yes("may.cancel") {
 		return
 	}
-	// slow twice without an estimate: it is large, not its plan bad
-	again := (!slow || q.work > 0 || !q.moved) && g.left(q) > fresh && g.mayRepeat(q)
+	// slow twice without an estimate: it is large, not its plan bad; and where all engines seen
+	// are full it is slow everywhere: begun anew it would only lose what was done
+	again := (!slow || (q.work > 0 || !q.moved) && g.fillSeen.or(0) < 0.75) && g.left(q) > fresh && g.mayRepeat(q)
 	if again && remains >= far*fresh {
 		s.behind, q.moved = true, q.moved || slow
 		g.act.Cancel(q.id, s.try)
@@ -724,6 +731,7 @@
 		x, y := a.value/a.slots.or(g.usual(a)), b.value/b.slots.or(g.usual(b))
 		return cmp.Or(cmp.Compare(y, x), a.index-b.index)
 	})
+	g.stale = true // some are warm by now
 	threads, memory, count, _ := g.sums()
 	g.usualThreads.add(threads, 300)
 	g.usualMemory.add(memory, 300)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -441,3 +441,48 @@
 		}
 	}
 }
+
+// While three engines in five were cold, nearly empty and looked at most, all gateways
+// took the warm ones for half empty and the bound in the mean never bound.
+func TestColdEnginesSayNothingOfWarmOnes(t *testing.T) {
+	w := newWorld(t, 3, map[string]string{"gateways": "300", "report.how": "probed"})
+	w.pass(200 * ms)
+	w.restart("e1")
+	w.restart("e2")
+	for range 30 {
+		w.pass(100 * ms)
+		w.report("e0", map[string]float64{"held": 40})
+		w.report("e1", map[string]float64{"held": 1})
+		w.report("e2", map[string]float64{"held": 1})
+	}
+	if w.g.fillSeen.value < 1 || w.g.allHeld.value < 39 {
+		t.Fatalf("engines seen are taken for %.2f full, holding %.1f", w.g.fillSeen.value, w.g.allHeld.value)
+	}
+	if _, _, _, warm := w.g.sums(); warm != 1 {
+		t.Fatalf("%v engines count for the bound, one is warm", warm)
+	}
+	w.pass(16 * sec)
+	if _, _, _, warm := w.g.sums(); warm != 3 {
+		t.Fatalf("%v of 3 count once they are warm", warm)
+	}
+}
+
+// Where all engines were full, queries that their notes showed to be slow were called off
+// after a second and begun anew on others as slow: half of the engines' time was lost so.
+func TestSlowQueriesStayWhereAllIsFull(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		w := newWorld(t, 4, map[string]string{"report.how": "probed", "may.probe": "false", "may.copy": "true"})
+		q := w.take(1, 1, -1, 15*sec)
+		for range 10 {
+			w.pass(100 * ms)
+			for _, id := range w.ids() {
+				w.report(id, map[string]float64{"held": map[bool]float64{false: 2, true: 40}[full]})
+			}
+		}
+		w.g.Note(w.now, q.id, 0, Progress, 0.1) // nine seconds to go, of one and a half that it should take
+		w.pass(10 * ms)
+		if moved := w.g.queries[q.id].subs[0].behind; moved == full || q.answered {
+			t.Fatalf("full %v, moved %v, given up %v", full, moved, q.answered)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -208,7 +208,7 @@
 type Gateway struct {
 	stale   bool // running and own are to be made anew
 	running []*engine
-	own     [3]float64
+	own     [4]float64
 	act     Actor
 	facts   facts
 	rng     *pcg
@@ -306,13 +306,17 @@
 // on lists the engines that the list has as running.
 func (g *Gateway) on() []*engine {
 	if g.stale {
-		g.stale, g.running, g.own = false, g.running[:0], [3]float64{}
+		g.stale, g.running, g.own = false, g.running[:0], [4]float64{}
 		for _, e := range g.engines {
-			if e.state == On {
-				g.running = append(g.running, e)
+			if e.state != On {
+				continue
+			}
+			g.running = append(g.running, e)
+			if g.now >= e.coldUntil {
 				g.own[0] += e.threads
 				g.own[1] += e.memory
 				g.own[2] += float64(len(e.out) + len(e.lingering))
+				g.own[3]++
 			}
 		}
 	}
@@ -320,10 +324,10 @@
 }
 
 // sums are the threads, memory and number of one's own submissions on running
-// engines, and how many engines run.
-func (g *Gateway) sums() (threads, memory, count, on float64) {
-	on = float64(len(g.on()))
-	return g.own[0], g.own[1], g.own[2], on
+// engines that are warm, and how many those are.
+func (g *Gateway) sums() (threads, memory, count, warm float64) {
+	g.on()
+	return g.own[0], g.own[1], g.own[2], g.own[3]
 }
 
 func (e *engine) locked(tables int64, until time.Duration) {
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -48,7 +48,8 @@
 	l.ended = again
 	l.got = func() {
 		for !l.closed {
-			n, err := list.Read(l.In.Bytes(), r.messageMost, r)
+			// its own bound, not a client's: one event names all engines there are
+			n, err := list.Read(l.In.Bytes(), r.bufferedMost, r)
 			if err != nil {
 				r.tally.feedFaults++
 				r.say(true, "the feed can't be read: "+err.Error())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/must"
 )
 
@@ -1287,3 +1288,22 @@
 		t.Fatalf("%q after %d", a.answer, len(a.subs))
 	}
 }
+
+// A list's event is one line, however many engines it names.
+func TestAnEventNamesTwentyThousandEngines(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	s.until(10 * time.Millisecond)
+	var members []string
+	for i := range 20_000 {
+		m := &mill{id: "big" + strconv.Itoa(i), address: fmt.Sprintf("10.%d.%d.%d:6565", 1+i/62500, i/250%250, 1+i%250), state: "SERVING"}
+		members = append(members, m.entry(0))
+	}
+	s.tell(strings.Join(members, ","))
+	if n := len(s.r.engines); n != 20_001 || s.r.tally.feedFaults > 0 {
+		t.Fatalf("%d engines, %d faults", n, s.r.tally.feedFaults)
+	}
+	s.tell(`{"id":"big7","phase":"WHATEVER"},{"phase":"SERVING"},{"id":"big8","host_port":"10.1.0.9:6565","phase":"DELETED"}`)
+	if s.r.tally.odd != 2 || s.r.feed.last != s.events || s.r.engines["big8"].state != decide.Gone {
+		t.Fatalf("%d odd, event %d of %d", s.r.tally.odd, s.r.feed.last, s.events)
+	}
+}
