--- /dev/null
+++ b/decide/size_test.go
@@ -0,0 +1,75 @@
+package decide
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// quiet is an Actor that only notes what it has to answer.
+type quiet struct {
+	sent   []string
+	probes []string
+}
+
+func (a *quiet) Submit(query, _ string, _ time.Duration) { a.sent = append(a.sent, query) }
+func (a *quiet) Probe(engine string)                     { a.probes = append(a.probes, engine) }
+func (a *quiet) Cancel(string, int)                      {}
+func (a *quiet) Terms(string, int, int)                  {}
+func (a *quiet) Defer(string, time.Duration)             {}
+func (a *quiet) Kill(string)                             {}
+func (a *quiet) Subscribe()                              {}
+func (a *quiet) Tell([]byte)                             {}
+func (a *quiet) Wake(time.Duration, int)                 {}
+func (a *quiet) Log(string)                              {}
+
+func sized(engines int) (*quiet, *Gateway) {
+	a := &quiet{}
+	g := New(a, 7, plainFacts(map[string]string{"gateways": "350", "report.how": "probed", "group.2.in-order": ""}))
+	g.ListBegins(0, true)
+	for i := range engines {
+		g.ListEngine(fmt.Sprint("e", i), 0, 0, i/6, On, 0, false)
+	}
+	g.ListEnds()
+	return a, g
+}
+
+// BenchmarkQuery is an arrival, its looks, its submission and its end.
+func BenchmarkQuery(b *testing.B) {
+	for _, n := range []int{8, 80, 400, 1024} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			a, g := sized(n)
+			b.ReportAllocs()
+			now := time.Duration(0)
+			for i := range b.N {
+				now += 20 * ms
+				id := strconv.Itoa(i)
+				g.Take(now, id, i%2, 5*sec, int64(i%160), -1, 0, 0)
+				for len(a.probes) > 0 {
+					e := a.probes[0]
+					a.probes = a.probes[1:]
+					g.Probed(now+ms, e, Finished, map[string]float64{"held": 3, "cores": 0.4})
+				}
+				if len(a.sent) == 0 {
+					b.Fatal("not sent")
+				}
+				a.sent = a.sent[:0]
+				g.Ended(now+10*ms, id, 0, Finished, 9*ms, true, 9*ms, 64, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the periodic work, with nothing out.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{8, 80, 400, 1024} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			_, g := sized(n)
+			b.ReportAllocs()
+			for i := range b.N {
+				g.Woken(time.Duration(i)*100*ms, tickTag)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/size_test.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// BenchmarkWholeList is a start with so many engines listed, all in one event: its
+// work grows with them, not with their square.
+func BenchmarkWholeList(b *testing.B) {
+	for _, n := range []int{8, 80, 400, 1024} {
+		var members []string
+		for i := range n {
+			m := &mill{id: "e" + strconv.Itoa(i), address: fmt.Sprintf("10.0.%d.%d:6565", i/250, i%250), state: "SERVING"}
+			members = append(members, m.entry(0))
+		}
+		known := []byte(`{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[` + strings.Join(members, ",") + `]}}]}`)
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				r, _ := New(Means{Seed: 7, MemoryMB: 32, Sockets: 256, Feed: "feed", Known: known, Facts: plainFacts(nil)})
+				if len(r.engines) != n {
+					b.Fatal(len(r.engines))
+				}
+			}
+		})
+	}
+}
