Odd settings and list entries are said by field and engine, and served all the same

Settings without a number of controllers, without classes, with a class without name, times or a known effect were taken as they came, without a word. Now each is logged once at the start, naming the field and what is done instead (an effect that is not known is never repeated, as before). Entries of the list that can't be used name their engine, and an address that passes from one serving engine to another is logged. Tests: TestOddSettingsAreSaidAndServed starts the program on such a file and has both groups served; TestWhatIsOddInSettings names the fields.

--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -802,3 +802,31 @@
 		}
 	}
 }
+
+// Settings that are odd are said, field by field, and the program serves all the same.
+func TestOddSettingsAreSaidAndServed(t *testing.T) {
+	e, f := newStand(t, serves(false)), newFeed(t)
+	odd := strings.NewReplacer(`"balancers":1`, `"balancers":0`, `"effect":"non_idempotent"`, `"effect":"whatever"`,
+		`"objective_ms":3000.0`, `"objective_ms":"soon"`).Replace(settings)
+	c := startWith(t, odd, 64, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"), entry("e2", e.address(), "WHATEVER"))
+	a := c.client()
+	a.ask("lookup", "0001", "9000", "")
+	a.expect(1, "0001\tfirst")
+	a.ask("load", "0002", "9000", "k")
+	a.expect(2, "0002\tfirst")
+}
+
+func TestWhatIsOddInSettings(t *testing.T) {
+	lines := strings.Join(odd(map[string]string{"gateways": "0", "groups": "1", "group.0.effect": "whatever", "group.0.timeout": "5000"}), "\n")
+	for _, want := range []string{"settings.balancers", "settings.classes[0].name", `settings.classes[0].effect: "whatever"`, "settings.classes[0].objective_ms"} {
+		if !strings.Contains(lines, want) {
+			t.Errorf("%s is not said: %s", want, lines)
+		}
+	}
+	if strings.Contains(lines, "deadline_ms") {
+		t.Errorf("what is well is said: %s", lines)
+	}
+	if l := odd(nil); len(l) != 2 {
+		t.Errorf("with nothing at all: %q", l)
+	}
+}
--- a/cmd/railrelay/platform.go
+++ b/cmd/railrelay/platform.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		return err
 	}
+	log := logger("", "")
+	for _, line := range odd(facts) {
+		log.Log().Msg(line)
+	}
 	seed, err := strconv.ParseUint(g.Seed, 16, 64)
 	if err != nil {
 		return fmt.Errorf("config: no seed: %w", err)
@@ -72,7 +76,35 @@
 			g.Feed = next.Feed
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed}, nil
 		}, log)
-	}, logger("", ""))
+	}, log)
+}
+
+// odd says what the settings leave out or name wrongly, and what is done instead: a
+// controller that refuses to start serves nobody.
+func odd(facts map[string]string) (lines []string) {
+	say := func(field, what string) { lines = append(lines, "config: settings."+field+": "+what) }
+	if n, err := strconv.ParseFloat(facts["gateways"], 64); err != nil || n < 1 {
+		say("balancers", "no number of controllers; taken as one")
+	}
+	groups, _ := strconv.Atoi(facts["groups"])
+	if groups < 1 {
+		say("classes", "none; every query will be killed")
+	}
+	for i := range groups {
+		at, class := "group."+strconv.Itoa(i)+".", "classes["+strconv.Itoa(i)+"]."
+		if facts[at+"name"] == "" {
+			say(class+"name", "none; nobody can ask for it")
+		}
+		if effect := facts[at+"effect"]; effect != "read-only" && effect != "tokened" && effect != "mutating" {
+			say(class+"effect", strconv.Quote(effect)+" is not known; taken as never to be repeated")
+		}
+		for _, f := range [][2]string{{"target", "objective_ms"}, {"timeout", "deadline_ms"}} {
+			if x, err := strconv.ParseFloat(facts[at+f[0]], 64); err != nil || x <= 0 {
+				say(class+f[1], "no time")
+			}
+		}
+	}
+	return lines
 }
 
 // again reads the configuration while running. The feed is all that may
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -114,9 +114,9 @@
 	case e.ID == "":
 		h.Odd("an entry without an id")
 	case !known:
-		h.Odd("an unknown state")
+		h.Odd("engine " + e.ID + ", of unknown state " + strconv.Quote(e.Phase))
 	case e.HostPort == "" && state == decide.On:
-		h.Odd("an engine without an address")
+		h.Odd("engine " + e.ID + ", which has no address")
 	default:
 		h.Engine(e.ID, e.HostPort, e.Locality, e.Flavor, e.Cell, state, int64(e.Up))
 	}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -146,6 +146,9 @@
 		r.vacate(e)
 	default:
 		if x != nil {
+			if x.state == decide.On && state == decide.On {
+				r.sayOf(About{Engine: x.id}, "has its address no more, "+e.id+" is listed there")
+			}
 			r.vacate(x)
 		}
 		r.atAddress[e.address] = e
