--- a/decide/decide.go
+++ b/decide/decide.go
@@ -713,7 +713,8 @@
 	}
 	// slow twice without an estimate: it is large, not its plan bad; and where all engines seen
 	// are full it is slow everywhere: begun anew it would only lose what was done
-	again := (!slow || (q.work > 0 || !q.moved) && g.fillSeen.or(0) < 0.75) && g.left(q) > fresh && g.mayRepeat(q)
+	again := !slow || (q.work > 0 || !q.moved) && g.fillSeen.or(0) < 0.75
+	again = again && g.left(q) > fresh && g.mayRepeat(q)
 	if again && remains >= far*fresh {
 		s.behind, q.moved = true, q.moved || slow
 		g.act.Cancel(q.id, s.try)
