A light query goes to the cold engine that its chance names without a look

Cause: pick (decide/decide.go) looked at a named engine before each light query sent there. Its chance alone leaves room: all gateways together send three tenths of the limit, which the engine stands; the look told nothing that changed what was done. Change: a named engine that is ready, has not just been full and has no load of the tables gets the query at once. The order in which unseen ones are looked at is by chance again. TestAColdEngineIsSentItsLightQueriesUnseen fails without it ("sent 0 times, 1 looks").

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -222,16 +222,13 @@
 			hold++ // better held for this one than standing still behind a load
 		}
 	}
-	near := 0 // of the unseen, those that the query's chance names
 	for _, e := range g.on() {
 		if g.known(e) {
 			weigh(e)
 		} else if e.state == On && g.now >= e.restUntil {
 			unseen = append(unseen, e) // a silent one too: this is how it is heard again
-			if g.names(q, e) && g.allowed(q, e) {
-				last := len(unseen) - 1
-				unseen[near], unseen[last] = unseen[last], unseen[near]
-				near++
+			if g.names(q, e) && g.ready(e) && !g.lately(e) && !g.loadRuns(e, q.tables) && g.allowed(q, e) {
+				named = append(named, e) // the chance alone leaves room there: no look is paid for
 			}
 		}
 	}
@@ -241,16 +238,16 @@
 	if g.light(q.rg) {
 		want = 1
 	}
-	if len(named) == 0 && (len(clear) < want && len(unseen) > 0 || near > 0) {
+	if len(named) == 0 && len(clear) < want && len(unseen) > 0 {
 		waits := slices.ContainsFunc(q.looks, func(e *engine) bool { return e.probing })
 		if waits && g.now < q.lookedAt+50*time.Millisecond {
 			return nil, false
 		}
-		g.rng.shuffle(unseen[near:])
+		g.rng.shuffle(unseen)
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
 			q.looks, q.lookedAt = nil, g.now
-			for i, e := range unseen {
-				if (i < near && len(q.looks) == 0 || len(clear)+len(q.looks) < want) && g.probeLeft >= 1 && g.allowed(q, e) {
+			for _, e := range unseen {
+				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
 					g.probeLeft--
 					g.look(e)
 					q.looks = append(q.looks, e)
@@ -319,11 +316,14 @@
 // light groups take less than the mean of the work: they fill no engine.
 func (g *Gateway) light(rg *resourceGroup) bool { return g.usual(rg) < g.meanWork.value }
 
+// lately: it turned a query away as full a moment ago.
+func (g *Gateway) lately(e *engine) bool { return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second }
+
 func (g *Gateway) pressed(e *engine) bool {
 	// the larger one's own share the better the bound rations what is there; with a
 	// small one it rations next to nothing, and an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
-	return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second || e.slow > pressedAt || g.filled(e) > full ||
+	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full ||
 		g.now-e.reportAt < reportKeeps && e.report["line"] > 0
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -486,3 +486,38 @@
 		}
 	}
 }
+
+// Each light query that went to a cold engine was looked ahead for, though its chance alone
+// leaves room there: a probe a query, priced over the whole fleet.
+func TestAColdEngineIsSentItsLightQueriesUnseen(t *testing.T) {
+	w := newWorld(t, 40, map[string]string{"gateways": "300", "report.how": "probed"})
+	ask := func() *asked {
+		w.pass(20 * ms)
+		for _, id := range []string{"e8", "e9"} { // two warm ones with room are known
+			w.report(id, map[string]float64{"held": 2})
+		}
+		w.probes = nil
+		return w.take(0, 1, -1, 5*sec)
+	}
+	w.take(1, 1, -1, 15*sec) // beside which lookups are light
+	for range 40 {
+		w.end(ask(), 0, Finished)
+	}
+	for _, id := range w.ids()[:20] {
+		w.restart(id)
+	}
+	went := 0
+	for range 400 {
+		q := ask()
+		if len(q.subs) != 1 || len(w.probes) > 0 {
+			t.Fatalf("sent %d times, %d looks", len(q.subs), len(w.probes))
+		}
+		if w.engines[q.subs[0].engine].started > 0 {
+			went++
+		}
+		w.end(q, 0, Finished)
+	}
+	if went < 50 {
+		t.Fatalf("%d of 400 went to cold engines, half of all", went)
+	}
+}
