One queue of due times, one guess of work, and no arguments made for a log nobody reads

What a line of the log is about was put together by hand in five places: query.about and submission.about.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -72,10 +72,10 @@
 // them with most of their time gone: queries were lost so.
 func (g *Gateway) behind(q *query, line *keyLine) {
 	before := 0.0
-	for _, x := range line.line {
+	for _, x := range line.line[:len(line.line)-1] {
 		before += g.expect(x)
 	}
-	if g.now+seconds(before-g.expect(q)) > g.latest(q) {
+	if g.now+seconds(before) > g.latest(q) {
 		g.giveUp(q)
 	}
 }
@@ -370,7 +370,7 @@
 func (g *Gateway) lone(q *query) float64 {
 	work := q.work
 	if work <= 0 {
-		work = q.rg.work.or(q.rg.target.Seconds() / 2 * q.rg.threads)
+		work = q.rg.work.or(q.rg.guess())
 	}
 	return work / q.rg.threads
 }
@@ -437,9 +437,12 @@
 	return g.now >= e.coldUntil || g.coldFits(q, e) // 4
 }
 
+// guess is the work of a group's query while nothing is known of it.
+func (rg *resourceGroup) guess() float64 { return rg.target.Seconds() / 2 * rg.threads }
+
 // usual is a group's ordinary work, corrected by its best times where estimates are off.
 func (g *Gateway) usual(rg *resourceGroup) float64 {
-	work := rg.work.or(rg.target.Seconds() / 2 * rg.threads)
+	work := rg.work.or(rg.guess())
 	if rg.floor > 0 && !g.facts.yes("answers.cost") {
 		work *= rg.floor
 	}
@@ -483,7 +486,7 @@
 	chance := part * limit / window.Seconds() / (e.cores * float64(len(g.on())) * ofGroup)
 	draw := float64((uint32(q.seq)*2654435761^e.mark)*2246822519>>8) / (1 << 24)
 	// a few that were small say little: no less than would be guessed of a group not known yet
-	work = max(work, q.rg.target.Seconds()/2*q.rg.threads) * (1 + 1/math.Sqrt(max(1, q.rg.work.count)))
+	work = max(work, q.rg.guess()) * (1 + 1/math.Sqrt(max(1, q.rg.work.count)))
 	return draw < chance && e.coldSum(g.now-window)+work <= most*limit
 }
 
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,13 +8,15 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"railrelay.dev/railrelay/internal/due"
 )
 
 // fleet is many gateways that share engines, all in virtual time: what one does
 // alone is summed at the engines, which is where rule 4 is judged.
 type fleet struct {
 	now      time.Duration
-	events   moments
+	events   due.Times
 	rng      *rand.Rand
 	gates    []*member
 	engines  map[string]*worker
@@ -30,36 +31,13 @@
 	over     int     // submissions that passed it
 }
 
-type moment struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type moments []moment
-
-func (m moments) Len() int { return len(m) }
-func (m moments) Less(i, j int) bool {
-	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].seq < m[j].seq
-}
-func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
-func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
-func (m *moments) Pop() any {
-	x := (*m)[len(*m)-1]
-	*m = (*m)[:len(*m)-1]
-	return x
-}
-
-func (f *fleet) after(span time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.events, moment{f.now + span, f.seq, do})
-}
+func (f *fleet) after(span time.Duration, do func()) { f.events.Add(f.now+span, do) }
 
 func (f *fleet) run(until time.Duration) {
-	for len(f.events) > 0 && f.events[0].at <= until {
-		next := heap.Pop(&f.events).(moment)
-		f.now = next.at
-		next.do()
+	for at, ok := f.events.First(); ok && at <= until; at, ok = f.events.First() {
+		f.now = at
+		do, _ := f.events.Next(at)
+		do()
 	}
 	f.now = until
 }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -155,8 +155,8 @@
 func (r *Relay) dial(c *call) {
 	r.pool.dialled++
 	l := &line{link: &Link{}, n: r.pool.dialled, e: c.e, call: c}
-	if c.s != nil {
-		r.trace(c.s.q, c.s, "line %d dialled for %s", l.n, c.what)
+	if r.Trace && c.s != nil {
+		r.trace(c.s.about(), "line %d dialled for %s", l.n, c.what)
 	}
 	c.e.lines, r.pool.lines = append(c.e.lines, l), append(r.pool.lines, l)
 	r.pool.links++
@@ -223,8 +223,8 @@
 	}
 	text := c.write(nil)
 	l.call, l.last, l.looked, c.size = c, c.s, false, len(text)
-	if c.s != nil {
-		r.trace(c.s.q, c.s, "%s on line %d", c.what, l.n)
+	if r.Trace && c.s != nil {
+		r.trace(c.s.about(), "%s on line %d", c.what, l.n)
 	}
 	r.write(l.link, text)
 	c.limit = r.due.Add(r.now+c.within, func() {
@@ -316,8 +316,8 @@
 	if !c.over {
 		c.over = true
 		r.due.Drop(c.limit)
-		if c.s != nil {
-			r.trace(c.s.q, c.s, "%s came to %s %d", c.what, hows[as], status)
+		if r.Trace && c.s != nil {
+			r.trace(c.s.about(), "%s came to %s %d", c.what, hows[as], status)
 		}
 		c.then(as, status, field, body)
 	}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -98,7 +98,9 @@
 	}
 	r.queries[q.id] = q
 	r.tally.taken++
-	r.trace(q, nil, "taken, key %q (%d), for %v", k, number, patience)
+	if r.Trace {
+		r.trace(q.about(), "taken, key %q (%d), for %v", k, number, patience)
+	}
 	r.asked = r.now
 	// once all that has come is read: what is taken back in one breath goes nowhere
 	r.soon(func() {
@@ -129,7 +131,9 @@
 		return false
 	}
 	q.answered = true
-	r.trace(q, nil, "closed: %v", end)
+	if r.Trace {
+		r.trace(q.about(), "closed: %v", end)
+	}
 	q.asker.closed()
 	if r.fair != nil {
 		r.fair.answered(q, end)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -341,18 +341,20 @@
 	r.do(Effect{Verb: Say, Text: text, About: about})
 }
 
-// trace says what becomes of a query, step by step, where that was asked for.
-func (r *Relay) trace(q *query, s *submission, what string, more ...any) {
-	if !r.Trace {
-		return
-	}
-	about := About{Query: q.id, Group: q.group.name}
-	if s != nil {
-		about.Engine, about.Try = s.e.id, s.try+1
-	}
+// trace says what becomes of a query, step by step. Callers ask for Trace first, so
+// that nothing is made on every call for a log that nobody reads.
+func (r *Relay) trace(about About, what string, more ...any) {
 	r.do(Effect{Verb: Say, Fine: true, About: about, Text: fmt.Sprintf(what, more...)})
 }
 
+func (q *query) about() About { return About{Query: q.id, Group: q.group.name} }
+
+func (s *submission) about() About {
+	a := s.q.about()
+	a.Engine, a.Try = s.e.id, s.try+1
+	return a
+}
+
 func (r *Relay) count()           { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
 func (r *Relay) soon(what func()) { r.later = append(r.later, what) }
 
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -62,7 +62,7 @@
 	}
 	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from))
 	if err != nil {
-		p.sayOf(About{Query: q.id, Group: q.group.name}, "deferred: "+err.Error())
+		p.sayOf(q.about(), "deferred: "+err.Error())
 		p.deferred(q, spoolPause)
 		return
 	}
@@ -133,7 +133,7 @@
 		case s.ended: // given up meanwhile
 			p.soon(func() { p.core.Drop(p.now, r) })
 		case err != nil:
-			p.sayOf(About{Query: s.q.id, Group: s.q.group.name, Engine: s.e.id, Try: s.try + 1}, "its result can't be kept: "+err.Error())
+			p.sayOf(s.about(), "its result can't be kept: "+err.Error())
 			s.result = nil
 			if !s.q.answered {
 				p.killed(s.q, fmt.Sprintf("the result of %d bytes can't be kept: %v", r.Bytes(), err))
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -272,10 +272,11 @@
 	s.tally.ends[outcome]++
 	took := s.now - s.at
 	s.endedAt = s.now
-	s.trace(s.q, s, "told %s after %v, %s", outcomeNames[outcome], took, s.why)
+	if s.Trace {
+		s.trace(s.about(), "told %s after %v, %s", outcomeNames[outcome], took, s.why)
+	}
 	if outcome != decide.Finished && outcome != decide.Cancelled {
-		s.sayOf(About{Query: s.q.id, Group: s.q.group.name, Engine: s.e.id, Try: s.try + 1},
-			outcomeNames[outcome]+" after "+took.String()+", "+s.why)
+		s.sayOf(s.about(), outcomeNames[outcome]+" after "+took.String()+", "+s.why)
 	}
 	s.soon(func() {
 		s.told = true
@@ -294,7 +295,9 @@
 		return
 	}
 	s.ended = true
-	r.trace(s.q, s, "withdrawn")
+	if r.Trace {
+		r.trace(s.about(), "withdrawn")
+	}
 	if !s.sent {
 		s.tell(decide.NeverSent)
 		return
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -4,7 +4,6 @@
 package world
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/internal/check"
+	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/spool"
@@ -37,8 +37,7 @@
 	Said    []string      // what the controller logged aloud, and its counters
 
 	delay  time.Duration
-	events events
-	seq    uint64
+	events due.Times
 	ends   map[*relay.Link]*end
 	byAddr map[string]*Engine
 	feeds  []*end
@@ -100,27 +99,6 @@
 	Rows            []byte            // that the answer had
 }
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (l events) Len() int { return len(l) }
-func (l events) Less(i, j int) bool {
-	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
-}
-func (l events) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
-func (l *events) Push(x any)   { *l = append(*l, x.(event)) }
-func (l *events) Pop() any {
-	x := (*l)[len(*l)-1]
-	(*l)[len(*l)-1] = event{}
-	*l = (*l)[:len(*l)-1]
-	return x
-}
-
 // New makes a world with engines of these figures and a controller of these
 // means, whose feed and list are the world's.
 func New(seed uint64, engines []engine.Figures, means relay.Means) *World {
@@ -176,8 +154,7 @@
 
 // At has something done at a time.
 func (w *World) At(at time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{max(at, w.Now), w.seq, do})
+	w.events.Add(max(at, w.Now), do)
 }
 
 // After has something done after a span.
@@ -185,15 +162,15 @@
 
 // Until plays up to a time.
 func (w *World) Until(end time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
-		if e.at > w.Now {
+	for at, ok := w.events.First(); ok && at <= end; at, ok = w.events.First() {
+		if at > w.Now {
 			w.still = 0
 		} else if w.still++; w.still > stillMost {
 			panic("the world stands still at " + w.Now.String())
 		}
-		w.Now = e.at
-		e.do()
+		w.Now = at
+		do, _ := w.events.Next(at)
+		do()
 	}
 	w.Now = max(w.Now, end)
 }
