Engines that tell busy cores only are seen by those, by what stands still, and by own queries

Ruled out: the bound (share and room were free), the submission budget (1.09 submissions a query), grants (granted in full). At fault: filled and memoryOn, which read only queries held, and there are none in the reports; and periodic, which waits for notes.

The wire's tenant, quotas and over-share worth are passed on.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,7 @@
 	reportKeeps    = 1 * time.Second
 	grantFirst     = 1.25 // memory granted over the estimate, until notes tell more
 	tick           = 100 * time.Millisecond
+	flowSpan       = 5 * time.Second // over which rates are taken
 )
 
 // ---- engines coming and going
@@ -52,11 +53,14 @@
 	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
 	g.workRate += g.usual(rg)
 	rg.taken++
+	if q.team != nil {
+		q.team.took++
+	}
 	g.meanWork.add(g.usual(rg), 100)
 	g.probeLeft = min(g.probeLeft+1.5, 6)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
 	g.of(q, q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
-	g.of(q, q.aim, func() { g.setTerms(q) })
+	g.of(q, q.aim, func() { g.overdue(q) })
 	if line := g.line(q); line != nil {
 		if line.line = append(line.line, q); line.line[0] != q {
 			g.behind(q, line)
@@ -66,6 +70,19 @@
 	g.begin(q)
 }
 
+// overdue: its target has passed. Where a late answer is worth nothing it only takes room from
+// others: on an engine whose memory is passed it would hold that until its client leaves.
+func (g *Gateway) overdue(q *query) {
+	for _, s := range q.subs {
+		if !s.ended && g.facts.span("note.period", 0) <= 0 {
+			g.stands(s)
+		}
+	}
+	if g.setTerms(q); q.rg.lateShare <= 0 && q.rg.effect == "read-only" {
+		g.giveUp(q)
+	}
+}
+
 // behind: what those before it in its key's line should take alone leaves it no time. Given up
 // at once it comes back in its own time; kept, a long line is given up in one moment when its
 // head ends late, comes back in one, and clients, who space a key's queries, send the last of
@@ -169,6 +186,7 @@
 			case e != nil && q.next(e):
 				rg.remove(q)
 			case e == nil && !barred:
+				g.thin(rg)
 				rg.full, i = true, len(rg.queue)
 			default:
 				shut = append(shut, q.tables)
@@ -178,6 +196,45 @@
 	}
 }
 
+// thin: a queue that is more than can be begun in time gives up at once what costs most for its
+// worth. In plain arrival order a long query would take the room of several that are worth as much.
+func (g *Gateway) thin(rg *resourceGroup) {
+	work := 0.0
+	for _, q := range rg.queue {
+		work += g.lone(q) * rg.threads
+	}
+	for len(rg.queue) > 1 && work > g.rate(rg.begun)*rg.target.Seconds()/2 {
+		dearest := slices.MaxFunc(rg.queue, func(a, b *query) int { return cmp.Compare(g.dear(a), g.dear(b)) })
+		if g.dear(dearest) < 1.2*g.usual(rg)/rg.threads {
+			return
+		}
+		work -= g.lone(dearest) * rg.threads
+		g.giveUp(dearest)
+		rg.remove(dearest)
+	}
+}
+
+// dear is what a query takes for its worth: less is had of a team that is over its share.
+func (g *Gateway) dear(q *query) float64 {
+	if len(q.subs) > 0 {
+		return 0 // begun once: what was done would be lost
+	}
+	return g.lone(q) / (1 - g.over(q.team)*(1-g.facts.num("over.worth", 1)))
+}
+
+// over is the part of a team's queries that go beyond its share, as far as one's own tell: against
+// the quotas' even part, and against how busy one is in the long run, as traffic isn't even.
+func (g *Gateway) over(t *team) float64 {
+	if t == nil {
+		return 0
+	}
+	return max(0, 1-t.quota*max(1, g.busy.or(1))/max(0.01, g.rate(t.took)))
+}
+
+func (g *Gateway) rate(of float64) float64 {
+	return of / min(flowSpan, max(time.Second, g.now)).Seconds()
+}
+
 // hopeless: what can't earn its keep is given up before it takes room from what can.
 func (g *Gateway) hopeless(q *query, backlog bool) bool {
 	return g.left(q) < g.lone(q)/2 || backlog && g.now > g.latest(q)
@@ -244,6 +301,7 @@
 			return nil, false
 		}
 		g.rng.shuffle(unseen)
+		slices.SortStableFunc(unseen, func(a, b *engine) int { return cmp.Compare(g.away(q, a), g.away(q, b)) })
 		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
 			q.looks, q.lookedAt = nil, g.now
 			for _, e := range unseen {
@@ -270,9 +328,21 @@
 	if len(named) > 0 {
 		clear = named
 	}
+	if slices.ContainsFunc(clear, func(e *engine) bool { return g.away(q, e) == 0 }) {
+		clear = slices.DeleteFunc(clear, func(e *engine) bool { return g.away(q, e) > 0 })
+	}
 	return g.rng.draw(clear, g.room), barred && len(unseen) == 0
 }
 
+// away: a light query brings little work for the way between locations that it costs, and so it
+// goes to another only for want of room; heavy ones, few, even the load out between them.
+func (g *Gateway) away(q *query, e *engine) int {
+	if e.home || !g.light(q.rg) {
+		return 0
+	}
+	return 1
+}
+
 // known: a report tells how full it is, or there is nothing to be had by looking.
 func (g *Gateway) known(e *engine) bool {
 	return !g.looks || e.report != nil && g.now-e.reportAt < reportKeeps
@@ -344,8 +414,7 @@
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
-		held := e.report["held"] * max(1, g.usualThreads.value/max(0.1, g.usualCount.value)) / most
-		return max(g.memoryOn(e), max(held, 0.7*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
+		return max(g.memoryOn(e), max(g.heldOn(e)/most, 0.7*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
@@ -354,9 +423,22 @@
 	return max((e.threads+g.usualThreads.value*others)/most, (e.memory+g.usualMemory.value*others)/e.ram)
 }
 
+// heldOn is the threads on an engine seen: of the queries it tells of, or, where it tells of none, of
+// its busy cores. Taken as none, an engine looked the emptier the more of one's own stood still there.
+func (g *Gateway) heldOn(e *engine) float64 {
+	if held, told := e.report["held"]; told {
+		return held * max(1, g.usualThreads.value/max(0.1, g.usualCount.value))
+	}
+	most := 0.0 // a query is more than one's part of an engine: the largest says nothing of the others'
+	for _, s := range e.out {
+		most = max(most, s.threads)
+	}
+	return max(e.report["cores"]*threadsPerCore*e.cores, (e.threads-most)/g.share)
+}
+
 // memoryOn is the same for memory alone, of an engine seen.
 func (g *Gateway) memoryOn(e *engine) float64 {
-	held := e.report["held"] * g.usualMemory.value / max(0.1, g.usualCount.value) / e.ram
+	held := g.heldOn(e) * g.usualMemory.value / max(0.1, g.usualThreads.value) / e.ram
 	return max(held, e.report["memory"]) + (e.memory-e.memoryAtReport)/e.ram
 }
 
@@ -369,8 +451,11 @@
 // lone is the time a query should take alone, in seconds.
 func (g *Gateway) lone(q *query) float64 {
 	work := q.work
-	if work <= 0 {
+	switch {
+	case work <= 0:
 		work = q.rg.work.or(q.rg.guess())
+	case !q.told: // estimates lie too high or too low by group
+		work *= q.rg.off.or(1)
 	}
 	return work / q.rg.threads
 }
@@ -411,11 +496,14 @@
 	case l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q):
 		return false // 5
 	}
-	if span := f.span("budget.span", 0); span > 0 && len(q.subs) > 0 { // 7
-		most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
-		return float64(within(&g.extras, g.now-span)+1) <= most
-	}
-	return true
+	return len(q.subs) == 0 || g.affords() // 7
+}
+
+// affords: the submission budget has one more.
+func (g *Gateway) affords() bool {
+	f, span := g.facts, g.facts.span("budget.span", 0)
+	most := f.num("budget.least", 0) + f.num("budget.share", 0)*float64(within(&g.taken, g.now-span))
+	return span <= 0 || float64(within(&g.extras, g.now-span)+1) <= most
 }
 
 func (g *Gateway) allowed(q *query, e *engine) bool {
@@ -495,6 +583,8 @@
 		return false
 	}
 	g.setTerms(q)
+	rg := q.rg
+	rg.begun += g.lone(q) * rg.threads
 	s := g.sent(q, e, g.needs(q), g.usual(q.rg))
 	s.then = g.afterEnd
 	g.act.Submit(q.id, e.id, q.deadline-g.now)
@@ -540,10 +630,13 @@
 		g.heard(s.e)
 	}
 	if s.outcome == Finished {
-		s.e.doneAt[q.tables] = g.now
+		s.e.doneAt[q.tables], s.e.doneLast = g.now, g.now
 		q.rg.slots.add(took.Seconds()*q.rg.threads, 100)
 		if work > 0 {
-			q.work = work
+			if q.work > 0 {
+				q.rg.off.add(work/q.work, 200)
+			}
+			q.work, q.told = work, true
 			q.rg.work.add(work, 200)
 			q.rg.need.add(memoryMB, 200)
 		}
@@ -689,6 +782,18 @@
 	}
 }
 
+// stands: no note tells why a submission is late. Others have come back from there since: it waits for
+// a load. None has: the engine is past its memory, does next to nothing, and has idle cores to show,
+// by which all would draw it before any other.
+func (g *Gateway) stands(s *submission) {
+	if s.e.doneLast > s.at {
+		s.e.locked(s.q.tables, g.now+2*time.Second)
+		return
+	}
+	s.e.slow += (10 - s.e.slow) * 0.3
+	s.e.restUntil = max(s.e.restUntil, g.now+2*time.Second)
+}
+
 func (g *Gateway) shut(s *submission, span time.Duration) {
 	s.stuck = true
 	s.e.locked(s.q.tables, g.now+span)
@@ -717,7 +822,7 @@
 	// slow twice without an estimate: it is large, not its plan bad; and where all engines seen
 	// are full it is slow everywhere: begun anew it would only lose what was done
 	again := !slow || (q.work > 0 || !q.moved) && g.fillSeen.or(0) < 0.75
-	again = again && g.left(q) > fresh && g.mayRepeat(q)
+	again = again && g.left(q) > fresh && g.mayRepeat(q) && g.affords()
 	if again && remains >= far*fresh {
 		s.behind, q.moved = true, q.moved || slow
 		g.act.Cancel(q.id, s.try)
@@ -743,8 +848,17 @@
 	g.share = g.ownShare()
 	for _, rg := range g.groups {
 		rg.taken *= 0.995
+		rg.begun *= 1 - tick.Seconds()/flowSpan.Seconds()
 	}
 	g.workRate *= 0.995
+	took, quota := 0.0, 0.0
+	for _, t := range g.teams {
+		t.took *= 1 - tick.Seconds()/flowSpan.Seconds()
+		took, quota = took+g.rate(t.took), quota+t.quota
+	}
+	if quota > 0 && g.now > flowSpan {
+		g.busy.add(took/quota, 600)
+	}
 	period := g.facts.span("note.period", 0)
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
@@ -758,6 +872,11 @@
 			switch quiet := g.now - max(s.at, e.heardAt); {
 			case e.silent:
 				g.move(s, math.Inf(1))
+			case period <= 0 && (g.now-s.at).Seconds() > 0.3+4*g.expect(s.q):
+				if g.stands(s); !s.stuck {
+					s.stuck = true
+					g.move(s, math.Inf(1))
+				}
 			case period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > mute:
 				// an engine that answers others but has no word on this one: it was
 				// lost, or what it reads hangs there if nothing of that came back since
--- a/decide/door.go
+++ b/decide/door.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 )
 
@@ -31,6 +32,9 @@
 		g.groups = append(g.groups, rg)
 		g.longest = max(g.longest, rg.timeout)
 	}
+	for i := range int(f.num("teams", 0)) {
+		g.teams = append(g.teams, &team{quota: f.num("team."+strconv.Itoa(i)+".quota", 0) / max(1, f.num("gateways", 1))})
+	}
 	g.longest = max(g.longest, f.span("cold.span", 0), chainWindow) + f.span("key.rest", 0)
 	g.seq = uint64(g.rng.next()) // gateways must not draw alike
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
@@ -62,6 +66,7 @@
 		e.goneAt = g.now
 	}
 	e.location, e.kind, e.cell, e.state = location, kind, cell, state
+	e.home = strconv.Itoa(location) == g.facts.text["own.location"]
 	e.cores = max(1, g.facts.itemNum("kind.cores", kind))
 	if e.ram = g.facts.itemNum("kind.memory", kind); e.ram <= 0 {
 		e.ram = math.Inf(1) // not told: no bound
@@ -86,7 +91,7 @@
 	g.step()
 }
 
-func (g *Gateway) Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
+func (g *Gateway) Take(now time.Duration, id string, group, team int, budget time.Duration, tables, key int64,
 	work time.Duration, memoryMB float64) {
 	g.now = now
 	if group < 0 || group >= len(g.groups) {
@@ -94,7 +99,7 @@
 		return
 	}
 	g.seq++
-	q := &query{id: id, rg: g.groups[group], tables: tables, key: key, work: work.Seconds(), memory: memoryMB,
+	q := &query{id: id, rg: g.groups[group], team: g.team(team), tables: tables, key: key, work: work.Seconds(), memory: memoryMB,
 		seq: g.seq, takenAt: now, deadline: now + budget, priority: -1}
 	g.queries[id] = q
 	g.taken = append(g.taken, now)
@@ -102,6 +107,13 @@
 	g.step()
 }
 
+func (g *Gateway) team(i int) *team {
+	if i < 0 || i >= len(g.teams) || g.teams[i].quota <= 0 {
+		return nil
+	}
+	return g.teams[i]
+}
+
 func (g *Gateway) submission(id string, try int) *submission {
 	q := g.queries[id]
 	if q == nil || try < 0 || try >= len(q.subs) || q.subs[try].ended {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -333,7 +333,7 @@
 	if f.now >= f.from {
 		f.offered += fleetValue[group]
 	}
-	m.g.Take(f.now, id, group, patience, int64(f.rng.IntN(160)), -1, 0, 0)
+	m.g.Take(f.now, id, group, -1, patience, int64(f.rng.IntN(160)), -1, 0, 0)
 	f.after(patience, func() {
 		if m.open[id] == q && !q.closed {
 			q.closed = true
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -68,7 +68,8 @@
 	ListEnds()
 	ListRefused(now time.Duration)
 
-	Take(now time.Duration, id string, group int, budget time.Duration, tables, key int64,
+	// team: whose it is, a place among the settings' teams; out of them, nobody's with a share.
+	Take(now time.Duration, id string, group, team int, budget time.Duration, tables, key int64,
 		work time.Duration, memoryMB float64)
 	Note(now time.Duration, id string, try int, sign Sign, x float64)
 	Ended(now time.Duration, id string, try int, outcome Outcome, took time.Duration, over bool,
--- a/decide/size_test.go
+++ b/decide/size_test.go
@@ -45,7 +45,7 @@
 			for i := range b.N {
 				now += 20 * ms
 				id := strconv.Itoa(i)
-				g.Take(now, id, i%2, 5*sec, int64(i%160), -1, 0, 0)
+				g.Take(now, id, i%2, -1, 5*sec, int64(i%160), -1, 0, 0)
 				for len(a.probes) > 0 {
 					e := a.probes[0]
 					a.probes = a.probes[1:]
--- a/decide/state.go
+++ b/decide/state.go
@@ -84,6 +84,7 @@
 // resourceGroup is a kind of query, with what has been learned of it.
 type resourceGroup struct {
 	taken                float64 // of late, decaying
+	begun                float64 // thread seconds sent, decaying
 	slots                mean    // thread seconds taken by a query that finished
 	leaving, patience    mean    // share of clients that hang up early, and after how long
 	grantBy              float64 // memory granted over memory estimated
@@ -98,6 +99,7 @@
 	inOrder, load, waits bool
 	locations, kinds     []string
 
+	off      mean    // work told over work estimated
 	work     mean    // seconds of all threads, as told or estimated
 	stretchy mean    // time taken over time alone
 	floor    float64 // the best of it
@@ -106,13 +108,21 @@
 	full     bool // its next query was held for want of room when last looked at
 }
 
+// team has a share of all engines; quota is what it comes to here, if traffic is even, a second.
+type team struct {
+	quota float64
+	took  float64 // queries taken of late, decaying
+}
+
 // engine is one executor as this gateway sees it.
 type engine struct {
+	doneLast             time.Duration
 	doneAt               map[int64]time.Duration // when a query of these tables last finished there
 	coldFrom             time.Duration
 	id                   string
 	mark                 uint32
 	location, kind, cell int
+	home                 bool // in one's own location
 	state                EngineState
 	goneAt               time.Duration
 	cores                float64
@@ -149,8 +159,10 @@
 	moved             bool // once, for being slow
 	id                string
 	rg                *resourceGroup
+	team              *team // whose share it counts to, nil: nobody's
 	tables, key       int64
 	work              float64 // estimated seconds of all threads, 0: none
+	told              bool    // work is what its answer told
 	memory            float64
 	seq               uint64
 	takenAt, deadline time.Duration
@@ -219,6 +231,7 @@
 	byMark  map[uint32]*engine // the ids' hashes, which all gateways share
 	queries map[string]*query
 	groups  []*resourceGroup
+	teams   []*team
 	ranked  []*resourceGroup // in the order in which they are served
 	chains  map[int64]*chain
 	keys    map[int64]*keyLine
@@ -237,6 +250,7 @@
 	workRate float64 // work taken, decaying
 	looks    bool    // probes tell how full engines are
 	share    float64 // own part of all work
+	busy     mean    // queries taken over what the teams' quotas come to here
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
 	usualThreads, usualMemory, usualCount mean
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -90,7 +90,7 @@
 // enter takes a query in, or defers it at once if its wait would be too long.
 func (f *fairness) enter(q *query, from From, tables, key int64) {
 	if f.closing { // which turns it away
-		f.gate.Take(f.now, q.id, q.group.index, q.deadline-f.now, tables, key, 0, 0)
+		f.gate.Take(f.now, q.id, q.group.index, -1, q.deadline-f.now, tables, key, 0, 0)
 		return
 	}
 	w := &fair.Waiter{Of: q, Lane: q.group.index, Key: key, Chain: tables, Until: q.deadline,
@@ -139,7 +139,7 @@
 		if w := f.core.Next(f.now, lane); w != nil {
 			q := w.Of.(*query)
 			f.due.Drop(q.latest)
-			f.gate.Take(f.now, q.id, lane, q.deadline-f.now, q.tables, q.number, 0, 0)
+			f.gate.Take(f.now, q.id, lane, -1, q.deadline-f.now, q.tables, q.number, 0, 0)
 			return true
 		}
 	}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -112,7 +112,7 @@
 		case r.fair != nil:
 			r.fair.enter(q, from, tables, number)
 		default:
-			r.gate.Take(r.now, q.id, g.index, q.deadline-r.now, tables, number, 0, 0)
+			r.gate.Take(r.now, q.id, g.index, -1, q.deadline-r.now, tables, number, 0, 0)
 		}
 	})
 	return q, ""
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -155,9 +155,10 @@
 		if options&1 != 0 && c.given(7) {
 			work = ms(c.num(7))
 		}
+		team := c.whole(6) // a place among the teams, absent or 0 where there are none
 		id, rg, budget, tables, mem := c.text(2), c.whole(8), ms(c.num(9)), int64(c.num(4)), c.num(10)
 		if c.err == nil {
-			d.gate.Take(now, id, rg, budget, tables, key, work, mem)
+			d.gate.Take(now, id, rg, team, budget, tables, key, work, mem)
 		}
 	case "heartbeat":
 		x, what := c.num(3), c.whole(4)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -54,7 +54,9 @@
 	"obligations.tip_multiple": "cold.multiple", "obligations.fall_ms": "cold.window",
 	"obligations.grace_to_answer_ms": "answer.grace", "obligations.key_rest_ms": "key.rest",
 	"obligations.min_extra": "budget.least", "obligations.extra_per_request": "budget.share",
-	"obligations.ratio_span_ms": "budget.span", "report.how": "report.how",
+	"obligations.ratio_span_ms": "budget.span", "report.how": "report.how", "report.fields": "report.figures",
+	"customers.count": "teams", "customers.N.name": "team.N.name", "customers.N.quota_per_s": "team.N.quota",
+	"over_share_worth": "over.worth",
 	"prices.probe": "price.probe", "allowed.connect_timeout_ms": "connect.timeout",
 	"allowed.keepalive_ms": "idle.most",
 }
