--- a/decide/decide.go
+++ b/decide/decide.go
@@ -380,7 +380,7 @@
 	// among many gateways one's part of an engine is less than a query: it binds in the
 	// mean, over all, once most are full; all would go to the few before reports tell
 	threads, _, count, on := g.sums()
-	return g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= bound*on
+	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= bound*on
 }
 
 // light groups take less than the mean of the work: they fill no engine.
@@ -792,6 +792,9 @@
 	}
 	s.e.slow += (10 - s.e.slow) * 0.3
 	s.e.restUntil = max(s.e.restUntil, g.now+2*time.Second)
+	if g.move(s, math.Inf(1)); !s.behind && s.q.rg.effect == "read-only" && g.now > s.q.aim {
+		g.giveUp(s.q) // all that stays there keeps the engine from coming round
+	}
 }
 
 func (g *Gateway) shut(s *submission, span time.Duration) {
@@ -873,10 +876,7 @@
 			case e.silent:
 				g.move(s, math.Inf(1))
 			case period <= 0 && (g.now-s.at).Seconds() > 0.3+4*g.expect(s.q):
-				if g.stands(s); !s.stuck {
-					s.stuck = true
-					g.move(s, math.Inf(1))
-				}
+				g.stands(s)
 			case period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > mute:
 				// an engine that answers others but has no word on this one: it was
 				// lost, or what it reads hangs there if nothing of that came back since
--- a/decide/state.go
+++ b/decide/state.go
@@ -250,6 +250,7 @@
 	workRate float64 // work taken, decaying
 	looks    bool    // probes tell how full engines are
 	share    float64 // own part of all work
+	counts   bool    // reports tell of queries held
 	busy     mean    // queries taken over what the teams' quotas come to here
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -94,6 +94,13 @@
 	if v, ok := values[value]; ok {
 		value = v
 	}
+	if name == "report.figures" {
+		figs := strings.Split(value, ",")
+		for i, fig := range figs {
+			figs[i] = figures[fig]
+		}
+		value = strings.Join(figs, ",")
+	}
 	ours[name] = value
 }
 
