The mean bound counts cores of all kinds, and large queries are dealt by controller number

Now the bound in the mean counts all cores, what others are thought to have lies by cores too, and where a query is larger than one's part the engine is dealt by number.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -371,7 +371,7 @@
 	// work, or long queries would hold all of it whenever a short one comes
 	part := 1 - 0.1*float64(slices.Index(g.ranked, q.rg))
 	bound, ram := threadsPerCore*e.cores*g.share*part, e.ram*g.share
-	if len(e.out) == 0 && bound >= 1 || e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
+	if len(e.out) == 0 && bound >= 1 && g.dealt(e, bound/q.rg.threads) || e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
 		return true
 	}
 	if g.pressed(e) {
@@ -379,8 +379,15 @@
 	}
 	// among many gateways one's part of an engine is less than a query: it binds in the
 	// mean, over all, once most are full; all would go to the few before reports tell
-	threads, _, count, on := g.sums()
-	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= bound*on
+	threads, _, count, cores := g.sums()
+	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= threadsPerCore*cores*g.share*part
+}
+
+// dealt: of a query larger than one's part of an engine, all gateways together would place as many
+// there as they are, several times the bound on small engines. That many fit are dealt among them by number.
+func (g *Gateway) dealt(e *engine, part float64) bool {
+	n := max(1, g.facts.num("gateways", 1))
+	return math.Mod(float64(e.mark)+g.facts.num("own.number", 0), n) < math.Round(n*part)
 }
 
 // light groups take less than the mean of the work: they fill no engine.
@@ -404,8 +411,8 @@
 	if g.allHeld.count == 0 {
 		return 1 / n
 	}
-	_, _, _, warm := g.sums()
-	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, warm)/g.allHeld.value))
+	g.on()
+	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, g.warm)/g.allHeld.value))
 }
 
 // filled guesses how full an engine is with the work of all gateways; 1 is full. A
@@ -419,7 +426,8 @@
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
 	}
-	others := (1/g.share - 1) / max(1, float64(len(g.on())))
+	g.on()
+	others := (1/g.share - 1) * e.cores / max(1, g.cores)
 	return max((e.threads+g.usualThreads.value*others)/most, (e.memory+g.usualMemory.value*others)/e.ram)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -458,12 +458,12 @@
 	if w.g.fillSeen.value < 1 || w.g.allHeld.value < 39 {
 		t.Fatalf("engines seen are taken for %.2f full, holding %.1f", w.g.fillSeen.value, w.g.allHeld.value)
 	}
-	if _, _, _, warm := w.g.sums(); warm != 1 {
-		t.Fatalf("%v engines count for the bound, one is warm", warm)
+	if w.g.on(); w.g.warm != 1 {
+		t.Fatalf("%v engines count for the bound, one is warm", w.g.warm)
 	}
 	w.pass(16 * sec)
-	if _, _, _, warm := w.g.sums(); warm != 3 {
-		t.Fatalf("%v of 3 count once they are warm", warm)
+	if w.g.on(); w.g.warm != 3 {
+		t.Fatalf("%v of 3 count once they are warm", w.g.warm)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -221,6 +221,8 @@
 	stale   bool // running and own are to be made anew
 	running []*engine
 	own     [4]float64
+	warm    float64 // engines that run and are warm
+	cores   float64 // of all that run
 	act     Actor
 	facts   facts
 	rng     *pcg
@@ -322,16 +324,19 @@
 func (g *Gateway) on() []*engine {
 	if g.stale {
 		g.stale, g.running, g.own = false, g.running[:0], [4]float64{}
+		g.warm, g.cores = 0, 0
 		for _, e := range g.engines {
 			if e.state != On {
 				continue
 			}
 			g.running = append(g.running, e)
+			g.cores += e.cores
 			if g.now >= e.coldUntil {
 				g.own[0] += e.threads
 				g.own[1] += e.memory
 				g.own[2] += float64(len(e.out) + len(e.lingering))
-				g.own[3]++
+				g.own[3] += e.cores
+				g.warm++
 			}
 		}
 	}
@@ -339,8 +344,8 @@
 }
 
 // sums are the threads, memory and number of one's own submissions on running
-// engines that are warm, and how many those are.
-func (g *Gateway) sums() (threads, memory, count, warm float64) {
+// engines that are warm, and how many cores those have.
+func (g *Gateway) sums() (threads, memory, count, cores float64) {
 	g.on()
 	return g.own[0], g.own[1], g.own[2], g.own[3]
 }
