--- a/decide/decide.go
+++ b/decide/decide.go
@@ -242,7 +242,7 @@
 
 // latest is when a query has to start at the latest to be done when it should be.
 func (g *Gateway) latest(q *query) time.Duration {
-	by := q.aim
+	by := min(q.aim, q.deadline) // some come with less time than is aimed for
 	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
 		by = min(by, q.takenAt+seconds(q.rg.patience.value))
 	}
