--- a/decide/decide.go
+++ b/decide/decide.go
@@ -242,7 +242,7 @@
 
 // latest is when a query has to start at the latest to be done when it should be.
 func (g *Gateway) latest(q *query) time.Duration {
-	by := min(q.aim, q.deadline) // some come with less time than is aimed for
+	by := min(q.aim, q.deadline)   // some come with less time than is aimed for
 	if q.rg.leaving.value > 0.05 { // clients that hang up early, whatever they said they would wait
 		by = min(by, q.takenAt+seconds(q.rg.patience.value))
 	}
@@ -364,8 +364,8 @@
 
 // hasRoom: the thread bound, which binds only under pressure.
 func (g *Gateway) hasRoom(e *engine, q *query) bool {
-	if !g.ready(e) {
-		return false
+	if !g.ready(e) || e.stood > 0 && (len(e.out) > 0 || !g.light(q.rg)) {
+		return false // what stood still is tried with one light query first
 	}
 	// the bound's split: each group leaves a part to those worth more for their
 	// work, or long queries would hold all of it whenever a short one comes
@@ -638,7 +638,7 @@
 		g.heard(s.e)
 	}
 	if s.outcome == Finished {
-		s.e.doneAt[q.tables], s.e.doneLast = g.now, g.now
+		s.e.doneAt[q.tables], s.e.doneLast, s.e.stood = g.now, g.now, 0
 		q.rg.slots.add(took.Seconds()*q.rg.threads, 100)
 		if work > 0 {
 			if q.work > 0 {
@@ -798,8 +798,11 @@
 		s.e.locked(s.q.tables, g.now+2*time.Second)
 		return
 	}
-	s.e.slow += (10 - s.e.slow) * 0.3
-	s.e.restUntil = max(s.e.restUntil, g.now+2*time.Second)
+	if e := s.e; g.now >= e.restUntil {
+		e.slow += (10 - e.slow) * 0.3
+		e.restUntil = g.now + 2*time.Second<<min(e.stood, 3)
+		e.stood++
+	}
 	if g.move(s, math.Inf(1)); !s.behind && s.q.rg.effect == "read-only" && g.now > s.q.aim {
 		g.giveUp(s.q) // all that stays there keeps the engine from coming round
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,6 +116,7 @@
 
 // engine is one executor as this gateway sees it.
 type engine struct {
+	stood                int // rests in a row, with nothing back between
 	doneLast             time.Duration
 	doneAt               map[int64]time.Duration // when a query of these tables last finished there
 	coldFrom             time.Duration
