Idle cores are trusted no further than the mean, and late queries on them are moved at once

Now no engine counts as emptier than the mean of those seen (heldOn), and what is late on one with half of it is moved at once. Queues are thinned at a quarter of the target.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -203,7 +203,7 @@
 	for _, q := range rg.queue {
 		work += g.lone(q) * rg.threads
 	}
-	for len(rg.queue) > 1 && work > g.rate(rg.begun)*rg.target.Seconds()/2 {
+	for len(rg.queue) > 1 && work > g.rate(rg.begun)*rg.target.Seconds()/4 {
 		dearest := slices.MaxFunc(rg.queue, func(a, b *query) int { return cmp.Compare(g.dear(a), g.dear(b)) })
 		if g.dear(dearest) < 1.2*g.usual(rg)/rg.threads {
 			return
@@ -441,7 +441,8 @@
 	for _, s := range e.out {
 		most = max(most, s.threads)
 	}
-	return max(e.report["cores"]*threadsPerCore*e.cores, (e.threads-most)/g.share)
+	busy := max(e.report["cores"], min(0.8, g.coresSeen.value))
+	return max(busy*threadsPerCore*e.cores, (e.threads-most)/g.share)
 }
 
 // memoryOn is the same for memory alone, of an engine seen.
@@ -766,6 +767,7 @@
 		return
 	}
 	g.fillSeen.add(max(g.filled(e), 0.85*report["disks"]), 20) // busy everywhere is full, busy here is not
+	g.coresSeen.add(report["cores"], 20)
 	g.memorySeen.add(g.memoryOn(e), 20)
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
@@ -888,6 +890,12 @@
 				g.move(s, math.Inf(1))
 			case period <= 0 && (g.now-s.at).Seconds() > 0.3+4*g.expect(s.q):
 				g.stands(s)
+			case period <= 0 && g.looks && !g.counts && (g.now-s.at).Seconds() > 0.3+g.expect(s.q):
+				if !g.known(e) || e.reportAt < s.at {
+					g.look(e)
+				} else if e.report["cores"] < 0.5*g.fillSeen.value {
+					g.stands(s)
+				}
 			case period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > mute:
 				// an engine that answers others but has no word on this one: it was
 				// lost, or what it reads hangs there if nothing of that came back since
--- a/decide/state.go
+++ b/decide/state.go
@@ -257,13 +257,13 @@
 	busy     mean    // queries taken over what the teams' quotas come to here
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
-	usualThreads, usualMemory, usualCount mean
-	probeLeft                             float64
-	fillSeen, memorySeen, meanWork        mean
-	askedAt                               time.Duration
-	subscribed                            bool
-	closing                               bool          // nothing more is taken on
-	comeBack                              time.Duration // named with a deferral, where that is allowed
+	usualThreads, usualMemory, usualCount     mean
+	probeLeft                                 float64
+	fillSeen, memorySeen, meanWork, coresSeen mean
+	askedAt                                   time.Duration
+	subscribed                                bool
+	closing                                   bool          // nothing more is taken on
+	comeBack                                  time.Duration // named with a deferral, where that is allowed
 }
 
 func newGroup(f facts, i int) *resourceGroup {
