The program takes the shape of its deployment from settings and refuses a mix at the start

What the module reads since the move comes from both configurations: what reports bring, notes and costs, the own location, customers' shares, estimates and the customer by fields of a call. What is left out is as before. terms.Mixed names the key of what contradicts itself (reports by probe where none may be sent, figures without reports, half a budget, a share of nothing); set-up and platform refuse by it. 'No notes' could not be said in a set-up: 0 was read as 2 s. Tests on loopback: one build at three shapes, twelve mixes in each form.

--- a/cmd/railrelay/platform.go
+++ b/cmd/railrelay/platform.go
@@ -41,6 +41,9 @@
 	return g, nil
 }
 
+// platformWords are the platform's names for what a call may tell besides.
+var platformWords = relay.Words{Whose: "customer", Work: "weight", Need: "ram"}
+
 // servePlatform serves by ROUTER_CONFIG and what stands beside it.
 func servePlatform(signals <-chan os.Signal) error {
 	started := time.Now()
@@ -54,6 +57,12 @@
 		return err
 	}
 	log := logger("", "")
+	for _, m := range terms.Mixed(facts) {
+		err = errors.Join(err, fmt.Errorf("config: settings.%s: %s", terms.Key(m[0]), m[1]))
+	}
+	if err != nil {
+		return err
+	}
 	for _, line := range odd(facts) {
 		log.Log().Msg(line)
 	}
@@ -65,7 +74,7 @@
 	if address == "" {
 		address = g.Listen
 	}
-	means := relay.Means{Seed: seed, MemoryMB: g.Limits.MemoryMB, Sockets: g.Limits.Sockets,
+	means := relay.Means{Words: platformWords, Seed: seed, MemoryMB: g.Limits.MemoryMB, Sockets: g.Limits.Sockets,
 		Feed: g.Feed, Known: g.Known, Facts: facts, Started: started}
 	return listen(address, g.Limits.Cores, means, nil, func(log zerolog.Logger) <-chan relay.Event {
 		return follow(signals, func() (relay.Event, error) {
--- /dev/null
+++ b/decide/shape_test.go
@@ -0,0 +1,259 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// What follows guards against what was taken for granted of a deployment's shape; see
+// docs/assumptions.md.
+
+// busyOnly: sixteen gateways, engines that tell of busy cores and nothing else, no notes.
+func busyOnly(t *testing.T, engines int, more map[string]string) *world {
+	f := map[string]string{"gateways": "16", "report.how": "probed", "report.figures": "cores", "note.period": "0", "answers.cost": "true"}
+	for k, v := range more {
+		f[k] = v
+	}
+	return newWorld(t, engines, f)
+}
+
+// Reports without queries held were read as none held: an engine looked the emptier
+// the more of one's own stood still there.
+func TestBusyCoresStandForQueriesHeld(t *testing.T) {
+	w := busyOnly(t, 2, nil)
+	e := w.g.engines[0]
+	if w.report("e0", map[string]float64{"cores": 0.9}); w.g.filled(e) < 0.89 || !w.g.pressed(e) {
+		t.Fatalf("nine tenths of the cores busy, and %.2f full", w.g.filled(e))
+	}
+	for range 4 {
+		e.out = append(e.out, &submission{q: &query{rg: w.g.groups[1]}, threads: 3})
+	}
+	e.threads = 12
+	if w.report("e0", map[string]float64{"cores": 0.03}); !w.g.pressed(e) {
+		t.Fatalf("four of one's own there, of sixteen gateways', and %.2f full", w.g.filled(e))
+	}
+}
+
+// An engine past its memory does next to nothing: its idle cores drew every gateway.
+func TestIdleCoresCountNoMoreThanTheMean(t *testing.T) {
+	w := busyOnly(t, 2, nil)
+	for range 30 {
+		w.report("e1", map[string]float64{"cores": 0.6})
+	}
+	w.report("e0", map[string]float64{"cores": 0.05})
+	if x := w.g.filled(w.g.byID["e0"]); x < 0.5 || x > 0.65 {
+		t.Fatalf("%.2f full beside 0.6", x)
+	}
+	if x := w.g.coresSeen.value; x > 0.6 {
+		t.Fatalf("the mean feeds itself: %.2f", x)
+	}
+}
+
+func TestWhatStandsStillRestsItsEngine(t *testing.T) {
+	w := busyOnly(t, 1, map[string]string{"group.1.late-share": "0.4", "may.probe": "false", "gateways": "2"})
+	q := w.take(1, 1, -1, 60*sec)
+	for w.pass(sec); w.g.engines[0].stood == 0 && w.now < 30*sec; w.pass(100 * ms) {
+	}
+	e := w.g.engines[0]
+	if e.stood != 1 || w.g.ready(e) || q.answered {
+		t.Fatalf("stood %d, ready %v, answered %v at %v", e.stood, w.g.ready(e), q.answered, w.now)
+	}
+	w.end(q, 0, Cancelled)
+	w.pass(3 * sec)
+	if heavy, light := w.g.hasRoom(e, &query{rg: w.g.groups[1]}), w.g.hasRoom(e, &query{rg: w.g.groups[0]}); heavy || !light {
+		t.Fatalf("tried next: a heavy one %v, a light one %v", heavy, light)
+	}
+	q = w.take(0, 2, -1, 5*sec)
+	w.end(q, len(q.subs)-1, Finished)
+	if !w.g.hasRoom(e, &query{rg: w.g.groups[1]}) {
+		t.Fatal("a light one came back, and heavy ones stay away")
+	}
+}
+
+// Where others of one's own come back it is a load that is waited for, not the engine.
+func TestWhatWaitsForAnUnseenLoadShutsItsTablesOnly(t *testing.T) {
+	w := busyOnly(t, 1, map[string]string{"group.1.late-share": "0.4", "may.probe": "false"})
+	w.take(1, 1, -1, 60*sec)
+	s := w.g.engines[0].out[0]
+	w.pass(100 * ms)
+	s.e.doneLast = w.now
+	if w.g.stands(s); !w.g.ready(s.e) || !w.g.loadRuns(s.e, 1) || w.g.loadRuns(s.e, 2) {
+		t.Fatalf("ready %v, shut %v", w.g.ready(s.e), s.e.loadSeen)
+	}
+}
+
+// Late on an engine with idle cores beside busy ones: moved long before four times its time.
+func TestLateOnIdleCoresIsMoved(t *testing.T) {
+	w := busyOnly(t, 2, nil)
+	for range 30 {
+		w.report("e0", map[string]float64{"cores": 0.6})
+		w.report("e1", map[string]float64{"cores": 0.6})
+	}
+	w.g.meanWork.value = 1
+	w.take(1, 1, -1, 60*sec)
+	i := slices.IndexFunc(w.g.engines, func(e *engine) bool { return len(e.out) > 0 })
+	e := w.g.engines[i]
+	s := e.out[0]
+	for !s.behind && w.now < 3*sec {
+		w.pass(100 * ms)
+		w.report(e.id, map[string]float64{"cores": 0.05})
+	}
+	if !s.behind || w.now > 2*sec {
+		t.Fatalf("moved %v at %v", s.behind, w.now)
+	}
+}
+
+func TestWhatIsWorthNothingLateIsGivenUpAtItsTarget(t *testing.T) {
+	for _, late := range []string{"0", "0.1"} {
+		w := newWorld(t, 1, map[string]string{"group.0.late-share": late, "note.period": "0"})
+		q := w.take(0, 1, -1, 5*sec)
+		w.pass(1010 * ms)
+		if q.answered != (late == "0") {
+			t.Fatalf("worth %s when late: answered %v", late, q.answered)
+		}
+	}
+}
+
+// hasRoom took one engine's cores times their number for the bound of all: small ones
+// never had room for a heavy query.
+func TestMeanBoundCountsCoresOfAllKinds(t *testing.T) {
+	w := busyOnly(t, 2, map[string]string{"kind.cores": "8,24", "gateways": "40"})
+	w.report("e0", map[string]float64{"cores": 0.5})
+	w.report("e1", map[string]float64{"cores": 0.5})
+	w.g.meanWork.value = 0.1
+	q := &query{rg: w.g.groups[1]}
+	w.g.groups[1].threads = 0.5
+	w.g.engines[1].threads, w.g.engines[1].out, w.g.stale = 0.4, []*submission{{q: q, threads: 0.4}}, true
+	// the bound of all is 2 x 32 / 40 x 0.9 = 1.4 threads; by the small engine's cores it would be 0.7
+	if !w.g.hasRoom(w.g.engines[0], q) {
+		t.Fatal("no room on the small engine with half of the bound in use")
+	}
+	w.g.engines[1].threads, w.g.stale = 1.2, true
+	if w.g.hasRoom(w.g.engines[0], q) {
+		t.Fatal("room beyond the bound of all")
+	}
+}
+
+// What others hold lies by cores: an even part of it had small engines full and large ones empty.
+func TestOthersQueriesLieByCores(t *testing.T) {
+	w := newWorld(t, 2, map[string]string{"kind.cores": "8,16", "kind.memory": "8192,16384", "may.probe": "false", "gateways": "8"})
+	w.g.usualThreads.add(4, 1)
+	if a, b := w.g.filled(w.g.engines[0]), w.g.filled(w.g.engines[1]); a == 0 || a != b {
+		t.Fatalf("8 cores %.2f full, 16 cores %.2f", a, b)
+	}
+}
+
+// Eight gateways with one query of four threads each on 8 cores is twice the bound.
+func TestLargeQueriesAreDealtAmongGateways(t *testing.T) {
+	for _, c := range []struct {
+		part float64
+		want int
+	}{{0.5, 4}, {1, 8}, {2, 8}, {0.13, 1}} {
+		n := 0
+		for i := range 8 {
+			w := newWorld(t, 1, map[string]string{"gateways": "8", "own.number": fmt.Sprint(i)})
+			if w.g.dealt(w.g.engines[0], c.part) {
+				n++
+			}
+		}
+		if n != c.want {
+			t.Errorf("%d of 8 gateways at %v of a query each, %d wanted", n, c.part, c.want)
+		}
+	}
+}
+
+func TestLittleTimeCountsMoreThanTheTarget(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.g.closing = true
+	q := &query{rg: w.g.groups[1], aim: 4 * sec, deadline: sec}
+	if at := w.g.latest(q); at > sec {
+		t.Fatalf("to be begun by %v, its client leaves at 1s", at)
+	}
+}
+
+func TestLightQueriesStayInTheirLocation(t *testing.T) {
+	w := newWorld(t, 8, map[string]string{"own.location": "1"})
+	w.g.meanWork, w.g.groups[0].work = mean{1, 100}, mean{0.2, 20}
+	for range 30 {
+		q := w.take(0, 3, -1, 5*sec)
+		if e := w.engines[sentTo(q)]; e == nil || e.location != 1 {
+			t.Fatalf("sent to %q", sentTo(q))
+		}
+		w.end(q, 0, Finished)
+	}
+	for _, id := range w.ids() {
+		if w.engines[id].location == 1 {
+			w.set(id, Draining)
+		}
+	}
+	if q := w.take(0, 3, -1, 5*sec); sentTo(q) == "" {
+		t.Fatal("held for a location that has gone")
+	}
+}
+
+// takeAs takes a query of a customer, with an estimate.
+func takeAs(w *world, group, team int, work time.Duration) {
+	q := &asked{id: fmt.Sprint("x", len(w.order)), group: group, taken: w.now, deadline: w.now + 60*sec}
+	w.queries[q.id], w.order = q, append(w.order, q)
+	w.g.Take(w.now, q.id, group, team, 60*sec, int64(len(w.order)), -1, work, 100)
+}
+
+// A long query in front took the room of several that are worth as much.
+func TestLongQueuesLoseTheDearestFirst(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.engines["e0"].state = Draining
+	w.list(false, "e0")
+	rg := w.g.groups[1]
+	rg.begun, rg.work = 3, mean{3, 50}
+	w.now = 5 * sec
+	for _, work := range []time.Duration{3, 30, 2, 60, 1, 2, 3} {
+		takeAs(w, 1, -1, work*sec)
+	}
+	w.g.thin(rg)
+	var kept []string
+	for _, q := range w.order {
+		if !q.answered {
+			kept = append(kept, q.id)
+		}
+	}
+	if fmt.Sprint(kept) != "[x0 x2 x4 x5 x6]" {
+		t.Fatalf("kept %v", kept)
+	}
+}
+
+// A customer three times over its share: its queries count for less than others'.
+func TestQueriesBeyondAShareAreDearer(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"gateways": "1", "teams": "2", "team.0.quota": "4", "team.1.quota": "4", "over.worth": "0.05"})
+	for range 400 {
+		takeAs(w, 0, 0, 0)
+		if w.now%(300*ms) == 0 {
+			takeAs(w, 0, 1, 0)
+		}
+		w.pass(100 * ms)
+	}
+	q := func(i int) *query { return &query{rg: w.g.groups[0], team: w.g.teams[i], work: 0.2} }
+	if a, b := w.g.dear(q(0)), w.g.dear(q(1)); w.g.over(w.g.teams[1]) > 0 || a < 1.3*b {
+		t.Fatalf("%.2f beyond its share, %.2f within", a, b)
+	}
+	if w.g.team(2) != nil || w.g.team(-1) != nil {
+		t.Fatal("a share for nobody")
+	}
+}
+
+// Estimates lie too high or too low by group: what answers tell sets them right.
+func TestEstimatesAreSetRightByAnswers(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"answers.cost": "true"})
+	for range 40 {
+		q := w.take(0, 1, -1, 5*sec)
+		w.queries[q.id].answered = true
+		w.g.Ended(w.now, q.id, 0, Finished, 400*ms, true, 400*ms, 10, nil)
+	}
+	if x := w.g.lone(&query{rg: w.g.groups[0], work: 0.2}); x < 0.38 || x > 0.42 {
+		t.Fatalf("0.2 estimated, 0.4 told: taken as %.2f", x)
+	}
+	if x := w.g.lone(&query{rg: w.g.groups[0], work: 0.2, told: true}); x != 0.2 {
+		t.Fatalf("0.2 told, taken as %.2f", x)
+	}
+}
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -20,6 +20,9 @@
 	Wait  string // its client wants to be told how long it waits
 	Again string // the trace of the call that this one repeats
 	Pages string // its client reads the result page by page
+	Whose string // names the customer whose share it counts to
+	Work  string // estimates its work, in milliseconds of one thread
+	Need  string // estimates the memory it needs, in MB
 }
 
 // From is where a call comes from and what it says beside the query itself.
@@ -90,7 +93,7 @@
 // enter takes a query in, or defers it at once if its wait would be too long.
 func (f *fairness) enter(q *query, from From, tables, key int64) {
 	if f.closing { // which turns it away
-		f.gate.Take(f.now, q.id, q.group.index, -1, q.deadline-f.now, tables, key, 0, 0)
+		f.gate.Take(f.now, q.id, q.group.index, q.customer, q.deadline-f.now, tables, key, q.work, q.need)
 		return
 	}
 	w := &fair.Waiter{Of: q, Lane: q.group.index, Key: key, Chain: tables, Until: q.deadline,
@@ -139,7 +142,7 @@
 		if w := f.core.Next(f.now, lane); w != nil {
 			q := w.Of.(*query)
 			f.due.Drop(q.latest)
-			f.gate.Take(f.now, q.id, lane, -1, q.deadline-f.now, q.tables, q.number, 0, 0)
+			f.gate.Take(f.now, q.id, lane, q.customer, q.deadline-f.now, q.tables, q.number, q.work, q.need)
 			return true
 		}
 	}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"railrelay.dev/railrelay/internal/clients"
@@ -44,6 +46,9 @@
 	latest         *due.Item
 	came           fair.End
 	tables, number int64
+	customer       int // its place in the settings, -1: none
+	work           time.Duration
+	need           float64 // MB
 }
 
 // rank is the priority that it has at engines: what the decisions set, unless
@@ -91,6 +96,9 @@
 	r.inHand += len(statement)
 	q = &query{id: id, asker: a, group: g, statement: append([]byte{}, statement...),
 		takenAt: r.now, deadline: r.now + patience, priority: -1}
+	q.customer = slices.Index(r.customers, string(from.Fields.Get(r.Words.Whose)))
+	q.work = time.Duration(told(from.Fields.Get(r.Words.Work), 24*3600*1000) * float64(time.Millisecond))
+	q.need = told(from.Fields.Get(r.Words.Need), 1<<30)
 	number := int64(-1)
 	if g.inOrder {
 		q.key = r.keys.take(string(k))
@@ -112,12 +120,20 @@
 		case r.fair != nil:
 			r.fair.enter(q, from, tables, number)
 		default:
-			r.gate.Take(r.now, q.id, g.index, -1, q.deadline-r.now, tables, number, 0, 0)
+			r.gate.Take(r.now, q.id, g.index, q.customer, q.deadline-r.now, tables, number, q.work, q.need)
 		}
 	})
 	return q, ""
 }
 
+// told is a figure that a client tells; one that can't be meant is taken as not told.
+func told(text []byte, most float64) float64 {
+	if x, err := strconv.ParseFloat(string(text), 64); err == nil && x >= 0 && x <= most {
+		return x
+	}
+	return 0
+}
+
 // left: its asker wants no answer any more.
 func (r *Relay) left(q *query) {
 	r.tally.left++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,6 +148,7 @@
 	pool      pool
 	feed      feed
 	groups    map[string]*group
+	customers []string // by their places in the settings
 	fair      *fairness
 	paging    *paging
 
@@ -197,6 +198,10 @@
 			value: number(f[at+"value"])}
 		r.longest = max(r.longest, r.span(at+"timeout"))
 	}
+	customers, _ := strconv.Atoi(f["teams"])
+	for i := range customers {
+		r.customers = append(r.customers, f["team."+strconv.Itoa(i)+".name"])
+	}
 	r.gate = decide.New(r, means.Seed, f)
 	if len(means.Known) > 0 {
 		if err := list.Known(means.Known, r); err != nil {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -24,6 +24,7 @@
 
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/terms"
 )
 
 // Setup is all that a file says.
@@ -40,6 +41,10 @@
 	Clients  []Clients `yaml:"clients"`
 	Fairness *Fairness `yaml:"fairness"` // left out: whoever comes first goes first
 	Spool    *Spool    `yaml:"spool"`    // left out: results are answered whole
+	Shares   *Shares   `yaml:"shares"`   // left out: no customer has one
+	// Estimates are the call fields that tell a query's work, in milliseconds of one
+	// thread, and the memory that it needs, in MB; left out: none does.
+	Estimates Estimates `yaml:"estimates"`
 }
 
 // Limits are the machine's.
@@ -54,6 +59,7 @@
 	Controllers int      `yaml:"controllers"` // that share them: 1
 	Kinds       []Kind   `yaml:"kinds"`
 	Locations   []string `yaml:"locations"` // here
+	Location    string   `yaml:"location"`  // where this controller stands: nowhere in particular
 	// May lists what is allowed: probe, cancel, copy (two submissions at once),
 	// grant (memory), prioritise, name-return (a pause with a deferral). All, if it
 	// is left out.
@@ -66,10 +72,36 @@
 	Grace       Span     `yaml:"grace"`       // after a drain was told: 1s
 	KeyRest     Span     `yaml:"key_rest"`    // after an end that isn't certain: 300ms
 	Report      string   `yaml:"report"`
-	Short       string   `yaml:"memory_short"` // swap
-	Grant       float64  `yaml:"grant"`        // share of memory one query gets at most: 0.4
-	Cold        Cold     `yaml:"cold"`
-	Budget      Budget   `yaml:"budget"`
+	// Figures are what reports bring: held, line (waiting for memory), cores, disks,
+	// memory. Left out: as engines that tell of queries held.
+	Figures []string `yaml:"figures"`
+	// Tells lists what engines tell of a query: notes (while it runs) and costs (with
+	// its answer). Both, if it is left out.
+	Tells  []string `yaml:"tells"`
+	Short  string   `yaml:"memory_short"` // swap
+	Grant  float64  `yaml:"grant"`        // share of memory one query gets at most: 0.4
+	Cold   Cold     `yaml:"cold"`
+	Budget Budget   `yaml:"budget"`
+}
+
+// Shares are customers' parts of the service. What goes beyond one counts for less;
+// nobody's turn is kept, which is what fairness is for.
+type Shares struct {
+	Field     string     `yaml:"field"` // of a call, names the customer
+	Over      float64    `yaml:"over"`  // what a query beyond its customer's share is worth: 0
+	Customers []Customer `yaml:"customers"`
+}
+
+// Customer is one of them; Rate is queries a second, all controllers together.
+type Customer struct {
+	Name string  `yaml:"name"`
+	Rate float64 `yaml:"rate"`
+}
+
+// Estimates are names of call fields.
+type Estimates struct {
+	Work   string `yaml:"work"`
+	Memory string `yaml:"memory"`
 }
 
 // Kind is a kind of engine.
@@ -313,6 +345,7 @@
 	if s.Spool != nil {
 		c.spool(s.Spool, s.Limits)
 	}
+	c.shape(s)
 }
 
 // number wants a figure from least to most; 0 is left out and has its default
@@ -545,6 +578,50 @@
 	}
 }
 
+// shape checks that the parts that tell of the deployment's shape go together.
+func (c *checker) shape(s *Setup) {
+	e := &s.Engines
+	for i, f := range e.Figures {
+		c.oneOf(fmt.Sprintf("engines.figures[%d]", i), f, "held", "line", "cores", "disks", "memory")
+	}
+	for i, t := range e.Tells {
+		c.oneOf(fmt.Sprintf("engines.tells[%d]", i), t, "notes", "costs")
+	}
+	if e.Tells != nil && !slices.Contains(e.Tells, "notes") && e.Notes > 0 {
+		c.wrong("engines.notes", "%v between notes, and engines.tells says that there are none", time.Duration(e.Notes))
+	}
+	if e.Location != "" && !slices.Contains(e.Locations, e.Location) {
+		c.wrong("engines.location", "no location is called %q", e.Location)
+	}
+	if x := s.Shares; x != nil {
+		c.maybe("shares.over", x.Over, 0, 1)
+		switch {
+		case s.Fairness != nil:
+			c.wrong("shares", "fairness keeps turns by team already: one of the two goes")
+		case x.Field == "":
+			c.wrong("shares.field", "is missing: nobody would be known")
+		case len(x.Customers) == 0:
+			c.wrong("shares.customers", "is missing: leave shares out where nobody has one")
+		}
+	}
+	if len(c.faults) > 0 {
+		return // what is wrong by itself needn't be told as a mix, too
+	}
+	for _, m := range terms.Mixed(s.facts()) {
+		c.wrong(keyOf(m[0]), "%s", m[1])
+	}
+}
+
+// keyOf is this file's name for one of the decisions' settings.
+func keyOf(ours string) string {
+	if parts := strings.Split(ours, "."); parts[0] == "team" {
+		return "shares.customers[" + parts[1] + "]." + map[string]string{"name": "name", "quota": "rate"}[parts[2]]
+	}
+	return map[string]string{"report.how": "engines.report", "report.figures": "engines.figures", "return.most": "engines.pause",
+		"budget.span": "engines.budget.span", "budget.share": "engines.budget.share", "own.location": "engines.location",
+		"over.worth": "shares.over"}[ours]
+}
+
 // overlap finds what is there of a prefix, wider or narrower.
 func overlap(t *bart.Table[owner], p netip.Prefix) (owner, bool) {
 	if !t.OverlapsPrefix(p.Masked()) {
@@ -586,6 +663,10 @@
 		m.Fair = shapeOf(f)
 		m.Words = relay.Words{Team: f.Fields.Team, Wait: f.Fields.Tell, Again: f.Fields.Again}
 	}
+	m.Words.Work, m.Words.Need = x.Estimates.Work, x.Estimates.Memory
+	if x.Shares != nil {
+		m.Words.Whose = x.Shares.Field
+	}
 	return m
 }
 
@@ -611,16 +692,41 @@
 	if len(locations) == 0 {
 		locations = []string{"here"}
 	}
+	report := e.Report
+	switch {
+	case report != "":
+	case e.May != nil && !slices.Contains(e.May, "probe"):
+		report = "off" // there is nothing to be had unasked
+	default:
+		report = "probed"
+	}
 	f := map[string]string{"gateways": num(float64(e.Controllers), 1), "own.number": "0", "groups": strconv.Itoa(len(x.Groups)),
-		"locations": strings.Join(locations, ","), "tick": "5", "list.how": "pushed", "answers.cost": "true",
+		"locations": strings.Join(locations, ","), "tick": "5", "list.how": "pushed",
 		"submissions.most": num(float64(e.Submissions), 3), "return.most": ms(e.Pause, time.Minute),
 		"connect.timeout": ms(e.Connect, 250*time.Millisecond), "idle.most": ms(e.Idle, 15*time.Second),
 		"note.period": ms(e.Notes, 2*time.Second), "drain.grace": ms(e.Grace, time.Second),
-		"key.rest": ms(e.KeyRest, 300*time.Millisecond), "report.how": cmp.Or(e.Report, "probed"),
+		"key.rest": ms(e.KeyRest, 300*time.Millisecond), "report.how": report,
 		"memory.short": cmp.Or(e.Short, "swap"), "grant.most": num(e.Grant, 0.4), "cold.from": num(e.Cold.From, 0.33),
 		"cold.span": ms(e.Cold.Span, 15*time.Second), "cold.multiple": num(e.Cold.Multiple, 3),
 		"cold.window": ms(e.Cold.Window, time.Second), "budget.least": num(e.Budget.Least, 0),
 		"budget.share": num(e.Budget.Share, 0), "budget.span": ms(e.Budget.Span, 0)}
+	if e.Location != "" {
+		f["own.location"] = strconv.Itoa(slices.Index(locations, e.Location))
+	}
+	if e.Figures != nil {
+		f["report.figures"] = strings.Join(e.Figures, ",")
+	}
+	f["answers.cost"] = strconv.FormatBool(e.Tells == nil || slices.Contains(e.Tells, "costs"))
+	if e.Tells != nil && !slices.Contains(e.Tells, "notes") {
+		f["note.period"] = "0"
+	}
+	if x.Shares != nil {
+		f["teams"], f["over.worth"] = strconv.Itoa(len(x.Shares.Customers)), strconv.FormatFloat(x.Shares.Over, 'f', -1, 64)
+		for i, who := range x.Shares.Customers {
+			at := "team." + strconv.Itoa(i) + "."
+			f[at+"name"], f[at+"quota"] = who.Name, num(who.Rate, 0)
+		}
+	}
 	may := e.May
 	if may == nil {
 		may = []string{"probe", "cancel", "copy", "grant", "prioritise", "name-return"}
@@ -670,6 +776,7 @@
 		"name": x.Name == next.Name, "listen": x.Listen == next.Listen, "seed": x.Seed == next.Seed, "log": x.Log == next.Log,
 		"limits": x.Limits == next.Limits, "engines": reflect.DeepEqual(x.Engines, next.Engines),
 		"groups": reflect.DeepEqual(x.Groups, next.Groups), "clients": reflect.DeepEqual(x.Clients, next.Clients),
+		"shares": reflect.DeepEqual(x.Shares, next.Shares), "estimates": x.Estimates == next.Estimates,
 		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
 	} {
 		if !same {
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -95,3 +95,65 @@
 		}
 	})
 }
+
+// The shapes of deployment by settings alone, and what mixes them refused by its key.
+func TestShapesAndTheirMixes(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _, _ := strings.Cut(string(text), "# Whose turn it is.")
+	shares := "shares: {field: customer, over: 0.05, customers: [{name: hogares, rate: 133}, {name: obras, rate: 110}]}\nestimates: {work: weight, memory: ram}\n"
+	was, err := Parse("x.yaml", []byte(before))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"own.location", "report.figures", "teams"} {
+		if x, there := was.facts()[name]; there {
+			t.Errorf("left out, and %s is %q", name, x)
+		}
+	}
+	if f := was.facts(); f["answers.cost"] != "true" || f["note.period"] != "2000" || f["report.how"] != "probed" {
+		t.Errorf("what is left out is other than it was: %v", f)
+	}
+	cores := strings.Replace(before, "report: probed ", "location: here\n  figures: [cores]\n  tells: [costs]\n  report: probed ", 1)
+	cores = strings.Replace(cores, "  notes: 2s ", "  # notes ", 1) + shares
+	s, err := Parse("x.yaml", []byte(cores))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := s.Means(time.Now())
+	if f := m.Facts; f["report.figures"] != "cores" || f["note.period"] != "0" || f["own.location"] != "0" || f["teams"] != "2" ||
+		f["team.1.quota"] != "110" || f["team.0.name"] != "hogares" || f["over.worth"] != "0.05" || m.Words.Whose != "customer" ||
+		m.Words.Work != "weight" || m.Words.Need != "ram" {
+		t.Fatalf("%+v", m)
+	}
+	blind := strings.Replace(before, "may: [probe, ", "may: [", 1)
+	blind = strings.Replace(blind, "report: probed ", "tells: [notes]\n  report: off ", 1)
+	if s, err = Parse("x.yaml", []byte(blind)); err != nil || s.facts()["report.how"] != "off" || s.facts()["answers.cost"] != "false" {
+		t.Fatal(err, s)
+	}
+	for _, c := range []struct{ in, old, new, field string }{
+		{blind, "report: off ", "report: probed ", "engines.report"},
+		{blind, "report: off ", "figures: [cores]\n  report: off ", "engines.figures"},
+		{cores, "figures: [cores]", "figures: [cors]", "engines.figures[0]"},
+		{cores, "figures: [cores]", "figures: []", "engines.figures"},
+		{cores, "  # notes ", "  notes: 2s ", "engines.notes"},
+		{cores, "location: here", "location: there", "engines.location"},
+		{cores, "rate: 110", "rate: 0", "shares.customers[1].rate"},
+		{cores, "name: obras", "name: hogares", "shares.customers[1].name"},
+		{cores, "over: 0.05", "over: 5", "shares.over"},
+		{cores, "field: customer, ", "", "shares.field"},
+		{cores, "budget: {least: 10, share: 0.2, span: 10s}", "budget: {least: 10, share: 0.2}", "engines.budget.span"},
+		{string(text) + shares, "", "", "shares"},
+	} {
+		spoilt := strings.Replace(c.in, c.old, c.new, 1)
+		if spoilt == c.in && c.old != "" {
+			t.Fatalf("%q is not there", c.old)
+		}
+		var f *Fault
+		if _, err := Parse("x.yaml", []byte(spoilt)); !errors.As(err, &f) || f.Field != c.field || f.Line == 0 {
+			t.Errorf("%q: %v", c.new, err)
+		}
+	}
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -57,7 +57,7 @@
 	"obligations.ratio_span_ms": "budget.span", "report.how": "report.how", "report.fields": "report.figures",
 	"customers.count": "teams", "customers.N.name": "team.N.name", "customers.N.quota_per_s": "team.N.quota",
 	"over_share_worth": "over.worth",
-	"prices.probe": "price.probe", "allowed.connect_timeout_ms": "connect.timeout",
+	"prices.probe":     "price.probe", "allowed.connect_timeout_ms": "connect.timeout",
 	"allowed.keepalive_ms": "idle.most",
 }
 
@@ -117,6 +117,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	flatten(ours, "", tree)
+	if at := slices.Index(strings.Split(ours["locations"], ","), ours["own.location"]); at >= 0 {
+		ours["own.location"] = strconv.Itoa(at)
+	}
 	placed(ours, "kinds")
 	placed(ours, "locations")
 	return ours, nil
