--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,15 +1,13 @@
 // Package decide holds the decisions of a railrelay gateway, all in this file.
 //
-// How it is invoked: New (door.go) makes a Gateway for one instance from an Actor, a
-// seed and a plain map of settings; an adapter then calls the methods of Gate, each
-// with the time since the start, and the Gateway acts through its Actor before it
-// returns. Both are in interface.go, plain state in state.go, due times in internal/due,
-// chance in pcg.go. Nothing blocks, reads a clock, or knows the wire in front of it.
+// New (door.go) makes a Gateway for one instance from an Actor, a seed and a plain map of settings;
+// an adapter then calls the methods of Gate, each with the time since the start, and the Gateway acts
+// through its Actor before it returns. Both are in interface.go, plain state in state.go, due times in
+// internal/due, chance in pcg.go. Nothing blocks, reads a clock, or knows the wire in front of it.
 //
-// The ordinary path follows Gargamel (docs/design.md): loads go into a chain per
-// table group, the rest into a queue per resource group, release lets them out in
-// arrival order and pick draws an engine. submit is the only way to an engine and
-// asks maySend and allowed, which hold the rules; giveUp the only way to an answer.
+// The ordinary path follows Gargamel (docs/design.md): loads go into a chain per table group, the rest into
+// a queue per resource group, release lets them out in arrival order and pick draws an engine. submit is the
+// only way to an engine and asks maySend and allowed, which hold the rules; giveUp the only way to an answer.
 package decide
 
 import (
@@ -25,7 +23,7 @@
 	threadsPerCore = 2.0              // all gateways together
 	pressedAt      = 5.0              // latency over its best that counts as pressure
 	reportKeeps    = 1 * time.Second
-	grantFirst     = 1.25 // memory granted over the estimate, until notes tell more
+	grantOver      = 1.25 // memory granted over the estimate
 	tick           = 100 * time.Millisecond
 	flowSpan       = 5 * time.Second // over which rates are taken
 )
@@ -53,14 +51,12 @@
 	q.aim = g.now + rg.target + seconds(rg.stretch*g.lone(q))
 	g.workRate += g.usual(rg)
 	rg.taken++
-	if q.team != nil {
-		q.team.took++
-	}
+	q.team.took++
 	g.meanWork.add(g.usual(rg), 100)
 	g.probeLeft = min(g.probeLeft+1.5, 6)
 	// the guard of rule 1: whatever else goes wrong, the answer is out in time
 	g.of(q, q.deadline-2*g.facts.span("tick", 5*time.Millisecond), func() { g.giveUp(q) })
-	g.of(q, q.aim, func() { g.overdue(q) })
+	g.of(q, q.aim, func() { g.late(q) })
 	if line := g.line(q); line != nil {
 		if line.line = append(line.line, q); line.line[0] != q {
 			g.behind(q, line)
@@ -70,23 +66,19 @@
 	g.begin(q)
 }
 
-// overdue: its target has passed. Where a late answer is worth nothing it only takes room from
-// others: on an engine whose memory is passed it would hold that until its client leaves.
-func (g *Gateway) overdue(q *query) {
+// late: past its target, which is a sign in itself where no note tells why.
+func (g *Gateway) late(q *query) {
 	for _, s := range q.subs {
 		if !s.ended && g.facts.span("note.period", 0) <= 0 {
 			g.stands(s)
 		}
 	}
-	if g.setTerms(q); q.rg.lateShare <= 0 && q.rg.effect == "read-only" {
-		g.giveUp(q)
-	}
+	g.setTerms(q)
 }
 
-// behind: what those before it in its key's line should take alone leaves it no time. Given up
-// at once it comes back in its own time; kept, a long line is given up in one moment when its
-// head ends late, comes back in one, and clients, who space a key's queries, send the last of
-// them with most of their time gone: queries were lost so.
+// behind: what those before it in its key's line should take alone leaves it no time. Given up at once
+// it comes back in its own time; a long line kept is given up in one moment when its head ends late, and
+// clients, who space a key's queries, send the last with most of their time gone: queries were lost so.
 func (g *Gateway) behind(q *query, line *keyLine) {
 	before := 0.0
 	for _, x := range line.line[:len(line.line)-1] {
@@ -161,9 +153,8 @@
 	q.rg.insert(q)
 }
 
-// release lets held queries go, the resource group with the most value for its
-// work first, each in arrival order. A head that no engine may take whatever
-// its room is passed over: it must not hold up those that one may.
+// release lets held queries go, the group with the most value for its work first, each in arrival order. A
+// head that no engine may take whatever its room is passed over: it must not hold up those that one may.
 func (g *Gateway) release() {
 	for _, rg := range g.ranked {
 		var shut []int64 // tables that no clear engine is left for, asked once a round: queues get long
@@ -205,7 +196,7 @@
 	}
 	for len(rg.queue) > 1 && work > g.rate(rg.begun)*rg.target.Seconds()/4 {
 		dearest := slices.MaxFunc(rg.queue, func(a, b *query) int { return cmp.Compare(g.dear(a), g.dear(b)) })
-		if g.dear(dearest) < 1.2*g.usual(rg)/rg.threads {
+		if g.dear(dearest) <= g.usual(rg)/rg.threads { // all alike: arrival order is as good
 			return
 		}
 		work -= g.lone(dearest) * rg.threads
@@ -225,9 +216,6 @@
 // over is the part of a team's queries that go beyond its share, as far as one's own tell: against
 // the quotas' even part, and against how busy one is in the long run, as traffic isn't even.
 func (g *Gateway) over(t *team) float64 {
-	if t == nil {
-		return 0
-	}
 	return max(0, 1-t.quota*max(1, g.busy.or(1))/max(0.01, g.rate(t.took)))
 }
 
@@ -348,20 +336,6 @@
 	return !g.looks || e.report != nil && g.now-e.reportAt < reportKeeps
 }
 
-// tell lets the other gateways know, where they may be told, which engine a load
-// locks its tables on, and when no more: their readers can't see it otherwise.
-func (g *Gateway) tell(s *submission, what string) {
-	if s.q.rg.load && g.facts.yes("may.tell") {
-		g.act.Tell(word(what, s.e, s.q.tables))
-	}
-}
-
-func (g *Gateway) told(locked bool, tables int64, e *engine) {
-	if e.locked(tables, g.now); locked {
-		e.locked(tables, g.now+8*time.Second) // the word that it ended may be lost
-	}
-}
-
 // hasRoom: the thread bound, which binds only under pressure.
 func (g *Gateway) hasRoom(e *engine, q *query) bool {
 	if !g.ready(e) || e.stood > 0 && (len(e.out) > 0 || !g.light(q.rg)) {
@@ -371,20 +345,22 @@
 	// work, or long queries would hold all of it whenever a short one comes
 	part := 1 - 0.1*float64(slices.Index(g.ranked, q.rg))
 	bound, ram := threadsPerCore*e.cores*g.share*part, e.ram*g.share
-	if len(e.out) == 0 && bound >= 1 && g.dealt(e, bound/q.rg.threads) || e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram {
+	switch {
+	case len(e.out) == 0 && bound >= 1 && g.dealt(e, bound/q.rg.threads),
+		e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram:
 		return true
-	}
-	if g.pressed(e) {
+	case g.pressed(e):
 		return false
 	}
 	// among many gateways one's part of an engine is less than a query: it binds in the
 	// mean, over all, once most are full; all would go to the few before reports tell
 	threads, _, count, cores := g.sums()
-	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) || threads+q.rg.threads <= threadsPerCore*cores*g.share*part
+	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) ||
+		threads+q.rg.threads <= threadsPerCore*cores*g.share*part
 }
 
-// dealt: of a query larger than one's part of an engine, all gateways together would place as many
-// there as they are, several times the bound on small engines. That many fit are dealt among them by number.
+// dealt: where a query is larger than one's part of an engine, all gateways with one each there would be
+// several times its bound. So many as fit are dealt among them by number.
 func (g *Gateway) dealt(e *engine, part float64) bool {
 	n := max(1, g.facts.num("gateways", 1))
 	return math.Mod(float64(e.mark)+g.facts.num("own.number", 0), n) < math.Round(n*part)
@@ -400,8 +376,7 @@
 	// the larger one's own share the better the bound rations what is there; with a
 	// small one it rations next to nothing, and an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
-	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full ||
-		g.now-e.reportAt < reportKeeps && e.report["line"] > 0
+	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full
 }
 
 // ownShare is one's own part of all work: by what was out of late against what
@@ -421,7 +396,7 @@
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
-		return max(g.memoryOn(e), max(g.heldOn(e)/most, 0.7*e.report["disks"])+(e.threads-e.threadsAtReport)/most)
+		return max(g.memoryOn(e), (g.heldOn(e)+e.threads-e.threadsAtReport)/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
@@ -441,14 +416,13 @@
 	for _, s := range e.out {
 		most = max(most, s.threads)
 	}
-	busy := max(e.report["cores"], min(0.8, g.coresSeen.value))
-	return max(busy*threadsPerCore*e.cores, (e.threads-most)/g.share)
+	return max(e.report["cores"]*threadsPerCore*e.cores, (e.threads-most)/g.share)
 }
 
 // memoryOn is the same for memory alone, of an engine seen.
 func (g *Gateway) memoryOn(e *engine) float64 {
-	held := g.heldOn(e) * g.usualMemory.value / max(0.1, g.usualThreads.value) / e.ram
-	return max(held, e.report["memory"]) + (e.memory-e.memoryAtReport)/e.ram
+	held := g.heldOn(e) * g.usualMemory.value / max(0.1, g.usualThreads.value)
+	return (held + e.memory - e.memoryAtReport) / e.ram
 }
 
 func (g *Gateway) room(e *engine) float64 {
@@ -472,7 +446,7 @@
 // needs is the memory a query should need, in MB; 0 while nothing is known.
 func (g *Gateway) needs(q *query) float64 {
 	if q.memory > 0 {
-		return q.memory * q.rg.grantBy / grantFirst
+		return q.memory
 	}
 	return q.rg.need.or(0)
 }
@@ -564,10 +538,9 @@
 	return g.now < e.coldUntil && g.facts.num("gateways", 1) > 1 && g.light(q.rg) && q.rg.work.count >= 10
 }
 
-// coldFits keeps all gateways together under what a cold engine stands, however many
-// they are and however unevenly traffic lies among them: each query may go there by a
-// chance that in sum, were all who may to go, makes a part of the limit; a smaller one
-// of heavy queries, and none while two pass it. The busiest is held by its own sum.
+// coldFits keeps all gateways together under what a cold engine stands, however many they are and however
+// unevenly traffic lies: each query may go there by a chance that in sum, were all who may to go, makes a
+// part of the limit; a smaller one of heavy queries, none while two pass it. Its own sum holds the busiest.
 func (g *Gateway) coldFits(q *query, e *engine) bool {
 	f := g.facts
 	window := f.span("cold.window", time.Second)
@@ -580,7 +553,7 @@
 	}
 	// the fleet does at most its cores' work; of that, so much is of this group
 	ofGroup := work * q.rg.taken / max(0.1, g.workRate)
-	chance := part * limit / window.Seconds() / (e.cores * float64(len(g.on())) * ofGroup)
+	chance := part * limit / window.Seconds() / (max(1, g.cores) * ofGroup)
 	draw := float64((uint32(q.seq)*2654435761^e.mark)*2246822519>>8) / (1 << 24)
 	// a few that were small say little: no less than would be guessed of a group not known yet
 	work = max(work, q.rg.guess()) * (1 + 1/math.Sqrt(max(1, q.rg.work.count)))
@@ -592,12 +565,10 @@
 		return false
 	}
 	g.setTerms(q)
-	rg := q.rg
-	rg.begun += g.lone(q) * rg.threads
+	q.rg.begun += g.lone(q) * q.rg.threads
 	s := g.sent(q, e, g.needs(q), g.usual(q.rg))
 	s.then = g.afterEnd
 	g.act.Submit(q.id, e.id, q.deadline-g.now)
-	g.tell(s, "+")
 	return true
 }
 
@@ -620,10 +591,7 @@
 	if heeded := g.facts.yes("may.grant"); heeded && g.facts.text["memory.short"] == "swap" {
 		grant = int(g.facts.num("grant.most", 0) * g.facts.itemNum("kind.memory", 0))
 	} else if heeded {
-		grant = int(q.memory * q.rg.grantBy)
-		if q.rg.grantBy > grantFirst && g.memorySeen.count > 0 { // short ones get what engines seen have free
-			grant = int(float64(grant) * min(2, max(1, 0.5/g.memorySeen.value)))
-		}
+		grant = int(q.memory * grantOver)
 	}
 	if prio != q.priority || grant != q.grant {
 		q.priority, q.grant = prio, grant
@@ -649,24 +617,13 @@
 			q.rg.work.add(work, 200)
 			q.rg.need.add(memoryMB, 200)
 		}
-		if p := g.facts.span("note.period", 0); !s.spilt && p > 0 && took > p {
-			q.rg.grantBy = max(grantFirst, q.rg.grantBy*0.99) // a note would have told of a spill
-		}
 		if !s.stuck && (q.work > 0 || !g.facts.yes("answers.cost")) {
 			g.learn(s, took.Seconds()/g.lone(q))
 		}
 	}
-	if (s.outcome == TimedOut || s.outcome == Cancelled) && !g.facts.yes("may.cancel") {
-		// nothing stops the work where nothing can be called off: it goes on
-		// taking its room until it should be done
-		g.count(s, 1)
-		s.e.lingering = append(s.e.lingering, s)
-		g.at(g.now+seconds(g.remains(s)), func() { g.gone(s) })
-	}
 	if line := g.line(q); line != nil && s.outcome.mayLinger() {
 		line.restUntil, line.restBy = g.now+g.facts.span("key.rest", 0), q
 	}
-	g.tell(s, "-")
 	if over || s.outcome == Finished {
 		q.rg.leaving.add(0, 100)
 		g.finish(q)
@@ -766,9 +723,7 @@
 	if g.now < e.coldUntil {
 		return
 	}
-	g.fillSeen.add(max(g.filled(e), 0.85*report["disks"]), 20) // busy everywhere is full, busy here is not
-	g.coresSeen.add(report["cores"], 20)
-	g.memorySeen.add(g.memoryOn(e), 20)
+	g.fillSeen.add(g.filled(e), 20)
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
 	}
@@ -783,9 +738,6 @@
 	switch {
 	case sign == WaitsForLoad:
 		g.shut(s, g.facts.span("note.period", time.Second)*2)
-	case sign == Spilling && !s.spilt && s.q.memory > 0 && x > 0.25*float64(s.q.grant) && g.memoryOn(s.e) < 0.8:
-		s.spilt = true
-		s.q.rg.grantBy += 0.2 * (min(4, (float64(s.q.grant)+x)/s.q.memory) - s.q.rg.grantBy)
 	case sign == Progress && x > 0:
 		s.share, s.shareAt = x, g.now
 		g.move(s, g.remains(s))
@@ -805,9 +757,7 @@
 		e.restUntil = g.now + 2*time.Second<<min(e.stood, 3)
 		e.stood++
 	}
-	if g.move(s, math.Inf(1)); !s.behind && s.q.rg.effect == "read-only" && g.now > s.q.aim {
-		g.giveUp(s.q) // all that stays there keeps the engine from coming round
-	}
+	g.move(s, math.Inf(1))
 }
 
 func (g *Gateway) shut(s *submission, span time.Duration) {
--- a/decide/door.go
+++ b/decide/door.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"encoding/binary"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -24,11 +23,9 @@
 func New(act Actor, seed uint64, given map[string]string) *Gateway {
 	f := newFacts(given)
 	g := &Gateway{act: act, facts: f, askedAt: -time.Hour, rng: newPCG(seed), byID: map[string]*engine{},
-		byMark:  map[uint32]*engine{},
 		queries: map[string]*query{}, chains: map[int64]*chain{}, keys: map[int64]*keyLine{}, wakeAt: -1}
 	for i := range int(f.num("groups", 0)) {
 		rg := newGroup(f, i)
-		rg.grantBy = grantFirst
 		g.groups = append(g.groups, rg)
 		g.longest = max(g.longest, rg.timeout)
 	}
@@ -36,6 +33,7 @@
 		g.teams = append(g.teams, &team{quota: f.num("team."+strconv.Itoa(i)+".quota", 0) / max(1, f.num("gateways", 1))})
 	}
 	g.longest = max(g.longest, f.span("cold.span", 0), chainWindow) + f.span("key.rest", 0)
+	g.nobody.quota = math.Inf(1)
 	g.seq = uint64(g.rng.next()) // gateways must not draw alike
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
 	g.counts = slices.Contains(f.list("report.figures"), "held") || f.text["report.figures"] == ""
@@ -60,7 +58,6 @@
 		h := fnv.New32a()
 		h.Write([]byte(id))
 		e.mark = h.Sum32()
-		g.byMark[e.mark] = e
 	}
 	g.listing[e] = true
 	if state == Gone && e.state != Gone {
@@ -108,9 +105,10 @@
 	g.step()
 }
 
+// team is whose share a query counts to; who has none is never over it.
 func (g *Gateway) team(i int) *team {
 	if i < 0 || i >= len(g.teams) || g.teams[i].quota <= 0 {
-		return nil
+		return &g.nobody
 	}
 	return g.teams[i]
 }
@@ -160,9 +158,6 @@
 // forget drops what was learned of a process that is no more.
 func (g *Gateway) forget(e *engine) {
 	e.slow, e.silent, e.report, e.loadSeen, e.heardAt = 1, false, nil, nil, g.now
-	for len(e.lingering) > 0 {
-		g.gone(e.lingering[0])
-	}
 }
 
 // report keeps what an engine told of itself, and what was one's own of it.
@@ -180,14 +175,6 @@
 	s.e.memory += sign * s.memory
 }
 
-// gone takes off what lingered on an engine after its end was told.
-func (g *Gateway) gone(s *submission) {
-	if i := slices.Index(s.e.lingering, s); i >= 0 {
-		s.e.lingering = slices.Delete(s.e.lingering, i, i+1)
-		g.count(s, -1)
-	}
-}
-
 func (g *Gateway) Note(now time.Duration, id string, try int, sign Sign, x float64) {
 	g.now = now
 	if s := g.submission(id, try); s != nil {
@@ -254,7 +241,7 @@
 
 // Known is how many engines, chains, keys, tables, queries and due times are in mind.
 func (g *Gateway) Known() int {
-	n := g.due.Len() + len(g.engines) + len(g.byID) + len(g.byMark) + len(g.chains) + len(g.keys) + len(g.queries)
+	n := g.due.Len() + len(g.engines) + len(g.byID) + len(g.chains) + len(g.keys) + len(g.queries)
 	for _, e := range g.engines {
 		n += len(e.doneAt) + len(e.loadSeen) + len(e.coldSent)
 	}
@@ -269,12 +256,9 @@
 	}
 	g.tidyAt = g.now + time.Second
 	g.engines = slices.DeleteFunc(g.engines, func(e *engine) bool {
-		old := e.state == Gone && g.now-e.goneAt > g.longest && len(e.out)+len(e.lingering) == 0
+		old := e.state == Gone && g.now-e.goneAt > g.longest && len(e.out) == 0
 		if old {
 			delete(g.byID, e.id)
-			if g.byMark[e.mark] == e {
-				delete(g.byMark, e.mark)
-			}
 		}
 		return old
 	})
@@ -294,24 +278,6 @@
 	within(&g.extras, since)
 }
 
-// word is what peers are told of a load: each byte is paid for.
-func word(what string, e *engine, tables int64) []byte {
-	return binary.AppendUvarint(binary.BigEndian.AppendUint32([]byte(what), e.mark), uint64(tables))
-}
-
-func (g *Gateway) Heard(now time.Duration, word []byte) {
-	g.now = now
-	if len(word) < 6 {
-		return
-	}
-	tables, n := binary.Uvarint(word[5:])
-	e := g.byMark[binary.BigEndian.Uint32(word[1:])]
-	if e != nil && n > 0 {
-		g.told(word[0] == '+', int64(tables), e)
-		g.step()
-	}
-}
-
 func (g *Gateway) Woken(now time.Duration, tag int) {
 	g.now = now
 	if tag == duesTag {
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -12,7 +12,6 @@
 	Kill(query string)
 	Probe(engine string)
 	Subscribe()
-	Tell(word []byte) // to every other gateway; may be lost
 	Wake(in time.Duration, tag int)
 	Log(line string)
 }
@@ -58,8 +57,7 @@
 
 // Gate is what comes in. Times are spans since the instance started; a report
 // maps an engine's load figures, in our words, to their values: "held" queries
-// in hand, "line" queries waiting for memory, "cores", "disks" shares busy,
-// "memory" share granted. Figures that the engine doesn't tell are not in it.
+// in hand, "cores" share busy. Figures that the engine doesn't tell are not in it.
 type Gate interface {
 	// ListBegins opens what the list has to say; whole says that an engine
 	// left out is gone. ListEngine follows for each entry, then ListEnds.
@@ -82,7 +80,6 @@
 	Probed(now time.Duration, engine string, outcome Outcome, report map[string]float64)
 	// Reported: an engine told its load unasked.
 	Reported(now time.Duration, engine string, report map[string]float64)
-	Heard(now time.Duration, word []byte) // what another gateway told
 	Woken(now time.Duration, tag int)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,7 +87,6 @@
 	begun                float64 // thread seconds sent, decaying
 	slots                mean    // thread seconds taken by a query that finished
 	leaving, patience    mean    // share of clients that hang up early, and after how long
-	grantBy              float64 // memory granted over memory estimated
 	index                int
 	value, lateShare     float64
 	target, timeout      time.Duration
@@ -130,9 +129,8 @@
 	coldUntil            time.Duration
 
 	out                             []*submission
-	lingering                       []*submission // ended for us, still at work there
-	threads                         float64       // own, out
-	slow                            float64       // time taken over the best
+	threads                         float64 // own, out
+	slow                            float64 // time taken over the best
 	started                         time.Duration
 	loadSeen                        map[int64]time.Duration // tables a load was noted on, until when
 	memory                          float64                 // own, out, MB
@@ -160,7 +158,7 @@
 	moved             bool // once, for being slow
 	id                string
 	rg                *resourceGroup
-	team              *team // whose share it counts to, nil: nobody's
+	team              *team // whose share it counts to
 	tables, key       int64
 	work              float64 // estimated seconds of all threads, 0: none
 	told              bool    // work is what its answer told
@@ -185,7 +183,6 @@
 // submission is one sending of a query to an engine.
 type submission struct {
 	notedAt time.Duration
-	spilt   bool // noted as short of memory
 	q       *query
 	e       *engine
 	try     int
@@ -231,10 +228,10 @@
 
 	engines []*engine // in the order first listed
 	byID    map[string]*engine
-	byMark  map[uint32]*engine // the ids' hashes, which all gateways share
 	queries map[string]*query
 	groups  []*resourceGroup
 	teams   []*team
+	nobody  team
 	ranked  []*resourceGroup // in the order in which they are served
 	chains  map[int64]*chain
 	keys    map[int64]*keyLine
@@ -257,13 +254,13 @@
 	busy     mean    // queries taken over what the teams' quotas come to here
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
-	usualThreads, usualMemory, usualCount     mean
-	probeLeft                                 float64
-	fillSeen, memorySeen, meanWork, coresSeen mean
-	askedAt                                   time.Duration
-	subscribed                                bool
-	closing                                   bool          // nothing more is taken on
-	comeBack                                  time.Duration // named with a deferral, where that is allowed
+	usualThreads, usualMemory, usualCount mean
+	probeLeft                             float64
+	fillSeen, meanWork                    mean
+	askedAt                               time.Duration
+	subscribed                            bool
+	closing                               bool          // nothing more is taken on
+	comeBack                              time.Duration // named with a deferral, where that is allowed
 }
 
 func newGroup(f facts, i int) *resourceGroup {
@@ -335,7 +332,7 @@
 			if g.now >= e.coldUntil {
 				g.own[0] += e.threads
 				g.own[1] += e.memory
-				g.own[2] += float64(len(e.out) + len(e.lingering))
+				g.own[2] += float64(len(e.out))
 				g.own[3] += e.cores
 				g.warm++
 			}
@@ -361,6 +358,5 @@
 // loadRuns: a load of these tables is known to run there, or they hang.
 func (g *Gateway) loadRuns(e *engine, tables int64) bool {
 	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
-	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks) ||
-		slices.ContainsFunc(e.lingering, locks)
+	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -485,8 +485,7 @@
 	}
 }
 
-func (r *Relay) Subscribe()  {}
-func (r *Relay) Tell([]byte) {}
+func (r *Relay) Subscribe() {}
 
 func (r *Relay) Wake(in time.Duration, tag int) {
 	r.after(in, func() { r.gate.Woken(r.now, tag) })
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -72,8 +72,8 @@
 	Grace       Span     `yaml:"grace"`       // after a drain was told: 1s
 	KeyRest     Span     `yaml:"key_rest"`    // after an end that isn't certain: 300ms
 	Report      string   `yaml:"report"`
-	// Figures are what reports bring: held, line (waiting for memory), cores, disks,
-	// memory. Left out: as engines that tell of queries held.
+	// Figures are what reports bring: held (queries in hand), cores (part busy). Left
+	// out: as engines that tell of queries held.
 	Figures []string `yaml:"figures"`
 	// Tells lists what engines tell of a query: notes (while it runs) and costs (with
 	// its answer). Both, if it is left out.
@@ -582,7 +582,7 @@
 func (c *checker) shape(s *Setup) {
 	e := &s.Engines
 	for i, f := range e.Figures {
-		c.oneOf(fmt.Sprintf("engines.figures[%d]", i), f, "held", "line", "cores", "disks", "memory")
+		c.oneOf(fmt.Sprintf("engines.figures[%d]", i), f, "held", "cores")
 	}
 	for i, t := range e.Tells {
 		c.oneOf(fmt.Sprintf("engines.tells[%d]", i), t, "notes", "costs")
--- a/internal/terms/mixed.go
+++ b/internal/terms/mixed.go
@@ -21,7 +21,7 @@
 	if figures, given := facts["report.figures"]; given {
 		switch none := strings.Trim(figures, ",") == ""; {
 		case reports && none:
-			say("report.figures", "no figure that is known, and reports are said to come (%s)", how)
+			say("report.figures", "no figure, and reports are said to come (%s)", how)
 		case !reports && !none:
 			say("report.figures", "%s, and reports are said not to come", figures)
 		}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -13,8 +14,7 @@
 )
 
 var figures = map[string]string{
-	"outstanding": "held", "backlog": "line", "utilization": "cores", "x0": "memory", "x1": "disks",
-	"inflight": "held", "queue": "line", "util": "cores",
+	"outstanding": "held", "utilization": "cores", "inflight": "held", "util": "cores",
 }
 
 // Figure is our word for a figure of a load report, "" if we have none.
@@ -45,7 +45,7 @@
 	"family_info.note_period_ms": "note.period", "family_info.cost_in_answers": "answers.cost",
 	"family_info.out_of_memory": "memory.short",
 
-	"allowed.may_cancel": "may.cancel", "allowed.may_probe": "may.probe", "allowed.may_tell": "may.tell",
+	"allowed.may_cancel": "may.cancel", "allowed.may_probe": "may.probe",
 	"allowed.second_copies": "may.copy", "allowed.max_attempts": "submissions.most",
 	"allowed.retry_after": "may.name-return", "allowed.max_retry_after_ms": "return.most",
 
@@ -97,7 +97,7 @@
 	if name == "report.figures" {
 		figs := strings.Split(value, ",")
 		for i, fig := range figs {
-			figs[i] = figures[fig]
+			figs[i] = cmp.Or(figures[fig], fig) // one not known is none the less there
 		}
 		value = strings.Join(figs, ",")
 	}
