--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -231,3 +231,15 @@
 		t.Fatalf("0.2 told, taken as %.2f", x)
 	}
 }
+
+// Alone in its queue, with nothing to be had from a late answer, it was held until its client left.
+func TestWhatIsWorthNothingLateIsNotSatOn(t *testing.T) {
+	for _, late := range []string{"0", "0.1"} {
+		w := newWorld(t, 1, map[string]string{"group.0.late-share": late})
+		w.set("e0", Draining)
+		q := w.take(0, 1, -1, 5*sec)
+		if w.pass(1200 * ms); q.answered != (late == "0") {
+			t.Fatalf("worth %s when late: answered %v at %v", late, q.answered, w.now)
+		}
+	}
+}
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -81,7 +81,7 @@
 		"cold.span":     "15000",
 		"cold.multiple": "3", "cold.window": "1000", "key.rest": "300", "answer.grace": "20", "tick": "5",
 		"group.0.value": "1", "group.0.target": "1000", "group.0.timeout": "5000", "group.0.effect": "read-only", "group.0.late-share": "0.1",
-		"group.1.value": "10", "group.1.target": "3000", "group.1.timeout": "15000", "group.1.effect": "read-only",
+		"group.1.value": "10", "group.1.target": "3000", "group.1.timeout": "15000", "group.1.effect": "read-only", "group.1.late-share": "0.4",
 		"group.2.value": "6", "group.2.target": "4000", "group.2.timeout": "25000", "group.2.effect": "mutating",
 		"group.2.in-order": "true", "group.2.late-share": "0.5", "group.2.stretch": "3",
 	}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before, _, _ := strings.Cut(string(text), "# Whose turn it is.")
+	before, _, _ := strings.Cut(string(text), "# Customers' shares")
 	shares := "shares: {field: customer, over: 0.05, customers: [{name: hogares, rate: 133}, {name: obras, rate: 110}]}\nestimates: {work: weight, memory: ram}\n"
 	was, err := Parse("x.yaml", []byte(before))
 	if err != nil {
