--- a/decide/decide.go
+++ b/decide/decide.go
@@ -833,8 +833,8 @@
 			// the quickest thing out should have been heard of; covers machines gone
 			// silent, cut links and long stalls alike
 			limit, mute := seconds(0.6+3*g.expect(s.q)), period*3/2+300*time.Millisecond
-			if period > 0 {
-				limit = min(limit, mute) // a note is sure to come in this time
+			if period > 0 && (mute < limit || !g.facts.yes("may.probe")) {
+				limit = mute // a note is sure to come in this time, and no look can tell before
 			}
 			switch quiet := g.now - max(s.at, e.heardAt); {
 			case e.silent:
--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -243,3 +243,16 @@
 		}
 	}
 }
+
+// Where no look may tell, an engine with one light query out was held for silent long before its first
+// note was due, and the query called off.
+func TestSilenceWithoutLooksIsJudgedByNotes(t *testing.T) {
+	w := newWorld(t, 1, map[string]string{"may.probe": "false", "note.period": "2000"})
+	w.take(0, 1, -1, 60*sec)
+	if w.pass(3 * sec); w.g.engines[0].silent {
+		t.Fatal("silent before a note was due for certain")
+	}
+	if w.pass(2 * sec); !w.g.engines[0].silent {
+		t.Fatal("two notes missed, and not silent")
+	}
+}
