--- a/decide/decide.go
+++ b/decide/decide.go
@@ -226,7 +226,8 @@
 // hopeless: what can't earn its keep is given up before it takes room from what can; what is worth
 // nothing late isn't sat on till its client leaves, though nobody waits behind it.
 func (g *Gateway) hopeless(q *query, backlog bool) bool {
-	return g.left(q) < g.lone(q)/2 || (backlog || q.rg.lateShare <= 0) && g.now > g.latest(q)
+	return g.left(q) < g.lone(q)/2 || backlog && g.now > g.latest(q) ||
+		q.rg.lateShare <= 0 && g.now+seconds(g.lone(q)) > q.aim
 }
 
 // latest is when a query has to start at the latest to be done when it should be.
