--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -177,15 +178,13 @@
 // A long query in front took the room of several that are worth as much.
 func TestLongQueuesLoseTheDearestFirst(t *testing.T) {
 	w := newWorld(t, 1, nil)
-	w.engines["e0"].state = Draining
-	w.list(false, "e0")
-	rg := w.g.groups[1]
-	rg.begun, rg.work = 3, mean{3, 50}
+	w.g.engines[0].slow, w.g.engines[0].threads = 9, 16 // pressed, and no room left of one's own
+	w.g.groups[1].stretch = 9                           // all of them can still be in time
 	w.now = 5 * sec
+	w.g.groups[1].begun, w.g.groups[1].work = 15, mean{3, 50}
 	for _, work := range []time.Duration{3, 30, 2, 60, 1, 2, 3} {
 		takeAs(w, 1, -1, work*sec)
 	}
-	w.g.thin(rg)
 	var kept []string
 	for _, q := range w.order {
 		if !q.answered {
@@ -197,6 +196,36 @@
 	}
 }
 
+// Small engines among large ones: chances by one engine's cores times their number were off by their ratio.
+func TestColdChancesGoByAllCores(t *testing.T) {
+	w := newWorld(t, 12, map[string]string{"gateways": "300", "kind.cores": "4,28", "cold.span": "9000"})
+	w.pass(sec)
+	w.restart("e0") // of 4 cores; the others do as much as 12 of 16
+	w.g.workRate, w.g.groups[0].taken, w.g.meanWork.value = 10, 4, 1
+	n := 0
+	for i := range 3000 {
+		if w.g.coldFits(&query{rg: w.g.groups[0], seq: uint64(i)}, w.g.byID["e0"]) {
+			n++
+		}
+	}
+	// 192 cores do as much work a second, a fifth of it this group's; 3.4 is the limit, three tenths of it the part
+	if sum := 192 * 0.2 * float64(n) / 3000; sum > 1.5 {
+		t.Fatalf("%.1f s of work a second by chance", sum)
+	}
+}
+
+// Called off for a fresh submission that the budget doesn't have, a query would have lost what was done.
+func TestNothingIsMovedBeyondTheBudget(t *testing.T) {
+	for _, least := range []string{"0", "5"} {
+		w := newWorld(t, 2, map[string]string{"budget.span": "10000", "budget.least": least, "budget.share": "0.2"})
+		q := w.take(1, 1, -1, 60*sec)
+		s := w.g.queries[q.id].subs[0]
+		if w.g.move(s, math.Inf(1)); s.behind != (least == "5") {
+			t.Fatalf("%s in the budget: moved %v", least, s.behind)
+		}
+	}
+}
+
 // A customer three times over its share: its queries count for less than others'.
 func TestQueriesBeyondAShareAreDearer(t *testing.T) {
 	w := newWorld(t, 1, map[string]string{"gateways": "1", "teams": "2", "team.0.quota": "4", "team.1.quota": "4", "over.worth": "0.05"})
