A late share that isn't told means that late answers are waited for, as before

Lines at fault: newGroup's default, and setup's facts, which wrote 0 for 'left out'. Now what isn't told is waited for; a set-up can say 0.

--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -262,8 +262,9 @@
 }
 
 // Alone in its queue, with nothing to be had from a late answer, it was held until its client left.
+// Where nothing is told of late answers they are waited for, as before.
 func TestWhatIsWorthNothingLateIsNotSatOn(t *testing.T) {
-	for _, late := range []string{"0", "0.1"} {
+	for _, late := range []string{"0", "0.1", ""} {
 		w := newWorld(t, 1, map[string]string{"group.0.late-share": late})
 		w.set("e0", Draining)
 		q := w.take(0, 1, -1, 5*sec)
--- a/decide/state.go
+++ b/decide/state.go
@@ -266,7 +266,7 @@
 func newGroup(f facts, i int) *resourceGroup {
 	at := "group." + strconv.Itoa(i) + "."
 	return &resourceGroup{index: i,
-		value: f.num(at+"value", 0), lateShare: f.num(at+"late-share", 0), stretch: f.num(at+"stretch", 0),
+		value: f.num(at+"value", 0), lateShare: f.num(at+"late-share", 1), stretch: f.num(at+"stretch", 0),
 		target: f.span(at+"target", 0), timeout: f.span(at+"timeout", 0),
 		threads: max(1, f.itemNum("threads", i)),
 		effect:  f.text[at+"effect"], scope: f.text[at+"scope"], window: f.span(at+"window", 0),
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -129,12 +129,12 @@
 // Group is a resource group.
 type Group struct {
 	Name      string   `yaml:"name"`
-	Threads   float64  `yaml:"threads"` // a query runs on: 1
-	Value     float64  `yaml:"value"`   // 1
-	Target    Span     `yaml:"target"`  // 1s
-	Timeout   Span     `yaml:"timeout"` // the longest queue timeout a call may name: 30s
-	Stretch   float64  `yaml:"stretch"` // of the work, on top of the target
-	Late      float64  `yaml:"late_share"`
+	Threads   float64  `yaml:"threads"`    // a query runs on: 1
+	Value     float64  `yaml:"value"`      // 1
+	Target    Span     `yaml:"target"`     // 1s
+	Timeout   Span     `yaml:"timeout"`    // the longest queue timeout a call may name: 30s
+	Stretch   float64  `yaml:"stretch"`    // of the work, on top of the target
+	Late      *float64 `yaml:"late_share"` // of the value, when late; left out: late answers are waited for
 	Effect    string   `yaml:"effect"`
 	Scope     string   `yaml:"scope"`     // all
 	Window    Span     `yaml:"window"`    // of a token: 5s
@@ -444,7 +444,9 @@
 		c.maybe(at+"threads", g.Threads, 1, 1024)
 		c.maybe(at+"value", g.Value, 0, 1e9)
 		c.maybe(at+"stretch", g.Stretch, 0, 1000)
-		c.maybe(at+"late_share", g.Late, 0, 1)
+		if g.Late != nil {
+			c.maybe(at+"late_share", *g.Late, 0, 1)
+		}
 		if g.Effect == "" {
 			c.wrong(at+"effect", "is missing: read-only, tokened or mutating")
 		}
@@ -754,9 +756,12 @@
 		threads = append(threads, num(g.Threads, 1))
 		loads, waits = append(loads, strconv.FormatBool(g.Load)), append(waits, strconv.FormatBool(g.Waits))
 		f[at+"name"], f[at+"value"], f[at+"stretch"] = g.Name, num(g.Value, 1), num(g.Stretch, 0)
-		f[at+"late-share"], f[at+"effect"], f[at+"scope"] = num(g.Late, 0), g.Effect, cmp.Or(g.Scope, "all")
+		f[at+"effect"], f[at+"scope"] = g.Effect, cmp.Or(g.Scope, "all")
 		f[at+"target"], f[at+"timeout"] = ms(g.Target, time.Second), ms(g.Timeout, 30*time.Second)
 		f[at+"window"], f[at+"in-order"] = ms(g.Window, 5*time.Second), strconv.FormatBool(g.InOrder)
+		if g.Late != nil {
+			f[at+"late-share"] = strconv.FormatFloat(*g.Late, 'f', -1, 64)
+		}
 		if len(g.Locations) > 0 {
 			f[at+"locations"] = places(g.Locations, locations)
 		}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -116,6 +116,17 @@
 	if f := was.facts(); f["answers.cost"] != "true" || f["note.period"] != "2000" || f["report.how"] != "probed" {
 		t.Errorf("what is left out is other than it was: %v", f)
 	}
+	for _, late := range []string{"", "    late_share: 0\n"} {
+		at := strings.Index(before, "    late_share: 0.1")
+		end := at + strings.Index(before[at:], "\n") + 1
+		s, err := Parse("x.yaml", []byte(before[:at]+late+before[end:]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if x, there := s.facts()["group.0.late-share"]; there != (late != "") || there && x != "0" {
+			t.Errorf("%q: late share %q, %v", late, x, there)
+		}
+	}
 	cores := strings.Replace(before, "report: probed ", "location: here\n  figures: [cores]\n  tells: [costs]\n  report: probed ", 1)
 	cores = strings.Replace(cores, "  notes: 2s ", "  # notes ", 1) + shares
 	s, err := Parse("x.yaml", []byte(cores))
