A start is refused only where no reading serves the settings, with the key and what it clashes with

The check refused what an unknown deployment may well have: reports by probe where none may be sent, no longest time to come back, a location out of the list, a key left out. Such settings have a reading; they are served by it and said. Refused on the platform: a share of a budget without its span, customers with no worth of what passes a share, lists by group or kind of unequal length. A set-up refuses all of them, being our own form.

--- a/cmd/railrelay/platform.go
+++ b/cmd/railrelay/platform.go
@@ -57,12 +57,16 @@
 		return err
 	}
 	log := logger("", "")
-	for _, m := range terms.Mixed(facts) {
+	refused, strange := terms.Mixed(facts)
+	for _, m := range refused {
 		err = errors.Join(err, fmt.Errorf("config: settings.%s: %s", terms.Key(m[0]), m[1]))
 	}
 	if err != nil {
 		return err
 	}
+	for _, m := range strange {
+		log.Log().Msg("config: settings." + terms.Key(m[0]) + ": " + m[1])
+	}
 	for _, line := range odd(facts) {
 		log.Log().Msg(line)
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -421,7 +421,7 @@
 	c.oneOf("engines.report", e.Report, "off", "probed", "answers")
 	c.oneOf("engines.memory_short", e.Short, "queue", "trim", "swap")
 	for i, m := range e.May {
-		c.oneOf(fmt.Sprintf("engines.may[%d]", i), m, "probe", "cancel", "copy", "grant", "prioritise", "name-return")
+		c.oneOf(fmt.Sprintf("engines.may[%d]", i), m, allowed...)
 	}
 	if len(e.Kinds) == 0 {
 		c.wrong("engines.kinds", "is missing: there is no engine without a kind")
@@ -475,6 +475,9 @@
 
 const groupsMost = 64
 
+// allowed are the words of engines.may.
+var allowed = []string{"probe", "cancel", "copy", "grant", "prioritise", "name-return"}
+
 func (c *checker) teams(l []Team, path string) {
 	for i, t := range l {
 		at := fmt.Sprintf("%s[%d].", path, i)
@@ -609,15 +612,24 @@
 	if len(c.faults) > 0 {
 		return // what is wrong by itself needn't be told as a mix, too
 	}
-	for _, m := range terms.Mixed(s.facts()) {
+	refused, odd := terms.Mixed(s.facts())
+	for _, m := range append(refused, odd...) { // a file of our own needn't be served by guesses
 		c.wrong(keyOf(m[0]), "%s", m[1])
 	}
+	seen := map[string]bool{}
+	for i := 0; s.Shares != nil && i < len(s.Shares.Customers); i++ {
+		at, name := fmt.Sprintf("shares.customers[%d].name", i), s.Shares.Customers[i].Name
+		if c.name(at, name); seen[name] {
+			c.wrong(at, "a second customer is called %q", name)
+		}
+		seen[name] = true
+	}
 }
 
 // keyOf is this file's name for one of the decisions' settings.
 func keyOf(ours string) string {
 	if parts := strings.Split(ours, "."); parts[0] == "team" {
-		return "shares.customers[" + parts[1] + "]." + map[string]string{"name": "name", "quota": "rate"}[parts[2]]
+		return "shares.customers[" + parts[1] + "]." + "rate"
 	}
 	return map[string]string{"report.how": "engines.report", "report.figures": "engines.figures", "return.most": "engines.pause",
 		"budget.span": "engines.budget.span", "budget.share": "engines.budget.share", "own.location": "engines.location",
@@ -729,12 +741,8 @@
 			f[at+"name"], f[at+"quota"] = who.Name, num(who.Rate, 0)
 		}
 	}
-	may := e.May
-	if may == nil {
-		may = []string{"probe", "cancel", "copy", "grant", "prioritise", "name-return"}
-	}
-	for _, m := range may {
-		f["may."+m] = "true"
+	for _, m := range allowed {
+		f["may."+m] = strconv.FormatBool(e.May == nil || slices.Contains(e.May, m))
 	}
 	var kinds, cores, memory, threads, loads, waits []string
 	for _, k := range e.Kinds {
--- a/internal/terms/mixed.go
+++ b/internal/terms/mixed.go
@@ -6,59 +6,59 @@
 	"strings"
 )
 
-// Mixed says which settings contradict each other, each by our name for it and with
-// the reason. The shapes of deployment that the program serves differ in what engines
-// tell, what is allowed and whose shares there are; half of one and half of another,
-// as a file copied together has it, would be served by guesses.
-func Mixed(facts map[string]string) (all [][2]string) {
-	say := func(key, why string, args ...any) { all = append(all, [2]string{key, fmt.Sprintf(why, args...)}) }
+// Mixed says which settings contradict each other, each by our name for it and with what it
+// clashes with. The shapes of deployment that the program serves differ in what engines tell,
+// what is allowed and whose shares there are; half of one and half of another, as a file
+// copied together has it, would be served by guesses. What no reading serves is in refused: a
+// start on it would keep a rule by chance. Odd is what has a reading, though hardly the one
+// meant; a key that is left out or unknown is in neither.
+func Mixed(facts map[string]string) (refused, odd [][2]string) {
+	say := func(to *[][2]string, key, why string, args ...any) {
+		*to = append(*to, [2]string{key, fmt.Sprintf(why, args...)})
+	}
 	number := func(key string) float64 {
 		x, _ := strconv.ParseFloat(facts[key], 64)
 		return x
 	}
-	how := facts["report.how"]
-	reports := how != "" && how != "off"
-	if figures, given := facts["report.figures"]; given {
-		switch none := strings.Trim(figures, ",") == ""; {
-		case reports && none:
-			say("report.figures", "no figure, and reports are said to come (%s)", how)
-		case !reports && !none:
-			say("report.figures", "%s, and reports are said not to come", figures)
+	if share := number("budget.share"); share > 0 && number("budget.span") <= 0 {
+		say(&refused, "budget.span", "none, and %s gives further submissions a share of %v", Key("budget.share"), share)
+	}
+	teams := int(number("teams"))
+	if over, err := strconv.ParseFloat(facts["over.worth"], 64); teams > 0 && (err != nil || over < 0 || over > 1) {
+		say(&refused, "over.worth", "%q, and %s lists %d: what goes beyond a share is worth 0 to 1", facts["over.worth"], Key("teams"), teams)
+	}
+	for _, l := range [][2]string{{"loads", "groups"}, {"threads", "groups"}, {"waits", "groups"}, {"kind.cores", "kinds"}, {"kind.memory", "kinds"}} {
+		want := int(number(l[1]))
+		if l[1] == "kinds" && facts["kinds"] != "" {
+			want = strings.Count(facts["kinds"], ",") + 1
+		}
+		if have := strings.Count(facts[l[0]], ",") + 1; facts[l[0]] != "" && want > 0 && have != want {
+			say(&refused, l[0], "%d values, and there are %d in %s", have, want, Key(l[1]))
 		}
 	}
-	if how == "probed" && facts["may.probe"] != "true" {
-		say("report.how", "reports come by probe alone, and probes are not allowed")
+	how := facts["report.how"]
+	reports := how != "" && how != "off"
+	if figures, given := facts["report.figures"]; given && reports == (strings.Trim(figures, ",") == "") {
+		say(&odd, "report.figures", "%q, and %s is %q", figures, Key("report.how"), how)
 	}
-	if facts["may.name-return"] == "true" && number("return.most") <= 0 {
-		say("return.most", "clients may be told when to come back, and there is no longest time")
+	if how == "probed" && facts["may.probe"] == "false" {
+		say(&odd, "report.how", "reports come by probe alone, and %s forbids probes", Key("may.probe"))
 	}
-	switch span, share, least := number("budget.span"), number("budget.share"), number("budget.least"); {
-	case span <= 0 && share > 0:
-		say("budget.span", "further submissions have a share of %v, of no time", share)
-	case span > 0 && share <= 0 && least <= 0:
-		say("budget.share", "further submissions are counted over %v ms, and none is allowed", span)
+	if most, given := facts["return.most"]; given && facts["may.name-return"] == "true" && number("return.most") <= 0 {
+		say(&odd, "return.most", "%s, and %s says that clients may be told when to come back", most, Key("may.name-return"))
 	}
-	if places := strings.Split(facts["locations"], ","); facts["own.location"] != "" {
+	if places := strings.Split(facts["locations"], ","); facts["own.location"] != "" && facts["locations"] != "" {
 		if i, err := strconv.Atoi(facts["own.location"]); err != nil || i < 0 || i >= len(places) {
-			say("own.location", "%q is none of the %d locations", facts["own.location"], len(places))
+			say(&odd, "own.location", "%q is none of the %d in %s", facts["own.location"], len(places), Key("locations"))
 		}
 	}
-	seen := map[string]bool{}
-	teams := int(number("teams"))
 	for i := range teams {
 		at := "team." + strconv.Itoa(i) + "."
-		if name := facts[at+"name"]; name == "" || seen[name] {
-			say(at+"name", "%q: a customer has a name of its own", name)
+		if quota, given := facts[at+"quota"]; given && number(at+"quota") <= 0 {
+			say(&odd, at+"quota", "%s: a customer with a share of nothing has none", quota)
 		}
-		seen[facts[at+"name"]] = true
-		if number(at+"quota") <= 0 {
-			say(at+"quota", "a customer with a share of nothing")
-		}
-	}
-	if over, err := strconv.ParseFloat(facts["over.worth"], 64); teams > 0 && (err != nil || over < 0 || over > 1) {
-		say("over.worth", "%q: what goes beyond a share is worth 0 to 1", facts["over.worth"])
 	}
-	return all
+	return refused, odd
 }
 
 // Key is the wire's name for one of ours, as paths of its settings are written.
