--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -320,6 +320,16 @@
 	}
 }
 
+// servesBoth: a lookup and a load in order come back, one after the other.
+func (c *controller) servesBoth() {
+	c.t.Helper()
+	a := c.client()
+	a.ask("lookup", "0001", "9000", "")
+	a.expect(1, "0001\tfirst")
+	a.ask("load", "0002", "9000", "k")
+	a.expect(2, "0002\tfirst")
+}
+
 // answer reads one: the message's number, and the error's name or the body.
 func (c *client) answer() (byte, string) {
 	c.t.Helper()
@@ -808,12 +818,7 @@
 	e, f := newStand(t, serves(false)), newFeed(t)
 	odd := strings.NewReplacer(`"balancers":1`, `"balancers":0`, `"effect":"non_idempotent"`, `"effect":"whatever"`,
 		`"objective_ms":3000.0`, `"objective_ms":"soon"`).Replace(settings)
-	c := startWith(t, odd, 64, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"), entry("e2", e.address(), "WHATEVER"))
-	a := c.client()
-	a.ask("lookup", "0001", "9000", "")
-	a.expect(1, "0001\tfirst")
-	a.ask("load", "0002", "9000", "k")
-	a.expect(2, "0002\tfirst")
+	startWith(t, odd, 64, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"), entry("e2", e.address(), "WHATEVER")).servesBoth()
 }
 
 func TestWhatIsOddInSettings(t *testing.T) {
--- a/cmd/railrelay/shape_test.go
+++ b/cmd/railrelay/shape_test.go
@@ -32,11 +32,7 @@
 			t.Fatal("nothing is other in ", name)
 		}
 		c := startWith(t, text, 64, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
-		a := c.client()
-		a.ask("lookup", "0001", "9000", "")
-		a.expect(1, "0001\tfirst")
-		a.ask("load", "0002", "9000", "k")
-		a.expect(2, "0002\tfirst")
+		c.servesBoth()
 	}
 }
 
@@ -101,7 +97,5 @@
 	e, f := newStand(t, serves(false)), newFeed(t)
 	c := startWith(t, strings.Replace(settings, `"may_probe":true`, `"may_probe":false`, 1), 64, f.Addr().String(), 256, "127.0.0.1:0",
 		entry("e1", e.address(), "SERVING"))
-	a := c.client()
-	a.ask("lookup", "0001", "9000", "")
-	a.expect(1, "0001\tfirst")
+	c.servesBoth()
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -608,33 +608,27 @@
 		case len(x.Customers) == 0:
 			c.wrong("shares.customers", "is missing: leave shares out where nobody has one")
 		}
+		seen := map[string]bool{}
+		for i, who := range x.Customers {
+			at := fmt.Sprintf("shares.customers[%d].", i)
+			if c.name(at+"name", who.Name); seen[who.Name] {
+				c.wrong(at+"name", "a second customer is called %q", who.Name)
+			}
+			seen[who.Name] = true
+			c.number(at+"rate", who.Rate, 1e-9, 1e9)
+		}
 	}
 	if len(c.faults) > 0 {
 		return // what is wrong by itself needn't be told as a mix, too
 	}
 	refused, odd := terms.Mixed(s.facts())
 	for _, m := range append(refused, odd...) { // a file of our own needn't be served by guesses
-		c.wrong(keyOf(m[0]), "%s", m[1])
-	}
-	seen := map[string]bool{}
-	for i := 0; s.Shares != nil && i < len(s.Shares.Customers); i++ {
-		at, name := fmt.Sprintf("shares.customers[%d].name", i), s.Shares.Customers[i].Name
-		if c.name(at, name); seen[name] {
-			c.wrong(at, "a second customer is called %q", name)
-		}
-		seen[name] = true
+		c.wrong(keys[m[0]], "%s", m[1])
 	}
 }
 
-// keyOf is this file's name for one of the decisions' settings.
-func keyOf(ours string) string {
-	if parts := strings.Split(ours, "."); parts[0] == "team" {
-		return "shares.customers[" + parts[1] + "]." + "rate"
-	}
-	return map[string]string{"report.how": "engines.report", "report.figures": "engines.figures", "return.most": "engines.pause",
-		"budget.span": "engines.budget.span", "budget.share": "engines.budget.share", "own.location": "engines.location",
-		"over.worth": "shares.over"}[ours]
-}
+// keys are this file's names for what can still clash once each field is well by itself.
+var keys = map[string]string{"report.how": "engines.report", "report.figures": "engines.figures", "budget.span": "engines.budget.span"}
 
 // overlap finds what is there of a prefix, wider or narrower.
 func overlap(t *bart.Table[owner], p netip.Prefix) (owner, bool) {
