What the fleet's parts say to each other: entries, orders, reports, messages, the word

Need: the record, the peers, the reducer and the commands are built side by side and must fit. Change: types only, each with its bounds and its meaning, and the word that a submission looks at before it is written. Nothing uses them yet.

--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,276 @@
+// Package fleet is what controllers agree on: one ordered record of what the fleet
+// has decided, the state that follows from it, and what passes between the parts of
+// a controller because of it. It is pure: no I/O, clock or goroutine. Times are spans
+// since the program's start unless a name says wall (milliseconds since 1970).
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Remedied is an error of the fleet's parts: it says what an operator can do.
+type Remedied interface {
+	error
+	Remedy() string
+}
+
+// What an Entry decides.
+const (
+	Join        = "join"        // Member may hold leases from now on
+	Forget      = "forget"      // the disk of Name is destroyed: that name and disk never serve again
+	Propose     = "propose"     // a change of policy is under way: every controller checks it and keeps it
+	Close       = "close"       // all stop deciding by the version before it
+	Force       = "force"       // decided: all begin with the version after
+	Withdraw    = "withdraw"    // it never acts anywhere
+	Settle      = "settle"      // all that may serve serve by it: the operator is told
+	Purge       = "purge"       // what is kept of a team goes, on every controller
+	Unreachable = "unreachable" // no controller serves it any more
+	Erased      = "erased"      // gone from every memory and disk
+	Bind        = "bind"        // a load took bound tables into others: these are bound, too
+	Emergency   = "emergency"   // all inside a rule's sites is lost: its further sites are allowed
+	Calm        = "calm"        // the emergency ends
+)
+
+// Entry is one decision of the record. What a kind doesn't need is left out. ID is
+// what it is asked for again by: a second entry of a kind with the same ID changes nothing.
+type Entry struct {
+	Kind    string   `cbor:"1,keyasint"`
+	ID      string   `cbor:"2,keyasint,omitempty"`
+	By      string   `cbor:"3,keyasint,omitempty"` // an operator, a team, or the fleet itself
+	Name    string   `cbor:"4,keyasint,omitempty"` // of a controller (Join, Forget) or of a rule (Emergency, Calm)
+	Member  *Member  `cbor:"5,keyasint,omitempty"`
+	Base    uint64   `cbor:"6,keyasint,omitempty"`  // Propose: the version it is made against
+	Policy  []byte   `cbor:"7,keyasint,omitempty"`  // Propose: the file's text
+	AtMost  int64    `cbor:"8,keyasint,omitempty"`  // Propose: milliseconds until it is withdrawn, 0: never
+	Why     string   `cbor:"9,keyasint,omitempty"`  // Withdraw
+	Scope   *Scope   `cbor:"10,keyasint,omitempty"` // Purge
+	Team    string   `cbor:"11,keyasint,omitempty"` // Bind
+	Tables  []int64  `cbor:"12,keyasint,omitempty"` // Bind: bound from now on
+	From    []int64  `cbor:"13,keyasint,omitempty"` // Bind: whose boundary they follow
+	Counts  *Counts  `cbor:"14,keyasint,omitempty"` // Erased
+	Wall    int64    `cbor:"15,keyasint,omitempty"` // when it was asked for, by the clock of who asked
+	Voters  []string `cbor:"16,keyasint,omitempty"` // Force: who votes from now on, as name=address; empty: as before
+	Settles string   `cbor:"17,keyasint,omitempty"` // Purge: the change or emergency that it is part of
+}
+
+// Scope is what of a team a purge means.
+type Scope struct {
+	Team    string   `cbor:"1,keyasint"`
+	Tables  []int64  `cbor:"2,keyasint,omitempty"` // table groups, none: all
+	Before  int64    `cbor:"3,keyasint,omitempty"` // wall time it was kept before, 0: whenever
+	Outside []string `cbor:"4,keyasint,omitempty"` // only on controllers that are in none of these sites; none: on all
+}
+
+// Counts are what a purge found.
+type Counts struct {
+	Results int64 `cbor:"1,keyasint"` // kept results
+	Answers int64 `cbor:"2,keyasint"` // cached answers
+	Bytes   int64 `cbor:"3,keyasint"`
+}
+
+// Add adds what another controller found.
+func (c *Counts) Add(o Counts) {
+	c.Results, c.Answers, c.Bytes = c.Results+o.Results, c.Answers+o.Answers, c.Bytes+o.Bytes
+}
+
+// Member is a controller that may hold leases.
+type Member struct {
+	Name      string `cbor:"1,keyasint"`
+	Disk      string `cbor:"2,keyasint"` // its directory's own name, drawn when it was made
+	Site      string `cbor:"3,keyasint,omitempty"`
+	Peer      string `cbor:"4,keyasint"`           // where its peers reach it
+	Clients   string `cbor:"5,keyasint,omitempty"` // where clients reach it
+	Forgotten bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// Word is what a query looks at: may this controller decide now, and by which version.
+// The reducer sets it; whoever writes a submission asks again right before. A controller
+// without peers has none.
+type Word struct {
+	version atomic.Uint64 // 0: closed
+	until   atomic.Int64  // when the lease ends
+	bound   atomic.Int64  // and that for bound teams
+	inside  atomic.Int64  // submissions being written
+}
+
+// Forever is a lease without an end.
+const Forever = time.Duration(1<<63 - 1)
+
+// Set opens it by a version; 0 closes it.
+func (w *Word) Set(version uint64) { w.version.Store(version) }
+
+// Lease says until when it holds, and until when for the queries of bound teams.
+func (w *Word) Lease(until, bound time.Duration) {
+	w.until.Store(int64(until))
+	w.bound.Store(int64(bound))
+}
+
+// May tells the version to decide by, 0 if this controller may not decide.
+func (w *Word) May(now time.Duration, bound bool) uint64 {
+	if now >= time.Duration(w.until.Load()) || bound && now >= time.Duration(w.bound.Load()) {
+		return 0
+	}
+	return w.version.Load()
+}
+
+// Enter is asked right before a submission decided by a version is written. If it
+// says yes, Leave must follow once it is written.
+func (w *Word) Enter(now time.Duration, version uint64, bound bool) bool {
+	w.inside.Add(1) // before the look: who closes it waits for those inside
+	if version == 0 || w.May(now, bound) != version {
+		w.inside.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Leave ends what Enter began.
+func (w *Word) Leave() { w.inside.Add(-1) }
+
+// Idle: nothing is being written that was decided before it was closed.
+func (w *Word) Idle() bool { return w.inside.Load() == 0 }
+
+// What an Order asks the reducer for. Orders come in the order that the record has them.
+type OrderKind int
+
+const (
+	Shut     OrderKind = iota // stop deciding; report Closed with Change once nothing is being written
+	Open                      // decide by Version and Policy; report Opened
+	Renewed                   // the lease holds Until, for bound teams UntilBound
+	Drop                      // purge Scope: nothing of it that was asked for before Index comes out any more; report Unreached, then Wiped
+	Pictured                  // Picture holds from now on
+	Answered                  // what the reducer asked for by a Report came to Reply
+)
+
+// Order is one thing for the reducer. It goes through a bounded ring; a full ring makes
+// the fleet's side wait, never the reducer.
+type Order struct {
+	Kind              OrderKind
+	Change            string // Shut
+	Version           uint64 // Open
+	Policy            any    // Open: what the set-up made of the text
+	Until, UntilBound time.Duration
+	ID                string // Drop: of the purge; Answered: as in the Report
+	Scope             *Scope
+	Index             uint64 // Drop: its place in the record
+	Picture           *Picture
+	Reply             *Reply
+}
+
+// Picture is what of the record the reducer's own decisions need. It is never changed
+// once it was handed out.
+type Picture struct {
+	Index       uint64            // of the record: what is taken now is taken after it
+	Bindings    []Binding         // tables bound because a load took bound ones into them
+	Emergencies map[string]uint64 // rules whose further sites are allowed, with the place where that began
+	Members     []Member          // who else there is, and where
+}
+
+// Binding is one entry of Bind.
+type Binding struct {
+	Team   string  `cbor:"1,keyasint"`
+	Tables []int64 `cbor:"2,keyasint"`
+	From   []int64 `cbor:"3,keyasint"`
+}
+
+// What a Report tells the fleet's side.
+type ReportKind int
+
+const (
+	Closed    ReportKind = iota // Change: nothing by the old version is being decided or written
+	Opened                      // Version
+	Unreached                   // ID: a purge; nothing from before comes out any more
+	Wiped                       // ID: gone from memory and disk here, with Counts
+	Sites                       // Sites that have engines which serve, Outside: submissions of bound teams that run outside their sites
+	Wanted                      // Ask: answered by an Answered order with the same ID
+)
+
+// Report is one thing that the reducer tells. It goes through a bounded ring that the
+// reducer never waits for: one that is full drops Sites (it comes again) and keeps the
+// others in the reducer until there is room.
+type Report struct {
+	Kind    ReportKind
+	ID      string
+	Change  string
+	Version uint64
+	Counts  Counts
+	Sites   []string
+	Outside int
+	Ask     *Ask
+}
+
+// Ask is what an operator, a customer or the reducer wants of the fleet.
+type Ask struct {
+	Kind   string `json:"kind"` // "apply", "purge", "forget", "bind", "status"
+	ID     string `json:"id"`   // of the change or purge; drawn by who asks
+	By     string `json:"by,omitempty"`
+	Base   uint64 `json:"base,omitempty"`
+	Policy []byte `json:"policy,omitempty"`
+	Name   string `json:"name,omitempty"` // forget
+	Scope  *Scope `json:"scope,omitempty"`
+	Team   string `json:"team,omitempty"` // bind; purge and status by a customer: only its own runs are told of
+	// Tables are bound by a bind, From is what they follow.
+	Tables []int64 `json:"tables,omitempty"`
+	From   []int64 `json:"from,omitempty"`
+	AtMost int64   `json:"at_most_ms,omitempty"` // milliseconds: a change not in force by then is withdrawn
+	Wait   int64   `json:"wait_ms,omitempty"`    // milliseconds until the answer is "not known yet"
+	Until  string  `json:"until,omitempty"`      // the word waited for: "" the last one; purge: "unreachable"
+}
+
+// Reply is the word on an Ask. Word is one of: in force, withdrawn, refused, settled,
+// unreachable, purged, forgotten, bound, unknown (not known yet: ask again by id).
+type Reply struct {
+	ID          string   `json:"id"`
+	Word        string   `json:"word"`
+	Why         string   `json:"why,omitempty"`
+	Remedy      string   `json:"remedy,omitempty"`
+	Version     uint64   `json:"version,omitempty"`
+	Stage       string   `json:"stage,omitempty"` // how far a run has come: proposed, closing, decided, unreachable ...
+	Counts      *Counts  `json:"counts,omitempty"`
+	Outstanding []string `json:"outstanding,omitempty"` // controllers that are waited for, as far as is known here
+	Status      *Status  `json:"status,omitempty"`
+}
+
+// Exit is the status that scripts see: 0 done, 3 not done and never will be, 4 not known yet.
+func (r *Reply) Exit() int {
+	switch r.Word {
+	case "unknown":
+		return 4
+	case "withdrawn", "refused":
+		return 3
+	}
+	return 0
+}
+
+// Status is how a controller sees the fleet.
+type Status struct {
+	Name        string         `json:"name"`
+	Leader      string         `json:"leader,omitempty"`
+	Index       uint64         `json:"index"`
+	Version     uint64         `json:"version"`
+	Serves      bool           `json:"serves"`
+	LeaseMS     int64          `json:"lease_ms"` // what is left of it; -1: without an end
+	Change      *Reply         `json:"change,omitempty"`
+	Members     []MemberStatus `json:"members"`
+	Purges      []Reply        `json:"purges,omitempty"`
+	Emergencies []string       `json:"emergencies,omitempty"`
+	Bindings    []Binding      `json:"bindings,omitempty"`
+	Counts      map[string]int `json:"counts,omitempty"` // what was refused on the peers' wire, and such
+}
+
+// MemberStatus is one controller as the leader sees it; elsewhere only what the record says.
+type MemberStatus struct {
+	Member
+	Votes   bool   `json:"votes"`
+	Holds   bool   `json:"holds"` // it may hold a lease
+	Applied uint64 `json:"applied,omitempty"`
+}
+
+// Watched is a placement rule that names further sites for the loss of all inside.
+type Watched struct {
+	Rule   string
+	Team   string
+	Inside []string
+	After  time.Duration // all engines inside are lost for so long, or there again
+}
--- /dev/null
+++ b/internal/fleet/node/api.go
@@ -0,0 +1,133 @@
+// Package node is one controller's part in the fleet: it follows the record, votes if
+// it is named to, holds or grants leases, drives what is under way while it leads, and
+// says what its reducer is to do. It is a pure core: events and times in, effects out.
+package node
+
+import (
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+)
+
+// Begin is what it starts with.
+type Begin struct {
+	Self       fleet.Member
+	Voters     []agree.Voter // by the set-up; the record's go before these
+	Lease      time.Duration // 0: without an end
+	LeaseBound time.Duration // for bound teams; 0: as Lease
+	Drift      float64       // clocks differ by at most this part of a span: 0.01
+	Election   time.Duration
+	Heartbeat  time.Duration
+	Seed       uint64
+	Boot       uint64 // drawn anew at each start
+	Kept       agree.Kept
+	KeepAtMost int // records kept before a snapshot replaces them
+}
+
+// What an Event tells.
+type EventKind int
+
+const (
+	Woken    EventKind = iota // the time asked for has come
+	Came                      // Message from a peer
+	Stored                    // the last Store is on disk, synced
+	Checked                   // Change can be taken, or not: Why; Policy and Watched are what became of its text
+	Reported                  // by the reducer
+	Asked                     // Ask by an operator: answered by a Told with the same Handle
+	Gone                      // who asked by Handle waits no more
+)
+
+type Event struct {
+	Kind    EventKind
+	Message *Message
+	Change  string
+	Why     string
+	Policy  any
+	Watched []fleet.Watched
+	Voters  []string // Checked: who votes by this policy, as name=address; none: as before
+	Report  fleet.Report
+	Ask     *fleet.Ask
+	Handle  uint64
+}
+
+// What an Effect asks for.
+type EffectKind int
+
+const (
+	Send  EffectKind = iota // Message to the controller To at Address; it may be lost
+	Store                   // Kept, synced; then a Stored
+	Check                   // Text, the policy of Change against the set-up; then a Checked. "" is the set-up's own policy
+	Order                   // for the reducer, in this order
+	Told                    // Reply to who asked by Handle
+	Wake                    // a Woken Within a time; only the last one asked for
+	Say                     // for the log, Loud if it is to be seen without being asked for
+)
+
+type Effect struct {
+	Kind    EffectKind
+	To      string
+	Address string
+	Message *Message
+	Kept    *agree.Kept
+	Change  string
+	Text    []byte
+	Order   fleet.Order
+	Handle  uint64
+	Reply   *fleet.Reply
+	Within  time.Duration
+	Loud    bool
+	Line    string
+	Err     fleet.Remedied // with Say, where there is one
+}
+
+// Message is what passes between controllers. One that is lost, doubled or late does
+// no harm. What a kind doesn't need is left out.
+type Message struct {
+	From, To string
+	Disk     string     `cbor:",omitempty"` // of who sent it
+	Agree    []byte     `cbor:",omitempty"` // for agreement
+	Renew    *Renew     `cbor:",omitempty"`
+	Grant    *Grant     `cbor:",omitempty"`
+	Follow   *Follow    `cbor:",omitempty"`
+	Ask      *fleet.Ask `cbor:",omitempty"` // passed on to who leads; what comes of it is seen in the record
+	Lacks    *Lacks     `cbor:",omitempty"`
+}
+
+// Renew asks for a lease and tells how far its sender has come.
+type Renew struct {
+	Member    fleet.Member
+	Boot      uint64
+	Seq       uint64
+	Sent      int64                   // nanoseconds by the sender's clock: given back as it is
+	Applied   uint64                  // of the record
+	Version   uint64                  // that its reducer decides by, 0: none
+	Ready     map[string]string       `cbor:",omitempty"` // changes that were checked: why not, "" if they can be taken
+	Closed    string                  `cbor:",omitempty"` // the change that it has stopped deciding for
+	Unreached []string                `cbor:",omitempty"` // purges of which nothing comes out here any more
+	Wiped     map[string]fleet.Counts `cbor:",omitempty"`
+	Sites     []string                `cbor:",omitempty"` // that have engines which serve
+	Outside   int                     `cbor:",omitempty"`
+}
+
+// Grant answers a Renew.
+type Grant struct {
+	Seq    uint64
+	Sent   int64
+	Boot   uint64
+	Given  bool
+	Index  uint64 // the lease counts once the record up to here is applied
+	Leader string // who to ask instead, "": not known
+	Why    string // refused for good: the name or the disk is forgotten, or another's
+}
+
+// Follow brings the record to those who don't vote.
+type Follow struct {
+	Snapshot *agree.Snapshot `cbor:",omitempty"`
+	Records  []agree.Record  `cbor:",omitempty"`
+	Decided  uint64
+	Leader   string
+}
+
+// Lacks says from where on a follower lacks records.
+type Lacks struct{ From uint64 }
