What a fleet's joint history must hold: six invariants and one order of all words

Processes that fail together break promises that no one of them sees. The checker judges acts by version, words, purges, disks and places from outside, on one clock, and shows the shortest stretch; words on changes are put in one order by a linearizability checker.

--- /dev/null
+++ b/internal/check/fleet.go
@@ -0,0 +1,386 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// What a fleet's history can be found to break.
+const (
+	Mixed            = "mixed"             // something was done by a version after something was by a later one
+	Half             = "half"              // what was withdrawn acted, or what was in force didn't
+	FalseWord        = "false_word"        // the word on a change or purge was another one later
+	ServedAfter      = "served_after"      // what a purge had made unreachable came out
+	ConfirmedWrongly = "confirmed_wrongly" // a disk held what was told to be purged
+	Crossed          = "crossed"           // a bound team's query ran outside its sites
+)
+
+// Kinds are all of them.
+var Kinds = []string{Mixed, Half, FalseWord, ServedAfter, ConfirmedWrongly, Crossed}
+
+// Step is one thing that happened: what it was about is what it's found again by.
+type Step struct {
+	At    time.Duration
+	What  string
+	About []string
+}
+
+func (s Step) String() string { return fmt.Sprintf("%12v  %s", s.At, s.What) }
+
+// Fault is one invariant broken, with the shortest stretch of the history that shows it.
+type Fault struct {
+	Kind    string
+	What    string
+	Stretch []Step
+}
+
+func (f Fault) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s", f.Kind, f.What)
+	for _, s := range f.Stretch {
+		fmt.Fprintf(&b, "\n  %v", s)
+	}
+	return b.String()
+}
+
+// Fleet is the joint history of many controllers on one clock, as engines, clients and
+// operators saw it; each step is checked as it comes. Steps of one kind come in the
+// order of their times.
+type Fleet struct {
+	// Slack is how far apart two sights of one moment can lie: 0 in virtual time, on a
+	// machine what a reader may sleep. What was asked for after a sight is judged by it
+	// without any.
+	Slack  time.Duration
+	Faults []Fault
+	// Counts of what arose: a run in which nothing did shows nothing.
+	Acts, Changes, Withdrawn, Purges, Bound int
+
+	steps   []Step
+	first   map[uint64]sight // the first act by each version
+	changes map[string]*change
+	forced  map[uint64]string // the change that made a version
+	purges  map[string]*purge
+	drawn   map[string]draw
+	rules   []ruled
+	loosed  []loosed
+}
+
+type sight struct {
+	at   time.Duration
+	step int
+}
+
+type change struct {
+	word    string
+	version uint64
+	at      time.Duration
+	step    int
+}
+
+type purge struct {
+	scope       fleet.Scope
+	asked       time.Duration
+	unreachable sight
+	purged      sight
+	counts      fleet.Counts
+	said        bool
+}
+
+type draw struct {
+	at     time.Duration
+	team   string
+	tables []int64
+}
+
+// Rule is what binds a team's tables to sites; none of the tables: all of the team's.
+type Rule struct {
+	Team   string
+	Tables []int64
+	Sites  []string
+}
+
+// ruled is a set of rules that could be in force in a span.
+type ruled struct {
+	change   string
+	rules    []Rule
+	from, to time.Duration // to: once the next one was told to be in force
+}
+
+// loosed is a span in which a team's queries may run at further sites.
+type loosed struct {
+	team     string
+	sites    []string
+	from, to time.Duration
+}
+
+const never = time.Duration(1<<63 - 1)
+const stepsMost = 400_000
+
+// Note keeps a step that nothing is judged by, for the stretch that is shown.
+func (f *Fleet) Note(now time.Duration, what string, about ...string) int {
+	if len(f.steps) > stepsMost { // a long schedule: what is old is not shown any more
+		return len(f.steps) - 1
+	}
+	f.steps = append(f.steps, Step{now, what, about})
+	return len(f.steps) - 1
+}
+
+// broken notes a fault between two steps, with what lies between them and is about the
+// same things.
+func (f *Fleet) broken(kind, what string, from, to int) {
+	if len(f.Faults) >= faultsMost {
+		return
+	}
+	x := Fault{Kind: kind, What: what}
+	if from >= 0 && from < len(f.steps) {
+		x.Stretch = append(x.Stretch, f.steps[from])
+	}
+	about := append(slices.Clone(f.steps[max(from, 0)].About), f.steps[to].About...)
+	var between []Step
+	for i := max(from, 0) + 1; i < to; i++ {
+		if s := f.steps[i]; !strings.HasPrefix(s.What, "act ") && slices.ContainsFunc(s.About, func(a string) bool { return slices.Contains(about, a) }) {
+			between = append(between, s)
+		}
+	}
+	if len(between) > 12 {
+		between = between[len(between)-12:]
+	}
+	x.Stretch = append(append(x.Stretch, between...), f.steps[to])
+	f.Faults = append(f.Faults, x)
+}
+
+// Count is how often a kind was broken.
+func (f *Fleet) Count(kind string) (n int) {
+	for _, x := range f.Faults {
+		if x.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *Fleet) made() {
+	if f.first == nil {
+		f.first, f.changes, f.forced = map[uint64]sight{}, map[string]*change{}, map[uint64]string{}
+		f.purges, f.drawn = map[string]*purge{}, map[string]draw{}
+	}
+}
+
+// Acted: a controller took, released or submitted a query by a version. asked is when
+// its client asked; what was asked for after a later version was seen is judged without
+// slack.
+func (f *Fleet) Acted(now, asked time.Duration, controller, query string, version uint64) {
+	f.made()
+	f.Acts++
+	step := f.Note(now, fmt.Sprintf("act of %s on %s by version %d", controller, query, version), controller, "version "+fmt.Sprint(version))
+	if _, had := f.first[version]; !had {
+		f.first[version] = sight{now, step}
+	}
+	for v, s := range f.first {
+		if v > version && (asked > s.at || now > s.at+f.Slack) {
+			f.broken(Mixed, fmt.Sprintf("%s acted by version %d, and version %d had acted %v before", controller, version, v, now-s.at), s.step, step)
+			return
+		}
+	}
+	for id, c := range f.changes {
+		if c.word == "in force" && c.version > version && asked > c.at {
+			f.broken(Half, fmt.Sprintf("%s acted by version %d on what was asked for %v after %s (version %d) was told to be in force",
+				controller, version, asked-c.at, id, c.version), c.step, step)
+			return
+		}
+	}
+}
+
+// ActedFor is Acted where only the change can be told that made the policy: one that
+// was withdrawn never acts.
+func (f *Fleet) ActedFor(now time.Duration, controller, query, id string) {
+	f.made()
+	step := f.Note(now, fmt.Sprintf("act of %s on %s by change %s", controller, query, id), controller, id)
+	if c := f.changes[id]; c != nil && final(c.word) && c.word != "in force" {
+		f.broken(Half, fmt.Sprintf("%s acted by %s, which was %s", controller, id, c.word), c.step, step)
+	}
+}
+
+func final(word string) bool { return word == "in force" || word == "withdrawn" || word == "refused" }
+
+// Changed: an operator got a word on a change, at the first asking or a later one.
+// "unknown" is no word, and a change that is settled has been in force.
+func (f *Fleet) Changed(now time.Duration, by, id, word string, version uint64) {
+	f.made()
+	step := f.Note(now, fmt.Sprintf("%s tells of %s: %s, version %d", by, id, word, version), id, by)
+	if word == "settled" {
+		word = "in force"
+	}
+	if !final(word) {
+		return
+	}
+	c := f.changes[id]
+	if c == nil {
+		c = &change{word: word, version: version, at: now, step: step}
+		f.changes[id] = c
+		switch word {
+		case "in force":
+			f.Changes++
+			if other, had := f.forced[version]; had {
+				f.broken(FalseWord, fmt.Sprintf("version %d was told to be %s and to be %s", version, other, id), f.changes[other].step, step)
+			}
+			f.forced[version] = id
+		case "withdrawn":
+			f.Withdrawn++
+		}
+		return
+	}
+	if (c.word == "in force") != (word == "in force") || word == "in force" && c.version != version {
+		f.broken(FalseWord, fmt.Sprintf("%s was told to be %s (version %d), and now %s (version %d)", id, c.word, c.version, word, version), c.step, step)
+	}
+}
+
+// PurgeAsked: a purge was asked for; what was drawn before is its.
+func (f *Fleet) PurgeAsked(now time.Duration, id string, scope fleet.Scope) {
+	f.made()
+	f.Note(now, "purge "+id+" of "+scope.Team+" asked for", id)
+	f.purges[id] = &purge{scope: scope, asked: now, unreachable: sight{at: never}, purged: sight{at: never}}
+}
+
+// PurgeTold: who asked was told unreachable or purged; other words are none.
+func (f *Fleet) PurgeTold(now time.Duration, by, id, word string, counts *fleet.Counts) {
+	f.made()
+	step := f.Note(now, fmt.Sprintf("%s tells of purge %s: %s", by, id, word), id, by)
+	p := f.purges[id]
+	if p == nil {
+		return
+	}
+	if word == "unreachable" || word == "purged" {
+		if p.unreachable.at == never {
+			p.unreachable = sight{now, step}
+		}
+	}
+	if word != "purged" && word != "refused" {
+		return
+	}
+	if word == "refused" && p.unreachable.at != never {
+		f.broken(FalseWord, "purge "+id+" was told to be done, and now refused", p.unreachable.step, step)
+		return
+	}
+	if word == "purged" && p.purged.at == never {
+		f.Purges++
+		p.purged = sight{now, step}
+	}
+	if counts != nil {
+		if p.said && p.counts != *counts {
+			f.broken(FalseWord, fmt.Sprintf("purge %s found %+v, and now %+v", id, p.counts, *counts), p.purged.step, step)
+		}
+		p.counts, p.said = *counts, true
+	}
+}
+
+// Drawn: an engine began to make an answer, whose bytes bear the query's name.
+func (f *Fleet) Drawn(now time.Duration, query, team string, tables ...int64) {
+	f.made()
+	f.Note(now, "an engine begins "+query, query)
+	if _, had := f.drawn[query]; !had {
+		f.drawn[query] = draw{now, team, tables}
+	}
+}
+
+func (p *purge) means(d draw) bool {
+	if p.scope.Team != d.team || d.at >= p.asked || p.scope.Before > 0 || len(p.scope.Outside) > 0 {
+		return false // by the wall or by places: judged where these are known
+	}
+	return len(p.scope.Tables) == 0 || slices.ContainsFunc(p.scope.Tables, func(t int64) bool { return slices.Contains(d.tables, t) })
+}
+
+// Served: bytes drawn by source came out of a controller's keeping, for what was asked
+// at a time: a page, or an answer that bears another query's name.
+func (f *Fleet) Served(now, asked time.Duration, controller, source string) {
+	f.made()
+	step := f.Note(now, controller+" serves what was drawn by "+source, controller, source)
+	for id, p := range f.purges {
+		if p.means(f.drawn[source]) && (asked > p.unreachable.at || p.unreachable.at != never && now > p.unreachable.at+f.Slack && f.Slack == 0) {
+			f.broken(ServedAfter, fmt.Sprintf("%s served %s, asked for %v after purge %s was told to be unreachable", controller, source, asked-p.unreachable.at, id),
+				p.unreachable.step, step)
+		}
+	}
+}
+
+// Held: a controller's disk was looked at and holds bytes drawn by source.
+func (f *Fleet) Held(now time.Duration, controller, source string) {
+	f.made()
+	step := f.Note(now, "the disk of "+controller+" holds "+source, controller, source)
+	for id, p := range f.purges {
+		if p.means(f.drawn[source]) && now > p.purged.at {
+			f.broken(ConfirmedWrongly, fmt.Sprintf("%s holds %s, and purge %s was told to be done", controller, source, id), p.purged.step, step)
+		}
+	}
+}
+
+// Rules: by a change, these could be in force from now on.
+func (f *Fleet) Rules(now time.Duration, change string, rules ...Rule) {
+	f.rules = append(f.rules, ruled{change, rules, now, never})
+}
+
+// RulesAre: a change was told to be in force; those before it hold no more for what is
+// asked from now on. One that was withdrawn never did.
+func (f *Fleet) RulesAre(now time.Duration, change string, inForce bool) {
+	i := slices.IndexFunc(f.rules, func(r ruled) bool { return r.change == change })
+	if i < 0 {
+		return
+	}
+	if !inForce {
+		f.rules = slices.Delete(f.rules, i, i+1)
+		return
+	}
+	for j := range f.rules {
+		if j != i && f.rules[j].from <= f.rules[i].from {
+			f.rules[j].to = min(f.rules[j].to, now)
+		}
+	}
+}
+
+// Loosed: a team's queries may run at further sites from now on, until Fastened.
+func (f *Fleet) Loosed(now time.Duration, team string, sites ...string) {
+	f.loosed = append(f.loosed, loosed{team, sites, now, never})
+}
+
+// Fastened ends what Loosed began, for what is asked from now on.
+func (f *Fleet) Fastened(now time.Duration, team string) {
+	for i := range f.loosed {
+		if f.loosed[i].team == team {
+			f.loosed[i].to = min(f.loosed[i].to, now)
+		}
+	}
+}
+
+// Ran: an engine at a site runs a team's query on tables, asked for at a time. Any set
+// of rules that could be in force from then to now may allow it.
+func (f *Fleet) Ran(now, asked time.Duration, controller, query, team, site string, tables ...int64) {
+	step := f.Note(now, fmt.Sprintf("%s of %s runs at %s, by %s", query, team, site, controller), query, team)
+	bound, allowed, any := false, false, false
+	for _, set := range f.rules {
+		if set.from > now || set.to < asked {
+			continue
+		}
+		any = true
+		ok := true
+		for _, r := range set.rules {
+			if r.Team == team && (len(r.Tables) == 0 || slices.ContainsFunc(r.Tables, func(t int64) bool { return slices.Contains(tables, t) })) {
+				bound = true
+				ok = ok && slices.Contains(r.Sites, site)
+			}
+		}
+		allowed = allowed || ok
+	}
+	if bound {
+		f.Bound++
+	}
+	for _, l := range f.loosed {
+		allowed = allowed || l.team == team && l.from <= now && asked <= l.to && slices.Contains(l.sites, site)
+	}
+	if any && !allowed {
+		f.broken(Crossed, fmt.Sprintf("%s sent %s of %s to %s", controller, query, team, site), -1, step)
+	}
+}
--- /dev/null
+++ b/internal/check/record.go
@@ -0,0 +1,115 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Word is one asking about a change and what came of it: the first asking proposes it,
+// later ones only ask again.
+type Word struct {
+	Client      int
+	From, To    time.Duration
+	ID          string
+	Base        uint64
+	Proposes    bool
+	Word        string // in force, withdrawn, refused; unknown: it may come yet, or never
+	Version     uint64 // in force
+	JustVersion bool   // no change is meant: a controller's own version was read, which may lag behind
+}
+
+// Agreed says whether there is one order of the changes that all words agree with, each
+// somewhere between its asking and its answer; it gives the words that have none.
+func Agreed(words []Word, within time.Duration) (bool, string) {
+	var ops []porcupine.Operation
+	for _, w := range words {
+		to := int64(w.To)
+		if w.Word == "unknown" {
+			if !w.Proposes {
+				continue // it tells nothing
+			}
+			to = 1 << 62 // it may come into force at any time from now on
+		}
+		ops = append(ops, porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: int64(w.From), Return: to})
+	}
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{record{}} },
+		Step: func(state, in, _ any) []any { return state.(record).step(in.(Word)) },
+		DescribeOperation: func(in, _ any) string {
+			w := in.(Word)
+			return fmt.Sprintf("%s against %d: %s %d", w.ID, w.Base, w.Word, w.Version)
+		},
+	}
+	plain := model.ToModel()
+	result := porcupine.CheckOperationsTimeout(plain, ops, within)
+	if result != porcupine.Illegal {
+		return true, "" // Unknown: it had no time to find out, and found nothing wrong
+	}
+	// the shortest beginning that has no order, by when the words came
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return int(a.Return - b.Return) })
+	least := len(ops)
+	for n := 1; n < len(ops); n++ {
+		if porcupine.CheckOperationsTimeout(plain, ops[:n], within/4) == porcupine.Illegal {
+			least = n
+			break
+		}
+	}
+	var b strings.Builder
+	for _, o := range ops[max(0, least-8):least] {
+		w := o.Input.(Word)
+		fmt.Fprintf(&b, "  %v to %v: %s\n", w.From, w.To, model.DescribeOperation(w, w))
+	}
+	return false, b.String()
+}
+
+// record is the state words are about: the version, and what became of each change.
+type record struct {
+	version uint64
+	settled string // ";id=word", in turn
+}
+
+func (r record) of(id string) string {
+	_, rest, had := strings.Cut(r.settled, ";"+id+"=")
+	if !had {
+		return ""
+	}
+	word, _, _ := strings.Cut(rest, ";")
+	return word
+}
+
+func (r record) step(w Word) []any {
+	if w.JustVersion {
+		if w.Version <= r.version || r.version == 0 {
+			return []any{r}
+		}
+		return nil
+	}
+	with := func(word string, version uint64) record {
+		return record{version, r.settled + ";" + w.ID + "=" + word}
+	}
+	had := r.of(w.ID)
+	force := fmt.Sprint("in force ", w.Version)
+	switch {
+	case w.Word == "in force" && had == force:
+		return []any{r}
+	case w.Word == "in force" && had == "" && (r.version == w.Base || r.version == 0) && w.Version == w.Base+1:
+		return []any{with(force, w.Version)}
+	case w.Word == "in force":
+		return nil
+	case w.Word == "unknown":
+		all := []any{r}
+		if had == "" && (r.version == w.Base || r.version == 0) {
+			all = append(all, with(fmt.Sprint("in force ", w.Base+1), w.Base+1))
+		}
+		return all
+	case had == "":
+		return []any{with("not", r.version)}
+	case had == "not":
+		return []any{r}
+	}
+	return nil
+}
