The reducer's side of the fleet: what it starts with, takes as orders and reports

The fleet's parts need one place in the reducer to meet: orders of the record come in there and reports go out. Without peers nothing of it exists.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"railrelay.dev/railrelay/internal/conn"
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/fair"
+	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/list"
 	"railrelay.dev/railrelay/internal/must"
 	"railrelay.dev/railrelay/internal/spool"
@@ -39,6 +40,9 @@
 	Tell                   // say the counters
 	Reload                 // Feed is where the list comes from now
 	Stored                 // Work is done
+	Ordered                // Order by the fleet
+	Untold                 // Report found no room: it is to be told again
+	Barred                 // what was guarded on Link wasn't written: it may not be any more. Its end follows
 )
 
 // Event is one thing that happened.
@@ -49,20 +53,24 @@
 	Feed string
 	Fair *fair.Shape // with Reload: the teams, nil to leave them as they are
 	Work *spool.Work
+
+	Order  *fleet.Order
+	Report *fleet.Report // with Untold
 }
 
 // What an Effect asks for.
 type Verb int
 
 const (
-	Dial  Verb = iota // Link to Address, up Within a time
-	Write             // Bytes, after all that was asked to be written before
-	Close             // Link, once what was asked to be written is out if Gently, or Within a time; with Abort what is not there yet never arrives
-	Wake              // a Woken Within a time; only the last one asked for
-	Say               // Text, Loud if it is to be seen without being asked for, Fine if only by those who trace
-	Count             // Text, the counters, with what N queries cost
-	Quit              // the program is done
-	Store             // Work, on the spool's disk
+	Dial   Verb = iota // Link to Address, up Within a time
+	Write              // Bytes, after all that was asked to be written before
+	Close              // Link, once what was asked to be written is out if Gently, or Within a time; with Abort what is not there yet never arrives
+	Wake               // a Woken Within a time; only the last one asked for
+	Say                // Text, Loud if it is to be seen without being asked for, Fine if only by those who trace
+	Count              // Text, the counters, with what N queries cost
+	Quit               // the program is done
+	Store              // Work, on the spool's disk
+	Report             // Report, to the fleet; an Untold if there is no room
 )
 
 // Effect is one thing to be done.
@@ -80,6 +88,11 @@
 	About   About // with Say
 	N       int
 	Work    *spool.Work
+	// with Write: the version these bytes were decided by, 0: none. They go out only
+	// while the fleet's word is that version, by the lease of bound teams if Bound.
+	Guard  uint64
+	Bound  bool
+	Report *fleet.Report
 }
 
 // About is what a line of the log is about; the log has each under its own name,
@@ -115,6 +128,7 @@
 	Fair     *fair.Shape // teams, nil: there are none and whoever comes first goes first
 	Words    Words
 	Spool    *Spool    // nil: results are answered whole
+	Fleet    *Fleet    // nil: it has no peers
 	Manners  []Manners // of clients, by address; whoever is in no set has the platform's
 	Started  time.Time // what the list's clock times are told against
 	Trace    bool      // say every call of every query: who reads it follows one id through what became of it
@@ -151,6 +165,7 @@
 	customers []string // by their places in the settings
 	fair      *fairness
 	paging    *paging
+	warrant   *warrant
 
 	buffered     int // memory of all connections' buffers
 	bufferedMost int
@@ -214,6 +229,9 @@
 	if means.Spool != nil {
 		r.paging = newPaging(r, means.Spool)
 	}
+	if means.Fleet != nil {
+		r.warrant = newWarrant(r, means.Fleet)
+	}
 	r.follow()
 	r.sweep()
 	r.settle()
@@ -285,6 +303,8 @@
 		r.count()
 	case Stored:
 		r.paging.did(ev.Work)
+	case Ordered:
+		r.warrant.ordered(ev.Order)
 	case Reload:
 		r.refeed(ev.Feed)
 		if r.fair != nil && ev.Fair != nil {
