A cache of finished answers by team and statement, as a pure core

Need: many who ask the same at once cost as many runs of an engine. internal/answers keeps finished answers of read-only queries for as long as it is told, by team, group and statement; the first of many leads and the others wait for it. Nothing mutating or tokened, nothing across teams, nothing past a load of its tables that was taken, nothing that was asked for before a purge and came after it. A model in rapid holds that nothing stale comes out and that bounds hold; a build tag plants a drawn answer that is kept over a purge, and the model finds it.

--- /dev/null
+++ b/internal/answers/answers_test.go
@@ -0,0 +1,304 @@
+package answers
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261202") // the same verdict every time
+	flag.Set("rapid.checks", "400")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// asker is one query as the model knows it: which changes of its tables and which purges
+// were over when it was asked.
+type asker struct {
+	*Ask
+	asked time.Duration
+	leads bool
+	// what the engine that runs it read
+	began time.Duration
+	index uint64
+	loads [4]int
+	over  bool
+}
+
+// world is all that really happened.
+type world struct {
+	t      *rapid.T
+	c      *Cache
+	now    time.Duration
+	index  uint64
+	loads  [4]int // begun and ended, by table group
+	inHand []int64
+	drops  []drop
+	asks   []*asker
+	out    []*asker // neither answered nor left
+	served int
+}
+
+type drop struct {
+	index uint64
+	scope fleet.Scope
+	wall  int64
+}
+
+// page is what an engine tells: who asked, and when it read what.
+type page struct {
+	team, statement string
+	began           time.Duration
+	index           uint64
+	loads           [4]int
+}
+
+func (w *world) begin(x *asker) {
+	x.leads, x.began, x.index, x.loads = true, w.now, w.index, w.loads
+}
+
+func (w *world) told(x *asker) [][]byte {
+	return [][]byte{fmt.Appendf(nil, "%s|%s|%d|%d|%v", x.Team, x.Statement, x.began, x.index, x.loads[:])}
+}
+
+// sees judges an answer that the cache gave to somebody who didn't run it.
+func (w *world) sees(x *asker, pages [][]byte) {
+	w.served++
+	var p page
+	var l string
+	parts := splitted(string(pages[0]))
+	p.team, p.statement, l = parts[0], parts[1], parts[4]
+	fmt.Sscan(parts[2], (*int64)(&p.began))
+	fmt.Sscan(parts[3], &p.index)
+	fmt.Sscanf(l, "[%d %d %d %d]", &p.loads[0], &p.loads[1], &p.loads[2], &p.loads[3])
+	if p.team != x.Team || p.statement != string(x.Statement) {
+		w.t.Fatalf("%s asked %s and was answered what %s asked, %s", x.Team, x.Statement, p.team, p.statement)
+	}
+	if x.asked >= p.began+w.c.Fresh {
+		w.t.Fatalf("asked at %v and answered from %v", x.asked, p.began)
+	}
+	for i := range 4 { // every load taken before it was asked
+		if (len(x.Tables) == 0 || slices.Contains(x.Tables, int64(i))) && p.loads[i] < x.before()[i] {
+			w.t.Fatalf("answered past a load of %d: %v of %v", i, p.loads, x.before())
+		}
+	}
+	for _, d := range w.drops {
+		if p.index < d.index && Within(&d.scope, x.Team, x.Tables, p.began.Milliseconds()) {
+			w.t.Fatalf("answered with what was drawn before a purge: %d, %d", p.index, d.index)
+		}
+	}
+}
+
+func (x *asker) before() [4]int { return x.Of.([4]int) }
+
+func splitted(s string) (l []string) {
+	for len(l) < 4 {
+		i := slices.Index([]byte(s), '|')
+		l, s = append(l, s[:i]), s[i+1:]
+	}
+	return append(l, s)
+}
+
+func (w *world) of(a *Ask) *asker {
+	i := slices.IndexFunc(w.out, func(x *asker) bool { return x.Ask == a })
+	if i < 0 || w.out[i].leads && a.run == nil {
+		w.t.Fatal("one is named that doesn't follow")
+	}
+	return w.out[i]
+}
+
+// changed: a load of a table group, or of any, began or ended.
+func (w *world) changed(n int64) {
+	for i := range w.loads {
+		if n < 0 || int64(i) == n {
+			w.loads[i]++
+		}
+	}
+}
+
+func (w *world) goes(x *asker) {
+	w.out = slices.DeleteFunc(w.out, func(y *asker) bool { return x == y })
+}
+
+func (w *world) check() {
+	count, size := 0, int64(0)
+	for _, l := range w.c.kept {
+		for _, k := range l {
+			count, size = count+1, size+k.size
+		}
+	}
+	byTeam, n := int64(0), 0
+	for _, t := range w.c.teams {
+		byTeam += t.bytes
+		for k := t.first; k != nil; k = k.new {
+			n++
+		}
+	}
+	if c, b, _ := w.c.Held(); c != count || b != size || byTeam != size || n != count || c > w.c.Count || b > w.c.Memory {
+		w.t.Fatalf("%d answers of %d bytes, told %d of %d, by team %d of %d", count, size, c, b, n, byTeam)
+	}
+	for _, x := range w.out {
+		if !x.leads && x.run == nil && w.now < x.Until {
+			w.t.Fatal("one follows nobody and was not told")
+		}
+	}
+}
+
+func TestModel(t *testing.T) {
+	total, hits, struck, purged := 0, 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		c, err := New(Limits{Fresh: 3 * time.Second, Memory: 4000, Count: 8, Answer: 600, Team: 0.4}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &world{t: t, c: c}
+		lead := func(l ...*Ask) {
+			for _, a := range l {
+				if a != nil {
+					w.begin(w.of(a))
+				}
+			}
+		}
+		for range 120 {
+			w.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			switch what := rapid.IntRange(0, 19).Draw(t, "what"); {
+			case what < 9:
+				n := rapid.IntRange(0, 5).Draw(t, "statement")
+				x := &asker{asked: w.now, Ask: &Ask{Team: rapid.SampledFrom([]string{"linz", "steyr"}).Draw(t, "team"), Group: n % 2, Index: w.index,
+					Statement: fmt.Appendf(nil, "select %d", n), Until: w.now + 2*time.Second, Of: w.loads}}
+				if n < 4 {
+					x.Tables = []int64{int64(n), int64((n + 1) % 4)}
+				}
+				v, pages := c.Ask(w.now, x.Ask)
+				switch v {
+				case Hit:
+					hits++
+					w.sees(x, pages)
+				case Lead:
+					w.begin(x)
+					fallthrough
+				case Follow:
+					w.out = append(w.out, x)
+				case Pass:
+					if len(w.inHand) == 0 {
+						t.Fatal("passed, and nothing is being loaded")
+					}
+				}
+			case what < 15 && len(w.out) > 0:
+				x := w.out[rapid.IntRange(0, len(w.out)-1).Draw(t, "one")]
+				w.goes(x)
+				if !x.leads || what == 14 || w.now >= x.Until {
+					lead(c.Left(w.now, x.Ask))
+					break
+				}
+				pages := w.told(x)
+				for _, o := range c.Finished(w.now, x.Ask, pages) {
+					f := w.of(o)
+					w.goes(f)
+					w.sees(f, pages)
+				}
+			case what < 16:
+				n := int64(rapid.IntRange(-1, 3).Draw(t, "table"))
+				w.inHand = append(w.inHand, n)
+				w.changed(n)
+				c.Loading(w.now, tables(n))
+			case what < 18 && len(w.inHand) > 0:
+				c.Loaded(w.now, tables(w.inHand[0]))
+				w.changed(w.inHand[0])
+				w.inHand = w.inHand[1:]
+			case what < 19:
+				s := fleet.Scope{Team: "linz", Tables: tables(int64(rapid.IntRange(-1, 3).Draw(t, "table")))}
+				if rapid.Bool().Draw(t, "before") {
+					s.Before = max(1, (w.now - time.Second).Milliseconds())
+				}
+				w.index++
+				w.drops = append(w.drops, drop{index: w.index, scope: s})
+				_, next := c.Drop(w.now, &s, w.index)
+				lead(next...)
+			default:
+				c.Sweep(w.now)
+			}
+			w.check()
+		}
+		total += w.served
+		struck, purged = struck+c.Counts.Struck, purged+c.Counts.Purged
+	})
+	t.Logf("served %d, of them %d kept; struck %d, purged %d", total, hits, struck, purged)
+	if hits < 500 || total-hits < 200 || struck < 100 || purged < 100 {
+		t.Fatalf("too little arose: %d served, %d of them kept, %d struck, %d purged", total, hits, struck, purged)
+	}
+}
+
+func tables(n int64) []int64 {
+	if n < 0 {
+		return nil
+	}
+	return []int64{n}
+}
+
+// An answer drawn before a purge and ready after it is kept by nobody, and who followed
+// it is answered anew.
+func TestDrawnOverAPurge(t *testing.T) {
+	c, _ := New(Usual(), 0)
+	ask := func() *Ask {
+		return &Ask{Team: "linz", Statement: []byte("select 1"), Tables: []int64{3}, Until: time.Minute}
+	}
+	first, second := ask(), ask()
+	v1, _ := c.Ask(0, first)
+	v2, _ := c.Ask(0, second)
+	if v1 != Lead || v2 != Follow {
+		t.Fatal(v1, v2)
+	}
+	_, next := c.Drop(1, &fleet.Scope{Team: "linz", Tables: []int64{3}}, 1)
+	if others := c.Finished(2, first, [][]byte{[]byte("old")}); len(others) > 0 {
+		t.Error("a drawn answer is served over a purge")
+	}
+	if n, _, _ := c.Held(); n > 0 {
+		t.Error("a drawn answer is kept over a purge")
+	}
+	if len(next) != 1 || next[0] != second {
+		t.Error("who followed doesn't go its way")
+	}
+	if v, _ := c.Ask(3, ask()); v == Hit {
+		t.Error("what was drawn before a purge is served after it")
+	}
+}
+
+// A team beyond its share loses its own least used answers first.
+func TestShare(t *testing.T) {
+	l := Limits{Fresh: time.Minute, Memory: 4 * (overhead + 24 + 10 + 100), Count: 100, Answer: 1000, Team: 0.5}
+	c, _ := New(l, 0)
+	put := func(team string, n int) Verdict {
+		a := &Ask{Team: team, Statement: fmt.Appendf(nil, "select %03d", n), Tables: []int64{1}, Until: time.Hour}
+		v, _ := c.Ask(0, a)
+		c.Finished(0, a, [][]byte{make([]byte, 100)})
+		return v
+	}
+	put("steyr", 0)
+	for n := range 6 {
+		put("linz", n)
+	}
+	if put("steyr", 0) != Hit || put("linz", 5) != Hit || put("linz", 0) != Lead {
+		t.Error("not the least used of the team over its share went")
+	}
+}
+
+func TestErrors(t *testing.T) {
+	for _, l := range []Limits{{}, {Fresh: 1}, {Fresh: 1, Memory: 1}, {Fresh: 1, Memory: 1, Count: 1}, {Fresh: 1, Memory: 1, Count: 1, Answer: 1, Team: 2}} {
+		_, err := New(l, 0)
+		var u *Unusable
+		if !errors.As(err, &u) || u.Remedy() == "" {
+			t.Errorf("%+v: %v", l, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/answers/sound.go
@@ -0,0 +1,5 @@
+//go:build !planted_draw
+
+package answers
+
+const plantedDraw = false
