--- /dev/null
+++ b/cmd/railrelay/lean_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// The platform's program links nothing that would make its start heavy: what a fleet
+// needs is in the program that it becomes.
+func TestThePlatformsProgramStaysLean(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").CombinedOutput()
+	if err != nil {
+		t.Fatal(string(out))
+	}
+	for _, heavy := range []string{"net/http", "go.etcd.io/raft/v3", "google.golang.org/protobuf/proto", "crypto/tls"} {
+		if bytes.Contains(out, []byte("\n"+heavy+"\n")) {
+			t.Errorf("%s is linked", heavy)
+		}
+	}
+	e, f := newStand(t, serves(false)), newFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"))
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(c.cmd.Process.Pid) + "/status")
+	if err != nil {
+		t.Skip("this kernel doesn't tell what is resident")
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	if kb, err := strconv.Atoi(strings.Fields(rest)[0]); err != nil || kb > 9900 {
+		t.Errorf("%d kB resident after the start, %v", kb, err)
+	}
+}
--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -820,18 +820,3 @@
 		`"objective_ms":3000.0`, `"objective_ms":"soon"`).Replace(settings)
 	startWith(t, odd, 64, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.address(), "SERVING"), entry("e2", e.address(), "WHATEVER")).servesBoth()
 }
-
-func TestWhatIsOddInSettings(t *testing.T) {
-	lines := strings.Join(odd(map[string]string{"gateways": "0", "groups": "1", "group.0.effect": "whatever", "group.0.timeout": "5000"}), "\n")
-	for _, want := range []string{"settings.balancers", "settings.classes[0].name", `settings.classes[0].effect: "whatever"`, "settings.classes[0].objective_ms"} {
-		if !strings.Contains(lines, want) {
-			t.Errorf("%s is not said: %s", want, lines)
-		}
-	}
-	if strings.Contains(lines, "deadline_ms") {
-		t.Errorf("what is well is said: %s", lines)
-	}
-	if l := odd(nil); len(l) != 2 {
-		t.Errorf("with nothing at all: %q", l)
-	}
-}
--- a/cmd/railrelay/platform.go
+++ b/internal/program/platform.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"encoding/json"
@@ -89,7 +89,7 @@
 			g.Feed = next.Feed
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed}, nil
 		}, log)
-	}, log)
+	}, nil, log)
 }
 
 // odd says what the settings leave out or name wrongly, and what is done instead: a
--- /dev/null
+++ b/internal/program/platform_test.go
@@ -0,0 +1,21 @@
+package program
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestWhatIsOddInSettings(t *testing.T) {
+	lines := strings.Join(odd(map[string]string{"gateways": "0", "groups": "1", "group.0.effect": "whatever", "group.0.timeout": "5000"}), "\n")
+	for _, want := range []string{"settings.balancers", "settings.classes[0].name", `settings.classes[0].effect: "whatever"`, "settings.classes[0].objective_ms"} {
+		if !strings.Contains(lines, want) {
+			t.Errorf("%s is not said: %s", want, lines)
+		}
+	}
+	if strings.Contains(lines, "deadline_ms") {
+		t.Errorf("what is well is said: %s", lines)
+	}
+	if l := odd(nil); len(l) != 2 {
+		t.Errorf("with nothing at all: %q", l)
+	}
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,269 @@
+// Package program is the command line of a controller: it reads the environment or
+// the set-up, listens, and hands signals on.
+//
+// There are two programs of it. railrelay is what the platform starts; it links no
+// agreement and no HTTP, which alone would take eight megabytes more from the start
+// on. railrelay-fleet has these, too, and railrelay becomes it, by exec and in its own
+// place, where a set-up has a fleet part or `railrelay fleet` is asked for: the two
+// stand in one directory.
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/run"
+	"railrelay.dev/railrelay/internal/setup"
+	"railrelay.dev/railrelay/internal/store"
+)
+
+// Fleet is what a program has that can take part in a fleet.
+type Fleet struct {
+	// Command is `railrelay fleet` with all below it.
+	Command func() *cobra.Command
+	// Join opens what the set-up's fleet part names, and puts into means what the
+	// reducer needs of it.
+	Join func(have *setup.Setup, means *relay.Means, log zerolog.Logger) (Joined, error)
+}
+
+// Joined is one controller's part in the fleet.
+type Joined struct {
+	Serve func(ctx context.Context) error // until ctx ends
+	Again func() error                    // reads the key file again
+	Close func() error                    // the disk, once Serve is done
+}
+
+// Status is an error that ends the program with a status of its own.
+type Status struct {
+	Code int
+	error
+}
+
+// Unwrap gives what it is of.
+func (s Status) Unwrap() error { return s.error }
+
+// Main is the program. fleet is nil in the one that can't take part in any.
+func Main(fleet *Fleet) {
+	// before all else: a signal that nobody has asked for ends the program
+	signals := make(chan os.Signal, 64)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	if err := commands(signals, fleet).Execute(); err != nil {
+		var status Status
+		if errors.As(err, &status) {
+			if status.error != nil {
+				fmt.Fprintln(os.Stderr, status.error)
+			}
+			os.Exit(status.Code)
+		}
+		log := logger("", "")
+		log.Fatal().Err(err).Msg("railrelay ends")
+	}
+}
+
+// whole is the program that can take part in a fleet.
+const whole = "railrelay-fleet"
+
+// become makes this process that program, with the same arguments. It returns only
+// if that can't be done.
+func become() error {
+	own, err := os.Executable()
+	if err == nil {
+		own, err = filepath.EvalSymlinks(own)
+	}
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(own), whole)
+	return fmt.Errorf("%s, which takes part in fleets, must stand beside %s: %w", whole, own, syscall.Exec(path, os.Args, os.Environ()))
+}
+
+// commands is the command line. Without arguments it serves, as it always did.
+func commands(signals <-chan os.Signal, fleet *Fleet) *cobra.Command {
+	path := ""
+	start := func(*cobra.Command, []string) error {
+		if path != "" {
+			return serveSetup(path, signals, fleet)
+		}
+		return servePlatform(signals)
+	}
+	root := &cobra.Command{Use: "railrelay", Short: "A front for query engines with limited memory", Args: cobra.NoArgs,
+		Long: "A front for query engines with limited memory. Without a command it serves.", RunE: start,
+		SilenceUsage: true, SilenceErrors: true}
+	serve := &cobra.Command{Use: "serve", Short: "Serve as one controller, until SIGTERM", Args: cobra.NoArgs, RunE: start,
+		Long: "Serve as one controller. --setup names the product's YAML; without it ROUTER_CONFIG, ROUTER_LISTEN and ROUTER_NAME\n" +
+			"say what the platform wants. SIGHUP reads the file again, SIGUSR1 logs the counters, SIGTERM ends once all that was\n" +
+			"taken is answered."}
+	serve.Flags().StringVar(&path, "setup", "", "the set-up, YAML; deploy/railrelay.yaml shows all there is")
+	serve.MarkFlagFilename("setup", "yaml", "yml")
+	check := &cobra.Command{Use: "check FILE...", Short: "Check set-up files and say all that is wrong", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			bad := 0
+			for _, f := range files {
+				if _, err := setup.Load(f); err != nil {
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					bad++
+					continue
+				}
+				fmt.Fprintln(c.OutOrStdout(), f+": good")
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of %d files can't be used", bad, len(files))
+			}
+			return nil
+		}}
+	version := &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+		fmt.Fprintln(c.OutOrStdout(), "railrelay", built())
+	}}
+	root.AddCommand(serve, check, version, spoolCommand())
+	if fleet != nil {
+		root.AddCommand(fleet.Command())
+	} else {
+		root.AddCommand(&cobra.Command{Use: "fleet", Short: "See and change what the fleet has decided", DisableFlagParsing: true,
+			RunE: func(*cobra.Command, []string) error { return become() }})
+	}
+	return root
+}
+
+// built is what the program was made of.
+func built() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+			text += " " + s.Key[len("vcs."):] + " " + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
+}
+
+// logger writes to standard error, one JSON object a line. level is the least one
+// logged; RAILRELAY_LOG goes before it.
+func logger(name, level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000000Z07:00" // one id is followed through several controllers
+	if env := os.Getenv("RAILRELAY_LOG"); env != "" {
+		level = env
+	}
+	least, err := zerolog.ParseLevel(level)
+	if err != nil || least == zerolog.NoLevel {
+		least = zerolog.WarnLevel
+	}
+	if env := os.Getenv("ROUTER_NAME"); env != "" {
+		name = env
+	}
+	return zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("name", name).Logger()
+}
+
+// listen runs a controller until it is done, and beside it what goes along.
+func listen(address string, cores float64, means relay.Means, disk *store.Keeper, asked func(zerolog.Logger) <-chan relay.Event,
+	beside func(context.Context) error, log zerolog.Logger) error {
+	if address == "" {
+		return errors.New("no address to listen on")
+	}
+	means.Trace = log.GetLevel() <= zerolog.DebugLevel
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
+	debug.SetMemoryLimit(int64(means.MemoryMB * (1 << 20) * 3 / 4))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if beside == nil {
+		return run.Serve(context.Background(), listener, means, disk, asked(log), log)
+	}
+	group, ctx := errgroup.WithContext(context.Background())
+	ctx, done := context.WithCancel(ctx)
+	group.Go(func() error { return beside(ctx) })
+	group.Go(func() error {
+		defer done()
+		return run.Serve(ctx, listener, means, disk, asked(log), log)
+	})
+	return group.Wait()
+}
+
+// follow turns signals into what they ask for; again reads the configuration anew.
+func follow(signals <-chan os.Signal, again func() (relay.Event, error), log zerolog.Logger) <-chan relay.Event {
+	events := make(chan relay.Event)
+	go func() {
+		for s := range signals {
+			switch s {
+			case syscall.SIGUSR1:
+				events <- relay.Event{Kind: relay.Tell}
+			case syscall.SIGHUP:
+				ev, err := again()
+				if err != nil {
+					log.Log().Err(err).Msg("the configuration is kept as it was")
+					continue
+				}
+				log.Log().Str("feed", ev.Feed).Msg("the configuration was read again")
+				events <- ev
+			default:
+				events <- relay.Event{Kind: relay.Stop}
+			}
+		}
+	}()
+	return events
+}
+
+// serveSetup serves by the product's YAML.
+func serveSetup(path string, signals <-chan os.Signal, fleet *Fleet) error {
+	started := time.Now()
+	have, err := setup.Load(path)
+	if err != nil {
+		return err
+	}
+	if have.Fleet != nil && fleet == nil {
+		return become()
+	}
+	log := logger(have.Name, have.Log)
+	means := have.Means(started)
+	disk, err := have.OpenSpool(&means, log)
+	if err != nil {
+		return err
+	}
+	if disk != nil {
+		defer disk.Close()
+	}
+	var joined Joined
+	var beside func(context.Context) error
+	if have.Fleet != nil {
+		if joined, err = fleet.Join(have, &means, log); err != nil {
+			return err
+		}
+		defer joined.Close()
+		beside = joined.Serve
+	}
+	return listen(have.Listen, have.Cores(), means, disk, func(log zerolog.Logger) <-chan relay.Event {
+		return follow(signals, func() (relay.Event, error) {
+			next, err := setup.Load(path)
+			if err != nil {
+				return relay.Event{}, err
+			}
+			for _, what := range have.Fixed(next) {
+				log.Log().Str("what", what).Msg("can't be changed while running")
+			}
+			if joined.Again != nil {
+				if err := joined.Again(); err != nil {
+					log.Log().Err(err).Msg("the fleet's keys are kept as they were")
+				}
+			}
+			return relay.Event{Kind: relay.Reload, Feed: next.Feed, Fair: next.Shape()}, nil
+		}, log)
+	}, beside, log)
+}
--- a/cmd/railrelay/spool.go
+++ b/internal/program/spool.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"errors"
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -42,6 +42,7 @@
 	Fairness *Fairness `yaml:"fairness"` // left out: whoever comes first goes first
 	Spool    *Spool    `yaml:"spool"`    // left out: results are answered whole
 	Shares   *Shares   `yaml:"shares"`   // left out: no customer has one
+	Fleet    *Fleet    `yaml:"fleet"`    // left out: this controller decides by itself
 	// Estimates are the call fields that tell a query's work, in milliseconds of one
 	// thread, and the memory that it needs, in MB; left out: none does.
 	Estimates Estimates `yaml:"estimates"`
@@ -345,6 +346,9 @@
 	if s.Spool != nil {
 		c.spool(s.Spool, s.Limits)
 	}
+	if s.Fleet != nil {
+		c.fleet(s)
+	}
 	c.shape(s)
 }
 
@@ -784,7 +788,7 @@
 		"limits": x.Limits == next.Limits, "engines": reflect.DeepEqual(x.Engines, next.Engines),
 		"groups": reflect.DeepEqual(x.Groups, next.Groups), "clients": reflect.DeepEqual(x.Clients, next.Clients),
 		"shares": reflect.DeepEqual(x.Shares, next.Shares), "estimates": x.Estimates == next.Estimates,
-		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
+		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fleet": reflect.DeepEqual(x.Fleet, next.Fleet), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
 	} {
 		if !same {
 			what = append(what, name)
