Where a team's data may be: rules, verdicts, plans, and decisions that stay inside

Placement needs a core that says, from rules by team, what bindings loads left and which emergencies are on, which engines, controllers and keepers a query may have, and decisions that narrow query by query. internal/residency is that core; a query is taken with the locations that it may be sent to, and what bars one holds up only its like.

--- /dev/null
+++ b/decide/astray_planted.go
@@ -0,0 +1,6 @@
+//go:build planted_copy
+
+package decide
+
+// Astray plants a fault: a further submission goes past a query's boundary.
+const Astray = true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -168,7 +168,7 @@
 				rg.remove(q)
 				continue
 			}
-			if len(q.subs) == 0 && slices.Contains(shut, q.tables) {
+			if len(q.subs) == 0 && slices.Contains(shut, q.shuts) {
 				i++
 				continue
 			}
@@ -176,11 +176,11 @@
 			switch {
 			case e != nil && q.next(e):
 				rg.remove(q)
-			case e == nil && !barred:
+			case e == nil && !barred && !q.narrow: // one that few engines may take holds up only its like
 				g.thin(rg)
 				rg.full, i = true, len(rg.queue)
 			default:
-				shut = append(shut, q.tables)
+				shut = append(shut, q.shuts)
 				i++
 			}
 		}
@@ -496,7 +496,7 @@
 	switch {
 	case e.state != On:
 		return false // 3: not even within the grace
-	case len(rg.locations) > 0 && !slices.Contains(rg.locations, strconv.Itoa(e.location)),
+	case q.inside != nil && !slices.Contains(q.inside, strconv.Itoa(e.location)) && !(Astray && len(q.subs) > 0),
 		len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
 		return false // 6
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -91,6 +91,13 @@
 
 func (g *Gateway) Take(now time.Duration, id string, group, team int, budget time.Duration, tables, key int64,
 	work time.Duration, memoryMB float64) {
+	g.TakeInside(now, id, group, team, budget, tables, key, work, memoryMB, nil)
+}
+
+// TakeInside takes a query that may only be sent to engines at some of its group's
+// locations, by their places in the settings; nil: at all of them, empty: at none.
+func (g *Gateway) TakeInside(now time.Duration, id string, group, team int, budget time.Duration, tables, key int64,
+	work time.Duration, memoryMB float64, inside []string) {
 	g.now = now
 	if group < 0 || group >= len(g.groups) {
 		g.act.Kill(id)
@@ -99,12 +106,40 @@
 	g.seq++
 	q := &query{id: id, rg: g.groups[group], team: g.team(team), tables: tables, key: key, work: work.Seconds(), memory: memoryMB,
 		seq: g.seq, takenAt: now, deadline: now + budget, priority: -1}
+	q.keepInside(inside)
 	g.queries[id] = q
 	g.taken = append(g.taken, now)
 	g.take(q)
 	g.step()
 }
 
+// Inside changes where a query may be sent; what is out stays where it is.
+func (g *Gateway) Inside(now time.Duration, id string, inside []string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		q.keepInside(inside)
+		g.step()
+	}
+}
+
+// keepInside narrows where a query may go: never past its group's own locations.
+func (q *query) keepInside(inside []string) {
+	q.inside, q.narrow, q.shuts = q.rg.locations, inside != nil, q.tables
+	if !q.narrow {
+		return
+	}
+	if q.inside == nil {
+		q.inside = inside
+	} else {
+		q.inside = slices.DeleteFunc(slices.Clone(inside), func(l string) bool { return !slices.Contains(q.rg.locations, l) })
+	}
+	h := fnv.New64a()
+	for _, l := range q.inside {
+		h.Write([]byte(l + ","))
+	}
+	q.shuts ^= int64(h.Sum64() | 1<<62) // far from any table's number
+}
+
 // team is whose share a query counts to; who has none is never over it.
 func (g *Gateway) team(i int) *team {
 	if i < 0 || i >= len(g.teams) || g.teams[i].quota <= 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -160,8 +160,11 @@
 	rg                *resourceGroup
 	team              *team // whose share it counts to
 	tables, key       int64
-	work              float64 // estimated seconds of all threads, 0: none
-	told              bool    // work is what its answer told
+	inside            []string // locations it may be sent to, nil: all
+	narrow            bool     // those are fewer than its group's
+	shuts             int64    // its tables and where it may go: what bars one bars all of the same
+	work              float64  // estimated seconds of all threads, 0: none
+	told              bool     // work is what its answer told
 	memory            float64
 	seq               uint64
 	takenAt, deadline time.Duration
--- /dev/null
+++ b/internal/residency/change.go
@@ -0,0 +1,299 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// Check finds what is wrong with rules: names, sites and teams that there are not, and
+// rules for the same tables that leave nothing. nil for sites or teams: any will do.
+func Check(rules []Rule, sites, teams []string) (flaws []*Flaw) {
+	wrong := func(i int, field, form string, args ...any) {
+		flaws = append(flaws, &Flaw{i, field, fmt.Sprintf(form, args...)})
+	}
+	names := map[string]bool{}
+	for i, r := range rules {
+		switch {
+		case r.Name == "":
+			wrong(i, "name", "is missing")
+		case names[r.Name]:
+			wrong(i, "name", "a second rule is called %q", r.Name)
+		}
+		names[r.Name] = true
+		switch {
+		case r.Team == "":
+			wrong(i, "team", "is missing: a rule binds one team")
+		case teams != nil && !slices.Contains(teams, r.Team):
+			wrong(i, "team", "no team is called %q", r.Team)
+		}
+		if len(r.Engines) == 0 && r.Controllers == nil && r.Keep == nil {
+			wrong(i, "engines", "is missing: the rule binds nothing to a site")
+		}
+		if r.Controllers != nil && len(r.Controllers) == 0 {
+			wrong(i, "controllers", "is empty: no controller could take a query")
+		}
+		for _, l := range []struct {
+			field string
+			sites []string
+		}{{"engines", r.Engines}, {"controllers", r.Controllers}, {"keep", r.Keep}, {"emergency.sites", r.Emergency.Sites}} {
+			for j, s := range l.sites {
+				if sites != nil && !slices.Contains(sites, s) {
+					wrong(i, fmt.Sprintf("%s[%d]", l.field, j), "no location is called %q", s)
+				}
+				if l.field == "emergency.sites" && slices.Contains(r.Engines, s) {
+					wrong(i, fmt.Sprintf("%s[%d]", l.field, j), "%q is inside anyway", s)
+				}
+			}
+		}
+		for j, t := range r.Tables {
+			if t < 0 {
+				wrong(i, fmt.Sprintf("tables[%d]", j), "%d is no table group", t)
+			}
+		}
+		switch e := r.Emergency; {
+		case len(e.Sites) > 0 && e.After <= 0:
+			wrong(i, "emergency.after", "is missing: how long must all inside be lost")
+		case len(e.Sites) == 0 && e.After > 0:
+			wrong(i, "emergency.sites", "is missing: which further sites are allowed")
+		case len(e.Sites) > 0 && len(r.Engines) == 0:
+			wrong(i, "emergency", "widens nothing: the rule names no engines")
+		}
+	}
+	if len(flaws) > 0 {
+		return flaws // what is wrong by itself needn't be told as a clash, too
+	}
+	for team, l := range bind(rules, nil) {
+		for _, tables := range classes(l) {
+			v := judge(l, tables, true, nil)
+			if v.Conflict == nil {
+				continue
+			}
+			last := v.Conflict.Rules[len(v.Conflict.Rules)-1]
+			i := slices.IndexFunc(rules, func(r Rule) bool { return r.Name == last })
+			if !slices.ContainsFunc(flaws, func(f *Flaw) bool { return f.Rule == i }) {
+				wrong(i, v.Conflict.What+"s", "rules %s leave team %q no %s for %s", strings.Join(v.Conflict.Rules, " and "), team,
+					v.Conflict.What, tablesText(tables))
+			}
+		}
+	}
+	slices.SortFunc(flaws, func(a, b *Flaw) int { return a.Rule - b.Rule })
+	return flaws
+}
+
+// classes are the tables that rules may treat unlike each other: each that is named
+// alone, and all others together, as none.
+func classes(rules ...[]*bound) [][]int64 {
+	var named []int64
+	for _, l := range rules {
+		for _, b := range l {
+			for t := range b.set {
+				named = append(named, t)
+			}
+		}
+	}
+	all := [][]int64{nil}
+	for _, t := range sorted(named) {
+		all = append(all, []int64{t})
+	}
+	return all
+}
+
+// Tightening is a boundary that a change makes narrower.
+type Tightening struct {
+	Team   string   `json:"team"`
+	Rules  []string `json:"rules"`            // that draw it from now on
+	Tables []int64  `json:"tables,omitempty"` // none: all that no rule names
+	// Engines are the sites inside from now on; nil: all. What runs elsewhere must
+	// have ended before the change is settled, if Ends.
+	Engines []string `json:"engines"`
+	Ends    bool     `json:"ends"`
+	// Purge is what has to go: what is kept outside. nil: nothing can be kept there.
+	Purge *fleet.Scope `json:"purge,omitempty"`
+}
+
+// narrower: something of a is not in b; nil is everywhere.
+func narrower(a, b []string) bool {
+	if b == nil {
+		return false
+	}
+	return a == nil || slices.ContainsFunc(a, func(s string) bool { return !slices.Contains(b, s) })
+}
+
+// Tightened tells which boundaries other rules make narrower. Wider ones need nothing:
+// they are left out. Results of which the tables can't be told belong to each of a
+// team's purges.
+func Tightened(old, next []Rule, bindings []fleet.Binding) (l []Tightening) {
+	before, after := bind(old, bindings), bind(next, bindings)
+	for _, team := range teams(next) { // a team without rules from now on is narrower nowhere
+		for _, tables := range classes(before[team], after[team]) {
+			a, b := judge(before[team], tables, true, nil), judge(after[team], tables, true, nil)
+			t := Tightening{Team: team, Rules: b.Rules, Tables: tables, Engines: b.Engines, Ends: narrower(a.Engines, b.Engines)}
+			if narrower(a.Keepers, b.Keepers) {
+				t.Purge = &fleet.Scope{Team: team, Tables: tables, Outside: b.Keepers}
+			}
+			if !t.Ends && t.Purge == nil && !narrower(a.Takers, b.Takers) {
+				continue
+			}
+			if i := slices.IndexFunc(l, func(x Tightening) bool { return len(tables) > 0 && len(x.Tables) > 0 && t.alike(x) }); i >= 0 {
+				l[i].Tables = append(l[i].Tables, tables...)
+				if l[i].Purge != nil {
+					l[i].Purge.Tables = l[i].Tables
+				}
+				continue
+			}
+			l = append(l, t)
+		}
+	}
+	return l
+}
+
+func (t Tightening) alike(x Tightening) bool {
+	same := t.Team == x.Team && t.Ends == x.Ends && slices.Equal(t.Rules, x.Rules) && slices.Equal(t.Engines, x.Engines)
+	if !same || t.Purge == nil || x.Purge == nil {
+		return same && t.Purge == nil && x.Purge == nil
+	}
+	return slices.Equal(t.Purge.Outside, x.Purge.Outside)
+}
+
+func teams(rules []Rule) (l []string) {
+	for _, r := range rules {
+		if !slices.Contains(l, r.Team) {
+			l = append(l, r.Team)
+		}
+	}
+	return l
+}
+
+// World is what a plan is made against.
+type World struct {
+	Engines     []Engine
+	Controllers []fleet.Member
+	Bindings    []fleet.Binding
+	Kept        []Kept // as far as known
+}
+
+// Engine is one of the list's, with the threads that it has.
+type Engine struct {
+	Name, Site string
+	Threads    float64
+}
+
+// Kept is what a controller keeps of a team.
+type Kept struct {
+	Controller, Team string
+	Counts           fleet.Counts
+}
+
+// Outlook is what a change of rules would do. Shares are of all engines' threads, 0 to 1.
+type Outlook struct {
+	Rows []Row    `json:"rows"`
+	None []string `json:"none"` // teams that would have no engine for some of their tables
+}
+
+// Row is one team's tables that are treated alike.
+type Row struct {
+	Team        string       `json:"team"`
+	Tables      []int64      `json:"tables,omitempty"` // none: all that no rule names
+	Rules       []string     `json:"rules"`
+	Before      float64      `json:"share_before"`
+	After       float64      `json:"share_after"`
+	Engines     []string     `json:"engines_outside"`     // that it has now and would lose
+	Controllers []string     `json:"controllers_outside"` // that may take it now and could no longer
+	Purge       []string     `json:"purge_on"`            // controllers on which what is kept would go
+	Kept        fleet.Counts `json:"kept_outside"`        // of the whole team, on those
+	Conflict    string       `json:"conflict,omitempty"`
+}
+
+// Plan tells what other rules would do, before they are applied.
+func Plan(old, next []Rule, w World) *Outlook {
+	before, after := bind(old, w.Bindings), bind(next, w.Bindings)
+	o := &Outlook{Rows: []Row{}, None: []string{}}
+	total := 0.0
+	for _, e := range w.Engines {
+		total += e.Threads
+	}
+	total = max(total, 1e-9)
+	for _, team := range teams(slices.Concat(old, next)) {
+		for _, tables := range classes(before[team], after[team]) {
+			a, b := judge(before[team], tables, true, nil), judge(after[team], tables, true, nil)
+			if !a.Bound && !b.Bound {
+				continue
+			}
+			row := Row{Team: team, Tables: tables, Rules: b.Rules, Engines: []string{}, Controllers: []string{}, Purge: []string{}}
+			if b.Conflict != nil {
+				row.Conflict = b.Conflict.Error()
+			}
+			for _, e := range w.Engines {
+				if a.May(e.Site) {
+					row.Before += e.Threads / total
+				}
+				if b.May(e.Site) {
+					row.After += e.Threads / total
+				} else if a.May(e.Site) {
+					row.Engines = append(row.Engines, e.Name)
+				}
+			}
+			takers := 0
+			for _, m := range w.Controllers {
+				if m.Forgotten {
+					continue
+				}
+				if within(b.Takers, m.Site) {
+					takers++
+				} else if within(a.Takers, m.Site) {
+					row.Controllers = append(row.Controllers, m.Name)
+				}
+				if within(a.Keepers, m.Site) && !within(b.Keepers, m.Site) {
+					row.Purge = append(row.Purge, m.Name)
+					for _, k := range w.Kept {
+						if k.Controller == m.Name && k.Team == team {
+							row.Kept.Add(k.Counts)
+						}
+					}
+				}
+			}
+			if none := row.After == 0 || takers == 0; none && !slices.Contains(o.None, team) {
+				o.None = append(o.None, team)
+			}
+			o.Rows = append(o.Rows, row)
+		}
+	}
+	return o
+}
+
+func tablesText(tables []int64) string {
+	if len(tables) == 0 {
+		return "tables that no rule names"
+	}
+	return "table group " + strings.Trim(fmt.Sprint(tables), "[]")
+}
+
+// Table is the outlook for people.
+func (o *Outlook) Table() string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TEAM\tTABLES\tRULES\tTHREADS NOW\tTHREADS THEN\tENGINES LOST\tCONTROLLERS OUTSIDE\tPURGED ON")
+	list := func(l []string) string {
+		if len(l) == 0 {
+			return "-"
+		}
+		return strings.Join(l, ",")
+	}
+	for _, r := range o.Rows {
+		tables := "others"
+		if len(r.Tables) > 0 {
+			tables = strings.Trim(fmt.Sprint(r.Tables), "[]")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f %%\t%.1f %%\t%s\t%s\t%s\n", r.Team, tables, list(r.Rules), 100*r.Before, 100*r.After,
+			list(r.Engines), list(r.Controllers), list(r.Purge))
+	}
+	w.Flush()
+	if len(o.None) > 0 {
+		fmt.Fprintf(&text, "no engine or controller would be left for: %s\n", strings.Join(o.None, ", "))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/residency/residency_test.go
@@ -0,0 +1,212 @@
+package residency
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+func core(site string, rules ...Rule) *Core {
+	c := New(site)
+	c.Rules(rules)
+	return c
+}
+
+func TestIntersection(t *testing.T) {
+	c := core("linz",
+		Rule{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"linz", "wien"}, Keep: []string{"linz"}},
+		Rule{Name: "b", Team: "bank", Tables: []int64{2}, Engines: []string{"wien", "graz"}},
+		Rule{Name: "c", Team: "bank", Tables: []int64{3}, Engines: []string{"graz"}})
+	if v := c.Judge("bank", []int64{1}, true); !v.Take || !v.Keep || !slices.Equal(v.Engines, []string{"linz", "wien"}) {
+		t.Fatalf("%+v", v)
+	}
+	if v := c.Judge("bank", []int64{1, 2}, true); v.Take || v.Keep || !v.May("wien") || v.May("linz") {
+		t.Fatalf("%+v", v)
+	}
+	if v := c.Judge("bank", []int64{1, 3}, true); v.Conflict == nil || !slices.Equal(v.Conflict.Rules, []string{"a", "c"}) || v.May("graz") {
+		t.Fatalf("%+v", v)
+	}
+	if v := c.Judge("bank", nil, false); v.Conflict == nil {
+		t.Fatalf("what can't be told is taken as all: %+v", v)
+	}
+	if v := c.Judge("bank", []int64{9}, true); v.Bound || !v.Take || !v.May("anywhere") {
+		t.Fatalf("%+v", v)
+	}
+	if c.Bound("other") || !c.Judge("other", []int64{1}, true).Take {
+		t.Fatal("a rule binds its own team")
+	}
+}
+
+func TestFollowed(t *testing.T) {
+	c := core("linz", Rule{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"linz"}, Follows: true},
+		Rule{Name: "b", Team: "bank", Tables: []int64{7}, Engines: []string{"wien"}})
+	need, err := c.Needs("bank", []int64{1, 5}, []int64{2, 1}, true)
+	if want := (&fleet.Binding{Team: "bank", Tables: []int64{2}, From: []int64{1}}); err != nil || !cmp.Equal(need, want) {
+		t.Fatal(cmp.Diff(need, want), err)
+	}
+	if need, err := c.Needs("bank", []int64{7}, []int64{2}, true); need != nil || err != nil {
+		t.Fatal(need, err)
+	}
+	if _, err := c.Needs("bank", nil, nil, false); err == nil {
+		t.Fatal("a load that can't be told can't be followed")
+	}
+	old := c.Stamp()
+	// recorded in an order in which the second follows what only the third binds
+	c.Pictured(&fleet.Picture{Bindings: []fleet.Binding{{Team: "bank", Tables: []int64{2}, From: []int64{1}},
+		{Team: "bank", Tables: []int64{4}, From: []int64{3}}, {Team: "bank", Tables: []int64{3}, From: []int64{2}},
+		{Team: "other", Tables: []int64{8}, From: []int64{1}}}})
+	if c.Stamp() == old {
+		t.Fatal("verdicts from before would hold on")
+	}
+	for _, n := range []int64{2, 3, 4} {
+		if v := c.Judge("bank", []int64{n}, true); v.May("wien") || !v.May("linz") {
+			t.Fatalf("%d: %+v", n, v)
+		}
+	}
+	if v := c.Judge("bank", []int64{8}, true); v.Bound {
+		t.Fatal("another team's load bound it")
+	}
+	if need, _ := c.Needs("bank", []int64{2}, []int64{3}, true); need != nil {
+		t.Fatal("bound already", need)
+	}
+}
+
+func TestEmergency(t *testing.T) {
+	c := core("linz", Rule{Name: "a", Team: "bank", Engines: []string{"linz"},
+		Emergency: Emergency{Sites: []string{"wien"}, After: time.Minute}})
+	want := []fleet.Watched{{Rule: "a", Team: "bank", Inside: []string{"linz"}, After: time.Minute}}
+	if got := c.Watches(); !cmp.Equal(got, want) {
+		t.Fatal(got)
+	}
+	c.Pictured(&fleet.Picture{Emergencies: map[string]uint64{"a": 7}})
+	v := c.Judge("bank", nil, true)
+	if !v.May("wien") || v.May("graz") || slices.Contains(v.Takers, "wien") || slices.Contains(v.Keepers, "wien") {
+		t.Fatalf("%+v", v)
+	}
+	for i := range crossedMost + 5 {
+		if !c.Sent(fmt.Sprint(i), "bank", &v, "wien") || c.Sent(fmt.Sprint(i), "bank", &v, "linz") {
+			t.Fatal("what crosses is told apart")
+		}
+	}
+	if l, n := c.Crossed(); len(l) != crossedMost || n != crossedMost+5 || l[0].Query != "5" {
+		t.Fatal(len(l), n, l[0])
+	}
+	c.Pictured(&fleet.Picture{})
+	if v := c.Judge("bank", nil, true); v.May("wien") || !c.Outside("bank", nil, true, "wien") {
+		t.Fatalf("%+v", v)
+	}
+	if s := Calmed(c.given, "a"); s == nil || s.Team != "bank" || !slices.Equal(s.Outside, []string{"linz"}) {
+		t.Fatalf("%+v", s)
+	}
+}
+
+func TestTightened(t *testing.T) {
+	old := []Rule{{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"linz", "wien"}, Follows: true}}
+	next := []Rule{{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"wien"}, Keep: []string{}, Follows: true}}
+	bindings := []fleet.Binding{{Team: "bank", Tables: []int64{4}, From: []int64{1}}}
+	got := Tightened(old, next, bindings)
+	if len(got) != 1 || !slices.Equal(got[0].Tables, []int64{1, 4}) || !got[0].Ends || got[0].Purge == nil ||
+		len(got[0].Purge.Outside) > 0 || !slices.Equal(got[0].Purge.Tables, []int64{1, 4}) {
+		t.Fatalf("%+v", got)
+	}
+	if got := Tightened(next, old, bindings); len(got) > 0 {
+		t.Fatalf("widening needs nothing: %+v", got)
+	}
+	o := Plan(old, []Rule{{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"graz"}}}, World{Bindings: bindings,
+		Engines:     []Engine{{"e1", "linz", 30}, {"e2", "ulm", 10}},
+		Controllers: []fleet.Member{{Name: "c1", Site: "linz"}, {Name: "c2", Site: "graz"}},
+		Kept:        []Kept{{"c1", "bank", fleet.Counts{Results: 3}}, {"c2", "bank", fleet.Counts{Results: 4}}}})
+	row := o.Rows[0]
+	if !slices.Equal(o.None, []string{"bank"}) || row.Before != 0.75 || row.After != 0 || !slices.Equal(row.Engines, []string{"e1"}) ||
+		!slices.Equal(row.Purge, []string{"c1"}) || row.Kept.Results != 3 || !strings.Contains(o.Table(), "75.0 %") {
+		t.Fatalf("%+v\n%s", o, o.Table())
+	}
+}
+
+func TestFlaws(t *testing.T) {
+	sites, teams := []string{"linz", "wien"}, []string{"bank"}
+	for want, rules := range map[string][]Rule{
+		`no location is called "graz"`: {{Name: "a", Team: "bank", Engines: []string{"linz", "graz"}}},
+		`no team is called "shop"`:     {{Name: "a", Team: "shop", Engines: []string{"linz"}}},
+		"rules a and b leave": {{Name: "a", Team: "bank", Engines: []string{"linz"}},
+			{Name: "b", Team: "bank", Tables: []int64{1}, Engines: []string{"wien"}}},
+		"binds nothing":   {{Name: "a", Team: "bank"}},
+		"inside anyway":   {{Name: "a", Team: "bank", Engines: []string{"linz"}, Emergency: Emergency{[]string{"linz"}, 1}}},
+		"must all inside": {{Name: "a", Team: "bank", Engines: []string{"linz"}, Emergency: Emergency{Sites: []string{"wien"}}}},
+	} {
+		if flaws := Check(rules, sites, teams); len(flaws) != 1 || !strings.Contains(flaws[0].Error(), want) {
+			t.Errorf("%q: %v", want, flaws)
+		}
+	}
+	apart := []Rule{{Name: "a", Team: "bank", Tables: []int64{1}, Engines: []string{"linz"}},
+		{Name: "b", Team: "bank", Tables: []int64{2}, Engines: []string{"wien"}}}
+	if flaws := Check(apart, sites, teams); len(flaws) > 0 {
+		t.Error("only a query on both has no site", flaws)
+	}
+}
+
+// Whatever the rules, no verdict lets a query to where a rule that it touches forbids,
+// and what isn't reported as tightened was as narrow before.
+func TestNeverWider(t *testing.T) {
+	sites := []string{"a", "b", "c"}
+	some := rapid.SliceOfDistinct(rapid.SampledFrom(sites), rapid.ID[string])
+	rule := rapid.Custom(func(t *rapid.T) Rule {
+		r := Rule{Team: "t", Tables: rapid.SliceOfDistinct(rapid.Int64Range(0, 3), rapid.ID[int64]).Draw(t, "tables"),
+			Engines: some.Draw(t, "engines"), Follows: rapid.Bool().Draw(t, "follows")}
+		if rapid.Bool().Draw(t, "keeps") {
+			r.Keep = some.Draw(t, "keep")
+		}
+		return r
+	})
+	drawn := func(t *rapid.T, name string) (l []Rule) {
+		l = rapid.SliceOfN(rule, 0, 4).Draw(t, name)
+		for i := range l {
+			l[i].Name = fmt.Sprint(name, i)
+		}
+		return l
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		old, next := drawn(t, "old"), drawn(t, "new")
+		a, b := core("a", old...), core("a", next...)
+		tables := rapid.SliceOfNDistinct(rapid.Int64Range(0, 4), 0, 3, rapid.ID[int64]).Draw(t, "on")
+		known := rapid.Bool().Draw(t, "known")
+		site := rapid.SampledFrom(sites).Draw(t, "site")
+		v := b.Judge("t", tables, known)
+		for _, r := range next {
+			says := !known || len(r.Tables) == 0 || slices.ContainsFunc(tables, func(n int64) bool { return slices.Contains(r.Tables, n) })
+			if says && len(r.Engines) > 0 && !slices.Contains(r.Engines, site) && v.May(site) {
+				t.Fatalf("%+v forbids %s: %+v", r, site, v)
+			}
+		}
+		if len(tables) != 1 || !known {
+			return
+		}
+		told := slices.ContainsFunc(Tightened(old, next, nil), func(x Tightening) bool {
+			return slices.Equal(x.Tables, tables) || slices.Contains(x.Tables, tables[0]) || len(x.Tables) == 0
+		})
+		if was := a.Judge("t", tables, true); !told && was.May(site) && !v.May(site) {
+			t.Fatalf("not told: %v to %v", was, v)
+		}
+	})
+}
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "20261202") // the same verdict every time
+	m.Run()
+}
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	for _, err := range Errors() {
+		if err.Error() == "" || err.Remedy() == "" || err.Error() == err.Remedy() {
+			t.Errorf("%T", err)
+		}
+	}
+}
