Peers' wire: signed frames between controllers, replay window, bounded rings

Controllers of one fleet need to tell each other what they agree on over networks where strangers, recorded bytes and restarts happen. A frame bears the fleet's name, both names, both runs' boot numbers and a number of its own under a keyed MAC; two keys count while one is replaced. What is refused has a type, is counted and said once a minute. Each peer has a ring of 256 messages and a goroutine only while there is something to send.

--- /dev/null
+++ b/internal/fleet/peers/wire.go
@@ -0,0 +1,543 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"log"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/semaphore"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/node"
+)
+
+const (
+	ringAtMost   = 256     // messages that wait for a peer
+	batchBytes   = 4 << 20 // in one POST, unless one message alone is more
+	backFirst    = 10 * time.Millisecond
+	backAtMost   = 500 * time.Millisecond
+	slowest      = 1 << 20   // bytes a second: a frame's time-out grows by its length over this
+	readingBytes = 256 << 20 // of all frames that are being read, each counted as long as it says it is
+	triesAtMost  = 2         // of a message that may have reached its peer
+
+	pathFleet  = "/fleet"
+	headerMAC  = "Fleet-Mac"
+	headerBoot = "Fleet-Boot"
+)
+
+// Options are what a Wire is made with.
+type Options struct {
+	Fleet    string       // its name: another fleet's frames are refused
+	Self     string       // this controller's name
+	Boot     uint64       // of this run, 0: it is drawn
+	Keys     Keys         // the first signs, all are accepted
+	Listener net.Listener // where peers come in; Close closes it
+
+	// Got is handed what came in, on the goroutine of the connection it came by, which
+	// answers its sender afterwards: it must not block for long.
+	Got func(*node.Message)
+	// OnRefused is told what wasn't taken, once a minute for each peer and reason; from
+	// is the peer's name, or its address where the name isn't proven. May be nil.
+	OnRefused func(err fleet.Remedied, from string)
+
+	Timeout time.Duration // to connect, and for an answer; 0: 1 s. A frame has a second more for each MiB
+	Idle    time.Duration // a peer's goroutine and connection end after it; 0: 30 s
+	Seed    uint64        // for the back-off
+}
+
+// Wire sends messages to peers and takes theirs. A message may be lost, doubled or
+// late: who needs an answer asks again.
+type Wire struct {
+	o         Options
+	keys      atomic.Pointer[Keys]
+	transport *http.Transport
+	server    *http.Server
+	reading   *semaphore.Weighted
+	started   time.Time
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
+	serving   sync.WaitGroup // the listener's goroutine
+	conns     sync.WaitGroup // connections that came in
+	sending   sync.WaitGroup // peers' goroutines
+
+	mu     sync.Mutex // over peers and closed
+	peers  map[string]*peer
+	closed bool
+
+	gateMu sync.Mutex
+	gate   *gate
+
+	countMu sync.Mutex
+	counts  map[string]int
+	said    sayings
+}
+
+// item is an encoded message that waits.
+type item struct {
+	body  cbor.RawMessage
+	tries int
+}
+
+// peer is one that was sent to. It has a goroutine only while there is something to send.
+type peer struct {
+	name string
+	wake chan struct{} // of one place: a full one wakes as well
+
+	mu      sync.Mutex
+	address string
+	ring    []item // at most ringAtMost and BodyAtMost bytes: over it the oldest go
+	bytes   int
+	running bool
+
+	// Of the goroutine that runs.
+	boot uint64 // the peer's, 0: not known
+	seq  uint64
+	back time.Duration
+	rand *rand.Rand
+}
+
+// Open begins to listen. It fails only by its options.
+func Open(o Options) (*Wire, error) {
+	if err := o.Keys.good(); err != nil {
+		return nil, err
+	}
+	if o.Boot == 0 {
+		o.Boot = draw()
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = time.Second
+	}
+	if o.Idle <= 0 {
+		o.Idle = 30 * time.Second
+	}
+	w := &Wire{o: o, peers: map[string]*peer{}, gate: newGate(o.Fleet, o.Self, o.Boot), counts: map[string]int{},
+		said: sayings{}, reading: semaphore.NewWeighted(readingBytes), started: time.Now()}
+	w.keys.Store(&o.Keys)
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	dialer := &net.Dialer{Timeout: o.Timeout}
+	w.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer context.AfterFunc(w.ctx, cancel)()
+			return dialer.DialContext(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     o.Idle,
+		DisableCompression:  true,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathFleet, w.take)
+	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * o.Timeout, IdleTimeout: 2 * o.Idle,
+		MaxHeaderBytes: 8 << 10, ErrorLog: quiet, ConnState: follow(&w.conns)}
+	w.serving.Go(func() { w.server.Serve(o.Listener) })
+	return w, nil
+}
+
+// Boot is this run's number.
+func (w *Wire) Boot() uint64 { return w.o.Boot }
+
+// SetKeys takes other keys from now on, for all that is sent and comes in.
+func (w *Wire) SetKeys(keys Keys) error {
+	if err := keys.good(); err != nil {
+		return err
+	}
+	w.keys.Store(&keys)
+	return nil
+}
+
+// Close ends all of it and waits for its goroutines. What waits is not sent any more.
+func (w *Wire) Close() error {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.cancel()
+	err := w.o.Listener.Close()
+	w.serving.Wait() // first, so that no connection begins that the server's Close doesn't see
+	w.server.Close()
+	w.conns.Wait()
+	w.sending.Wait()
+	w.transport.CloseIdleConnections()
+	return err
+}
+
+// Counts are what was done since the start: messages sent (and answered), got, dropped
+// (a ring was full, or its peer away for too long), lost (sent, and no answer came),
+// bytes_out and bytes_in of frames, cut (frames that ended too early), failed (POSTs
+// without an answer), and refused_REASON.
+func (w *Wire) Counts() map[string]int {
+	w.countMu.Lock()
+	defer w.countMu.Unlock()
+	return maps.Clone(w.counts)
+}
+
+func (w *Wire) count(name string, n int) {
+	w.countMu.Lock()
+	w.counts[name] += n
+	w.countMu.Unlock()
+}
+
+// refuse counts something that wasn't taken, and says it if it is time to.
+func (w *Wire) refuse(err Refused, from string) {
+	w.countMu.Lock()
+	w.counts["refused_"+err.Reason()]++
+	say := w.said.say(from, err.Reason(), time.Since(w.started))
+	w.countMu.Unlock()
+	if say && w.o.OnRefused != nil {
+		w.o.OnRefused(err, from)
+	}
+}
+
+// Send puts a message into the ring of a peer and returns at once. If the ring is full
+// its oldest message goes. The message must not be changed until Send returns; it is
+// sent as from this controller and for that one, whatever it says.
+func (w *Wire) Send(to, address string, m *node.Message) {
+	c := *m
+	c.From, c.To = w.o.Self, to
+	body, err := encoding.Marshal(&c)
+	if err != nil {
+		w.refuse(&FormError{w.o.Self, err}, to)
+		return
+	}
+	if len(body) > BodyAtMost-1<<10 { // what a frame has beside its messages is under that
+		w.refuse(&TooLargeError{to, int64(len(body)), BodyAtMost}, to)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		w.count("dropped", 1)
+		return
+	}
+	p := w.peers[to]
+	if p == nil {
+		p = &peer{name: to, wake: make(chan struct{}, 1), rand: rand.New(rand.NewPCG(w.o.Seed, xxhash.Sum64String(to)))}
+		w.peers[to] = p
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.address = address
+	p.ring = append(p.ring, item{body: body})
+	p.bytes += len(body)
+	w.count("dropped", p.shorten())
+	if !p.running {
+		p.running = true
+		w.sending.Go(func() { w.run(p) })
+		return
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// shorten keeps the ring within its bounds and tells how many messages went.
+func (p *peer) shorten() (gone int) {
+	for len(p.ring) > ringAtMost || p.bytes > BodyAtMost {
+		p.bytes -= len(p.ring[0].body)
+		p.ring[0] = item{}
+		p.ring = p.ring[1:]
+		gone++
+	}
+	return gone
+}
+
+// batch takes what goes into the next POST.
+func (p *peer) batch() (batch []item, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, bytes := 0, 0
+	for n < len(p.ring) && (n == 0 || bytes+len(p.ring[n].body) <= batchBytes) {
+		bytes += len(p.ring[n].body)
+		n++
+	}
+	batch, p.bytes = p.ring[:n:n], p.bytes-bytes
+	p.ring = append([]item(nil), p.ring[n:]...)
+	return batch, p.address
+}
+
+// again puts a batch back before all that came since, and tells what was given up:
+// lost are those tried often enough, dropped those without room.
+func (p *peer) again(batch []item, tried bool) (lost, dropped int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var back []item
+	for _, i := range batch {
+		if tried {
+			i.tries++
+		}
+		if i.tries < triesAtMost {
+			back = append(back, i)
+			p.bytes += len(i.body)
+		}
+	}
+	p.ring = append(back, p.ring...)
+	return len(batch) - len(back), p.shorten()
+}
+
+// run is a peer's goroutine: it ends when there was nothing to send, or no answer, for
+// as long as Options.Idle.
+func (w *Wire) run(p *peer) {
+	timer := time.NewTimer(w.o.Idle)
+	defer timer.Stop()
+	good := time.Now() // the last time all was well
+	for {
+		batch, address := p.batch()
+		if len(batch) == 0 {
+			timer.Reset(w.o.Idle)
+			select {
+			case <-p.wake:
+				continue
+			case <-timer.C:
+			case <-w.ctx.Done():
+			}
+			if p.end(w.ctx.Err() != nil) {
+				return
+			}
+			continue
+		}
+		tried, err := w.deliver(p, address, batch)
+		var refused Refused
+		switch {
+		case err == nil:
+			p.back, good = 0, time.Now()
+			continue
+		case errors.As(err, &refused):
+			w.refuse(refused, p.name)
+		default:
+			w.count("failed", 1)
+		}
+		if _, away := err.(*TurnedAwayError); away {
+			w.count("lost", len(batch)) // the same would be refused again
+		} else {
+			lost, dropped := p.again(batch, tried)
+			w.count("lost", lost)
+			w.count("dropped", dropped)
+		}
+		if time.Since(good) > w.o.Idle {
+			w.count("dropped", p.clear())
+			if p.end(false) {
+				return
+			}
+			good = time.Now()
+		}
+		p.back = min(max(2*p.back, backFirst), backAtMost)
+		timer.Reset(p.back/2 + time.Duration(p.rand.Int64N(int64(p.back/2)+1)))
+		select {
+		case <-timer.C:
+		case <-w.ctx.Done():
+			p.end(true)
+			return
+		}
+	}
+}
+
+// end lets the goroutine go unless something came to be sent meanwhile.
+func (p *peer) end(anyway bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.ring) > 0 && !anyway {
+		return false
+	}
+	p.running = false
+	return true
+}
+
+func (p *peer) clear() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.ring)
+	p.ring, p.bytes = nil, 0
+	return n
+}
+
+// deliver brings a batch to a peer. It first asks for the peer's boot number if it
+// doesn't know it, and sends anew if that was an earlier run's. tried: it may have
+// reached the peer though no answer came.
+func (w *Wire) deliver(p *peer, address string, batch []item) (tried bool, err error) {
+	messages := make([]cbor.RawMessage, len(batch))
+	for i, it := range batch {
+		messages[i] = it.body
+	}
+	for range 3 { // hello, the batch, and once more if the peer starts in between
+		f := &frame{Fleet: w.o.Fleet, From: w.o.Self, To: p.name, Boot: w.o.Boot, There: p.boot}
+		p.seq++
+		f.Seq = p.seq
+		if p.boot != 0 {
+			f.Messages = messages
+		}
+		status, boot, err := w.post(f, address)
+		if err != nil {
+			var op *net.OpError
+			return !errors.As(err, &op) || op.Op != "dial", err
+		}
+		if status == http.StatusNoContent {
+			w.count("sent", len(batch))
+			return true, nil
+		}
+		p.boot = boot
+	}
+	return false, errors.New("its boot number is another one each time")
+}
+
+// post sends one frame. The status is 204, or 409 with the peer's boot number.
+func (w *Wire) post(f *frame, address string) (status int, boot uint64, err error) {
+	body, keys := encode(f), *w.keys.Load()
+	sum := keys.sign(forFrame, body)
+	ctx, cancel := context.WithTimeout(w.ctx, w.o.Timeout+w.within(int64(len(body))))
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: address, Path: pathFleet}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	r.Header.Set(headerMAC, hex.EncodeToString(sum))
+	w.count("bytes_out", len(body))
+	a, err := w.transport.RoundTrip(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer a.Body.Close()
+	io.CopyN(io.Discard, a.Body, 1<<10) // what is longer costs the connection
+	if a.StatusCode != http.StatusNoContent && a.StatusCode != http.StatusConflict {
+		return 0, 0, &TurnedAwayError{f.To, address, a.StatusCode}
+	}
+	boot, err = strconv.ParseUint(a.Header.Get(headerBoot), 16, 64)
+	theirs, err2 := hex.DecodeString(a.Header.Get(headerMAC))
+	said := encode(&answer{f.Fleet, f.To, a.StatusCode, boot, f.Seq, sum})
+	if err != nil || err2 != nil || !keys.check(forAnswer, said, theirs) {
+		return 0, 0, &StrangerError{address, "an answer"}
+	}
+	if a.StatusCode == http.StatusConflict && (boot == 0 || boot == f.There) {
+		return 0, 0, &FormError{f.To, errors.New("it refuses its own boot number")}
+	}
+	return a.StatusCode, boot, nil
+}
+
+// within is the time that so many bytes and an answer may take.
+func (w *Wire) within(n int64) time.Duration {
+	return w.o.Timeout + time.Duration(n)*time.Second/slowest
+}
+
+// take answers a POST. Nothing is handed on before all of a frame was checked.
+func (w *Wire) take(rw http.ResponseWriter, r *http.Request) {
+	remote, _, _ := net.SplitHostPort(r.RemoteAddr)
+	body, status := w.read(rw, r, remote)
+	if status != 0 {
+		rw.WriteHeader(status)
+		return
+	}
+	keys := *w.keys.Load()
+	sum, _ := hex.DecodeString(r.Header.Get(headerMAC)) // what is no hex fits no key
+	f, refused := open(keys, body, sum, remote)
+	if refused != nil {
+		w.refuse(refused, remote)
+		rw.WriteHeader(statusOf(refused))
+		return
+	}
+	w.gateMu.Lock()
+	refused = w.gate.admit(f)
+	w.gateMu.Unlock()
+	var ms []*node.Message
+	if refused == nil {
+		ms, refused = f.messages()
+	}
+	switch {
+	case refused != nil:
+		w.refuse(refused, f.From)
+		status = statusOf(refused)
+	case f.There == 0:
+		status = http.StatusConflict // a hello
+	default:
+		status = http.StatusNoContent
+		w.count("got", len(ms))
+		for _, m := range ms {
+			w.o.Got(m)
+		}
+	}
+	if status == http.StatusConflict || status == http.StatusNoContent {
+		said := encode(&answer{w.o.Fleet, w.o.Self, status, w.o.Boot, f.Seq, sum})
+		rw.Header().Set(headerBoot, strconv.FormatUint(w.o.Boot, 16))
+		rw.Header().Set(headerMAC, hex.EncodeToString(keys.sign(forAnswer, said)))
+	}
+	rw.WriteHeader(status)
+}
+
+// read takes a frame's bytes; a status other than 0 is the answer instead. They are
+// read before it is known who sends them, so that all that are being read have a bound.
+func (w *Wire) read(rw http.ResponseWriter, r *http.Request, remote string) ([]byte, int) {
+	if r.ContentLength < 0 {
+		return nil, http.StatusLengthRequired
+	}
+	if r.ContentLength > BodyAtMost {
+		w.refuse(&TooLargeError{remote, r.ContentLength, BodyAtMost}, remote)
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	within := w.within(r.ContentLength)
+	http.NewResponseController(rw).SetReadDeadline(time.Now().Add(within))
+	ctx, cancel := context.WithTimeout(w.ctx, within)
+	defer cancel()
+	if w.reading.Acquire(ctx, r.ContentLength) != nil {
+		return nil, http.StatusServiceUnavailable
+	}
+	defer w.reading.Release(r.ContentLength)
+	body, err := io.ReadAll(r.Body)
+	w.count("bytes_in", len(body))
+	if err != nil {
+		w.count("cut", 1)
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// quiet: what net/http would print of strangers' broken requests is counted here instead.
+var quiet = log.New(io.Discard, "", 0)
+
+func statusOf(err Refused) int {
+	switch err.(type) {
+	case *StaleBootError:
+		return http.StatusConflict
+	case *AddresseeError:
+		return http.StatusMisdirectedRequest
+	case *FormError:
+		return http.StatusBadRequest
+	case *TooLargeError:
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusForbidden
+}
+
+// draw makes a number that no other run has, not 0.
+func draw() uint64 {
+	var b [8]byte
+	crand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// follow counts a server's connections, so that its Close can wait for their goroutines.
+func follow(conns *sync.WaitGroup) func(net.Conn, http.ConnState) {
+	return func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			conns.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			conns.Done()
+		}
+	}
+}
