Operators' control surface of the fleet: signed asks that count once, and their client

Commands need to reach a controller over a listener of its own, and a recorded ask must do nothing when it is sent again. The client fetches the listener's challenge, signs it with a nonce of its own and the ask; the listener remembers nonces and draws another challenge once it has 65,536, so that it needs neither a clock nor memory without bound. Replies are signed for the one ask. The restart test of the wire now waits for the answer before it restarts: cut off in between, a message is rightly sent twice.

--- /dev/null
+++ b/internal/fleet/peers/control.go
@@ -0,0 +1,345 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+const (
+	// AskAtMost bounds an ask and a reply, in bytes.
+	AskAtMost = 16 << 20
+
+	asksReading  = 4 * AskAtMost // of all asks that are being read, each counted as long as it says it is
+	noncesAtMost = 1 << 16       // remembered; after so many asks another challenge is drawn, and they are forgotten
+	nonceBytes   = 16
+	askConnect   = 5 * time.Second // to connect to a control listener and for its hello
+	askRead      = 10 * time.Second
+
+	pathHello   = "/hello"
+	pathAsk     = "/ask"
+	headerNonce = "Fleet-Nonce"
+
+	forHello = "control hello 1"
+	forAsk   = "control ask 1"
+	forReply = "control reply 1"
+)
+
+// asked is what the MACs of the control surface are over. Nonce is the client's, drawn
+// for one ask; Boot is the listener's challenge. So an ask counts once, and on one
+// controller's one run; a reply fits one ask.
+type asked struct {
+	Nonce  string `cbor:"1,keyasint"`
+	Boot   uint64 `cbor:"2,keyasint"`
+	Status int    `cbor:"3,keyasint,omitempty"` // of a reply
+	Body   []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// nonces tells an ask that was here before. It needs no clock and doesn't grow without
+// bound: once it is full the challenge changes, and no ask made for the one before fits
+// any more. Only asks with the right MAC come here, so a stranger can't fill it.
+type nonces struct {
+	boot uint64
+	seen map[string]struct{}
+	draw func() uint64
+}
+
+// take says whether an ask is for the challenge of now (fits) and new.
+func (n *nonces) take(boot uint64, nonce string) (fits, fresh bool) {
+	if boot != n.boot {
+		return false, false
+	}
+	if _, ok := n.seen[nonce]; ok {
+		return true, false
+	}
+	n.seen[nonce] = struct{}{}
+	if len(n.seen) >= noncesAtMost {
+		n.boot, n.seen = n.draw(), map[string]struct{}{}
+	}
+	return true, true
+}
+
+// Desk is the listener that operators' commands ask.
+type Desk struct {
+	keys      atomic.Pointer[Keys]
+	ask       func(context.Context, *fleet.Ask) (*fleet.Reply, error)
+	onRefused func(fleet.Remedied, string)
+	listener  net.Listener
+	server    *http.Server
+	reading   *semaphore.Weighted
+	started   time.Time
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
+	serving   sync.WaitGroup
+	conns     sync.WaitGroup
+
+	mu     sync.Mutex
+	nonces nonces
+	counts map[string]int
+	said   sayings
+}
+
+// Control begins to answer operators on a listener: POST /ask takes a fleet.Ask and
+// gives a fleet.Reply, both JSON of at most AskAtMost bytes, signed by the fleet's keys.
+// ask may take as long as the ask's own patience; its context ends when who asked is
+// gone or at Close. An error of it is told as the word unknown: nothing is said that
+// isn't so. onRefused is as Options.OnRefused, and may be nil.
+func Control(l net.Listener, keys Keys, ask func(context.Context, *fleet.Ask) (*fleet.Reply, error),
+	onRefused func(fleet.Remedied, string)) (*Desk, error) {
+	if err := keys.good(); err != nil {
+		return nil, err
+	}
+	d := &Desk{ask: ask, onRefused: onRefused, listener: l, counts: map[string]int{}, said: sayings{},
+		reading: semaphore.NewWeighted(asksReading), started: time.Now(),
+		nonces: nonces{draw(), map[string]struct{}{}, draw}}
+	d.keys.Store(&keys)
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathHello, d.hello)
+	mux.HandleFunc("POST "+pathAsk, d.take)
+	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: askRead, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10,
+		ErrorLog: quiet, ConnState: follow(&d.conns), BaseContext: func(net.Listener) context.Context { return d.ctx }}
+	d.serving.Go(func() { d.server.Serve(l) })
+	return d, nil
+}
+
+// SetKeys takes other keys from now on.
+func (d *Desk) SetKeys(keys Keys) error {
+	if err := keys.good(); err != nil {
+		return err
+	}
+	d.keys.Store(&keys)
+	return nil
+}
+
+// Close ends all asks and waits for their goroutines.
+func (d *Desk) Close() error {
+	d.cancel()
+	err := d.listener.Close()
+	d.serving.Wait()
+	d.server.Close()
+	d.conns.Wait()
+	return err
+}
+
+// Counts are asks answered (asks), and refused_REASON.
+func (d *Desk) Counts() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.counts)
+}
+
+func (d *Desk) refuse(rw http.ResponseWriter, err Refused, from string) {
+	d.mu.Lock()
+	d.counts["refused_"+err.Reason()]++
+	say := d.said.say(from, err.Reason(), time.Since(d.started))
+	d.mu.Unlock()
+	if say && d.onRefused != nil {
+		d.onRefused(err, from)
+	}
+	rw.WriteHeader(statusOf(err))
+}
+
+// hello gives the challenge, signed together with the client's nonce.
+func (d *Desk) hello(rw http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	boot := d.nonces.boot
+	d.mu.Unlock()
+	nonce := r.Header.Get(headerNonce)
+	if len(nonce) != 2*nonceBytes {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	d.answer(rw, forHello, &asked{Nonce: nonce, Boot: boot, Status: http.StatusOK})
+}
+
+func (d *Desk) answer(rw http.ResponseWriter, what string, a *asked) {
+	rw.Header().Set(headerBoot, strconv.FormatUint(a.Boot, 16))
+	rw.Header().Set(headerMAC, hex.EncodeToString((*d.keys.Load()).sign(what, encode(a))))
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(a.Status)
+	rw.Write(a.Body)
+}
+
+func (d *Desk) take(rw http.ResponseWriter, r *http.Request) {
+	remote, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if r.ContentLength < 0 {
+		rw.WriteHeader(http.StatusLengthRequired)
+		return
+	}
+	if r.ContentLength > AskAtMost {
+		d.refuse(rw, &TooLargeError{remote, r.ContentLength, AskAtMost}, remote)
+		return
+	}
+	body, err := d.read(rw, r)
+	if err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	nonce := r.Header.Get(headerNonce)
+	boot, err := strconv.ParseUint(r.Header.Get(headerBoot), 16, 64)
+	sum, _ := hex.DecodeString(r.Header.Get(headerMAC)) // what is no hex fits no key
+	if err != nil || len(nonce) != 2*nonceBytes ||
+		!(*d.keys.Load()).check(forAsk, encode(&asked{Nonce: nonce, Boot: boot, Body: body}), sum) {
+		d.refuse(rw, &StrangerError{remote, "an ask"}, remote)
+		return
+	}
+	d.mu.Lock()
+	fits, fresh := d.nonces.take(boot, nonce)
+	now := d.nonces.boot
+	d.mu.Unlock()
+	if !fits {
+		d.answer(rw, forReply, &asked{Nonce: nonce, Boot: now, Status: http.StatusConflict})
+		return
+	}
+	if !fresh {
+		d.refuse(rw, &ReplayError{From: remote}, remote)
+		return
+	}
+	a := &fleet.Ask{}
+	if err := json.Unmarshal(body, a); err != nil {
+		d.refuse(rw, &FormError{remote, err}, remote)
+		return
+	}
+	reply, err := d.ask(r.Context(), a)
+	if err != nil {
+		reply = &fleet.Reply{ID: a.ID, Word: "unknown", Why: err.Error()}
+		var remedied fleet.Remedied
+		if errors.As(err, &remedied) {
+			reply.Remedy = remedied.Remedy()
+		}
+	}
+	text, err := json.Marshal(reply)
+	if err == nil && len(text) > AskAtMost {
+		err = fmt.Errorf("the reply has %d bytes", len(text))
+	}
+	if err != nil {
+		text, _ = json.Marshal(&fleet.Reply{ID: a.ID, Word: "unknown", Why: err.Error()})
+	}
+	d.mu.Lock()
+	d.counts["asks"]++
+	d.mu.Unlock()
+	d.answer(rw, forReply, &asked{Nonce: nonce, Boot: boot, Status: http.StatusOK, Body: text})
+}
+
+func (d *Desk) read(rw http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(rw)
+	control.SetReadDeadline(time.Now().Add(askRead))
+	defer control.SetReadDeadline(time.Time{}) // the ask may wait longer than it took to read
+	ctx, cancel := context.WithTimeout(r.Context(), askRead)
+	defer cancel()
+	if err := d.reading.Acquire(ctx, r.ContentLength); err != nil {
+		return nil, err
+	}
+	defer d.reading.Release(r.ContentLength)
+	return io.ReadAll(r.Body)
+}
+
+// AskControl asks a controller's control listener. The context bounds how long: an ask
+// with a patience of its own needs a context that lasts longer. An UnreachableError with
+// Sent means that the ask may have been taken all the same: ask again by its id.
+func AskControl(ctx context.Context, address string, keys Keys, a *fleet.Ask) (*fleet.Reply, error) {
+	if err := keys.good(); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(a)
+	if err != nil {
+		return nil, &FormError{"this ask", err}
+	}
+	if len(text) > AskAtMost {
+		return nil, &TooLargeError{address, int64(len(text)), AskAtMost}
+	}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: askConnect}).DialContext, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	c := &caller{transport, address, keys}
+
+	within, cancel := context.WithTimeout(ctx, askConnect)
+	hello, err := c.call(within, http.MethodGet, pathHello, forHello, &asked{Nonce: nonce()})
+	cancel()
+	if err != nil {
+		return nil, err
+	}
+	for range 2 { // once more if the challenge changed in between
+		q := &asked{Nonce: nonce(), Boot: hello.Boot, Body: text}
+		reply, err := c.call(ctx, http.MethodPost, pathAsk, forReply, q)
+		switch {
+		case err != nil:
+			return nil, err
+		case reply.Status == http.StatusConflict:
+			hello = reply
+			continue
+		}
+		r := &fleet.Reply{}
+		if err := json.Unmarshal(reply.Body, r); err != nil {
+			return nil, &FormError{address, err}
+		}
+		return r, nil
+	}
+	return nil, &UnreachableError{address, false, errors.New("it changes its challenge each time")}
+}
+
+func nonce() string {
+	var b [nonceBytes]byte
+	crand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+type caller struct {
+	transport *http.Transport
+	address   string
+	keys      Keys
+}
+
+// call sends one request and gives its answer, signed as what; its status is 200, or
+// 409 for an ask.
+func (c *caller) call(ctx context.Context, method, path, what string, q *asked) (*asked, error) {
+	u := url.URL{Scheme: "http", Host: c.address, Path: path}
+	r, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(q.Body))
+	if err != nil {
+		return nil, &UnreachableError{c.address, false, err}
+	}
+	r.Header.Set(headerNonce, q.Nonce)
+	if what == forReply {
+		r.Header.Set(headerBoot, strconv.FormatUint(q.Boot, 16))
+		r.Header.Set(headerMAC, hex.EncodeToString(c.keys.sign(forAsk, encode(q))))
+	}
+	a, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return nil, &UnreachableError{c.address, what == forReply, err}
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK && (a.StatusCode != http.StatusConflict || what != forReply) {
+		return nil, &TurnedAwayError{"the controller", c.address, a.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, AskAtMost+1))
+	if err != nil {
+		return nil, &UnreachableError{c.address, what == forReply, err}
+	}
+	if len(body) > AskAtMost {
+		return nil, &TooLargeError{c.address, int64(len(body)), AskAtMost}
+	}
+	boot, err := strconv.ParseUint(a.Header.Get(headerBoot), 16, 64)
+	sum, err2 := hex.DecodeString(a.Header.Get(headerMAC))
+	said := &asked{Nonce: q.Nonce, Boot: boot, Status: a.StatusCode, Body: body}
+	if err != nil || err2 != nil || !c.keys.check(what, encode(said), sum) {
+		return nil, &StrangerError{c.address, "an answer"}
+	}
+	return said, nil
+}
--- a/internal/fleet/peers/wire_test.go
+++ b/internal/fleet/peers/wire_test.go
@@ -256,6 +256,7 @@
 	a, b := pair(t, Options{}, Options{})
 	a.say(b, "before")
 	b.hears(t, "a", "before")
+	a.until(t, "sent", 1) // an answer that the restart cuts off would have it sent twice
 	old := &frame{Fleet: "north", From: "a", To: "b", Boot: a.Boot(), There: b.Boot(), Seq: 2}
 	old.Messages = append(old.Messages, message("a", "b", "recorded"))
 	b.Close()
