The set-up's placement part, and the text of a policy checked against a controller's own

Rules of placement stand in the set-up by team, and the fleet changes them with teams, shares and groups' limits by one file. Both are read strictly: unknown sites and teams and rules that leave nothing are faults with file, line and field. ParsePolicy lays the file over the controller's own set-up without changing it; what it can't take is an Unfit.

--- /dev/null
+++ b/internal/setup/placement.go
@@ -0,0 +1,289 @@
+package setup
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/residency"
+)
+
+// Placed is a rule of placement: which tables of a team are bound, inside which of the
+// engines' locations. A team is one of fairness or a customer of shares.
+type Placed struct {
+	Name        string   `yaml:"name"`
+	Team        string   `yaml:"team"`
+	Tables      []int64  `yaml:"tables"`      // table groups: all of the team's
+	Engines     []string `yaml:"engines"`     // whose engines may work on them: all
+	Controllers []string `yaml:"controllers"` // whose controllers may take them: as engines
+	// Keep is where results and cached answers may be kept: as controllers; [] is nowhere.
+	Keep      []string        `yaml:"keep"`
+	Follows   bool            `yaml:"follows"` // a load from them into other tables binds those, too
+	Emergency PlacedEmergency `yaml:"emergency"`
+}
+
+// PlacedEmergency allows further sites' engines.
+type PlacedEmergency struct {
+	Sites []string `yaml:"sites"`
+	After Span     `yaml:"after"` // all engines inside are lost for so long
+}
+
+func (x *Setup) rules() (l []residency.Rule) {
+	for _, p := range x.Placement {
+		l = append(l, residency.Rule{Name: p.Name, Team: p.Team, Tables: p.Tables, Engines: p.Engines, Controllers: p.Controllers,
+			Keep: p.Keep, Follows: p.Follows, Emergency: residency.Emergency{Sites: p.Emergency.Sites, After: time.Duration(p.Emergency.After)}})
+	}
+	return l
+}
+
+// teamNames are all that a query can be counted to.
+func (x *Setup) teamNames() []string {
+	names := []string{}
+	var walk func(l []Team)
+	walk = func(l []Team) {
+		for _, t := range l {
+			if len(t.Teams) == 0 {
+				names = append(names, t.Name)
+			}
+			walk(t.Teams)
+		}
+	}
+	if x.Fairness != nil {
+		walk(x.Fairness.Teams)
+	}
+	if x.Shares != nil {
+		for _, who := range x.Shares.Customers {
+			names = append(names, who.Name)
+		}
+	}
+	return names
+}
+
+func (c *checker) placement(x *Setup) {
+	if len(x.Placement) == 0 {
+		return
+	}
+	if x.Fleet == nil {
+		c.wrong("placement", "there is no fleet part: what loads bind and when emergencies begin stands in its record")
+	}
+	for i, p := range x.Placement {
+		if p.Name != "" {
+			c.name(fmt.Sprintf("placement[%d].name", i), p.Name)
+		}
+	}
+	sites := x.Engines.Locations
+	if len(sites) == 0 {
+		sites = []string{"here"}
+	}
+	for _, f := range residency.Check(x.rules(), sites, x.teamNames()) {
+		c.wrong(fmt.Sprintf("placement[%d].%s", f.Rule, f.Field), "%s", f.Why)
+	}
+}
+
+// Policy is what of a set-up the whole fleet shares, as a file of `fleet apply` says it.
+// What the file leaves out is as each controller's own set-up has it.
+type Policy struct {
+	Fairness  *PolicyTeams  `yaml:"fairness"`
+	Shares    *PolicyShares `yaml:"shares"`
+	Groups    []GroupLimits `yaml:"groups"`
+	Placement []Placed      `yaml:"placement"`
+	Voters    []Voter       `yaml:"voters"` // who votes from now on; left out: as before
+}
+
+// PolicyTeams are the teams, all of them.
+type PolicyTeams struct {
+	Default string `yaml:"default"`
+	Age     Span   `yaml:"age"`
+	Teams   []Team `yaml:"teams"`
+}
+
+// PolicyShares are customers' shares; who isn't named keeps its own.
+type PolicyShares struct {
+	Over      *float64   `yaml:"over"`
+	Customers []Customer `yaml:"customers"`
+}
+
+// GroupLimits are what the fleet may change of a resource group. What is left out stays.
+type GroupLimits struct {
+	Name    string   `yaml:"name"`
+	Threads float64  `yaml:"threads"`
+	Value   float64  `yaml:"value"`
+	Target  Span     `yaml:"target"`
+	Timeout Span     `yaml:"timeout"`
+	Stretch *float64 `yaml:"stretch"`
+	Late    *float64 `yaml:"late_share"`
+}
+
+// Unfit: a policy can't be taken by this controller. It unwraps to Faults.
+type Unfit struct {
+	File   string
+	Faults []error
+}
+
+func (u *Unfit) Error() string { return errors.Join(u.Faults...).Error() }
+
+// Remedy says what an operator can do.
+func (u *Unfit) Remedy() string {
+	return "mend the policy file, or the set-up of the controller that says so, and apply it again"
+}
+
+func (u *Unfit) Unwrap() []error { return u.Faults }
+
+// Errors is one sample of each error that a fleet's operator is told by this package.
+func Errors() []fleet.Remedied {
+	return []fleet.Remedied{&Unfit{"policy.yaml", []error{&Fault{File: "policy.yaml", Line: 3, Field: "groups[0].name", Why: `no group is called "lookup"`}}}}
+}
+
+// Base is the policy that the set-up itself holds: version 0, before any change.
+func (x *Setup) Base() (*relay.Policy, []fleet.Watched) {
+	rules := x.rules()
+	return &relay.Policy{Fair: x.Shape(), Facts: x.facts(), Rules: rules}, residency.Watches(rules)
+}
+
+// ParsePolicy reads a policy's text, strictly, and checks it against a controller's own
+// set-up, which is not changed. What is wrong is an *Unfit. Voters are name=address; none:
+// as before.
+func ParsePolicy(file string, text []byte, own *Setup) (*relay.Policy, []fleet.Watched, []string, error) {
+	x, p, err := own.with(file, text)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	var voters []string
+	for _, v := range p.Voters {
+		voters = append(voters, v.Name+"="+v.Address)
+	}
+	policy, watched := x.Base()
+	return policy, watched, voters, nil
+}
+
+// PolicyRules are the placement rules of a policy's text, for `fleet plan`.
+func PolicyRules(file string, text []byte, own *Setup) (old, next []residency.Rule, err error) {
+	x, _, err := own.with(file, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	return own.rules(), x.rules(), nil
+}
+
+// with is this set-up with what a policy says in it.
+func (x *Setup) with(file string, text []byte) (*Setup, *Policy, error) {
+	tree, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, nil, &Unfit{file, []error{spot(file, err)}}
+	}
+	p := &Policy{}
+	if err := yaml.UnmarshalWithOptions(text, p, yaml.Strict()); err != nil && !(errors.Is(err, io.EOF) && len(bytes.TrimSpace(text)) == 0) {
+		return nil, nil, &Unfit{file, []error{spot(file, err)}}
+	}
+	c := &checker{file: file, text: text, tree: tree}
+	s := *x
+	c.policy(p, x, &s)
+	if len(c.faults) > 0 {
+		return nil, nil, &Unfit{file, c.faults}
+	}
+	return &s, p, nil
+}
+
+// policy checks a policy against a controller's own set-up, and makes of both the next.
+func (c *checker) policy(p *Policy, own, s *Setup) {
+	switch f := p.Fairness; {
+	case f == nil:
+	case own.Fairness == nil:
+		c.wrong("fairness", "this controller has no teams")
+	default:
+		next := *own.Fairness
+		next.Teams, next.Default, next.Age = f.Teams, cmp.Or(f.Default, next.Default), cmp.Or(f.Age, next.Age)
+		s.Fairness = &next
+		if len(next.Teams) == 0 {
+			c.wrong("fairness.teams", "is missing: the policy names all teams there are")
+		}
+		c.teams(next.Teams, "fairness.teams")
+		c.fairness(&next)
+	}
+	switch x := p.Shares; {
+	case x == nil:
+	case own.Shares == nil:
+		c.wrong("shares", "this controller has no customers")
+	default:
+		next := *own.Shares
+		next.Customers = slices.Clone(next.Customers)
+		s.Shares = &next
+		if x.Over != nil {
+			next.Over = *x.Over
+			c.maybe("shares.over", next.Over, 0, 1)
+		}
+		for i, who := range x.Customers {
+			at := fmt.Sprintf("shares.customers[%d].", i)
+			c.number(at+"rate", who.Rate, 1e-9, 1e9)
+			j := slices.IndexFunc(next.Customers, func(y Customer) bool { return y.Name == who.Name })
+			if j < 0 {
+				c.wrong(at+"name", "no customer is called %q here", who.Name)
+				continue
+			}
+			next.Customers[j].Rate = who.Rate
+		}
+	}
+	c.limits(p.Groups, s)
+	if p.Placement != nil {
+		s.Placement = p.Placement
+	}
+	c.placement(s) // its teams and sites may be gone even if it is left out
+	if n := len(p.Voters); n > 0 && (n%2 == 0 || n > votersMost) {
+		c.wrong("voters", "%d voters, and there must be 3, 5 or 7, or 1 for a trial", n)
+	}
+	names := map[string]bool{}
+	for i, v := range p.Voters {
+		at := fmt.Sprintf("voters[%d].", i)
+		c.name(at+"name", v.Name)
+		c.address(at+"address", v.Address)
+		switch {
+		case strings.Contains(v.Name, "="):
+			c.wrong(at+"name", "%q: a voter's name has no =", v.Name)
+		case names[v.Name]:
+			c.wrong(at+"name", "a second voter is called %q", v.Name)
+		}
+		names[v.Name] = true
+	}
+}
+
+func (c *checker) limits(l []GroupLimits, s *Setup) {
+	s.Groups = slices.Clone(s.Groups)
+	seen := map[string]bool{}
+	for i, g := range l {
+		at := fmt.Sprintf("groups[%d].", i)
+		j := slices.IndexFunc(s.Groups, func(y Group) bool { return y.Name == g.Name })
+		if seen[g.Name] {
+			c.wrong(at+"name", "a second group is called %q", g.Name)
+		}
+		if seen[g.Name] = true; j < 0 {
+			c.wrong(at+"name", "no group is called %q here", g.Name)
+			continue
+		}
+		x := &s.Groups[j]
+		x.Threads, x.Target, x.Timeout = cmp.Or(g.Threads, x.Threads), cmp.Or(g.Target, x.Target), cmp.Or(g.Timeout, x.Timeout)
+		c.maybe(at+"threads", x.Threads, 1, 1024)
+		x.Value = cmp.Or(g.Value, x.Value)
+		c.maybe(at+"value", x.Value, 0, 1e9)
+		if g.Stretch != nil {
+			x.Stretch = *g.Stretch
+			c.maybe(at+"stretch", x.Stretch, 0, 1000)
+		}
+		if g.Late != nil {
+			x.Late = g.Late
+			c.maybe(at+"late_share", *x.Late, 0, 1)
+		}
+		if x.Target > 0 && x.Timeout > 0 && x.Target > x.Timeout {
+			c.wrong(at+"target", "is longer than the timeout of %v", time.Duration(x.Timeout))
+		}
+	}
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -43,6 +43,8 @@
 	Spool    *Spool    `yaml:"spool"`    // left out: results are answered whole
 	Shares   *Shares   `yaml:"shares"`   // left out: no customer has one
 	Fleet    *Fleet    `yaml:"fleet"`    // left out: this controller decides by itself
+	// Placement are the rules on where teams' data may be; left out: anywhere.
+	Placement []Placed `yaml:"placement"`
 	// Estimates are the call fields that tell a query's work, in milliseconds of one
 	// thread, and the memory that it needs, in MB; left out: none does.
 	Estimates Estimates `yaml:"estimates"`
@@ -349,6 +351,7 @@
 	if s.Fleet != nil {
 		c.fleet(s)
 	}
+	c.placement(s)
 	c.shape(s)
 }
 
@@ -788,7 +791,8 @@
 		"limits": x.Limits == next.Limits, "engines": reflect.DeepEqual(x.Engines, next.Engines),
 		"groups": reflect.DeepEqual(x.Groups, next.Groups), "clients": reflect.DeepEqual(x.Clients, next.Clients),
 		"shares": reflect.DeepEqual(x.Shares, next.Shares), "estimates": x.Estimates == next.Estimates,
-		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fleet": reflect.DeepEqual(x.Fleet, next.Fleet), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
+		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fleet": reflect.DeepEqual(x.Fleet, next.Fleet),
+		"placement": reflect.DeepEqual(x.Placement, next.Placement), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
 	} {
 		if !same {
 			what = append(what, name)
