--- a/internal/clients/alltables.go
+++ b/internal/clients/alltables.go
@@ -154,7 +154,7 @@
 		}
 		f.wants, f.list = reads, reads
 	case "join", "using":
-		f.wants, f.list = reads, f.list
+		f.wants = reads
 	case "into", "update", "table", "copy", "merge", "view", "insert", "truncate", "overwrite":
 		if f.lower == "update" && (f.last == "for" || f.last == "do" || f.last == "then" || f.older == "for") {
 			return true // for update, for no key update, on conflict do update, when matched then update
