Kept results can be purged: unreachable at once, then erased from disk

Dropping a result left its bytes in segments until compaction came by, and an index page held what was deleted. The spool's core takes a purge by team, tables, time and place in the record: tokens open nothing from that moment, a page being read from disk is handed to nobody, what is being taken in is refused. The store then rewrites or removes every segment with anything dead in it, what was dropped before and half-written results too, copies the index into a file of its own, syncs, and only then tells that it is wiped. Results bear their tables and the record's place in a way that older segments still open. The purge was cut at every disk step in three ways, with and without the index, with compaction under way, and on a disk that refuses: what is told as wiped is in no file's bytes. That found that a segment whose removal the disk refused stayed for good; it is tried again now.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -426,9 +426,7 @@
 
 // meets: one of two lists of tables has what the other has, too; where one can't be
 // told it may.
-func meets(a, b []int64) bool {
-	return len(a) == 0 || len(b) == 0 || slices.ContainsFunc(a, func(x int64) bool { return slices.Contains(b, x) })
-}
+func meets(a, b []int64) bool { return len(a) == 0 || len(b) == 0 || fleet.Meet(a, b) }
 
 // loading: something in hand changes some of these tables.
 func (c *Cache) loading(tables []int64) bool {
@@ -465,19 +463,13 @@
 	}
 }
 
-// Within tells whether what was kept at a wall time, of a team and tables, is meant by a
-// scope. Tables that can't be told are.
-func Within(s *fleet.Scope, team string, tables []int64, wall int64) bool {
-	return s.Team == team && (len(s.Tables) == 0 || meets(tables, s.Tables)) && (s.Before == 0 || wall < s.Before)
-}
-
 // Drop purges: what is kept of a scope goes at once, and what was asked for before a
 // place in the record is neither kept nor served to who follows it, or comes later.
 // Those named followed such a run and have to go their way now.
 func (c *Cache) Drop(now time.Duration, s *fleet.Scope, index uint64) (found fleet.Counts, next []*Ask) {
 	c.at(now)
 	c.index = max(c.index, index)
-	for _, k := range c.those(func(k *kept) bool { return k.index < index && Within(s, k.team.name, k.tables, k.wall) }) {
+	for _, k := range c.those(func(k *kept) bool { return k.index < index && s.Means(k.team.name, k.tables, k.wall) }) {
 		c.Counts.Purged++
 		found.Answers++
 		found.Bytes += k.size
@@ -486,7 +478,7 @@
 	if plantedDraw {
 		return found, nil
 	}
-	for _, r := range c.strike(func(r *run) bool { return r.index < index && Within(s, r.lead.Team, r.lead.Tables, r.wall) }) {
+	for _, r := range c.strike(func(r *run) bool { return r.index < index && s.Means(r.lead.Team, r.lead.Tables, r.wall) }) {
 		if n := c.next(r); n != nil {
 			next = append(next, n)
 		}
--- /dev/null
+++ b/internal/fleet/scope.go
@@ -0,0 +1,14 @@
+package fleet
+
+import "slices"
+
+// Means tells whether a purge's scope means what was kept at a wall time, of a team and
+// groups of tables. Where these can't be told (none) it does.
+func (s *Scope) Means(team string, tables []int64, wall int64) bool {
+	return s.Team == team && (len(s.Tables) == 0 || len(tables) == 0 || Meet(tables, s.Tables)) && (s.Before == 0 || wall < s.Before)
+}
+
+// Meet tells whether two lists of groups of tables have one in common.
+func Meet(a, b []int64) bool {
+	return slices.ContainsFunc(a, func(x int64) bool { return slices.Contains(b, x) })
+}
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -60,7 +60,7 @@
 	if len(from.Fields.Get(p.Words.Pages)) == 0 {
 		return
 	}
-	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from))
+	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from), spool.Tag{})
 	if err != nil {
 		p.sayOf(q.about(), "deferred: "+err.Error())
 		p.deferred(q, spoolPause)
--- /dev/null
+++ b/internal/spool/purge.go
@@ -0,0 +1,63 @@
+package spool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// ErrPurged: it was purged while it was taken in, or while its first page was read.
+var ErrPurged = Refusal("what is kept of its team was purged before its result was whole")
+
+// Purged: a purge took it.
+func (r *Result) Purged() bool { return r.purged }
+
+// Purge gives up what is kept of a scope and was asked for before a place in the record.
+// From this moment no token opens it, a page that is being read from disk is handed out
+// to nobody, and what is being taken in is refused with ErrPurged. unreached is called
+// at once, wiped when no byte of it is on disk any more, with what was found. A program
+// that ends before is to be given the same purge again, before it serves.
+func (c *Core) Purge(now time.Duration, s *fleet.Scope, index uint64, unreached func(), wiped func(fleet.Counts)) {
+	c.at(now)
+	var l []*Result
+	means := func(r *Result) {
+		if r.tag.Index < index && s.Means(r.team.name, r.tag.Tables, r.wall) {
+			l = append(l, r)
+		}
+	}
+	for r := range c.taking {
+		means(r)
+	}
+	for _, r := range c.results {
+		means(r)
+	}
+	// the order of a map must not show
+	slices.SortFunc(l, func(a, b *Result) int { return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.serial, b.serial)) })
+	var found fleet.Counts
+	for _, r := range l {
+		if r.purged = true; r.failed == nil {
+			r.failed = ErrPurged
+		}
+		if r.bytes > 0 {
+			found.Results++
+			found.Bytes += r.bytes
+		}
+		c.Counts.Purged++
+		c.Drop(c.now, r)
+	}
+	unreached()
+	if c.Disk == 0 {
+		wiped(found)
+		return
+	}
+	w := &Work{Erase: true}
+	w.Done = func(now time.Duration) {
+		c.at(now)
+		c.dead = max(0, w.Total-c.disk)
+		wiped(found)
+		c.wake()
+	}
+	c.do(w)
+}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -46,8 +46,10 @@
 	Pages   []Page
 	Promise *Promise
 	Drop    []uint64
-	Fetch   *Fetch
-	Keys    []byte // the keyring's text, to be kept
+	// Erase is done once no byte of what was dropped before is on disk any more.
+	Erase bool
+	Fetch *Fetch
+	Keys  []byte // the keyring's text, to be kept
 
 	Err   error
 	Body  []byte // fetched
@@ -68,6 +70,14 @@
 	Query, Team string
 	Made, Ends  int64 // milliseconds since 1970
 	Rows        []uint32
+	Index       uint64 // of the record when its query was taken, 0: not known, or there is none
+	Tables      []int64
+}
+
+// Tag is what a purge finds a result by, beside its team.
+type Tag struct {
+	Index  uint64  // of the record when its query was taken
+	Tables []int64 // groups of tables that it reads, none: it can't be told
 }
 
 // Fetch is a page to be read.
@@ -125,6 +135,7 @@
 	NoRoom                                     int
 	Pages, FromDisk, BadTokens, Spoilt         int
 	Evicted, Expired, ReadOut, Waited          int
+	Purged                                     int
 	BytesIn                                    int64
 }
 
@@ -140,6 +151,9 @@
 	serial   uint64 // in which they came
 	query    string
 	team     *team
+	tag      Tag
+	wall     int64 // when its taking in began, or it was promised, in milliseconds since 1970
+	purged   bool
 	pages    []page // while taken in, and as long as any is in memory
 	sizes    uint64
 	bytes    int64
@@ -202,7 +216,7 @@
 // Restore takes in what the disk held at the start. Its life goes on as the clock on
 // the wall has it, but lasts no longer than a new one's, whatever that clock says.
 func (c *Core) Restore(f *Found) {
-	r := &Result{id: f.Result, query: f.Query, team: c.teamOf(f.Team), count: len(f.Rows), whole: true}
+	r := &Result{id: f.Result, query: f.Query, team: c.teamOf(f.Team), count: len(f.Rows), whole: true, tag: Tag{f.Index, f.Tables}, wall: f.Made}
 	r.sizes = sums(func(i int) uint32 { return f.Bytes[i] }, func(i int) uint32 { return f.Rows[i] }, r.count)
 	for i, rows := range f.Rows {
 		r.bytes += int64(f.Bytes[i])
@@ -239,7 +253,7 @@
 func (c *Core) Held() (results int, memory, disk int64) { return c.count, c.memory, c.disk }
 
 // Enter lets a call for pages in, before anything of it is sent, or says why not.
-func (c *Core) Enter(now time.Duration, query, teamName string) (*Result, error) {
+func (c *Core) Enter(now time.Duration, query, teamName string, tag Tag) (*Result, error) {
 	c.at(now)
 	t := c.teamOf(teamName)
 	if t.results >= c.TeamResults && !c.evictOne(t, readOut|pastLife) {
@@ -253,21 +267,25 @@
 		return nil, Refusal("too many results are kept")
 	}
 	c.Counts.Taken++
-	return c.begin(query, t), nil
+	return c.begin(query, t, tag), nil
 }
 
 // Again begins the same result for another submission that hands it out.
 func (c *Core) Again(now time.Duration, r *Result) *Result {
 	c.at(now)
-	return c.begin(r.query, r.team)
+	again := c.begin(r.query, r.team, r.tag)
+	if r.purged {
+		again.purged, again.failed = true, ErrPurged
+	}
+	return again
 }
 
-func (c *Core) begin(query string, t *team) *Result {
+func (c *Core) begin(query string, t *team, tag Tag) *Result {
 	c.count++
 	t.results++
 	c.teams[t.name] = t
 	c.serial++
-	r := &Result{query: query, team: t, serial: c.serial}
+	r := &Result{query: query, team: t, serial: c.serial, tag: tag, wall: c.wall + c.now.Milliseconds()}
 	c.taking[r] = true
 	return r
 }
@@ -514,7 +532,7 @@
 	c.at(now)
 	r.promised = tell
 	r.number(c)
-	r.made, r.ends = c.now, c.now+c.Life
+	r.made, r.ends, r.wall = c.now, c.now+c.Life, c.wall+c.now.Milliseconds()
 	r.endsWall = c.wall + r.ends.Milliseconds()
 	r.count = len(r.pages)
 	r.sizes = sums(func(i int) uint32 { return r.pages[i].size }, func(i int) uint32 { return r.pages[i].rows }, r.count)
@@ -526,7 +544,8 @@
 	for i := range r.pages {
 		rows[i] = r.pages[i].rows
 	}
-	c.write(r, r.count, &Promise{Result: r.id, Query: r.query, Team: r.team.name, Made: c.wall + c.now.Milliseconds(), Ends: r.endsWall, Rows: rows})
+	c.write(r, r.count, &Promise{Result: r.id, Query: r.query, Team: r.team.name, Made: c.wall + c.now.Milliseconds(), Ends: r.endsWall, Rows: rows,
+		Index: r.tag.Index, Tables: r.tag.Tables})
 }
 
 // number gives it the number that it has on disk.
@@ -771,7 +790,13 @@
 		tell(nil, ErrBusy)
 		return
 	}
-	c.fetch(r, number, tell)
+	c.fetch(r, number, func(body []byte, err error) {
+		if err == ErrPurged { // which is nobody's to know
+			c.Counts.BadTokens++
+			err = ErrNone
+		}
+		tell(body, err)
+	})
 }
 
 func (c *Core) fetch(r *Result, number int, tell func(body []byte, err error)) {
@@ -784,6 +809,8 @@
 		c.reads--
 		r.reading--
 		switch {
+		case r.purged: // whatever was read comes too late
+			tell(nil, ErrPurged)
 		case w.Err != nil:
 			c.Counts.Spoilt++
 			tell(nil, w.Err)
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -4,6 +4,7 @@
 package disk
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"maps"
@@ -149,6 +150,18 @@
 	return sum
 }
 
+// Holds names the files that hold some bytes.
+func (d *Disk) Holds(p []byte) (names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(d.files)) {
+		if bytes.Contains(d.files[name].p, p) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Flip turns a bit of a file over.
 func (d *Disk) Flip(name string, offset int64, bit uint) {
 	d.mu.Lock()
@@ -245,6 +258,7 @@
 	x := New()
 	kept := map[string][]byte{} // as of the last sync
 	named := map[string]bool{}  // files whose names were synced
+	back := map[string][]byte{} // removed, and that not synced
 	for i := range min(len(d.steps), steps+1) {
 		s := d.steps[i]
 		if i == steps { // the step it was in
@@ -270,13 +284,19 @@
 			for name := range x.files { // it syncs the directory
 				named[name] = true
 			}
+			clear(back)
 		case "remove":
+			if named[s.name] {
+				back[s.name] = kept[s.name]
+			}
 			delete(x.files, s.name)
 			delete(kept, s.name)
+			delete(named, s.name)
 		case "syncdir":
 			for name := range x.files {
 				named[name] = true
 			}
+			clear(back)
 		}
 	}
 	if how == Cut {
@@ -285,6 +305,9 @@
 				delete(x.files, name)
 			}
 		}
+		for name, p := range back {
+			x.files[name] = &file{d: x, name: name, p: p}
+		}
 	}
 	return x
 }
--- a/internal/standin/disk/index.go
+++ b/internal/standin/disk/index.go
@@ -89,6 +89,9 @@
 	return nil
 }
 
+// Scrub has nothing to do: what is deleted leaves nothing.
+func (x *Index) Scrub() error { return nil }
+
 // Reset empties it.
 func (x *Index) Reset() error {
 	x.mu.Lock()
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -225,7 +225,9 @@
 					w.Keeper.Read(work)
 				} else {
 					w.Keeper.Write([]*spool.Work{work})
-					w.Keeper.Tick()
+					if w.erase(); work.Erase {
+						return
+					}
 				}
 				w.step(relay.Event{Kind: relay.Stored, Work: work})
 			})
@@ -235,6 +237,17 @@
 	}
 }
 
+// erase steps the disk, on and on while anything is to be erased.
+func (w *World) erase() {
+	w.Keeper.Tick()
+	for _, work := range w.Keeper.Erased() {
+		w.step(relay.Event{Kind: relay.Stored, Work: work})
+	}
+	if w.Keeper.Erases() {
+		w.After(w.Disk, w.erase)
+	}
+}
+
 func (w *World) dial(link *relay.Link, address string, within time.Duration) {
 	e := &end{link: link}
 	w.ends[link] = e
--- a/internal/store/index.go
+++ b/internal/store/index.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"os"
+	"path/filepath"
+	"sync"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -20,6 +22,8 @@
 	Each(do func(m *Meta) error) error
 	// Reset empties it.
 	Reset() error
+	// Scrub has nothing of what was deleted be left in its file, for good.
+	Scrub() error
 	Close() error
 }
 
@@ -29,6 +33,7 @@
 // Bolt is an index in an embedded store.
 type Bolt struct {
 	path string
+	mu   sync.RWMutex // held while the file is replaced
 	db   *bbolt.DB
 }
 
@@ -50,8 +55,12 @@
 	return b, nil
 }
 
+func openBolt(path string) (*bbolt.DB, error) {
+	return bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+}
+
 func (b *Bolt) open() error {
-	db, err := bbolt.Open(b.path, 0o600, &bbolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+	db, err := openBolt(b.path)
 	if err != nil {
 		return err
 	}
@@ -77,9 +86,37 @@
 	return b.open()
 }
 
+// Scrub copies what counts into a file of its own and puts that in place: pages that
+// are free in the old one still hold what they held.
+func (b *Bolt) Scrub() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fresh := b.path + ".new"
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	db, err := openBolt(fresh)
+	if err != nil {
+		return err
+	}
+	if err = bbolt.Compact(db, b.db, 1<<20); err == nil {
+		err = os.Rename(fresh, b.path)
+	}
+	if err != nil {
+		db.Close()
+		os.Remove(fresh)
+		return err
+	}
+	old := b.db
+	b.db = db
+	return errors.Join(old.Close(), (&Dir{path: filepath.Dir(b.path)}).SyncDir())
+}
+
 func (b *Bolt) Close() error { return b.db.Close() }
 
 func (b *Bolt) Through() (segment uint64, offset int64, err error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	err = b.db.View(func(tx *bbolt.Tx) error {
 		if p := tx.Bucket(state).Get(through); len(p) == 16 {
 			segment, offset = binary.BigEndian.Uint64(p), int64(binary.BigEndian.Uint64(p[8:]))
@@ -132,6 +169,8 @@
 func key(result uint64) []byte { return binary.BigEndian.AppendUint64(nil, result) }
 
 func (b *Bolt) Get(result uint64) (m *Meta, err error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	err = b.db.View(func(tx *bbolt.Tx) error {
 		p := tx.Bucket(results).Get(key(result))
 		if p == nil {
@@ -145,6 +184,8 @@
 }
 
 func (b *Bolt) Each(do func(m *Meta) error) error {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	return b.db.View(func(tx *bbolt.Tx) error {
 		return tx.Bucket(results).ForEach(func(_, p []byte) error {
 			m, err := decodePlaced(p)
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -17,9 +17,10 @@
 // else by one.
 type Keeper struct {
 	*Store
-	Found Recovered
-	files Files
-	dir   *Dir
+	Found  Recovered
+	files  Files
+	dir    *Dir
+	erased []*spool.Work // done, and not told yet
 }
 
 // OpenKeeper holds a directory and opens what it has. ErrInUse if another program does.
@@ -67,7 +68,8 @@
 // Restore hands over what the disk held.
 func (k *Keeper) Restore(each func(f *spool.Found)) error {
 	return k.Each(func(m *Meta) error {
-		each(&spool.Found{Promise: spool.Promise{Result: m.Result, Query: m.Query, Team: m.Team, Made: m.Made, Ends: m.Ends, Rows: m.Rows}, Bytes: m.Bytes})
+		each(&spool.Found{Promise: spool.Promise{Result: m.Result, Query: m.Query, Team: m.Team, Made: m.Made, Ends: m.Ends, Rows: m.Rows,
+			Index: m.Index, Tables: m.Tables}, Bytes: m.Bytes})
 		return nil
 	})
 }
@@ -75,7 +77,8 @@
 // Read does a fetch.
 func (k *Keeper) Read(w *spool.Work) { w.Body, w.Err = k.Fetch(w.Fetch.Result, w.Fetch.Page) }
 
-// Write does all other work, in order, with one sync for all.
+// Write does all other work, in order, with one sync for all. Work that erases is only
+// begun: Erased names it once it is done.
 func (k *Keeper) Write(l []*spool.Work) {
 	jobs := make([]*Job, 0, len(l))
 	for _, w := range l {
@@ -84,7 +87,7 @@
 			j.Pages = append(j.Pages, Record{Kind: Page, Result: p.Result, Page: p.Number, Body: p.Body})
 		}
 		if p := w.Promise; p != nil {
-			j.Promise = &Meta{Result: p.Result, Query: p.Query, Team: p.Team, Made: p.Made, Ends: p.Ends, Rows: p.Rows}
+			j.Promise = &Meta{Result: p.Result, Query: p.Query, Team: p.Team, Made: p.Made, Ends: p.Ends, Rows: p.Rows, Index: p.Index, Tables: p.Tables}
 		}
 		jobs = append(jobs, j)
 	}
@@ -93,7 +96,20 @@
 		if w.Err, w.Total = jobs[i].Err, jobs[i].Total; w.Keys != nil {
 			w.Err = k.KeepKeys(w.Keys)
 		}
+		if w.Erase {
+			k.Erase(func() { k.erased = append(k.erased, w) })
+		}
+	}
+}
+
+// Erased is the work that erases and was done since it was last asked for.
+func (k *Keeper) Erased() []*spool.Work {
+	l := k.erased
+	k.erased = nil
+	for _, w := range l {
+		w.Total = k.Total()
 	}
+	return l
 }
 
 // Serve does work as it comes until there is no more. done is told of each.
@@ -108,6 +124,9 @@
 			more = false
 			fault(err)
 		}
+		for _, w := range k.Erased() {
+			done(w)
+		}
 	}
 	for {
 		var l []*spool.Work
@@ -148,9 +167,11 @@
 		}
 		k.Write(l)
 		for _, w := range l {
-			done(w)
+			if !w.Erase {
+				done(w)
+			}
 		}
-		if k.Behind() {
+		if k.Behind() || k.Erases() {
 			step()
 		}
 	}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -108,10 +108,14 @@
 	Team   string
 	// Made and Ends are in milliseconds since 1970, as the clock on the wall had it.
 	Made, Ends int64
-	Rows       []uint32 // by page
-	Bytes      []uint32 // by page
-	places     []place
-	at         place // of its own record
+	// Index is of the fleet's record when its query was taken, Tables the groups of tables
+	// that it reads; none: it can't be told. Those written by older programs have neither.
+	Index  uint64
+	Tables []int64
+	Rows   []uint32 // by page
+	Bytes  []uint32 // by page
+	places []place
+	at     place // of its own record
 }
 
 // Size is all its pages hold, in bytes.
@@ -133,6 +137,8 @@
 const (
 	textMost  = 1 << 10 // of a query or team
 	pagesMost = 1 << 24
+	// tablesMost is of groups of tables that one result is told to read.
+	tablesMost = 1 << 12
 )
 
 func (m *Meta) encode() []byte {
@@ -147,6 +153,13 @@
 			p = binary.AppendUvarint(p, x)
 		}
 	}
+	if m.Index == 0 && len(m.Tables) == 0 {
+		return p
+	}
+	p = binary.AppendUvarint(binary.AppendUvarint(p, m.Index), uint64(len(m.Tables)))
+	for _, t := range m.Tables {
+		p = binary.AppendVarint(p, t)
+	}
 	return p
 }
 
@@ -199,6 +212,16 @@
 		m.Rows[i], m.Bytes[i] = uint32(rows), uint32(size)
 		m.places[i] = place{segment, int64(offset), uint32(size)}
 	}
+	if !bad && len(p) > 0 {
+		m.Index = whole()
+		n := whole()
+		if bad || n > tablesMost || n > uint64(len(p)) {
+			return nil, errMeta
+		}
+		for range n {
+			m.Tables = append(m.Tables, signed())
+		}
+	}
 	if bad || len(p) > 0 {
 		return nil, errMeta
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -70,6 +70,7 @@
 	size   int64
 	live   int64 // bytes of records that count
 	keeps  int   // Gone records in it
+	odd    bool  // there is more in its file than its size says
 }
 
 func (s *segment) name() string { return fmt.Sprintf("%016x.seg", s.number) }
@@ -93,6 +94,8 @@
 	tombs   []Record // that could not be written yet
 	dirty   bool     // something was written since the last sync
 	compact *compaction
+	erasing erasing
+	leaving []string // files of segments that count no more and are still there
 	buffer  []byte
 	total   int64
 }
@@ -416,6 +419,7 @@
 	}
 	if _, err := g.file.WriteAt(s.buffer, g.size); err != nil {
 		if g.file.Truncate(g.size) != nil { // half of it stays there: nothing may follow
+			g.odd = true
 			s.seal()
 		}
 		return nil, err
@@ -710,7 +714,13 @@
 	if err := s.checkpoint(); err != nil {
 		return false, err
 	}
-	return s.compactStep()
+	if err := s.beginErasing(); err != nil {
+		return false, err
+	}
+	if more, err = s.compactStep(); err != nil {
+		return false, err
+	}
+	return s.endErasing(more)
 }
 
 // checkpoint brings the index up to the log.
@@ -763,6 +773,9 @@
 
 // next segment to compact: the one with the most dead in it, if that is enough.
 func (s *Store) worst() *segment {
+	if g := s.toErase(); g != nil {
+		return g
+	}
 	var worst *segment
 	dead := math.Inf(-1)
 	for _, n := range s.numbers() {
@@ -888,10 +901,26 @@
 	delete(s.segments, c.g.number)
 	s.total -= c.g.size
 	s.mu.Unlock()
+	s.leaving = append(s.leaving, c.g.name())
+	return s.removeLeaving()
+}
+
+// removeLeaving removes the files of segments that count no more, those too that the
+// disk refused to remove before.
+func (s *Store) removeLeaving() error {
+	if len(s.leaving) == 0 {
+		return nil
+	}
 	if err := s.writeManifest(); err != nil {
 		return err
 	}
-	return s.files.Remove(c.g.name())
+	for len(s.leaving) > 0 {
+		if err := s.files.Remove(s.leaving[0]); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		s.leaving = s.leaving[1:]
+	}
+	return nil
 }
 
 func (s *Store) relocate(id uint64, c *compaction) error {
