A leader of a thousand followers confirms and drives in batches

Need: 1,024 controllers on one record. Each renewal asked the voters for a confirmation of its own and walked all members in order. Renewals gather for 5 ms (a tenth of their rhythm at the most), what is under way is looked at when something has moved, records are passed on when some are lacking.

--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,19 +13,25 @@
 
 // leading is what only counts while this controller leads.
 type leading struct {
-	leads  bool
-	since  time.Duration // it leads
-	steady bool          // it has applied all that was decided before it led
-	peers  map[string]*peer
-	names  []string // of peers, in order
-	handle uint64
-	asking []renewal // in the confirmation that is under way
-	queue  []renewal // for the next
-	tried  map[string]time.Duration
-	waits  map[string][]string // by run: who is waited for
-	lost   map[string]time.Duration
-	found  map[string]time.Duration
-	seenAt map[string]time.Duration // changes, since when this controller has known of them
+	leads   bool
+	since   time.Duration // it leads
+	steady  bool          // it has applied all that was decided before it led
+	peers   map[string]*peer
+	names   []string // of peers, in order
+	inOrder []string // of all in the record
+	handle  uint64
+	asking  []renewal // in the confirmation that is under way
+	queue   []renewal // for the next
+	tried   map[string]time.Duration
+	waits   map[string][]string // by run: who is waited for
+	lost    map[string]time.Duration
+	found   map[string]time.Duration
+	seenAt  map[string]time.Duration // changes, since when this controller has known of them
+
+	confirmed time.Duration // when a confirmation was last asked for
+	stirred   bool          // something came that may move what is under way
+	driven    time.Duration
+	behind    bool // some follower may lack something
 }
 
 // peer is a controller as its last Renew told.
@@ -58,7 +65,7 @@
 	c.leading = leading{leads: leads, since: c.now, handle: c.handle, peers: map[string]*peer{}, tried: map[string]time.Duration{},
 		waits: map[string][]string{}, lost: map[string]time.Duration{}, found: map[string]time.Duration{}, seenAt: map[string]time.Duration{}}
 	c.say(true, "leads: %v", leads)
-	c.renewAt = c.now
+	c.renewAt, c.stirred, c.behind = c.now, true, true
 	if leads { // what was decided before must be applied before anything is driven
 		c.confirm()
 	}
@@ -70,6 +77,7 @@
 func (c *Core) confirm() {
 	c.handle++
 	c.asking, c.queue = c.queue, nil
+	c.leading.confirmed = c.now
 	c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Confirm, Handle: c.handle}))
 }
 
@@ -106,10 +114,12 @@
 		p.before[p.boot] = true
 		p.next = 0
 	}
+	c.stirred = c.stirred || p.r == nil || p.boot != r.Boot || p.r.differs(r)
 	p.boot, p.seq, p.heard, p.r, p.applied = r.Boot, r.Seq, c.now, r, r.Applied
 	if p.next == 0 || p.next > r.Applied+1 && c.now-p.sent > c.every() { // what was sent to it was lost
 		p.next = r.Applied + 1
 	}
+	c.behind = c.behind || p.next <= c.state.Index
 	if m == nil || *m != r.Member {
 		member := r.Member
 		c.once("join "+from, func() { c.propose(&fleet.Entry{Kind: fleet.Join, ID: from, Name: from, Member: &member}) })
@@ -119,7 +129,21 @@
 		}
 	}
 	c.queue = append(c.queue, renewal{from, c.now, r})
-	if len(c.asking) == 0 {
+}
+
+// together is how long renewals gather for one confirmation: a thousand controllers
+// would otherwise have the voters confirm a thousand times a second.
+func (c *Core) together() time.Duration { return min(5*time.Millisecond, c.every()/10) }
+
+// differs: a Renew tells something else than the one before.
+func (r *Renew) differs(o *Renew) bool {
+	return r.Version != o.Version || r.Closed != o.Closed || (r.Outside == 0) != (o.Outside == 0) || len(r.Ready) != len(o.Ready) ||
+		!slices.Equal(r.Sites, o.Sites) || !maps.Equal(r.Ready, o.Ready) || !slices.Equal(r.Unreached, o.Unreached) || !maps.Equal(r.Wiped, o.Wiped)
+}
+
+// grant has what waits for a lease confirmed, when it is time.
+func (c *Core) grant() {
+	if c.leads && len(c.queue) > 0 && len(c.asking) == 0 && c.now >= c.leading.confirmed+c.together() {
 		c.confirm()
 	}
 }
@@ -140,7 +164,7 @@
 		c.send(q.name, q.r.Member.Peer, &Message{Grant: &Grant{Seq: q.r.Seq, Sent: q.r.Sent, Boot: q.r.Boot, Given: true, Index: index,
 			Leader: c.b.Self.Name, Waits: c.few()}})
 	}
-	if len(c.queue) > 0 || !c.steady {
+	if !c.steady {
 		c.confirm()
 	}
 }
@@ -150,7 +174,7 @@
 		return
 	}
 	c.asking = nil
-	if c.leads && (len(c.queue) > 0 || !c.steady) {
+	if c.leads && !c.steady {
 		c.once("confirm", c.confirm)
 	}
 }
@@ -196,7 +220,7 @@
 
 // missing are controllers that may serve and of which something isn't known yet.
 func (c *Core) missing(lease time.Duration, done func(*Renew) bool) (l []string) {
-	for _, name := range sorted(c.state.Members) {
+	for _, name := range c.members() {
 		if !c.mayHold(name, lease) {
 			continue
 		}
@@ -207,6 +231,14 @@
 	return l
 }
 
+// members are the names of all in the record, in order.
+func (c *Core) members() []string {
+	if len(c.inOrder) != len(c.state.Members) { // none ever leaves it
+		c.inOrder = sorted(c.state.Members)
+	}
+	return c.inOrder
+}
+
 // busy: something is under way that time alone may move.
 func (c *Core) busy() bool {
 	return !c.steady || len(c.waits) > 0 || len(c.queue) > 0 || c.state.Under() != nil || len(c.watched()) > 0
@@ -235,9 +267,10 @@
 	if !c.steady && len(c.asking) == 0 {
 		c.once("confirm", c.confirm)
 	}
-	if !c.steady || c.bad != nil {
+	if !c.steady || c.bad != nil || !c.stirred && c.now < c.driven+c.b.Heartbeat/2 {
 		return
 	}
+	c.stirred, c.driven = false, c.now
 	clear(c.waits)
 	c.driveChange()
 	for _, id := range sorted(c.state.Purges) {
@@ -267,7 +300,7 @@
 	late := u.AtMost > 0 && c.now-c.seenAt[u.ID] >= most
 	switch u.Phase {
 	case record.Proposed:
-		for _, name := range sorted(c.state.Members) {
+		for _, name := range c.members() {
 			if p := c.peers[name]; p != nil && p.r != nil && p.r.Ready[u.ID] != "" {
 				withdraw(name + " can't take it: " + p.r.Ready[u.ID])
 				return
@@ -323,7 +356,7 @@
 	case fleet.Unreachable:
 		var wait []string
 		sum := fleet.Counts{}
-		for _, name := range sorted(c.state.Members) {
+		for _, name := range c.members() {
 			if c.state.Members[name].Forgotten {
 				continue
 			}
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -241,7 +241,7 @@
 		return
 	}
 	k.done, k.why, k.scopes, k.voters = true, ev.Why, ev.Scopes, ev.Voters
-	c.news = true
+	c.news, c.stirred = true, true
 	if ev.Why == "" {
 		c.policies[k.version] = &taken{k.sum, ev.Policy, ev.Watched}
 	} else if strings.HasPrefix(ev.Change, "in force ") {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -153,6 +153,7 @@
 		c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Tick}))
 	}
 	c.takeUp()
+	c.grant()
 	c.drive()
 	c.follow()
 	c.answer()
@@ -178,7 +179,17 @@
 		at = min(at, c.vote.Due())
 	}
 	if c.leads && c.busy() {
-		at = min(at, c.now+c.b.Heartbeat/2)
+		if drive := c.driven + c.b.Heartbeat/2; drive > c.now {
+			at = min(at, drive)
+		} else { // it waits for a confirmation
+			at = min(at, c.now+c.b.Heartbeat/4)
+		}
+	}
+	if c.leads && len(c.queue) > 0 && len(c.asking) == 0 {
+		at = min(at, c.leading.confirmed+c.together())
+	}
+	if c.leads && c.behind { // one that lacks more than a message holds
+		at = c.now
 	}
 	for _, a := range c.asks {
 		at = min(at, a.until, a.next)
@@ -228,7 +239,7 @@
 		c.followed(m.From, m.Follow)
 	case m.Lacks != nil:
 		if p := c.peers[m.From]; p != nil && c.leads {
-			p.next = m.Lacks.From
+			p.next, c.behind = m.Lacks.From, true
 		}
 	case m.Ask != nil && c.leads:
 		c.propose(c.entryOf(m.Ask))
@@ -336,6 +347,7 @@
 
 // moved: the state has changed.
 func (c *Core) moved() {
+	c.stirred, c.behind = true, true
 	if c.vote != nil && !c.votes() && !c.leads {
 		c.vote, c.leader = nil, ""
 		c.coming = c.state.Index
@@ -409,9 +421,10 @@
 
 // follow passes the record on to those who follow, while this controller leads.
 func (c *Core) follow() {
-	if !c.leads {
+	if !c.leads || !c.behind {
 		return
 	}
+	c.behind = false
 	for _, name := range c.names {
 		p := c.peers[name]
 		if name == c.b.Self.Name || p.next == 0 || p.next > c.state.Index || c.now-p.heard > followsFor || c.voting(name) {
@@ -426,6 +439,7 @@
 			from := int(p.next - c.log[0].Index)
 			f.Records = c.log[from:min(len(c.log), from+batch)]
 			p.next = f.Records[len(f.Records)-1].Index + 1
+			c.behind = c.behind || p.next <= c.state.Index
 		}
 		c.send(name, c.addressOf(name), &Message{Follow: f})
 	}
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,7 +22,9 @@
 	rand  *rand.Rand
 	all   map[string]*actor
 	names []string
-	due   []*event
+	due   timeline
+	sent  int // messages
+	count int
 	cut   map[string]bool // "a>b"
 	words map[string][]*fleet.Reply
 }
@@ -31,6 +34,23 @@
 	do  func()
 	who *actor
 	run int
+	n   int
+}
+
+// timeline is events by their times, and among equal ones in the order they came.
+type timeline []*event
+
+func (l timeline) Len() int { return len(l) }
+func (l timeline) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].n < l[j].n
+}
+func (l timeline) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *timeline) Push(x any)   { *l = append(*l, x.(*event)) }
+func (l *timeline) Pop() any {
+	last := len(*l) - 1
+	x := (*l)[last]
+	*l = (*l)[:last]
+	return x
 }
 
 type actor struct {
@@ -81,7 +101,8 @@
 }
 
 func (a *actor) later(in time.Duration, do func()) {
-	a.due = append(a.due, &event{at: a.now + in, do: do, who: a, run: a.run})
+	a.count++
+	heap.Push(&a.due, &event{at: a.now + in, do: do, who: a, run: a.run, n: a.count})
 }
 
 func (a *actor) step(ev Event) { a.perform(a.core.Step(a.now, ev)) }
@@ -91,6 +112,7 @@
 		switch e.Kind {
 		case Send:
 			to := a.all[e.To]
+			a.sent++
 			if to == nil || a.cut[a.name+">"+e.To] {
 				continue
 			}
@@ -119,7 +141,13 @@
 			key := fmt.Sprintf("%s %d", a.name, e.Handle)
 			a.words[key] = append(a.words[key], e.Reply)
 		case Wake:
-			a.wake = a.now + max(e.Within, 100*time.Microsecond)
+			at := a.now + max(e.Within, 100*time.Microsecond)
+			a.wake = at
+			a.later(at-a.now, func() {
+				if a.wake == at {
+					a.step(Event{Kind: Woken})
+				}
+			})
 		}
 	}
 }
@@ -182,28 +210,10 @@
 }
 
 func (s *stage) next() {
-	var first *event
-	at := time.Duration(1 << 62)
-	for _, e := range s.due {
-		if e.at < at {
-			first, at = e, e.at
-		}
-	}
-	var who *actor
-	for _, n := range s.names {
-		if a := s.all[n]; a.run > 0 && a.wake < at {
-			who, at = a, a.wake
-		}
-	}
-	s.now = max(s.now, at)
-	if who != nil {
-		who.wake = s.now + time.Hour
-		who.step(Event{Kind: Woken})
-		return
-	}
-	s.due = slices.DeleteFunc(s.due, func(e *event) bool { return e == first })
-	if first.who.run == first.run && first.run > 0 {
-		first.do()
+	e := heap.Pop(&s.due).(*event)
+	s.now = max(s.now, e.at)
+	if e.who.run == e.run && e.run > 0 {
+		e.do()
 	}
 }
 
@@ -394,3 +404,26 @@
 	}
 	s.until(10*time.Second, "the rest serves", func() bool { return s.serve(rest...) })
 }
+
+func TestAThousandFollow(t *testing.T) {
+	s := newStage(t, 5, 5, 1024, 2*time.Second)
+	began := time.Now()
+	s.until(30*time.Second, "all serve", func() bool { return len(s.due) > 0 && s.count%500 == 0 && s.serve(s.names...) })
+	t.Logf("%v of virtual time until all serve, %v real", s.now, time.Since(began))
+	rest, sent, began := s.now, s.sent, time.Now()
+	for s.now < rest+2*time.Second {
+		s.next()
+	}
+	t.Logf("at rest: %d messages a controller in 2s, %v of processor time for all in 2s", (s.sent-sent)/len(s.names), time.Since(began))
+	if n := (s.sent - sent) / len(s.names); n > 20 {
+		t.Errorf("%d messages a controller at rest in 2s", n)
+	}
+	a := s.all["f77"]
+	at := s.now
+	a.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "apply", ID: "c1", Base: 1, Policy: []byte("x")}})
+	s.until(5*time.Second, "in force", func() bool { return s.word(a, 1) != nil })
+	if s.word(a, 1).Word != record.InForce {
+		t.Fatalf("%+v", s.word(a, 1))
+	}
+	t.Logf("a change is in force on all after %v", s.now-at)
+}
