Queries wait while this controller may not decide, and are judged by what opens next

A controller of a fleet may decide only with a lease and by the version in force. Without either, queries now wait unjudged, in the order they came and within bounds; turns and the decisions let nothing go; submissions not sent yet are held, and whatever was already handed to a connection asks the fleet's word, by the clock, right before it is written. A switch is told closed once nothing is being written; opening takes over groups' limits, shares and teams, then lets go. What is held too long, and never ran, is deferred with a time to come back.

--- a/decide/door.go
+++ b/decide/door.go
@@ -335,7 +335,9 @@
 	for do, ok := g.due.Next(g.now); ok; do, ok = g.due.Next(g.now) {
 		do()
 	}
-	g.release()
+	if !g.holds {
+		g.release()
+	}
 	if first, ok := g.due.First(); ok && (g.wakeAt < 0 || first < g.wakeAt) {
 		g.wakeAt = first
 		g.act.Wake(max(0, first-g.now), duesTag)
--- /dev/null
+++ b/decide/retell.go
@@ -0,0 +1,75 @@
+package decide
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// What a controller with peers needs beyond the Gate: nothing here decides.
+
+// NeverRan holds for the outcomes that prove that nothing of it ran.
+func (o Outcome) NeverRan() bool { return o.neverRan() }
+
+// Hold has nothing held let go until it is told otherwise: what comes back meanwhile
+// waits in its queue, and whoever waits is given up at the end of its time as ever.
+func (g *Gateway) Hold(now time.Duration, on bool) {
+	if g.now = now; g.holds != on {
+		g.holds = on
+		g.step()
+	}
+}
+
+// Dropped: it was answered by its adapter, and nothing of it has run. Its client has
+// not left, so nothing is learned of how long clients wait.
+func (g *Gateway) Dropped(now time.Duration, id string) {
+	g.now = now
+	if q := g.queries[id]; q != nil {
+		g.finish(q)
+		g.settle(q)
+		g.step()
+	}
+}
+
+// Retell reads anew what of the settings may change while it runs: groups' value,
+// target, timeout, stretch, late share and threads, and the teams with their shares.
+// What waits stays where it is in its queue; what was not sent yet aims at the new
+// target. Teams are known again by name; nobody's share holds for those that went.
+func (g *Gateway) Retell(now time.Duration, given map[string]string) {
+	g.now = now
+	old, f := g.facts, newFacts(given)
+	g.facts = f
+	for i, rg := range g.groups {
+		x := newGroup(f, i)
+		rg.value, rg.lateShare, rg.target, rg.timeout, rg.stretch, rg.threads = x.value, x.lateShare, x.target, x.timeout, x.stretch, x.threads
+		g.longest = max(g.longest, rg.timeout+f.span("key.rest", 0))
+	}
+	at := func(i int) string { return "team." + strconv.Itoa(i) + "." }
+	was := map[string]*team{}
+	for i, t := range g.teams {
+		was[old.text[at(i)+"name"]] = t
+		t.quota = math.Inf(1)
+	}
+	g.teams = nil
+	for i := range int(f.num("teams", 0)) {
+		t := was[f.text[at(i)+"name"]]
+		if t == nil {
+			t = &team{}
+		}
+		t.quota = f.num(at(i)+"quota", 0) / max(1, f.num("gateways", 1))
+		g.teams = append(g.teams, t)
+	}
+	var unsent []*query
+	for _, q := range g.queries {
+		if len(q.subs) == 0 && !q.over {
+			unsent = append(unsent, q)
+		}
+	}
+	slices.SortFunc(unsent, func(a, b *query) int { return cmp.Compare(a.seq, b.seq) })
+	for _, q := range unsent {
+		q.aim = q.takenAt + q.rg.target + seconds(q.rg.stretch*g.lone(q))
+		g.of(q, q.aim, func() { g.late(q) })
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -263,6 +263,7 @@
 	askedAt                               time.Duration
 	subscribed                            bool
 	closing                               bool          // nothing more is taken on
+	holds                                 bool          // nothing is let go for now
 	comeBack                              time.Duration // named with a deferral, where that is allowed
 }
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -159,6 +159,12 @@
 	count uint64
 }
 
+// Size is how many bytes they take.
+func (f Fields) Size() int { return len(f.p) }
+
+// Clone keeps them beyond the message that they came in.
+func (f Fields) Clone() Fields { return Fields{append([]byte(nil), f.p...), f.count} }
+
 // Get is a field's value if it is a string, nil if there is none of the name.
 func (f Fields) Get(name string) []byte {
 	if name == "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,6 +107,11 @@
 	w.bound.Store(int64(bound))
 }
 
+// Until tells when the lease ends, and that for bound teams.
+func (w *Word) Until() (until, bound time.Duration) {
+	return time.Duration(w.until.Load()), time.Duration(w.bound.Load())
+}
+
 // May tells the version to decide by, 0 if this controller may not decide.
 func (w *Word) May(now time.Duration, bound bool) uint64 {
 	if now >= time.Duration(w.until.Load()) || bound && now >= time.Duration(w.bound.Load()) {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/run"
 	"railrelay.dev/railrelay/internal/terms"
 )
 
@@ -89,7 +90,7 @@
 			g.Feed = next.Feed
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed}, nil
 		}, log)
-	}, nil, log)
+	}, nil, run.Peers{}, log)
 }
 
 // odd says what the settings leave out or name wrongly, and what is done instead: a
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -44,6 +44,7 @@
 // Joined is one controller's part in the fleet.
 type Joined struct {
 	Serve func(ctx context.Context) error // until ctx ends
+	Peers run.Peers                       // what it orders the reducer and is told by it
 	Again func() error                    // reads the key file again
 	Close func() error                    // the disk, once Serve is done
 }
@@ -173,7 +174,7 @@
 
 // listen runs a controller until it is done, and beside it what goes along.
 func listen(address string, cores float64, means relay.Means, disk *store.Keeper, asked func(zerolog.Logger) <-chan relay.Event,
-	beside func(context.Context) error, log zerolog.Logger) error {
+	beside func(context.Context) error, peers run.Peers, log zerolog.Logger) error {
 	if address == "" {
 		return errors.New("no address to listen on")
 	}
@@ -185,14 +186,14 @@
 		return err
 	}
 	if beside == nil {
-		return run.Serve(context.Background(), listener, means, disk, asked(log), log)
+		return run.Serve(context.Background(), listener, means, disk, peers, asked(log), log)
 	}
 	group, ctx := errgroup.WithContext(context.Background())
 	ctx, done := context.WithCancel(ctx)
 	group.Go(func() error { return beside(ctx) })
 	group.Go(func() error {
 		defer done()
-		return run.Serve(ctx, listener, means, disk, asked(log), log)
+		return run.Serve(ctx, listener, means, disk, peers, asked(log), log)
 	})
 	return group.Wait()
 }
@@ -265,5 +266,5 @@
 			}
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed, Fair: next.Shape()}, nil
 		}, log)
-	}, beside, log)
+	}, beside, joined.Peers, log)
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -265,7 +265,7 @@
 
 func (c *client) Alive(msg uint32) {
 	c.tally.alive++
-	c.answer(clients.Alive(nil, msg, c.feed.listed))
+	c.answer(clients.Alive(nil, msg, c.feed.listed && (c.warrant == nil || !c.warrant.stands())))
 }
 
 func (c *client) Left(msg uint32) {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -16,6 +16,7 @@
 	id, address string
 	state       decide.EngineState
 	kind        int // its place in the list of kinds
+	location    int // and in that of locations, -1: in none
 	lines       []*line
 	leaving     []*submission // ended for the decisions, perhaps not yet over there
 	waiting     []*submission // held until the one of the same id is over
@@ -65,6 +66,7 @@
 	write  func(dst []byte) []byte
 	fits   func(status int, field func(string) string, body []byte) bool
 	fit    func() bool // asked once more just before the first byte; nil: always
+	starts bool        // a submission: it goes out by the version it was decided by, or not at all
 	poll   bool        // gives way to all others where descriptors are short
 	within time.Duration
 	then   func(how, int, func(string) string, []byte)
@@ -226,7 +228,11 @@
 	if r.Trace && c.s != nil {
 		r.trace(c.s.about(), "%s on line %d", c.what, l.n)
 	}
-	r.write(l.link, text)
+	if c.starts {
+		r.writeBy(l.link, text, c.s.version, c.s.q.bound)
+	} else {
+		r.write(l.link, text)
+	}
 	c.limit = r.due.Add(r.now+c.within, func() {
 		if !c.over {
 			r.cut(l)
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -39,10 +39,11 @@
 	core   *fair.Core
 	words  Words
 	pauses time.Duration // the longest that clients follow, 0: none is named
+	shape  *fair.Shape   // last followed
 }
 
 func newFairness(r *Relay, shape *fair.Shape, words Words) *fairness {
-	f := &fairness{Relay: r, words: words}
+	f := &fairness{Relay: r, words: words, shape: shape}
 	if r.Facts["may.name-return"] == "true" {
 		f.pauses = r.span("return.most")
 	}
@@ -191,6 +192,7 @@
 
 // reload follows another set of teams.
 func (f *fairness) reload(shape *fair.Shape) {
+	f.shape = shape
 	s := *shape
 	s.Lanes = f.lanes()
 	f.core.Reload(f.now, s)
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -138,7 +138,7 @@
 	if e.state != state && state == decide.Gone {
 		r.away(e)
 	}
-	e.state, e.kind = state, r.place("kinds", kind)
+	e.state, e.kind, e.location = state, r.place("kinds", kind), r.place("locations", location)
 	e.named = r.feed.last
 	switch x := r.atAddress[e.address]; {
 	case e.address == "" || x == e:
@@ -154,7 +154,7 @@
 		r.atAddress[e.address] = e
 	}
 	started := time.UnixMilli(startedMs).Sub(r.Started)
-	r.gate.ListEngine(id, r.place("locations", location), r.place("kinds", kind), cell, state, started, startedMs != 0)
+	r.gate.ListEngine(id, e.location, e.kind, cell, state, started, startedMs != 0)
 }
 
 // EventEnds: what a whole list leaves out is gone.
@@ -168,6 +168,9 @@
 	if r.fair != nil {
 		r.fair.cores()
 	}
+	if r.warrant != nil {
+		r.warrant.listed()
+	}
 }
 
 func (r *Relay) away(e *engine) {
--- /dev/null
+++ b/internal/relay/fleet_test.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"railrelay.dev/railrelay/internal/fair"
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// withPeers is a stage whose controller has peers, with nothing opened yet.
+func withPeers(t interface{ Fatalf(string, ...any) }, engines int, more map[string]string, change ...func(*Means)) *stage {
+	return newStage(t, engines, 256, more, append([]func(*Means){func(m *Means) { m.Fleet = &Fleet{Word: &fleet.Word{}} }}, change...)...)
+}
+
+func (s *stage) order(o fleet.Order) { s.step(Event{Kind: Ordered, Order: &o}) }
+
+// opens has it decide by a version, with a lease for so long.
+func (s *stage) opens(version uint64, lease time.Duration) {
+	s.order(fleet.Order{Kind: fleet.Renewed, Until: s.now + lease, UntilBound: s.now + lease})
+	s.order(fleet.Order{Kind: fleet.Open, Version: version, Policy: &Policy{Version: version}})
+}
+
+// mayGo is the runner's last look: by the time it writes, it may be later.
+func (s *stage) mayGo(f Effect) bool {
+	w := s.r.Means.Fleet.Word
+	if !w.Enter(s.now+s.stopped, f.Guard, f.Bound) {
+		return false
+	}
+	w.Leave()
+	if n := len(s.written); n > 0 && f.Guard < s.written[n-1] {
+		s.t.Fatalf("submitted by version %d after one by %d", f.Guard, s.written[n-1])
+	}
+	s.written = append(s.written, f.Guard)
+	return true
+}
+
+func (s *stage) told(kind fleet.ReportKind) (n int) {
+	for _, p := range s.reports {
+		if p.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// What comes while nothing may be decided waits, and goes on in the order it came.
+func TestHeldUntilItIsOpenedAndThenInOrder(t *testing.T) {
+	s := withPeers(t, 1, nil)
+	c := s.connect()
+	first, next := s.query(c, "load", "k", 5*time.Second, 1), s.query(c, "load", "k", 5*time.Second, 2)
+	gone := s.query(c, "lookup", "", 5*time.Second, 1)
+	s.leave(gone)
+	s.until(time.Second)
+	if len(first.subs) > 0 || s.r.warrant.waiting != 2 || s.r.warrant.may(false) != 0 {
+		t.Fatalf("%d sent, %d held", len(first.subs), s.r.warrant.waiting)
+	}
+	s.opens(1, time.Minute)
+	s.reply(s.one("POST", first.id), "ok")
+	s.reply(s.one("POST", next.id), "ok") // posted checks their order
+	s.until(s.now + 100*time.Millisecond)
+	if first.answer != "finished" || next.answer != "finished" || s.r.warrant.longest != time.Second {
+		t.Fatal(first.answer, next.answer, s.r.warrant.longest)
+	}
+	if s.told(fleet.Opened) != 1 || s.told(fleet.Sites) < 2 || !slices.Equal(s.reports[0].Sites, []string{"here"}) {
+		t.Fatalf("%+v", s.reports)
+	}
+}
+
+// Held too long, or at the end of its client's patience, one is deferred in time; more
+// than may be held are at once. None of it was ever sent.
+func TestHeldTooLongIsDeferred(t *testing.T) {
+	s := withPeers(t, 1, nil)
+	c := s.connect()
+	long, short := s.query(c, "load", "k", 9*time.Second, 1), s.query(c, "load", "k", 500*time.Millisecond, 1)
+	s.until(495 * time.Millisecond)
+	if short.answer != "deferred" || long.answer != "" {
+		t.Fatal(short.answer, long.answer)
+	}
+	s.until(holdMost + time.Millisecond)
+	if long.answer != "deferred" || s.r.warrant.deferredFor != 2 || len(s.r.queries) > 0 {
+		t.Fatal(long.answer, s.r.warrant.deferredFor)
+	}
+	s.r.warrant.waiting = heldMost
+	over := s.query(c, "lookup", "", 9*time.Second, 1)
+	s.r.warrant.waiting = 0
+	if over.answer != "deferred" || len(s.written) > 0 {
+		t.Fatal(over.answer)
+	}
+}
+
+// The lease ends with queries in hand: with the decisions, chosen for an engine and
+// not sent, and running. Those that run go on, the others wait and are deferred.
+func TestALeaseThatEndsLetsNothingOut(t *testing.T) {
+	s := withPeers(t, 1, map[string]string{"may.copy": "false"})
+	s.opens(1, 100*time.Millisecond)
+	c := s.connect()
+	runs := s.query(c, "load", "k", 9*time.Second, 1)
+	s.reply(s.one("POST", runs.id), "runs")
+	behind := s.query(c, "load", "k", 9*time.Second, 2) // of its key, with the decisions
+	s.until(99 * time.Millisecond)
+	s.r.pool.most = s.r.pool.links // so that the next waits for a line
+	chosen := s.query(c, "lookup", "", 9*time.Second, 3)
+	s.until(200 * time.Millisecond)
+	s.r.pool.most = 100
+	s.until(time.Second)
+	if len(behind.subs)+len(chosen.subs) > 0 {
+		t.Fatal("sent without a lease")
+	}
+	s.until(100*time.Millisecond + holdMost + 10*time.Millisecond)
+	if runs.answer != "" || behind.answer != "deferred" || chosen.answer != "deferred" {
+		t.Fatal(runs.answer, behind.answer, chosen.answer)
+	}
+	s.reply(s.one("GET", runs.id), "ok")
+	s.until(s.now + 100*time.Millisecond)
+	if runs.answer != "finished" || len(s.r.queries) > 0 {
+		t.Fatal(runs.answer, len(s.r.queries))
+	}
+}
+
+// The process stands still past its lease right before a submission is written: none
+// of it goes out, it is known never to have run, and is sent once there is a lease.
+func TestStoppedPastTheLeaseBeforeItWrites(t *testing.T) {
+	s := withPeers(t, 1, nil)
+	s.opens(1, 10*time.Second)
+	s.stopped = time.Minute
+	a := s.query(s.connect(), "load", "k", 9*time.Second, 1)
+	s.until(50 * time.Millisecond)
+	if len(a.subs) > 0 || s.r.warrant.refusedWrites == 0 || s.r.tally.ends[7] == 0 {
+		t.Fatalf("%d sent, %d refused, %v", len(a.subs), s.r.warrant.refusedWrites, s.r.tally.ends)
+	}
+	s = withPeers(t, 1, nil)
+	s.opens(1, 10*time.Second)
+	a = s.query(s.connect(), "load", "k", 9*time.Second, 1)
+	s.stopped = time.Minute
+	for s.r.warrant.refusedWrites == 0 {
+		s.until(s.now + time.Millisecond)
+	}
+	s.stopped = 0
+	s.reply(s.one("POST", a.id), "ok")
+	s.until(s.now + 100*time.Millisecond)
+	if a.answer != "finished" || len(a.subs) != 1 {
+		t.Fatal(a.answer, len(a.subs))
+	}
+}
+
+// A switch is told closed only once nothing is being written, and what waited is
+// judged by the next version: its limits, its teams' places, its placement.
+func TestASwitchIsJudgedByTheNextVersion(t *testing.T) {
+	s := withPeers(t, 1, map[string]string{"teams": "1", "team.0.name": "old", "team.0.quota": "5"}, func(m *Means) { m.Words.Whose = "who" })
+	s.opens(1, time.Minute)
+	c := s.connect()
+	word := s.r.Means.Fleet.Word
+	word.Enter(s.now, 1, false) // one is being written
+	s.order(fleet.Order{Kind: fleet.Shut, Change: "c"})
+	s.until(10 * time.Millisecond)
+	a := s.query(c, "lookup", "", 5*time.Second, 1, "who", "new")
+	b := s.query(c, "lookup", "", 25*time.Second, 1)
+	if s.told(fleet.Closed) != 0 || len(a.subs) > 0 {
+		t.Fatal("closed while something is being written")
+	}
+	word.Leave()
+	s.until(12 * time.Millisecond)
+	if s.told(fleet.Closed) != 1 {
+		t.Fatal("not told")
+	}
+	s.order(fleet.Order{Kind: fleet.Open, Version: 2, Policy: &Policy{Version: 2, Facts: map[string]string{"group.0.timeout": "20000",
+		"group.0.value": "9", "group.0.target": "700", "threads": "2,3,2", "teams": "2", "team.0.name": "old", "team.1.name": "new", "team.1.quota": "7",
+		"group.0.effect": "mutating"}}})
+	if q := s.r.queries[a.id]; q == nil || q.customer != 1 {
+		t.Fatalf("%+v", q)
+	}
+	if g := s.r.groups["lookup"]; b.answer != "killed" || g.value != 9 || g.threads != 2 || g.target != 700*time.Millisecond {
+		t.Fatalf("%q %+v", b.answer, g)
+	}
+	if s.r.Facts["group.0.effect"] != "read-only" || s.r.warrant.switches != 1 {
+		t.Fatal("more was taken over than is the fleet's")
+	}
+	s.until(s.now + 50*time.Millisecond)
+	if !slices.Equal(s.written, []uint64{2}) {
+		t.Fatal(s.written)
+	}
+}
+
+// bars lets nothing go to an engine, from a version on.
+type bars struct{ by *Policy }
+
+func (b *bars) opened(p *Policy)                   { b.by = p }
+func (b *bars) pictured(*fleet.Picture)            {}
+func (b *bars) enters(*query, From) bool           { return true }
+func (b *bars) allows(_ *query, e *engine) bool    { return b.by.Rules != e.id }
+func (b *bars) outside() int                       { return 3 }
+func (b *bars) answered(string, *fleet.Reply) bool { return true }
+
+// A submission held over a switch goes back to the decisions where the next version
+// doesn't let it go to the engine that it was chosen for.
+func TestAHeldSubmissionObeysTheNextVersion(t *testing.T) {
+	s := withPeers(t, 2, map[string]string{"may.probe": "false", "report.how": "off"})
+	s.r.warrant.placing = &bars{&Policy{}}
+	s.opens(1, time.Minute)
+	a := s.query(s.connect(), "load", "k", 9*time.Second, 1)
+	q := s.r.queries[a.id]
+	s.order(fleet.Order{Kind: fleet.Shut, Change: "c"}) // while it waits for a line
+	s.until(s.now + 300*time.Millisecond)
+	if len(s.r.warrant.parked) != 1 {
+		t.Fatal("it doesn't wait")
+	}
+	chosen := q.subs[0].e.id
+	s.order(fleet.Order{Kind: fleet.Open, Version: 2, Policy: &Policy{Version: 2, Rules: chosen}})
+	h := s.one("POST", a.id)
+	if h.m.id == chosen || !slices.Equal(s.written, []uint64{2}) || s.r.tally.ends[7] != 1 {
+		t.Fatalf("to %s, chosen was %s, %v, %v", h.m.id, chosen, s.written, s.r.tally.ends)
+	}
+}
+
+// Bound teams' queries can need a shorter lease: only they wait, and none of their
+// key overtakes them.
+func TestOnlyBoundTeamsWaitForTheirLease(t *testing.T) {
+	s := withPeers(t, 1, nil, func(m *Means) { m.Fleet.Bound = func(_ string, tables int64) bool { return tables == 7 } })
+	s.order(fleet.Order{Kind: fleet.Open, Version: 1})
+	s.order(fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever})
+	c := s.connect()
+	bound, free, behind := s.query(c, "load", "k", 9*time.Second, 7), s.query(c, "load", "x", 9*time.Second, 1), s.query(c, "load", "k", 9*time.Second, 2)
+	s.until(time.Second)
+	if len(bound.subs)+len(behind.subs) > 0 || len(free.subs) != 1 {
+		t.Fatal(len(bound.subs), len(behind.subs), len(free.subs))
+	}
+	s.order(fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever, UntilBound: s.now + time.Minute})
+	s.reply(s.one("POST", bound.id), "ok")
+	s.one("POST", behind.id)
+}
+
+// Teams' turns stand still with all else, and a full ring loses no report.
+func TestFairnessStandsAndReportsAreKept(t *testing.T) {
+	s := withPeers(t, 0, nil, func(m *Means) { m.Fair = &fair.Shape{Teams: []fair.Team{{Name: "a", Weight: 1}}} })
+	s.opens(1, time.Minute)
+	c := s.connect()
+	for range 3 {
+		s.query(c, "lookup", "", 9*time.Second, 1)
+	}
+	s.full = true
+	s.order(fleet.Order{Kind: fleet.Shut, Change: "c"})
+	waits := s.r.fair.core.Waiting()
+	s.until(time.Second)
+	if s.r.fair.core.Waiting() != waits || s.told(fleet.Closed) != 0 {
+		t.Fatal("it went on")
+	}
+	s.order(fleet.Order{Kind: fleet.Open, Version: 2, Policy: &Policy{Version: 2, Fair: &fair.Shape{Teams: []fair.Team{{Name: "b", Weight: 1}}}}})
+	s.order(fleet.Order{Kind: fleet.Drop, ID: "p", Scope: &fleet.Scope{Team: "a"}})
+	s.full, s.reports = false, nil
+	s.until(s.now + 2*untoldEvery)
+	var kinds []fleet.ReportKind
+	for _, p := range s.reports {
+		kinds = append(kinds, p.Kind)
+	}
+	if !slices.Equal(kinds, []fleet.ReportKind{fleet.Closed, fleet.Opened, fleet.Unreached, fleet.Wiped}) {
+		t.Fatal(kinds)
+	}
+	s.step(Event{Kind: Tell})
+	if text := s.said[len(s.said)-1]; !strings.Contains(text, "fleet version 2 switches 1") {
+		t.Fatal(text)
+	}
+}
+
+// Whatever happens between, the rules hold with versions that come and go, leases that
+// end and a process that stands still: and nothing by an older version after a newer.
+func TestRulesHoldInAFleet(t *testing.T) {
+	struck := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		choices := rapid.SliceOfN(rapid.Uint16(), 60, 150).Draw(t, "choices")
+		orders := rapid.SliceOfN(rapid.IntRange(0, 7), 8, 8).Draw(t, "orders")
+		s := withPeers(t, 3, nil)
+		s.opens(1, time.Minute)
+		version := uint64(1)
+		part := len(choices) / len(orders)
+		for i, o := range orders {
+			lease := func(d time.Duration) {
+				s.order(fleet.Order{Kind: fleet.Renewed, Until: s.now + d, UntilBound: s.now + d/2})
+			}
+			switch s.stopped = 0; o {
+			case 0, 1:
+				s.order(fleet.Order{Kind: fleet.Shut, Change: "c"})
+			case 2, 3:
+				version++
+				s.order(fleet.Order{Kind: fleet.Shut, Change: "c"})
+				before := len(s.written)
+				s.until(s.now + 20*time.Millisecond)
+				if len(s.written) > before {
+					t.Fatalf("submitted while shut")
+				}
+				s.order(fleet.Order{Kind: fleet.Open, Version: version, Policy: &Policy{Facts: map[string]string{"threads": "2,2,2"}}})
+			case 4:
+				s.order(fleet.Order{Kind: fleet.Open, Version: version})
+				lease(time.Minute)
+			case 5:
+				lease(100 * time.Millisecond)
+			case 6:
+				lease(0)
+			case 7:
+				s.stopped = 2 * time.Minute
+			}
+			s.some(choices[i*part : (i+1)*part])
+		}
+		struck["refused"] += s.r.warrant.refusedWrites
+		struck["held"] += s.r.warrant.holds
+		struck["deferred"] += s.r.warrant.deferredFor
+		struck["parked"] += len(s.r.warrant.parked)
+		struck["switches"] += s.r.warrant.switches
+		struck["written"] += len(s.written)
+		s.play(nil)
+	})
+	for _, what := range []string{"refused", "held", "deferred", "parked", "switches", "written"} {
+		if struck[what] == 0 {
+			t.Errorf("none was ever %s: %v", what, struck)
+		}
+	}
+}
+
+// A query costs no more allocations with peers than without.
+func TestPeersCostAQueryNothing(t *testing.T) {
+	cost := func(with ...func(*Means)) float64 {
+		s := newStage(t, 1, 256, nil, with...)
+		if s.r.warrant != nil {
+			s.opens(1, time.Hour)
+		}
+		c := s.connect()
+		one := func() {
+			c.msgs, s.asked, s.log = 0, s.asked[:0], s.log[:0]
+			for _, m := range s.mills {
+				clear(m.runs)
+			}
+			a := s.query(c, "lookup", "", 5*time.Second, 1)
+			s.reply(s.one("POST", a.id), "ok")
+			s.until(s.now + 20*time.Millisecond)
+			if a.answer != "finished" {
+				t.Fatal(a.answer)
+			}
+		}
+		one()
+		return testing.AllocsPerRun(100, one)
+	}
+	off, on := cost(), cost(func(m *Means) { m.Fleet = &Fleet{Word: &fleet.Word{}} })
+	if on > off+1 { // the sites told each second
+		t.Fatalf("%v off, %v on", off, on)
+	}
+}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -39,11 +39,12 @@
 	priority, grantMB int
 	subs              []*submission
 	answered          bool
+	bound, waits      bool          // where there are peers: it needs the lease of bound teams; it is held, unjudged
 	kept              *spool.Result // its client reads page by page
 
 	// where teams wait for their turn, and only there
 	turn           *fair.Waiter
-	latest         *due.Item
+	latest         *due.Item // or while it is held
 	came           fair.End
 	tables, number int64
 	customer       int // its place in the settings, -1: none
@@ -96,7 +97,7 @@
 	r.inHand += len(statement)
 	q = &query{id: id, asker: a, group: g, statement: append([]byte{}, statement...),
 		takenAt: r.now, deadline: r.now + patience, priority: -1}
-	q.customer = slices.Index(r.customers, string(from.Fields.Get(r.Words.Whose)))
+	q.customer = r.customer(from)
 	q.work = time.Duration(told(from.Fields.Get(r.Words.Work), 24*3600*1000) * float64(time.Millisecond))
 	q.need = told(from.Fields.Get(r.Words.Need), 1<<30)
 	number := int64(-1)
@@ -111,21 +112,36 @@
 	}
 	r.asked = r.now
 	// once all that has come is read: what is taken back in one breath goes nowhere
-	r.soon(func() {
-		if r.paging != nil && !q.answered {
-			r.paging.wants(q, from)
-		}
-		switch tables := clients.Tables(q.statement); {
-		case q.answered:
-		case r.fair != nil:
-			r.fair.enter(q, from, tables, number)
-		default:
-			r.gate.Take(r.now, q.id, g.index, q.customer, q.deadline-r.now, tables, number, q.work, q.need)
-		}
-	})
+	r.soon(func() { r.enter(q, from, number) })
 	return q, ""
 }
 
+// customer is the place of the one that a call names among the settings', -1: none.
+func (r *Relay) customer(from From) int {
+	return slices.Index(r.customers, string(from.Fields.Get(r.Words.Whose)))
+}
+
+// enter hands a query on to its turn or to the decisions.
+func (r *Relay) enter(q *query, from From, number int64) {
+	if q.answered {
+		return
+	}
+	q.tables, q.number = clients.Tables(q.statement), number
+	if r.warrant != nil && !r.closing && !r.warrant.enters(q, from) {
+		return
+	}
+	if r.paging != nil {
+		r.paging.wants(q, from)
+	}
+	switch {
+	case q.answered:
+	case r.fair != nil:
+		r.fair.enter(q, from, q.tables, number)
+	default:
+		r.gate.Take(r.now, q.id, q.group.index, q.customer, q.deadline-r.now, q.tables, number, q.work, q.need)
+	}
+}
+
 // told is a figure that a client tells; one that can't be meant is taken as not told.
 func told(text []byte, most float64) float64 {
 	if x, err := strconv.ParseFloat(string(text), 64); err == nil && x >= 0 && x <= most {
@@ -151,6 +167,9 @@
 		r.trace(q.about(), "closed: %v", end)
 	}
 	q.asker.closed()
+	if q.waits {
+		r.warrant.unheld(q)
+	}
 	if r.fair != nil {
 		r.fair.answered(q, end)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -208,15 +208,12 @@
 	groups, _ := strconv.Atoi(f["groups"])
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
-		r.groups[f[at+"name"]] = &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true",
-			timeout: r.span(at + "timeout"), target: r.span(at + "target"), threads: max(1, number(item(f["threads"], i))),
-			value: number(f[at+"value"])}
-		r.longest = max(r.longest, r.span(at+"timeout"))
-	}
-	customers, _ := strconv.Atoi(f["teams"])
-	for i := range customers {
-		r.customers = append(r.customers, f["team."+strconv.Itoa(i)+".name"])
+		g := &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true"}
+		g.read(r)
+		r.groups[g.name] = g
+		r.longest = max(r.longest, g.timeout)
 	}
+	r.named()
 	r.gate = decide.New(r, means.Seed, f)
 	if len(means.Known) > 0 {
 		if err := list.Known(means.Known, r); err != nil {
@@ -238,6 +235,22 @@
 	return r, r.out
 }
 
+// read takes from the settings what of a group may change while it runs.
+func (g *group) read(r *Relay) {
+	at := "group." + strconv.Itoa(g.index) + "."
+	g.timeout, g.target = r.span(at+"timeout"), r.span(at+"target")
+	g.threads, g.value = max(1, number(item(r.Facts["threads"], g.index))), number(r.Facts[at+"value"])
+}
+
+// named takes the customers from the settings.
+func (r *Relay) named() {
+	r.customers = nil
+	n, _ := strconv.Atoi(r.Facts["teams"])
+	for i := range n {
+		r.customers = append(r.customers, r.Facts["team."+strconv.Itoa(i)+".name"])
+	}
+}
+
 func item(list string, i int) string {
 	if l := strings.Split(list, ","); i < len(l) {
 		return l[i]
@@ -269,6 +282,9 @@
 	if !must.Debug {
 		defer r.caught(l)
 	}
+	if r.warrant != nil {
+		r.warrant.look()
+	}
 	switch ev.Kind {
 	case Accepted:
 		r.accept(l)
@@ -305,9 +321,13 @@
 		r.paging.did(ev.Work)
 	case Ordered:
 		r.warrant.ordered(ev.Order)
+	case Untold:
+		r.warrant.noRoom(ev.Report)
+	case Barred:
+		r.warrant.refusedWrites++
 	case Reload:
 		r.refeed(ev.Feed)
-		if r.fair != nil && ev.Fair != nil {
+		if r.fair != nil && ev.Fair != nil && r.warrant == nil { // where there are peers teams are the fleet's to change
 			r.fair.reload(ev.Fair)
 		}
 	}
@@ -339,7 +359,7 @@
 			do()
 		} else if do, ok := r.due.Next(r.now); ok {
 			do()
-		} else if r.fair == nil || !r.fair.next() {
+		} else if r.fair == nil || r.warrant != nil && r.warrant.stands() || !r.fair.next() {
 			break
 		}
 	}
@@ -383,12 +403,15 @@
 func (r *Relay) count()           { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
 func (r *Relay) soon(what func()) { r.later = append(r.later, what) }
 
-func (r *Relay) write(l *Link, p []byte) {
+func (r *Relay) write(l *Link, p []byte) { r.writeBy(l, p, 0, false) }
+
+// writeBy writes what may go out only while the fleet's word is a version, 0: always.
+func (r *Relay) writeBy(l *Link, p []byte, version uint64, bound bool) {
 	if l.closed || len(p) == 0 {
 		return
 	}
 	l.pending += len(p)
-	r.do(Effect{Verb: Write, Link: l, Bytes: p})
+	r.do(Effect{Verb: Write, Link: l, Bytes: p, Guard: version, Bound: bound})
 }
 
 func (r *Relay) holds(l *Link, bytes int) {
@@ -447,6 +470,9 @@
 		if r.fair != nil {
 			r.fair.close()
 		}
+		if r.warrant != nil {
+			r.warrant.shutDown()
+		}
 	}
 	busy := len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
 	for _, c := range r.clients {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/must"
 )
 
@@ -48,6 +49,12 @@
 	log     []string
 	sockets int
 	back    []Event // what the runner will bring back
+
+	// where it has peers
+	reports []fleet.Report
+	full    bool          // the ring of reports
+	stopped time.Duration // the process stands still between a step and what it writes
+	written []uint64      // versions of submissions, in the order they went out
 }
 
 type end struct {
@@ -128,7 +135,7 @@
 	return f
 }
 
-func newStage(t interface{ Fatalf(string, ...any) }, engines, sockets int, more map[string]string) *stage {
+func newStage(t interface{ Fatalf(string, ...any) }, engines, sockets int, more map[string]string, with ...func(*Means)) *stage {
 	s := &stage{t: t, wake: -1, mills: map[string]*mill{}, feedUp: true, sockets: sockets}
 	var members []string
 	for i := range engines {
@@ -138,8 +145,12 @@
 	}
 	s.events = 1
 	var effects []Effect
-	s.r, effects = New(Means{Seed: 7, MemoryMB: 64, Sockets: sockets, Feed: "feed", Facts: plainFacts(more),
-		Known: []byte(`{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[` + strings.Join(members, ",") + `]}}]}`)})
+	means := Means{Seed: 7, MemoryMB: 64, Sockets: sockets, Feed: "feed", Facts: plainFacts(more),
+		Known: []byte(`{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[` + strings.Join(members, ",") + `]}}]}`)}
+	for _, change := range with {
+		change(&means)
+	}
+	s.r, effects = New(means)
 	s.perform(effects)
 	s.flush()
 	return s
@@ -204,6 +215,11 @@
 			if e.ignores || e.gone { // its end is on the way
 				break
 			}
+			if f.Guard != 0 && !s.mayGo(f) {
+				s.back = append(s.back, Event{Kind: Barred, Link: f.Link})
+				s.lose(e)
+				break
+			}
 			s.back = append(s.back, Event{Kind: Wrote, Link: f.Link, N: len(f.Bytes)})
 			if e.client {
 				s.answered(e, f.Bytes)
@@ -227,6 +243,12 @@
 			s.wake = s.now + f.Within
 		case Say, Count:
 			s.said = append(s.said, f.Text)
+		case Report:
+			if s.full {
+				s.back = append(s.back, Event{Kind: Untold, Report: f.Report})
+			} else {
+				s.reports = append(s.reports, *f.Report)
+			}
 		case Quit:
 			s.quit = true
 		}
@@ -632,8 +654,18 @@
 	return n
 }
 
-// play has choices say what happens.
+// play has choices say what happens, until the end.
 func (s *stage) play(choices []uint16) {
+	s.some(choices)
+	s.until(s.now + 12*time.Second)
+	s.step(Event{Kind: Stop})
+	s.until(s.now + 6*time.Second)
+	if !s.quit {
+		s.t.Fatalf("it does not end: %d queries open", len(s.r.queries))
+	}
+}
+
+func (s *stage) some(choices []uint16) {
 	clients := []*end{s.connect(), s.connect()}
 	for _, c := range choices {
 		kind, x := int(c%16), int(c/16)
@@ -685,12 +717,6 @@
 			s.until(s.now + time.Duration(x)*time.Millisecond)
 		}
 	}
-	s.until(s.now + 12*time.Second)
-	s.step(Event{Kind: Stop})
-	s.until(s.now + 6*time.Second)
-	if !s.quit {
-		s.t.Fatalf("it does not end: %d queries open", len(s.r.queries))
-	}
 }
 
 func TestRulesHoldWhateverHappens(t *testing.T) {
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -201,12 +201,21 @@
 		c.answer(clients.Deferred(nil, msg, spoolBusy))
 		return
 	}
+	barred := func() bool { // what is kept may be gone elsewhere
+		return c.warrant != nil && c.warrant.may(true) == 0
+	}
+	if barred() {
+		c.answer(clients.Deferred(nil, msg, c.warrant.pause()))
+		return
+	}
 	c.pages++
 	c.paging.core.Read(c.now, token, c.teamOf(From{c.link.From, all}), number, func(body []byte, err error) {
 		c.pages--
 		c.idle = c.now
 		switch {
 		case c.link.closed:
+		case barred():
+			c.answer(clients.Deferred(nil, msg, c.warrant.pause()))
 		case err == spool.ErrBusy:
 			c.answer(clients.Deferred(nil, msg, spoolBusy))
 		case err != nil:
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -24,6 +24,7 @@
 	posted  bool          // the call that starts it has come out, in one way or another
 	settled bool          // the call that starts it can't arrive any more, or has
 	ended   bool          // no more is done for it
+	certain bool          // and how is known: outcome
 	told    bool          // and the decisions know
 	askedAt time.Duration // when its news were last asked for
 	onSet   []func()      // waits for settled
@@ -41,6 +42,9 @@
 	goodAt  time.Duration // when an answer last could be read, or the first call was made
 	why     string        // its last call's result, for the log
 
+	outcome decide.Outcome
+	version uint64 // of the policy it was decided by, where there are peers
+
 	// where its client reads page by page
 	result   *spool.Result
 	drawn    int  // pages
@@ -96,13 +100,10 @@
 }
 
 func (s *submission) start() {
-	if s.ended {
+	if s.ended || s.warrant != nil && !s.warrant.lets(s) {
 		return
 	}
-	s.call(&call{what: "POST", e: s.e, s: s, fits: s.fits(0),
-		fit: func() bool {
-			return !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
-		},
+	c := &call{what: "POST", e: s.e, s: s, fits: s.fits(0), starts: true,
 		write: func(dst []byte) []byte {
 			s.sent, s.askedAt, s.goodAt, s.ranked = true, s.now, s.now, s.q.rank()
 			if s.try == 0 {
@@ -119,7 +120,15 @@
 			} else { // what is on its way when its line ends may still arrive
 				s.after(onTheWay, s.settle)
 			}
-		}})
+		}}
+	c.fit = func() bool {
+		fit := !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
+		if fit && s.warrant != nil && !s.warrant.lets(s) {
+			c.over, fit = true, false // it came to nothing here: another starts it once it may go
+		}
+		return fit
+	}
+	s.call(c)
 }
 
 // settle: the call that starts it has arrived, or never will.
@@ -270,6 +279,7 @@
 	}
 	s.due.Drop(s.limit)
 	s.tally.ends[outcome]++
+	s.certain, s.outcome = true, outcome
 	took := s.now - s.at
 	s.endedAt = s.now
 	if s.Trace {
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -58,6 +58,9 @@
 	if r.paging != nil {
 		b.WriteString(r.paging.text())
 	}
+	if r.warrant != nil {
+		b.WriteString(r.warrant.text())
+	}
 	fmt.Fprintf(&b, "; did not hold %d", must.Broken())
 	return b.String()
 }
--- /dev/null
+++ b/internal/run/fleet_test.go
@@ -0,0 +1,123 @@
+package run
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/relay"
+)
+
+// sends writes on a connection what a word guards, and tells what came out and which
+// events it led to.
+func sends(t *testing.T, started time.Time, set func(*fleet.Word)) (string, []relay.Kind) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	ours, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	word := &fleet.Word{}
+	set(word)
+	l := &loop{ctx: ctx, group: &errgroup.Group{}, events: make(chan event), start: started, word: word}
+	w := newWire(&relay.Link{}, ours)
+	w.write([]byte("free "), 0, false)
+	w.write([]byte("by 7 "), 7, false)
+	w.write([]byte("free too"), 0, false)
+	w.closeGently(20 * time.Second)
+	go l.serve(w)
+	var kinds []relay.Kind
+	for wait := time.After(20 * time.Second); ; {
+		select {
+		case ev := <-l.events:
+			if kinds = append(kinds, ev.Kind); ev.Kind != relay.Ended {
+				continue
+			}
+		case <-wait:
+			t.Fatal("it doesn't end")
+		}
+		break
+	}
+	if !word.Idle() {
+		t.Fatal("the word is still held")
+	}
+	var out []byte
+	p := make([]byte, 64)
+	for {
+		theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
+		n, err := theirs.Read(p)
+		if out = append(out, p[:n]...); err != nil {
+			return string(out), kinds
+		}
+	}
+}
+
+// What is guarded goes out by its version and within the lease, whatever the reducer
+// knew: the process may have been stopped since.
+func TestTheWordIsAskedRightBeforeAWrite(t *testing.T) {
+	now := time.Now()
+	open := func(version uint64, until time.Duration) func(*fleet.Word) {
+		return func(w *fleet.Word) { w.Set(version); w.Lease(until, until) }
+	}
+	if out, kinds := sends(t, now, open(7, time.Hour)); out != "free by 7 free too" {
+		t.Fatal(out, kinds)
+	}
+	for what, set := range map[string]func(*fleet.Word){"another version": open(8, time.Hour), "shut": open(0, time.Hour), "no lease": open(7, 30*time.Second)} {
+		out, kinds := sends(t, now.Add(-time.Minute), set)
+		if want := "free "; out != want || len(kinds) != 3 || kinds[0] != relay.Wrote || kinds[1] != relay.Barred {
+			t.Fatalf("%s: %q, %v", what, out, kinds)
+		}
+	}
+}
+
+// Orders come to the reducer and reports from it; one that finds no room is kept there
+// and told once there is some.
+func TestReportsWaitForRoom(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	orders, reports, asked := make(chan fleet.Order), make(chan fleet.Report, 1), make(chan relay.Event)
+	done := make(chan error)
+	means := relay.Means{MemoryMB: 32, Sockets: 64, Started: time.Now(), Fleet: &relay.Fleet{Word: &fleet.Word{}},
+		Facts: map[string]string{"locations": "here"}}
+	go func() { done <- Serve(ctx, listener, means, nil, Peers{orders, reports}, asked, zerolog.Nop()) }()
+	orders <- fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever, UntilBound: fleet.Forever}
+	for i := range 3 {
+		orders <- fleet.Order{Kind: fleet.Open, Version: uint64(i + 1)}
+	}
+	for i := uint64(1); i <= 3; {
+		p := <-reports
+		if p.Kind == fleet.Sites {
+			continue
+		}
+		if p.Kind != fleet.Opened || p.Version != i {
+			t.Fatalf("%+v, wanted version %d", p, i)
+		}
+		i++
+	}
+	if means.Fleet.Word.May(time.Minute, true) != 3 {
+		t.Fatal("the word doesn't hold")
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/store"
 )
@@ -31,6 +32,15 @@
 	room   chan struct{} // one a client's connection: there are never more than it holds
 	disk   *store.Keeper // nil: there is no spool on disk
 	work   backlog
+	word   *fleet.Word // nil: there are no peers
+	peers  Peers
+	untold []*fleet.Report // found no room, for the reducer to keep
+}
+
+// Peers joins the reducer and the fleet's side, which runs beside it.
+type Peers struct {
+	Orders  <-chan fleet.Order  // a full one makes the fleet's side wait
+	Reports chan<- fleet.Report // nobody waits for it: what finds no room goes back to the reducer
 }
 
 // event is one for the reducer, with its link's connection where that is new.
@@ -48,17 +58,29 @@
 	conn   net.Conn
 	mu     sync.Mutex
 	queue  []byte
-	ending bool // close once the queue is out
+	guards []guard // of what is in the queue, from where on
+	ending bool    // close once the queue is out
 	closed bool
 	wake   chan struct{}
 }
 
-// Serve runs a controller on a listener until it is done or ctx ends.
-func Serve(ctx context.Context, listener net.Listener, means relay.Means, disk *store.Keeper, asked <-chan relay.Event, log zerolog.Logger) error {
+// guard is by what bytes of a queue may go out.
+type guard struct {
+	at      int    // where they begin
+	version uint64 // 0: they always may
+	bound   bool
+}
+
+// Serve runs a controller on a listener until it is done or ctx ends. Peers are left
+// empty where it has none.
+func Serve(ctx context.Context, listener net.Listener, means relay.Means, disk *store.Keeper, peers Peers, asked <-chan relay.Event, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
-		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost()), disk: disk}
+		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost()), disk: disk, peers: peers}
+	if means.Fleet != nil {
+		l.word = means.Fleet.Word
+	}
 	if disk != nil {
 		l.work.ready = make(chan struct{}, 1)
 		group.Go(l.keep)
@@ -86,12 +108,19 @@
 	r, effects := relay.New(means)
 	done := l.perform(effects)
 	for !done {
+		for len(l.untold) > 0 { // it keeps these, and asks for none of them again at once
+			p := l.untold[0]
+			l.untold = l.untold[1:]
+			done = l.perform(r.Step(time.Since(l.start), relay.Event{Kind: relay.Untold, Report: p})) || done
+		}
 		var ev event
 		select {
 		case ev = <-l.events:
 		case <-l.timer.C:
 			ev.Kind = relay.Woken
 		case ev.Event = <-asked:
+		case o := <-l.peers.Orders:
+			ev.Kind, ev.Order = relay.Ordered, &o
 		case <-l.ctx.Done():
 			return l.ctx.Err()
 		}
@@ -117,7 +146,7 @@
 			l.dial(e.Link, e.Address, e.Within)
 		case relay.Write:
 			if w != nil {
-				w.write(e.Bytes)
+				w.write(e.Bytes, e.Guard, e.Bound)
 			}
 		case relay.Close:
 			if w != nil && e.Gently {
@@ -139,6 +168,8 @@
 			l.log.Log().Float64("cpu_ms_a_query", cpuMs()/float64(max(1, e.N))).Msg(e.Text)
 		case relay.Store:
 			l.store(e.Work)
+		case relay.Report:
+			l.report(e.Report)
 		case relay.Quit:
 			done = true
 		}
@@ -146,6 +177,18 @@
 	return done
 }
 
+// report tells the fleet's side. Once one found no room none after it is told before it.
+func (l *loop) report(p *fleet.Report) {
+	if len(l.untold) == 0 {
+		select {
+		case l.peers.Reports <- *p:
+			return
+		default:
+		}
+	}
+	l.untold = append(l.untold, p)
+}
+
 // told puts what a line is about into fields of its own.
 func told(line *zerolog.Event, a relay.About) *zerolog.Event {
 	for _, f := range [...][2]string{{"query", a.Query}, {"group", a.Group}, {"team", a.Team}, {"engine", a.Engine}} {
@@ -278,14 +321,27 @@
 	var p []byte
 	for {
 		w.mu.Lock()
-		p, w.queue = w.queue, p[:0]
+		var g guard
+		if len(w.guards) == 0 {
+			p, w.queue = w.queue, p[:0]
+		} else {
+			p, g = w.part(p[:0])
+		}
 		ending, closed := w.ending, w.closed
 		w.mu.Unlock()
 		switch {
 		case closed:
 			return
 		case len(p) > 0:
+			if g.version != 0 && !l.mayWrite(g) {
+				l.tell(relay.Barred, w, 0)
+				w.close() // nothing of it went out, and its end says so
+				return
+			}
 			n, err := w.conn.Write(p)
+			if g.version != 0 {
+				l.wrote()
+			}
 			if n > 0 && !l.tell(relay.Wrote, w, n) {
 				return
 			}
@@ -313,8 +369,42 @@
 	}
 }
 
-func (w *wire) write(p []byte) {
+// mayWrite asks the fleet's word, by the clock as it is now: the process may have been
+// stopped since the reducer asked. If it says yes, wrote must follow.
+func (l *loop) mayWrite(g guard) bool {
+	return !lookBeforeWrite || l.word.Enter(time.Since(l.start), g.version, g.bound)
+}
+
+func (l *loop) wrote() {
+	if lookBeforeWrite {
+		l.word.Leave()
+	}
+}
+
+// part takes from the queue what goes out by one guard, or up to the first.
+func (w *wire) part(p []byte) ([]byte, guard) {
+	var g guard
+	if w.guards[0].at == 0 {
+		g = w.guards[0]
+		w.guards = append(w.guards[:0], w.guards[1:]...)
+	}
+	n := len(w.queue)
+	if len(w.guards) > 0 {
+		n = w.guards[0].at
+	}
+	p = append(p, w.queue[:n]...)
+	w.queue = append(w.queue[:0], w.queue[n:]...)
+	for i := range w.guards {
+		w.guards[i].at -= n
+	}
+	return p, g
+}
+
+func (w *wire) write(p []byte, version uint64, bound bool) {
 	w.mu.Lock()
+	if version != 0 || len(w.guards) > 0 {
+		w.guards = append(w.guards, guard{len(w.queue), version, bound})
+	}
 	w.queue = append(w.queue, p...)
 	w.mu.Unlock()
 	w.poke()
