--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -59,6 +59,8 @@
 	Timeout time.Duration // to connect, and for an answer; 0: 1 s. A frame has a second more for each MiB
 	Idle    time.Duration // a peer's goroutine and connection end after it; 0: 30 s
 	Seed    uint64        // for the back-off
+
+	Local net.IP // connections to peers come from this address; nil: as the system chooses
 }
 
 // Wire sends messages to peers and takes theirs. A message may be lost, doubled or
@@ -131,6 +133,9 @@
 	w.keys.Store(&o.Keys)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	dialer := &net.Dialer{Timeout: o.Timeout}
+	if o.Local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: o.Local}
+	}
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithCancel(ctx)
