A fleet's cores in virtual time: schedules from seeds, and three faults that they found

Hundreds of controllers' cores are played with messages lost, late and doubled, cuts, stops past the lease, kills and new starts from what was stored; acts, words, purges and disks are judged at each step.

--- a/internal/check/fleet.go
+++ b/internal/check/fleet.go
@@ -27,6 +27,7 @@
 	At    time.Duration
 	What  string
 	About []string
+	often bool // one of very many: only shown where it is an end
 }
 
 func (s Step) String() string { return fmt.Sprintf("%12v  %s", s.At, s.What) }
@@ -125,10 +126,17 @@
 	if len(f.steps) > stepsMost { // a long schedule: what is old is not shown any more
 		return len(f.steps) - 1
 	}
-	f.steps = append(f.steps, Step{now, what, about})
+	f.steps = append(f.steps, Step{now, what, about, false})
 	return len(f.steps) - 1
 }
 
+// act is Note of what happens very often.
+func (f *Fleet) act(now time.Duration, what string, about ...string) int {
+	i := f.Note(now, what, about...)
+	f.steps[i].often = true
+	return i
+}
+
 // broken notes a fault between two steps, with what lies between them and is about the
 // same things.
 func (f *Fleet) broken(kind, what string, from, to int) {
@@ -139,10 +147,10 @@
 	if from >= 0 && from < len(f.steps) {
 		x.Stretch = append(x.Stretch, f.steps[from])
 	}
-	about := append(slices.Clone(f.steps[max(from, 0)].About), f.steps[to].About...)
+	about := f.steps[to].About
 	var between []Step
 	for i := max(from, 0) + 1; i < to; i++ {
-		if s := f.steps[i]; !strings.HasPrefix(s.What, "act ") && slices.ContainsFunc(s.About, func(a string) bool { return slices.Contains(about, a) }) {
+		if s := f.steps[i]; !s.often && slices.ContainsFunc(s.About, func(a string) bool { return slices.Contains(about, a) }) {
 			between = append(between, s)
 		}
 	}
@@ -176,7 +184,7 @@
 func (f *Fleet) Acted(now, asked time.Duration, controller, query string, version uint64) {
 	f.made()
 	f.Acts++
-	step := f.Note(now, fmt.Sprintf("act of %s on %s by version %d", controller, query, version), controller, "version "+fmt.Sprint(version))
+	step := f.act(now, fmt.Sprintf("act of %s on %s by version %d", controller, query, version), controller, "version "+fmt.Sprint(version))
 	if _, had := f.first[version]; !had {
 		f.first[version] = sight{now, step}
 	}
@@ -199,7 +207,7 @@
 // was withdrawn never acts.
 func (f *Fleet) ActedFor(now time.Duration, controller, query, id string) {
 	f.made()
-	step := f.Note(now, fmt.Sprintf("act of %s on %s by change %s", controller, query, id), controller, id)
+	step := f.act(now, fmt.Sprintf("act of %s on %s by change %s", controller, query, id), controller, id)
 	if c := f.changes[id]; c != nil && final(c.word) && c.word != "in force" {
 		f.broken(Half, fmt.Sprintf("%s acted by %s, which was %s", controller, id, c.word), c.step, step)
 	}
@@ -281,7 +289,7 @@
 // Drawn: an engine began to make an answer, whose bytes bear the query's name.
 func (f *Fleet) Drawn(now time.Duration, query, team string, tables ...int64) {
 	f.made()
-	f.Note(now, "an engine begins "+query, query)
+	f.act(now, "an engine begins "+query, query)
 	if _, had := f.drawn[query]; !had {
 		f.drawn[query] = draw{now, team, tables}
 	}
@@ -298,7 +306,7 @@
 // at a time: a page, or an answer that bears another query's name.
 func (f *Fleet) Served(now, asked time.Duration, controller, source string) {
 	f.made()
-	step := f.Note(now, controller+" serves what was drawn by "+source, controller, source)
+	step := f.act(now, controller+" serves what was drawn by "+source, controller, source)
 	for id, p := range f.purges {
 		if p.means(f.drawn[source]) && (asked > p.unreachable.at || p.unreachable.at != never && now > p.unreachable.at+f.Slack && f.Slack == 0) {
 			f.broken(ServedAfter, fmt.Sprintf("%s served %s, asked for %v after purge %s was told to be unreachable", controller, source, asked-p.unreachable.at, id),
@@ -310,9 +318,9 @@
 // Held: a controller's disk was looked at and holds bytes drawn by source.
 func (f *Fleet) Held(now time.Duration, controller, source string) {
 	f.made()
-	step := f.Note(now, "the disk of "+controller+" holds "+source, controller, source)
 	for id, p := range f.purges {
 		if p.means(f.drawn[source]) && now > p.purged.at {
+			step := f.Note(now, "the disk of "+controller+" holds "+source, controller, source)
 			f.broken(ConfirmedWrongly, fmt.Sprintf("%s holds %s, and purge %s was told to be done", controller, source, id), p.purged.step, step)
 		}
 	}
@@ -358,7 +366,7 @@
 // Ran: an engine at a site runs a team's query on tables, asked for at a time. Any set
 // of rules that could be in force from then to now may allow it.
 func (f *Fleet) Ran(now, asked time.Duration, controller, query, team, site string, tables ...int64) {
-	step := f.Note(now, fmt.Sprintf("%s of %s runs at %s, by %s", query, team, site, controller), query, team)
+	step := f.act(now, fmt.Sprintf("%s of %s runs at %s, by %s", query, team, site, controller), query, team)
 	bound, allowed, any := false, false, false
 	for _, set := range f.rules {
 		if set.from > now || set.to < asked {
@@ -384,3 +392,6 @@
 		f.broken(Crossed, fmt.Sprintf("%s sent %s of %s to %s", controller, query, team, site), -1, step)
 	}
 }
+
+// Steps are all that were kept, in turn.
+func (f *Fleet) Steps() []Step { return f.steps }
--- a/internal/check/record.go
+++ b/internal/check/record.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -32,7 +33,7 @@
 			if !w.Proposes {
 				continue // it tells nothing
 			}
-			to = 1 << 62 // it may come into force at any time from now on
+			to = pending // it may come into force at any time from now on
 		}
 		ops = append(ops, porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: int64(w.From), Return: to})
 	}
@@ -49,8 +50,18 @@
 	if result != porcupine.Illegal {
 		return true, "" // Unknown: it had no time to find out, and found nothing wrong
 	}
-	// the shortest beginning that has no order, by when the words came
-	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return int(a.Return - b.Return) })
+	// the shortest beginning that has no order, by when the words came; what may come
+	// into force at any time belongs to each
+	open := func(o porcupine.Operation) bool { return o.Return == pending }
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int {
+		if open(a) != open(b) {
+			if open(a) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Return, b.Return)
+	})
 	least := len(ops)
 	for n := 1; n < len(ops); n++ {
 		if porcupine.CheckOperationsTimeout(plain, ops[:n], within/4) == porcupine.Illegal {
@@ -66,6 +77,8 @@
 	return false, b.String()
 }
 
+const pending = int64(1) << 62
+
 // record is the state words are about: the version, and what became of each change.
 type record struct {
 	version uint64
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -37,13 +37,15 @@
 // peer is a controller as its last Renew told.
 type peer struct {
 	boot, seq uint64
-	before    map[uint64]bool // its earlier runs: what they said last may come late
-	heard     time.Duration
-	applied   uint64
-	next      uint64        // the record that it is sent next
-	sent      time.Duration // when it was sent some
-	ends      time.Duration // when the last lease that it was given here ends at the latest
-	r         *Renew
+	// runs has the last Seq of each of its runs. What an earlier one said may come
+	// late, even first; it is still true, and must not shut out the present one.
+	runs    map[uint64]uint64
+	heard   time.Duration
+	applied uint64
+	next    uint64        // the record that it is sent next
+	sent    time.Duration // when it was sent some
+	ends    time.Duration // when the last lease that it was given here ends at the latest
+	r       *Renew
 }
 
 // renewal is a Renew that waits for a confirmation.
@@ -102,19 +104,19 @@
 	}
 	p := c.peers[from]
 	if p == nil {
-		p = &peer{before: map[uint64]bool{}}
+		p = &peer{runs: map[uint64]uint64{}}
 		c.peers[from] = p
 		c.names = append(c.names, from)
 		slices.Sort(c.names)
 	}
 	switch {
-	case p.before[r.Boot], p.boot == r.Boot && r.Seq <= p.seq:
+	case r.Seq <= p.runs[r.Boot]:
 		return // late, or doubled
 	case p.boot != 0 && p.boot != r.Boot:
-		p.before[p.boot] = true
 		p.next = 0
 	}
 	c.stirred = c.stirred || p.r == nil || p.boot != r.Boot || p.r.differs(r)
+	p.runs[r.Boot] = r.Seq
 	p.boot, p.seq, p.heard, p.r, p.applied = r.Boot, r.Seq, c.now, r, r.Applied
 	if p.next == 0 || p.next > r.Applied+1 && c.now-p.sent > c.every() { // what was sent to it was lost
 		p.next = r.Applied + 1
@@ -330,7 +332,8 @@
 		}
 		c.wait(u.ID, wait)
 	case record.Decided:
-		wait := c.missing(c.b.Lease, func(r *Renew) bool { return r.Version >= u.Version })
+		// one that was down while it was checked and can't take it serves nothing by it
+		wait := c.missing(c.b.Lease, func(r *Renew) bool { return r.Version >= u.Version || r.Ready[u.ID] != "" })
 		if len(wait) == 0 || !waitForClosed {
 			c.once("settle "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Settle, ID: u.ID}) })
 		}
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -198,6 +198,10 @@
 			c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Shut, Change: u.ID}})
 		}
 	}
+	if c.open != 0 && c.open != c.state.Version { // a snapshot went past the close: the lease to come is not for the old one
+		c.shutFor, c.open, c.opened = fmt.Sprintf("version %d", c.state.Version), 0, 0
+		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Shut, Change: c.shutFor}})
+	}
 	for _, id := range sorted(c.state.Purges) {
 		c.purge(c.state.Purges[id])
 	}
--- /dev/null
+++ b/internal/lab/schedules_test.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func sound(t *testing.T, p *Played) {
+	t.Helper()
+	if len(p.Broken) > 0 {
+		t.Fatal(strings.Join(p.Broken, "\n"))
+	}
+	t.Logf("%d schedules, %d events, %d messages, %d acts; %d changes, %d withdrawn, %d purges; struck in %d states: %v", p.Schedules, p.Events,
+		p.Messages, p.Acts, p.Changes, p.Withdrawn, p.Purges, p.Struck(), p.Faults)
+}
+
+// Five controllers, faults at random.
+func TestSchedules(t *testing.T) {
+	l := &Plan{}
+	l.Random(1, 120, 5, 3, 6*time.Second, 2)
+	p := l.Play(3, time.Time{})
+	if sound(t, p); p.Changes < 100 || p.Withdrawn < 50 || p.Purges < 100 || p.Struck() < 100 || p.Forgotten == 0 {
+		t.Fatal("too little arose")
+	}
+	again := l.Schedules[7].Play()
+	if once := l.Schedules[7].Play(); once.Trace != again.Trace || once.Messages != again.Messages {
+		t.Error("the same seed plays another way")
+	}
+}
+
+// One fault of each kind at messages of a change's or purge's way.
+func TestStrikes(t *testing.T) {
+	l := &Plan{}
+	l.Struck(3, 1, 150, 10)
+	p := l.Play(3, time.Time{})
+	if sound(t, p); p.Struck() < 20 || p.Changes == 0 {
+		t.Fatal("too little arose")
+	}
+}
+
+// Many controllers on one record.
+func TestManyControllers(t *testing.T) {
+	p := Schedule{Seed: 5, Controllers: 200, Voters: 5, Long: 3 * time.Second, Lease: time.Second, Faults: 6}.Play()
+	if sound(t, p); p.Changes == 0 || p.Struck() == 0 {
+		t.Fatal("too little arose")
+	}
+}
