--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -11,13 +11,15 @@
 
 // Record is one entry of the log.
 type Record struct {
-	Index, Term uint64
-	Conf        bool   // it changes who votes; Data is the library's
-	Data        []byte // empty: nothing was decided
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Conf  bool   `cbor:"3,keyasint,omitempty"` // it changes who votes; Data is the library's
+	Data  []byte `cbor:"4,keyasint,omitempty"` // empty: nothing was decided
 }
 
-// Kept is what a voter's disk held, and what is to be written to it. Hard and Conf are
-// the library's, encoded by it.
+// Kept is what a voter's disk held, and what is to be written to it. Hard is the
+// library's, encoded by it. With a Snapshot only the Records that come along stay, some
+// from before it, too: for voters that lag a little.
 type Kept struct {
 	Hard     []byte   // nil: unchanged
 	Records  []Record // from the first one's index on they replace what was there
@@ -26,9 +28,10 @@
 
 // Snapshot is the state up to an index, and the log before it is not needed any more.
 type Snapshot struct {
-	Index, Term uint64
-	Conf        []byte // who votes
-	Data        []byte
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Conf  []byte `cbor:"3,keyasint,omitempty"` // who votes
+	Data  []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Begin is what a voter starts with.
