A controller takes part in its fleet: the edge, railrelay-fleet, its commands and docs

The fleet's pure parts need somebody who sends, writes and listens for them, and operators need a way to ask. internal/fleet/edge performs what node asks for, a goroutine a duty, with bounded rings and what a full one does said for each; a disk that fails ends this controller's part at once, also with a lease without an end, and it says why to whoever asks. railrelay-fleet is the program with it; fleet status, policy, plan, apply, purge and forget ask its control listener and end with 0, 3 or 4.

A lease for bound teams beside one without an end was granted once and never renewed; the two are kept apart now (node). A test walks every error with a remedy, those that no package registers included, and holds that docs/operate/fleet.md lists them.

--- /dev/null
+++ b/cmd/railrelay-fleet/join.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"errors"
+
+	"github.com/rs/zerolog"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+	"railrelay.dev/railrelay/internal/fleet/edge"
+	"railrelay.dev/railrelay/internal/fleet/node"
+	"railrelay.dev/railrelay/internal/program"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/residency"
+	"railrelay.dev/railrelay/internal/run"
+	"railrelay.dev/railrelay/internal/setup"
+)
+
+// join opens the set-up's part in its fleet.
+func join(have *setup.Setup, means *relay.Means, log zerolog.Logger) (program.Joined, error) {
+	f, terms := have.Fleet, have.Fleet.Terms()
+	begin := node.Begin{Self: have.Member(), Lease: terms.Lease, LeaseBound: terms.LeaseBound, Drift: terms.Drift,
+		Election: terms.Election, Heartbeat: terms.Heartbeat, KeepAtMost: terms.Keep}
+	for _, v := range f.Voters {
+		begin.Voters = append(begin.Voters, agree.Voter{Name: v.Name, Address: v.Address})
+	}
+	e, err := edge.Open(edge.Options{Begin: begin, Fleet: f.Name, Listen: f.Listen, Control: f.Control, Directory: f.Directory, Keys: f.Keys,
+		Started: means.Started, Log: log, Check: func(change string, text []byte, now edge.Have) edge.Checked { return check(have, change, text, now) }})
+	if err != nil {
+		return program.Joined{}, remedied(err)
+	}
+	means.Fleet = &relay.Fleet{Word: &fleet.Word{}, HoldMost: terms.Hold}
+	return program.Joined{Peers: run.Peers{Orders: e.Orders(), Reports: e.Reports()}, Serve: e.Serve, Again: e.Again}, nil
+}
+
+// check makes of a policy's text what the reducer decides by, and tells what of it is
+// narrower than what is in force.
+func check(own *setup.Setup, change string, text []byte, have edge.Have) (c edge.Checked) {
+	policy, watched, voters, err := setup.ParsePolicy("policy "+change, text, own)
+	if err != nil {
+		var r fleet.Remedied
+		if c.Why = err.Error(); errors.As(err, &r) {
+			c.Why += "; " + r.Remedy()
+		}
+		return c
+	}
+	c = edge.Checked{Policy: policy, Watched: watched, Voters: voters}
+	before, _ := have.Policy.(*relay.Policy)
+	if before == nil {
+		before, _ = own.Base()
+	}
+	was, _ := before.Rules.([]residency.Rule)
+	next, _ := policy.Rules.([]residency.Rule)
+	for _, t := range residency.Tightened(was, next, have.Bindings) {
+		if t.Purge != nil {
+			c.Scopes = append(c.Scopes, *t.Purge)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/railrelay-fleet/plan.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/list"
+	"railrelay.dev/railrelay/internal/program"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/residency"
+	"railrelay.dev/railrelay/internal/setup"
+)
+
+// plan tells what a policy would do, and asks nobody to do anything.
+func (d *desk) plan() *cobra.Command {
+	alone := false
+	c := &cobra.Command{Use: "plan FILE --setup SETUP", Short: "Tell what a policy would do before it is applied", Args: cobra.ExactArgs(1),
+		Long: "Check a policy against a controller's set-up and tell what its placement rules would do: which engines and controllers are\n" +
+			"outside then, where something kept would go, which teams keep how much of the engines' threads and which would have none.\n" +
+			"The policy in force, the controllers and bindings are asked of the fleet, the engines of the feed. Exit status 3: it can't\n" +
+			"be taken, or a team would have no engine or controller.",
+		RunE: func(c *cobra.Command, args []string) error {
+			if d.setup == "" {
+				return errors.New("--setup is missing: the policy is checked against it")
+			}
+			own, err := setup.Load(d.setup)
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			next, _, _, err := setup.ParsePolicy(args[0], text, own)
+			if err != nil {
+				return program.Failed(3, remedied(err))
+			}
+			now, _ := own.Base()
+			var world residency.World
+			if !alone {
+				if now, world, err = d.world(c, own); err != nil {
+					return err
+				}
+			}
+			was, _ := now.Rules.([]residency.Rule)
+			rules, _ := next.Rules.([]residency.Rule)
+			o := residency.Plan(was, rules, world)
+			if d.json {
+				err = printed(c, o)
+			} else if len(o.Rows) == 0 {
+				_, err = fmt.Fprintln(c.OutOrStdout(), args[0]+": good; it binds no team to any site")
+			} else {
+				_, err = fmt.Fprint(c.OutOrStdout(), args[0]+": good\n"+o.Table())
+			}
+			if len(o.None) > 0 && !alone && err == nil {
+				return program.Status{Code: 3}
+			}
+			return err
+		}}
+	c.Flags().BoolVar(&alone, "alone", false, "only check the file: ask neither the fleet nor the feed")
+	return c
+}
+
+// world asks for what there is: the policy in force, controllers, bindings, engines.
+func (d *desk) world(c *cobra.Command, own *setup.Setup) (now *relay.Policy, w residency.World, err error) {
+	policy, err := d.reply(c, &fleet.Ask{Kind: "policy"})
+	if err != nil {
+		return nil, w, err
+	}
+	if now, _, _, err = setup.ParsePolicy("the policy in force", policy.Policy, own); err != nil {
+		return nil, w, remedied(err)
+	}
+	status, err := d.reply(c, &fleet.Ask{Kind: "status"})
+	if err != nil {
+		return nil, w, err
+	}
+	if status.Status == nil {
+		return nil, w, fmt.Errorf("the controller tells no status: %s", status.Why)
+	}
+	for _, m := range status.Status.Members {
+		w.Controllers = append(w.Controllers, m.Member)
+	}
+	w.Bindings = status.Status.Bindings
+	w.Engines, err = engines(own, listed)
+	return now, w, err
+}
+
+// listed is how long the feed has to name all engines.
+const listed = 5 * time.Second
+
+// engines are those that serve, by the feed's whole list.
+func engines(own *setup.Setup, within time.Duration) ([]residency.Engine, error) {
+	conn, err := net.DialTimeout("tcp", own.Feed, within)
+	if err != nil {
+		return nil, fmt.Errorf("the feed of engines: %w", err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(within))
+	if _, err := conn.Write(list.Since(nil, 0)); err != nil {
+		return nil, fmt.Errorf("the feed of engines: %w", err)
+	}
+	h := &hearer{cores: map[string]float64{}, all: map[string]residency.Engine{}}
+	for _, k := range own.Engines.Kinds {
+		h.cores[k.Name] = k.Cores
+	}
+	for in := bufio.NewReader(conn); !h.whole || h.had < h.last; {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return nil, fmt.Errorf("the feed of engines: %w", err)
+		}
+		if _, err := list.Read(line, len(line), h); err != nil {
+			return nil, fmt.Errorf("the feed of engines: %w", err)
+		}
+	}
+	var l []residency.Engine
+	for _, e := range h.all {
+		l = append(l, e)
+	}
+	return l, nil
+}
+
+// hearer gathers the engines that serve.
+type hearer struct {
+	cores     map[string]float64
+	all       map[string]residency.Engine
+	had, last int64
+	whole     bool
+}
+
+func (h *hearer) Event(number int64, whole bool) bool {
+	if whole {
+		h.whole = true
+		clear(h.all)
+	}
+	h.had = number
+	return true
+}
+
+func (h *hearer) Engine(id, _, location, kind string, _ int, state decide.EngineState, _ int64) {
+	if delete(h.all, id); state == decide.On {
+		h.all[id] = residency.Engine{Name: id, Site: location, Threads: h.cores[kind]}
+	}
+}
+
+func (h *hearer) EventEnds()        {}
+func (h *hearer) Last(number int64) { h.last = number }
+func (h *hearer) Odd(string)        {}
--- /dev/null
+++ b/internal/fleet/edge/edge_test.go
@@ -0,0 +1,215 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+	"railrelay.dev/railrelay/internal/fleet/node"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patienceMost = 20 * time.Second
+
+// script is a core of our own: what it does with an event is in do.
+type script struct {
+	seen chan node.Event
+	do   func(ev node.Event) []node.Effect
+}
+
+func (s *script) Step(_ time.Duration, ev node.Event) []node.Effect {
+	s.seen <- ev
+	return s.do(ev)
+}
+
+func (s *script) saw(t *testing.T, kind node.EventKind) node.Event {
+	t.Helper()
+	for wait := time.After(patienceMost); ; {
+		select {
+		case ev := <-s.seen:
+			if ev.Kind == kind {
+				return ev
+			}
+		case <-wait:
+			t.Fatal("the core never saw ", kind)
+		}
+	}
+}
+
+type paper struct {
+	err    error
+	writes chan agree.Kept
+}
+
+func (p *paper) Write(k agree.Kept) error { p.writes <- k; return p.err }
+
+type mute struct{}
+
+func (mute) Send(string, string, *node.Message) {}
+func (mute) Counts() map[string]int             { return map[string]int{"refused_stranger": 3} }
+
+type noted struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (n *noted) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Buffer.Write(p)
+}
+
+func (n *noted) text() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.String()
+}
+
+func play(t *testing.T, do func(ev node.Event) []node.Effect, disk error) (*Edge, *script, *noted) {
+	s, log := &script{make(chan node.Event, 10_000), do}, &noted{}
+	e := newEdge(s, []node.Effect{{Kind: node.Wake, Within: time.Hour}}, &Options{Started: time.Now(), Log: zerolog.New(log),
+		Check: func(change string, text []byte, have Have) Checked {
+			return Checked{Why: change + string(text) + have.Policy.(string)}
+		}})
+	e.disk, e.wire = &paper{disk, make(chan agree.Kept, 100)}, mute{}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return e, s, log
+}
+
+func TestWhatIsAskedForIsDoneAndComesBack(t *testing.T) {
+	e, s, _ := play(t, func(ev node.Event) []node.Effect {
+		switch ev.Kind {
+		case node.Came:
+			return []node.Effect{{Kind: node.Order, Order: fleet.Order{Kind: fleet.Open, Policy: "now"}}, {Kind: node.Store, Kept: &agree.Kept{}}, {Kind: node.Check, Change: "c1", Text: []byte("x")}, {Kind: node.Wake}}
+		case node.Asked:
+			if ev.Ask.Kind == "status" {
+				return []node.Effect{{Kind: node.Told, Handle: ev.Handle, Reply: &fleet.Reply{Word: "status", Status: &fleet.Status{}}}}
+			}
+		}
+		return nil
+	}, nil)
+	e.got(&node.Message{From: "b"})
+	s.saw(t, node.Came)
+	kinds := map[node.EventKind]bool{}
+	for range 3 {
+		ev := <-s.seen
+		if kinds[ev.Kind] = true; ev.Kind == node.Checked && ev.Why != "c1xnow" {
+			t.Errorf("%+v", ev)
+		}
+	}
+	if !kinds[node.Stored] || !kinds[node.Checked] || !kinds[node.Woken] {
+		t.Fatal(kinds)
+	}
+	r := e.Ask(context.Background(), &fleet.Ask{Kind: "status"})
+	if r.Status == nil || r.Status.Counts["wire_refused_stranger"] != 3 {
+		t.Fatalf("%+v", r)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	answer := make(chan *fleet.Reply)
+	go func() { answer <- e.Ask(ctx, &fleet.Ask{Kind: "apply", ID: "a1"}) }()
+	asked := s.saw(t, node.Asked)
+	for asked.Ask.Kind != "apply" {
+		asked = s.saw(t, node.Asked)
+	}
+	stop()
+	if r := <-answer; r.Word != "unknown" || r.Exit() != 4 || r.ID != "a1" || r.Remedy == "" {
+		t.Fatalf("%+v", r)
+	}
+	if gone := s.saw(t, node.Gone); gone.Handle != asked.Handle {
+		t.Fatal(gone.Handle)
+	}
+}
+
+// The reducer takes nothing for a while: leases are told once, the order of all else is
+// kept, and past the bound the core takes nothing in, so that its leases run out.
+func TestAReducerThatTakesNoOrders(t *testing.T) {
+	n := uint64(0)
+	e, s, _ := play(t, func(ev node.Event) []node.Effect {
+		n++
+		return []node.Effect{{Kind: node.Order, Order: fleet.Order{Kind: fleet.Renewed, Until: time.Duration(n)}},
+			{Kind: node.Order, Order: fleet.Order{Kind: fleet.Renewed, Until: time.Duration(n) + 1}},
+			{Kind: node.Order, Order: fleet.Order{Kind: fleet.Open, Version: n}}}
+	}, nil)
+	for range ordersMost {
+		e.got(&node.Message{})
+	}
+	for range ordersMost / 2 { // two orders stay of the three of each
+		s.saw(t, node.Came)
+	}
+	select {
+	case <-s.seen:
+		t.Fatal("it takes in more than the reducer takes")
+	case <-time.After(20 * time.Millisecond):
+	}
+	for i := uint64(1); i <= ordersMost; i++ {
+		lease, open := <-e.Orders(), <-e.Orders()
+		if lease.Kind != fleet.Renewed || lease.Until != time.Duration(i)+1 || open.Kind != fleet.Open || open.Version != i {
+			t.Fatal(i, lease, open)
+		}
+	}
+	for range messagesMost + ordersMost {
+		e.got(&node.Message{})
+	}
+	if d := e.dropped.Load(); d < 1 || d > ordersMost {
+		t.Errorf("%d messages dropped", d)
+	}
+}
+
+// Without its disk a controller decides nothing, even by a lease without an end, and
+// whoever asks is told why and what to do, never that it won't be done.
+func TestADiskThatFails(t *testing.T) {
+	e, s, log := play(t, func(ev node.Event) []node.Effect {
+		if ev.Kind == node.Came {
+			return []node.Effect{{Kind: node.Order, Order: fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever}}, {Kind: node.Store, Kept: &agree.Kept{}}}
+		}
+		return nil
+	}, errors.New("no space left on device"))
+	e.got(&node.Message{})
+	s.saw(t, node.Came)
+	word := &fleet.Word{}
+	word.Set(1)
+	for shut := false; !shut; {
+		switch o := <-e.Orders(); o.Kind {
+		case fleet.Renewed:
+			word.Lease(o.Until, o.UntilBound)
+		case fleet.Shut:
+			shut = true
+		}
+	}
+	if word.May(time.Second, false) != 0 {
+		t.Error("the lease stands")
+	}
+	for _, kind := range []string{"status", "apply"} {
+		r := e.Ask(context.Background(), &fleet.Ask{Kind: kind, ID: "x"})
+		if r.Word != "unknown" || !strings.Contains(r.Why, "no space left") || r.Remedy == "" || r.Status == nil {
+			t.Errorf("%+v", r)
+		}
+	}
+	e.got(&node.Message{})
+	e.reports <- fleet.Report{}
+	e.reports <- fleet.Report{}
+	if len(s.seen) > 0 {
+		t.Error("it goes on taking part")
+	}
+	if !strings.Contains(log.text(), "serves nothing") || !strings.Contains(log.text(), "remedy") {
+		t.Error(log.text())
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -208,7 +208,7 @@
 
 // Ask is what an operator, a customer or the reducer wants of the fleet.
 type Ask struct {
-	Kind   string `json:"kind"` // "apply", "purge", "forget", "bind", "status"
+	Kind   string `json:"kind"` // "apply", "purge", "forget", "bind", "status", "policy"
 	ID     string `json:"id"`   // of the change or purge; drawn by who asks
 	By     string `json:"by,omitempty"`
 	Base   uint64 `json:"base,omitempty"`
@@ -236,6 +236,7 @@
 	Counts      *Counts  `json:"counts,omitempty"`
 	Outstanding []string `json:"outstanding,omitempty"` // controllers that are waited for, as far as is known here
 	Status      *Status  `json:"status,omitempty"`
+	Policy      []byte   `json:"policy,omitempty"` // to a "policy": the text in force, none while it is each set-up's own
 }
 
 // Exit is the status that scripts see: 0 done, 3 not done and never will be, 4 not known yet.
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -16,17 +16,18 @@
 // member is the part that every controller has: its lease, what its reducer was told,
 // and what it tells the leader of itself.
 type member struct {
-	leader  string // who leads, as far as is known
-	hint    int    // whom to ask while nobody is known to lead
-	seq     uint64
-	renewAt time.Duration
-	askedAt time.Duration
-	news    bool // something of the below has changed since it was last told
-	caught  bool // a lease was given in this run: what came before is known
-	until   time.Duration
-	pending []pending
-	told    map[string][]string // by run: who is waited for, as the leader told last
-	refused string
+	leader     string // who leads, as far as is known
+	hint       int    // whom to ask while nobody is known to lead
+	seq        uint64
+	renewAt    time.Duration
+	askedAt    time.Duration
+	news       bool // something of the below has changed since it was last told
+	caught     bool // a lease was given in this run: what came before is known
+	until      time.Duration
+	untilBound time.Duration // the same for bound teams
+	pending    []pending
+	told       map[string][]string // by run: who is waited for, as the leader told last
+	refused    string
 
 	policies map[uint64]*taken    // by version: what the set-up made of it
 	checks   map[string]*checking // by change; that in force has a key of its own
@@ -148,26 +149,24 @@
 // lease makes those leases count whose record is applied. It counts from when it was
 // asked for, by this controller's own clock.
 func (c *Core) lease() {
-	until, sent := c.until, time.Duration(0)
+	until, bound := c.until, c.untilBound // apart: the one may have no end, and the other must go on
 	c.pending = slices.DeleteFunc(c.pending, func(p pending) bool {
 		if p.index > c.state.Index {
 			return c.b.Lease != fleet.Forever && c.now-p.sent > c.b.Lease
 		}
-		if end := c.ends(p.sent, c.b.Lease); end > until {
-			until, sent = end, p.sent
-		}
+		until, bound = max(until, c.ends(p.sent, c.b.Lease)), max(bound, c.ends(p.sent, c.b.LeaseBound))
 		return true
 	})
-	if until <= c.until || c.bad != nil {
+	if until <= c.until && bound <= c.untilBound || c.bad != nil {
 		return
 	}
 	if !c.caught {
 		c.caught = true
 		c.say(false, "the record is caught up with, at %d", c.state.Index)
 	}
-	c.until = until
+	c.until, c.untilBound = until, bound
 	c.reconcile() // before the lease: what is forbidden by now must be known first
-	c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Renewed, Until: until, UntilBound: c.ends(sent, c.b.LeaseBound)}})
+	c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Renewed, Until: until, UntilBound: bound}})
 }
 
 func (c *Core) ends(from, span time.Duration) time.Duration {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -465,6 +465,10 @@
 		c.do(Effect{Kind: Told, Handle: handle, Reply: &fleet.Reply{Word: "status", Status: c.Status()}})
 		return
 	}
+	if a.Kind == "policy" {
+		c.do(Effect{Kind: Told, Handle: handle, Reply: &fleet.Reply{Word: "policy", Version: c.state.Version, Policy: c.state.Policy}})
+		return
+	}
 	c.asks = append(c.asks, &asking{ask: a, handle: handle, until: c.now + wait, next: c.now})
 }
 
--- /dev/null
+++ b/internal/fleet/remedies_test.go
@@ -0,0 +1,67 @@
+package fleet_test
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"railrelay.dev/railrelay/internal/answers"
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+	"railrelay.dev/railrelay/internal/fleet/disk"
+	"railrelay.dev/railrelay/internal/fleet/edge"
+	"railrelay.dev/railrelay/internal/fleet/peers"
+	"railrelay.dev/railrelay/internal/residency"
+	"railrelay.dev/railrelay/internal/setup"
+)
+
+// Every error that an operator may be told says what to do, unlike the others, and
+// docs/operate/fleet.md lists it. One whose package doesn't register it is found by its
+// source.
+func TestEveryErrorHasARemedyAndIsInTheDocs(t *testing.T) {
+	docs, err := os.ReadFile("../../docs/operate/fleet.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := slices.Concat(answers.Errors(), fleet.Errors(), agree.Errors(), disk.Errors(), edge.Errors(), peers.Errors(), residency.Errors(), setup.Errors())
+	known, texts := map[string]bool{}, map[string]string{}
+	for _, e := range all {
+		name := strings.TrimPrefix(fmt.Sprintf("%T", e), "*")
+		known[name] = true
+		for what, text := range map[string]string{"error": e.Error(), "remedy": e.Remedy()} {
+			if strings.TrimSpace(text) == "" {
+				t.Errorf("%s has no %s", name, what)
+			}
+			if other := texts[what+text]; other != "" && other != name {
+				t.Errorf("%s and %s have one %s: %s", name, other, what, text)
+			}
+			texts[what+text] = name
+		}
+		if !strings.Contains(string(docs), "`"+name+"`") {
+			t.Errorf("docs/operate/fleet.md doesn't list %s", name)
+		}
+	}
+	remedy := regexp.MustCompile(`(?m)^func \(\w+ \*?(\w+)\) Remedy\(\) string`)
+	found := 0
+	err = filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range remedy.FindAllSubmatch(text, -1) {
+			found++
+			if name := filepath.Base(filepath.Dir(path)) + "." + string(m[1]); !known[strings.TrimPrefix(name, "...")] && !known[name] {
+				t.Errorf("%s: %s is in no Errors()", path, name)
+			}
+		}
+		return err
+	})
+	if err != nil || found < 20 {
+		t.Fatal(found, err)
+	}
+}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"railrelay.dev/railrelay/internal/relay"
-	"railrelay.dev/railrelay/internal/run"
 	"railrelay.dev/railrelay/internal/terms"
 )
 
@@ -90,7 +89,7 @@
 			g.Feed = next.Feed
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed}, nil
 		}, log)
-	}, nil, run.Peers{}, log)
+	}, Joined{}, log)
 }
 
 // odd says what the settings leave out or name wrongly, and what is done instead: a
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,10 +43,9 @@
 
 // Joined is one controller's part in the fleet.
 type Joined struct {
-	Serve func(ctx context.Context) error // until ctx ends
-	Peers run.Peers                       // what it orders the reducer and is told by it
+	Peers run.Peers                       // what the reducer takes from it and tells it
+	Serve func(ctx context.Context) error // until ctx ends; closes all that was opened
 	Again func() error                    // reads the key file again
-	Close func() error                    // the disk, once Serve is done
 }
 
 // Status is an error that ends the program with a status of its own.
@@ -55,6 +54,9 @@
 	error
 }
 
+// Failed is an error with a status.
+func Failed(code int, err error) error { return Status{code, err} }
+
 // Unwrap gives what it is of.
 func (s Status) Unwrap() error { return s.error }
 
@@ -172,9 +174,9 @@
 	return zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("name", name).Logger()
 }
 
-// listen runs a controller until it is done, and beside it what goes along.
+// listen runs a controller until it is done, and beside it its part in a fleet, if it has one.
 func listen(address string, cores float64, means relay.Means, disk *store.Keeper, asked func(zerolog.Logger) <-chan relay.Event,
-	beside func(context.Context) error, peers run.Peers, log zerolog.Logger) error {
+	joined Joined, log zerolog.Logger) error {
 	if address == "" {
 		return errors.New("no address to listen on")
 	}
@@ -185,15 +187,15 @@
 	if err != nil {
 		return err
 	}
-	if beside == nil {
-		return run.Serve(context.Background(), listener, means, disk, peers, asked(log), log)
+	if joined.Serve == nil {
+		return run.Serve(context.Background(), listener, means, disk, run.Peers{}, asked(log), log)
 	}
 	group, ctx := errgroup.WithContext(context.Background())
 	ctx, done := context.WithCancel(ctx)
-	group.Go(func() error { return beside(ctx) })
+	group.Go(func() error { return joined.Serve(ctx) })
 	group.Go(func() error {
 		defer done()
-		return run.Serve(ctx, listener, means, disk, peers, asked(log), log)
+		return run.Serve(ctx, listener, means, disk, joined.Peers, asked(log), log)
 	})
 	return group.Wait()
 }
@@ -242,13 +244,10 @@
 		defer disk.Close()
 	}
 	var joined Joined
-	var beside func(context.Context) error
 	if have.Fleet != nil {
 		if joined, err = fleet.Join(have, &means, log); err != nil {
 			return err
 		}
-		defer joined.Close()
-		beside = joined.Serve
 	}
 	return listen(have.Listen, have.Cores(), means, disk, func(log zerolog.Logger) <-chan relay.Event {
 		return follow(signals, func() (relay.Event, error) {
@@ -266,5 +265,5 @@
 			}
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed, Fair: next.Shape()}, nil
 		}, log)
-	}, beside, joined.Peers, log)
+	}, joined, log)
 }
--- a/internal/setup/fleet_test.go
+++ b/internal/setup/fleet_test.go
@@ -13,16 +13,30 @@
 func TestTheExamplesUnderDeployAreAccepted(t *testing.T) {
 	seen := 0
 	err := filepath.WalkDir("../../deploy", func(path string, d fs.DirEntry, err error) error {
-		if err != nil || filepath.Ext(path) != ".yaml" || strings.HasPrefix(d.Name(), "policy") {
+		if err != nil || filepath.Ext(path) != ".yaml" {
 			return err
 		}
 		seen++
+		if strings.HasPrefix(d.Name(), "policy") { // checked against a controller's own
+			own, err := Load(filepath.Join(filepath.Dir(path), "c0.yaml"))
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			if _, _, _, err := ParsePolicy(path, text, own); err != nil {
+				t.Error(err)
+			}
+			return nil
+		}
 		if _, err := Load(path); err != nil {
 			t.Error(err)
 		}
 		return nil
 	})
-	if err != nil || seen < 5 {
+	if err != nil || seen < 6 {
 		t.Fatal(seen, err)
 	}
 }
