Queries of bound teams stay inside their sites, through switches, loads and emergencies

A conflict is killed naming both rules, a controller outside defers with the addresses of those inside, a load that takes bound tables into others waits until the record has the binding, results are not kept where a rule forbids it, crossings in an emergency are listed.

A load held for a binding keeps the others of its key behind it.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -278,6 +279,20 @@
 	return append(dst, 0xc0)
 }
 
+// Directed is Deferred with the addresses of controllers that may take the query, by commas.
+func Directed(dst []byte, msg uint32, pause time.Duration, controllers []string) []byte {
+	dst = appendStr(append(appendWhole(append(dst, 0x94, 1), msg), 0x92), "Throttled")
+	if ms := pause.Milliseconds(); ms > 0 {
+		dst = appendStr(appendStr(append(dst, 0x82), "pause"), strconv.FormatInt(ms, 10))
+	} else {
+		dst = append(dst, 0x81)
+	}
+	return append(appendStr(appendStr(dst, "controllers"), strings.Join(controllers[:min(len(controllers), directedMost)], ",")), 0xc0)
+}
+
+// directedMost is how many addresses are named; one that answers is enough.
+const directedMost = 15
+
 // Killed writes an error that promises nothing.
 func Killed(dst []byte, msg uint32, why string) []byte {
 	dst = appendStr(append(appendWhole(append(dst, 0x94, 1), msg), 0x92), "Failed")
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -254,6 +254,10 @@
 	a.c.answer(clients.Deferred(nil, a.msg, comeBack))
 }
 
+func (a *asking) directed(comeBack time.Duration, controllers []string) {
+	a.c.answer(clients.Directed(nil, a.msg, comeBack, controllers))
+}
+
 func (a *asking) killed(why string) { a.c.answer(clients.Killed(nil, a.msg, why)) }
 
 func (a *asking) told(wait time.Duration) { a.c.answer(clients.Told(nil, a.msg, wait)) }
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -143,7 +143,7 @@
 		if w := f.core.Next(f.now, lane); w != nil {
 			q := w.Of.(*query)
 			f.due.Drop(q.latest)
-			f.gate.Take(f.now, q.id, lane, q.customer, q.deadline-f.now, q.tables, q.number, q.work, q.need)
+			f.begin(q)
 			return true
 		}
 	}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -67,22 +67,6 @@
 	answered(id string, reply *fleet.Reply) bool
 }
 
-// placing keeps teams' data inside their sites. Without one all may go anywhere.
-type placing interface {
-	// opened: the rules are these from now on.
-	opened(p *Policy)
-	pictured(p *fleet.Picture)
-	// enters is asked before a query goes on to its turn or to the decisions, by
-	// the version in force. False: it has been answered, or is kept there.
-	enters(q *query, from From) bool
-	// allows: a submission of it may go to that engine, by the version in force. It
-	// is asked when one is begun and again right before it goes out.
-	allows(q *query, e *engine) bool
-	// outside is how many submissions of bound teams run outside their sites.
-	outside() int
-	answered(id string, reply *fleet.Reply) bool
-}
-
 // warrant is this controller's part in the fleet as far as its queries go: by which
 // version they are decided, and what is held while they may not be. Without peers
 // it is nil, and costs nothing.
@@ -90,7 +74,7 @@
 	*Relay
 	Fleet
 	purging purging // nil: nothing is kept of teams
-	placing placing // nil: there are no rules
+	placing *placement
 	picture *fleet.Picture
 
 	version uint64           // last opened
@@ -120,6 +104,7 @@
 func newWarrant(r *Relay, f *Fleet) *warrant {
 	w := &warrant{Relay: r, Fleet: *f, picture: &fleet.Picture{}, since: [2]time.Duration{-1, -1}}
 	w.HoldMost, w.Back = cmp.Or(w.HoldMost, holdMost), cmp.Or(w.Back, backAfter)
+	w.placing = newPlacement(w)
 	w.look()
 	w.tellSites()
 	return w
@@ -151,11 +136,9 @@
 		w.report(fleet.Report{Kind: fleet.Wiped, ID: o.ID})
 	case fleet.Pictured:
 		w.picture = o.Picture
-		if w.placing != nil {
-			w.placing.pictured(o.Picture)
-		}
+		w.placing.pictured(o.Picture)
 	case fleet.Answered:
-		if w.purging != nil && w.purging.answered(o.ID, o.Reply) || w.placing != nil && w.placing.answered(o.ID, o.Reply) {
+		if w.purging != nil && w.purging.answered(o.ID, o.Reply) || w.placing.answered(o.ID, o.Reply) {
 			return
 		}
 	}
@@ -203,9 +186,7 @@
 	case p.Facts != nil:
 		w.fair.reload(w.fair.shape) // its lanes are the groups
 	}
-	if w.placing != nil {
-		w.placing.opened(p)
-	}
+	w.placing.opened(p)
 }
 
 // shared tells whether a setting is the fleet's to change while it runs.
@@ -279,12 +260,12 @@
 // enters is where every query passes that has come. One that can't be judged now
 // is kept as it is, and judged by the version that it is let go by.
 func (w *warrant) enters(q *query, from From) bool {
-	q.bound = w.Bound != nil && w.Bound(w.whose(q, from), q.tables)
+	q.bound = w.placing.binds(q, from) || w.Bound != nil && w.Bound(q.place.team, q.tables)
 	if w.may(q.bound) == 0 || q.key != nil && w.behind(q.key) {
 		w.hold(q, from)
 		return false
 	}
-	return w.placing == nil || w.placing.enters(q, from)
+	return w.placing.enters(q, from)
 }
 
 // whose is the team of a call, or the customer where there are no teams.
@@ -370,7 +351,7 @@
 	case by == 0:
 		w.parked = append(w.parked, s)
 		return false
-	case w.placing != nil && !w.placing.allows(s.q, s.e):
+	case !w.placing.allows(s.q, s.e):
 		s.end(decide.NeverSent)
 		return false
 	}
@@ -505,11 +486,7 @@
 }
 
 func (w *warrant) tellOf(sites []string) {
-	p := fleet.Report{Kind: fleet.Sites, Sites: sites}
-	if w.placing != nil {
-		p.Outside = w.placing.outside()
-	}
-	w.report(p)
+	w.report(fleet.Report{Kind: fleet.Sites, Sites: sites, Outside: w.placing.outside()})
 }
 
 // serving are the locations that have engines which take queries, by the list.
@@ -530,5 +507,5 @@
 
 func (w *warrant) text() string {
 	return fmt.Sprintf("; fleet version %d switches %d, held %d in all %d longest s %.3f deferred for want of a lease %d, writes refused %d",
-		w.may(false), w.switches, w.waiting, w.holds, w.longest.Seconds(), w.deferredFor, w.refusedWrites)
+		w.may(false), w.switches, w.waiting, w.holds, w.longest.Seconds(), w.deferredFor, w.refusedWrites) + w.placing.text()
 }
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/residency"
 )
 
 // withPeers is a stage whose controller has peers, with nothing opened yet.
@@ -186,33 +187,27 @@
 	}
 }
 
-// bars lets nothing go to an engine, from a version on.
-type bars struct{ by *Policy }
-
-func (b *bars) opened(p *Policy)                   { b.by = p }
-func (b *bars) pictured(*fleet.Picture)            {}
-func (b *bars) enters(*query, From) bool           { return true }
-func (b *bars) allows(_ *query, e *engine) bool    { return b.by.Rules != e.id }
-func (b *bars) outside() int                       { return 3 }
-func (b *bars) answered(string, *fleet.Reply) bool { return true }
-
 // A submission held over a switch goes back to the decisions where the next version
 // doesn't let it go to the engine that it was chosen for.
 func TestAHeldSubmissionObeysTheNextVersion(t *testing.T) {
-	s := withPeers(t, 2, map[string]string{"may.probe": "false", "report.how": "off"})
-	s.r.warrant.placing = &bars{&Policy{}}
+	s := placedStage(t, 2, "a", map[string]string{"may.probe": "false", "report.how": "off"})
 	s.opens(1, time.Minute)
-	a := s.query(s.connect(), "load", "k", 9*time.Second, 1)
+	s.body = "insert into d_1.x select 1"
+	a := s.query(s.connect(), "load", "k", 9*time.Second, 1, "who", "bank")
 	q := s.r.queries[a.id]
 	s.order(fleet.Order{Kind: fleet.Shut, Change: "c"}) // while it waits for a line
 	s.until(s.now + 300*time.Millisecond)
 	if len(s.r.warrant.parked) != 1 {
 		t.Fatal("it doesn't wait")
 	}
-	chosen := q.subs[0].e.id
-	s.order(fleet.Order{Kind: fleet.Open, Version: 2, Policy: &Policy{Version: 2, Rules: chosen}})
+	chosen, other := q.subs[0].e.id, "a"
+	if s.siteOf(q.subs[0].e) == "a" {
+		other = "b"
+	}
+	s.order(fleet.Order{Kind: fleet.Open, Version: 2, Policy: &Policy{Version: 2,
+		Rules: []residency.Rule{{Name: "r", Team: "bank", Engines: []string{other}, Controllers: []string{"a"}}}}})
 	h := s.one("POST", a.id)
-	if h.m.id == chosen || !slices.Equal(s.written, []uint64{2}) || s.r.tally.ends[7] != 1 {
+	if h.m.id == chosen || h.m.site != other || !slices.Equal(s.written, []uint64{2}) || s.r.tally.ends[7] != 1 {
 		t.Fatalf("to %s, chosen was %s, %v, %v", h.m.id, chosen, s.written, s.r.tally.ends)
 	}
 }
--- /dev/null
+++ b/internal/relay/placing_test.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/residency"
+)
+
+// placedStage has engines at sites a, b and c in turn and itself stands at one; a call's
+// field who names its team.
+func placedStage(t interface{ Fatalf(string, ...any) }, engines int, site string, more map[string]string) *stage {
+	f := map[string]string{"locations": "a,b,c", "own.location": fmt.Sprint(strings.Index("abc", site)), "teams": "2", "team.0.name": "bank",
+		"team.1.name": "shop", "team.0.quota": "1000", "team.1.quota": "1000"}
+	maps.Copy(f, more)
+	return withPeers(t, engines, f, func(m *Means) { m.Words.Whose = "who" })
+}
+
+func (s *stage) siteOf(e *engine) string { return s.r.warrant.placing.site(e.location) }
+
+// rules opens a version with rules.
+func (s *stage) rules(version uint64, rules ...residency.Rule) {
+	s.order(fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever, UntilBound: fleet.Forever})
+	s.order(fleet.Order{Kind: fleet.Open, Version: version, Policy: &Policy{Version: version, Rules: rules}})
+}
+
+func (s *stage) wanted() (l []*fleet.Ask) {
+	for _, p := range s.reports {
+		if p.Kind == fleet.Wanted {
+			l = append(l, p.Ask)
+		}
+	}
+	return l
+}
+
+func TestABoundQueryStaysInside(t *testing.T) {
+	s := placedStage(t, 6, "a", nil)
+	s.rules(1, residency.Rule{Name: "only-b", Team: "bank", Tables: []int64{1}, Engines: []string{"b"}, Controllers: []string{"a"}})
+	c := s.connect()
+	for i := range 6 {
+		a := s.query(c, "lookup", "", 5*time.Second, 1, "who", "bank")
+		if h := s.one("POST", a.id); h.m.site != "b" {
+			t.Fatalf("%d went to %s", i, h.m.site)
+		}
+	}
+	if a := s.query(c, "lookup", "", 5*time.Second, 1, "who", "shop"); s.one("POST", a.id) == nil {
+		t.Fatal("another team's is held")
+	}
+	// none inside: held while there is time, and never across
+	for _, m := range s.all() {
+		if m.site == "b" {
+			s.order(fleet.Order{Kind: fleet.Pictured, Picture: &fleet.Picture{}})
+			m.state = "DRAINING"
+			s.tell(m.entry(0))
+		}
+	}
+	a := s.query(c, "lookup", "", time.Second, 1, "who", "bank")
+	s.until(a.deadline)
+	if a.answer != "deferred" || len(a.subs) > 0 {
+		t.Fatal(a.answer, len(a.subs))
+	}
+}
+
+func TestConflictsAreKilledAndStrangersDirected(t *testing.T) {
+	s := placedStage(t, 3, "a", nil)
+	s.rules(1, residency.Rule{Name: "in-a", Team: "bank", Tables: []int64{1}, Engines: []string{"a"}},
+		residency.Rule{Name: "in-b", Team: "bank", Tables: []int64{2}, Engines: []string{"b"}})
+	s.order(fleet.Order{Kind: fleet.Pictured, Picture: &fleet.Picture{Members: []fleet.Member{{Name: "x", Site: "b", Clients: "10.9.9.9:6565"},
+		{Name: "y", Site: "b", Clients: "10.9.9.8:6565", Forgotten: true}, {Name: "z", Site: "c", Clients: "10.9.9.7:6565"}}}})
+	c := s.connect()
+	s.body = "select * from d_1.x join d_2.y using (id)"
+	both := s.query(c, "lookup", "", 5*time.Second, 0, "who", "bank")
+	s.body = ""
+	other := s.query(c, "lookup", "", 5*time.Second, 2, "who", "bank")
+	if both.answer != "killed" || !bytes.Contains(both.said, []byte("in-a and in-b")) {
+		t.Fatalf("%q", both.said)
+	}
+	if other.answer != "deferred" || !bytes.Contains(other.said, []byte("10.9.9.9:6565")) || bytes.Contains(other.said, []byte("10.9.9.8")) ||
+		bytes.Contains(other.said, []byte("10.9.9.7")) {
+		t.Fatalf("%q", other.said)
+	}
+	s.body = "select * from orders"
+	if a := s.query(c, "lookup", "", 5*time.Second, 0, "who", "bank"); a.answer != "killed" {
+		t.Fatal("what can't be told touches both", a.answer)
+	}
+}
+
+// A load that takes bound tables into others is sent once the record has it, others of
+// its key stay behind it, and then the tables are bound.
+func TestALoadIsSentOnceWhatItBindsIsRecorded(t *testing.T) {
+	s := placedStage(t, 3, "a", nil)
+	s.rules(1, residency.Rule{Name: "r", Team: "bank", Tables: []int64{1}, Engines: []string{"a"}, Follows: true})
+	c := s.connect()
+	s.body = "insert into d_5.x select * from d_1.y"
+	first := s.query(c, "load", "k", 9*time.Second, 0, "who", "bank")
+	alike := s.query(c, "load", "j", 9*time.Second, 0, "who", "bank")
+	s.body = "insert into d_9.x values (1)"
+	behind := s.query(c, "load", "k", 9*time.Second, 0, "who", "bank")
+	s.until(s.now + 300*time.Millisecond)
+	asks := s.wanted()
+	if len(asks) != 1 || !slices.Equal(asks[0].Tables, []int64{5}) || !slices.Equal(asks[0].From, []int64{1}) || asks[0].Kind != "bind" {
+		t.Fatalf("%+v", asks)
+	}
+	if len(first.subs)+len(alike.subs)+len(behind.subs) > 0 {
+		t.Fatal("sent before the record has it")
+	}
+	s.order(fleet.Order{Kind: fleet.Answered, ID: asks[0].ID, Reply: &fleet.Reply{ID: asks[0].ID, Word: "unknown"}})
+	s.until(s.now + 200*time.Millisecond)
+	if again := s.wanted(); len(again) != 2 || again[1].ID != asks[0].ID || len(first.subs) > 0 {
+		t.Fatalf("asked again by its id: %+v", again)
+	}
+	s.order(fleet.Order{Kind: fleet.Answered, ID: asks[0].ID, Reply: &fleet.Reply{ID: asks[0].ID, Word: "bound"}})
+	s.reply(s.one("POST", first.id), "ok")
+	s.one("POST", alike.id)
+	s.one("POST", behind.id) // posted checks the key's order
+	s.body = ""
+	if h := s.one("POST", s.query(c, "lookup", "", 9*time.Second, 5, "who", "bank").id); h.m.site != "a" {
+		t.Fatal("bound, and at", h.m.site)
+	}
+	// who never hears of it is deferred in time, and may come again
+	s.body = "insert into d_6.x select * from d_5.y"
+	late := s.query(c, "load", "l", time.Second, 0, "who", "bank")
+	s.until(late.deadline)
+	if late.answer != "deferred" || len(late.subs) > 0 {
+		t.Fatal(late.answer)
+	}
+}
+
+func TestAnEmergencyWidensAndIsListed(t *testing.T) {
+	s := placedStage(t, 1, "a", map[string]string{"locations": "b,a", "own.location": "1"})
+	s.rules(1, residency.Rule{Name: "r", Team: "bank", Engines: []string{"a"}, Emergency: residency.Emergency{Sites: []string{"b"}, After: time.Second}})
+	a := s.query(s.connect(), "lookup", "", 5*time.Second, 1, "who", "bank")
+	s.until(s.now + 100*time.Millisecond)
+	if len(a.subs) > 0 {
+		t.Fatal("across")
+	}
+	s.order(fleet.Order{Kind: fleet.Pictured, Picture: &fleet.Picture{Emergencies: map[string]uint64{"r": 9}}})
+	h := s.one("POST", a.id)
+	if l, n := s.r.Crossed(); n != 1 || l[0] != (residency.Crossing{Query: a.id, Team: "bank", Rule: "r", Site: "b"}) {
+		t.Fatal(l, n)
+	}
+	s.reply(h, "runs")
+	s.until(1050 * time.Millisecond) // sites are told each second
+	if p := s.lastSites(); p.Outside != 1 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func (s *stage) lastSites() (last fleet.Report) {
+	for _, p := range s.reports {
+		if p.Kind == fleet.Sites {
+			last = p
+		}
+	}
+	return last
+}
+
+// Whatever engines and rules do, no bound query is at an engine where the rules, as they
+// were when it was let go, forbid it.
+func TestNothingBoundGoesOutside(t *testing.T) {
+	sent := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := placedStage(t, 6, "a", nil)
+		draws := func() (l []residency.Rule) {
+			for i, tables := range [][]int64{{1}, {2}, nil} {
+				if rapid.Bool().Draw(t, "rule") {
+					l = append(l, residency.Rule{Name: fmt.Sprint("r", i), Team: "bank", Tables: tables, Controllers: []string{"a"},
+						Engines: rapid.SampledFrom([][]string{{"a"}, {"b"}, {"a", "b"}, {"b", "c"}}).Draw(t, "engines")})
+				}
+			}
+			return l
+		}
+		now := draws()
+		s.rules(1, now...)
+		seen := map[*sub]bool{}
+		look := func() {
+			for _, a := range s.asked {
+				for _, x := range a.subs {
+					if seen[x] {
+						continue
+					}
+					if seen[x] = true; a.key == "shop" {
+						continue
+					}
+					sent++
+					c := residency.New("a")
+					c.Rules(now)
+					if v := c.Judge("bank", []int64{int64(x.a.msg % 3)}, true); !v.May(x.m.site) {
+						t.Fatalf("%s at %s by %+v", a.id, x.m.site, now)
+					}
+				}
+			}
+		}
+		c := s.connect()
+		for n, version := 0, uint64(1); n < 25; n++ {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1, 2, 3:
+				who := rapid.SampledFrom([]string{"bank", "shop"}).Draw(t, "who")
+				if c.msgs < 100 {
+					a := s.query(c, rapid.SampledFrom([]string{"lookup", "report"}).Draw(t, "group"), "", 3*time.Second, (c.msgs+1)%3, "who", who)
+					a.key = who
+				}
+			case 4:
+				for _, h := range s.held {
+					if h.s != nil && h.method == "GET" {
+						s.reply(h, rapid.SampledFrom([]string{"ok", "lost"}).Draw(t, "how"))
+						break
+					}
+				}
+			case 5:
+				version++
+				s.order(fleet.Order{Kind: fleet.Shut, Change: "c"})
+				s.until(s.now + rapid.SampledFrom([]time.Duration{0, 30 * time.Millisecond}).Draw(t, "switch"))
+				look()
+				now = draws()
+				s.rules(version, now...)
+			case 6:
+				m := s.all()[rapid.IntRange(0, 5).Draw(t, "engine")]
+				if m.state = "DRAINING"; rapid.Bool().Draw(t, "back") {
+					m.state = "SERVING"
+				}
+				s.tell(m.entry(0))
+			}
+			s.until(s.now + rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond, 400 * time.Millisecond}).Draw(t, "later"))
+			look()
+		}
+	})
+	if sent < 1000 && !decide.Astray {
+		t.Fatalf("only %d bound submissions: nothing was tried", sent)
+	}
+}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -40,6 +40,7 @@
 	subs              []*submission
 	answered          bool
 	bound, waits      bool          // where there are peers: it needs the lease of bound teams; it is held, unjudged
+	place             *placed       // where its team's data may be, where there are peers
 	kept              *spool.Result // its client reads page by page
 
 	// where teams wait for their turn, and only there
@@ -130,7 +131,7 @@
 	if r.warrant != nil && !r.closing && !r.warrant.enters(q, from) {
 		return
 	}
-	if r.paging != nil {
+	if r.paging != nil && r.keeps(q) { // where it may not be kept it is answered whole
 		r.paging.wants(q, from)
 	}
 	switch {
@@ -138,10 +139,22 @@
 	case r.fair != nil:
 		r.fair.enter(q, from, q.tables, number)
 	default:
-		r.gate.Take(r.now, q.id, q.group.index, q.customer, q.deadline-r.now, q.tables, number, q.work, q.need)
+		r.begin(q)
 	}
 }
 
+// keeps: its result or answer may be kept here.
+func (r *Relay) keeps(q *query) bool { return r.warrant == nil || r.warrant.placing.keeps(q) }
+
+// begin hands a query on to the decisions.
+func (r *Relay) begin(q *query) {
+	if r.warrant != nil {
+		r.warrant.placing.begins(q)
+		return
+	}
+	r.gate.Take(r.now, q.id, q.group.index, q.customer, q.deadline-r.now, q.tables, q.number, q.work, q.need)
+}
+
 // told is a figure that a client tells; one that can't be meant is taken as not told.
 func told(text []byte, most float64) float64 {
 	if x, err := strconv.ParseFloat(string(text), 64); err == nil && x >= 0 && x <= most {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -48,6 +49,7 @@
 	said    []string
 	log     []string
 	sockets int
+	body    string  // of what clients ask next, in place of a select
 	back    []Event // what the runner will bring back
 
 	// where it has peers
@@ -72,6 +74,7 @@
 // mill is an engine.
 type mill struct {
 	id, address, state  string
+	site                string
 	silent, dead        bool
 	cut                 bool // nothing comes through; what was written lies on the way until the link heals
 	lying               []*held
@@ -112,6 +115,7 @@
 	left            bool
 	subs            []*sub
 	finishedPayload string
+	said            []byte
 }
 
 func plainFacts(more map[string]string) map[string]string {
@@ -139,7 +143,9 @@
 	s := &stage{t: t, wake: -1, mills: map[string]*mill{}, feedUp: true, sockets: sockets}
 	var members []string
 	for i := range engines {
-		m := &mill{id: "e" + strconv.Itoa(i), address: "10.0.0." + strconv.Itoa(i) + ":1", state: "SERVING", runs: map[string]*sub{}}
+		sites := strings.Split(plainFacts(more)["locations"], ",")
+		m := &mill{id: "e" + strconv.Itoa(i), address: "10.0.0." + strconv.Itoa(i) + ":1", state: "SERVING", runs: map[string]*sub{},
+			site: sites[i%len(sites)]}
 		s.mills[m.address] = m
 		members = append(members, m.entry(0))
 	}
@@ -157,8 +163,8 @@
 }
 
 func (m *mill) entry(up int64) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"here","flavor":"std","cell":1,"phase":%q,"size":1,"up_since_ms":%d}`,
-		m.id, m.address, m.state, up)
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"std","cell":1,"phase":%q,"size":1,"up_since_ms":%d}`,
+		m.id, m.address, m.site, m.state, up)
 }
 
 // all lists the mills in an order of their own.
@@ -402,6 +408,7 @@
 		if a.answer != "" || a.left {
 			s.t.Fatalf("rule 1: a second answer to %s, or one nobody waits for", a.id)
 		}
+		a.said = p
 		switch {
 		case p[3] == 0xc0:
 			a.answer = "finished"
@@ -455,7 +462,7 @@
 	for _, f := range fields {
 		p = append(p, fix(f)...)
 	}
-	body := "SELECT * FROM sales_" + strconv.Itoa(tables) + ".orders"
+	body := cmp.Or(s.body, "SELECT * FROM sales_"+strconv.Itoa(tables)+".orders")
 	s.read(e, append(append(p, 0xc4, byte(len(body))), body...))
 	return a
 }
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -127,6 +127,14 @@
 
 // whole answers once the result is promised.
 func (p *paging) whole(s *submission) {
+	if !p.keeps(s.q) { // it might have been when it began
+		p.drop(s)
+		if !s.q.answered {
+			p.killed(s.q, "its result may not be kept here any more")
+		}
+		s.end(decide.Finished)
+		return
+	}
 	p.core.Whole(p.now, s.result, func(err error) {
 		r := s.result
 		switch {
--- a/internal/residency/change.go
+++ b/internal/residency/change.go
@@ -151,6 +151,16 @@
 	return l
 }
 
+// Scopes is what of a change of rules has to be purged before it is settled.
+func Scopes(old, next []Rule, bindings []fleet.Binding) (l []fleet.Scope) {
+	for _, t := range Tightened(old, next, bindings) {
+		if t.Purge != nil {
+			l = append(l, *t.Purge)
+		}
+	}
+	return l
+}
+
 func (t Tightening) alike(x Tightening) bool {
 	same := t.Team == x.Team && t.Ends == x.Ends && slices.Equal(t.Rules, x.Rules) && slices.Equal(t.Engines, x.Engines)
 	if !same || t.Purge == nil || x.Purge == nil {
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -195,6 +195,7 @@
 	given   []Rule
 	teams   map[string][]*bound
 	picture fleet.Picture
+	ahead   []fleet.Binding // recorded, and not in the picture yet
 	stamp   uint64
 	known   map[key]Verdict // of queries on one table, until anything changes
 
@@ -212,7 +213,7 @@
 const knownMost = 4096
 
 // New is a controller's at a site; "" is at none, and inside no boundary.
-func New(site string) *Core { return &Core{site: site, known: map[key]Verdict{}} }
+func New(site string) *Core { return &Core{site: site, stamp: 1, known: map[key]Verdict{}} }
 
 // Rules takes over other rules: from now on all is judged by them.
 func (c *Core) Rules(rules []Rule) {
@@ -222,17 +223,33 @@
 
 // Pictured takes over what the record says: what loads bound, and which emergencies are on.
 func (c *Core) Pictured(p *fleet.Picture) {
-	same := slices.EqualFunc(p.Bindings, c.picture.Bindings, func(a, b fleet.Binding) bool {
-		return a.Team == b.Team && slices.Equal(a.Tables, b.Tables) && slices.Equal(a.From, b.From)
-	}) && maps.Equal(p.Emergencies, c.picture.Emergencies)
+	same := slices.EqualFunc(p.Bindings, c.picture.Bindings, alike) && maps.Equal(p.Emergencies, c.picture.Emergencies)
 	c.picture = *p
+	c.ahead = slices.DeleteFunc(c.ahead, func(b fleet.Binding) bool {
+		return slices.ContainsFunc(p.Bindings, func(x fleet.Binding) bool { return alike(b, x) })
+	})
 	if !same { // most pictures only tell of other controllers
 		c.again()
 	}
 }
 
+func alike(a, b fleet.Binding) bool {
+	return a.Team == b.Team && slices.Equal(a.Tables, b.Tables) && slices.Equal(a.From, b.From)
+}
+
+// Recorded: the record has a binding, though no picture has shown it yet.
+func (c *Core) Recorded(b fleet.Binding) {
+	if !slices.ContainsFunc(c.picture.Bindings, func(x fleet.Binding) bool { return alike(b, x) }) {
+		c.ahead = append(c.ahead, b)
+		c.again()
+	}
+}
+
+// Site is where this controller is.
+func (c *Core) Site() string { return c.site }
+
 func (c *Core) again() {
-	c.teams = bind(c.given, c.picture.Bindings)
+	c.teams = bind(c.given, slices.Concat(c.picture.Bindings, c.ahead))
 	c.stamp++
 	clear(c.known)
 }
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -197,7 +197,7 @@
 			a.Kind = Deferred
 		}
 		ms, _ := strconv.Atoi(about["pause"])
-		a.Wait, a.Why = time.Duration(ms)*time.Millisecond, about["why"]
+		a.Wait, a.Why, a.About = time.Duration(ms)*time.Millisecond, about["why"], about
 		return a
 	}
 	good, _ := l[3].([]any)
