A binding's id follows from what it binds: the same everywhere and after a restart

Ids of bindings were drawn by count and the set-up's seed. Two controllers with one seed, or one after a restart, could ask for different bindings by one id; the record takes an id once, and the second load would have been told bound with nothing recorded. The id is a digest of team, tables and origin now, and bindings that the record joined are known again.

Found by reading the record's side against the relay's; placement's tests pass as before.

--- a/internal/relay/placing.go
+++ b/internal/relay/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"fmt"
 	"slices"
 	"strconv"
@@ -23,8 +24,7 @@
 	names []string // of locations, by their places in the settings
 	stamp uint64   // of the rules that all in hand was last judged by
 
-	asks  map[string]*binding // of the fleet, by id
-	drawn uint64              // ids so far
+	asks map[string]*binding // of the fleet, by id
 
 	// counts
 	bound, conflicts, directed, bindings, barred int
@@ -173,25 +173,26 @@
 	directed(comeBack time.Duration, controllers []string)
 }
 
-// ask has the record take a binding. Of those that are asked for already it is known by
-// what they bind.
+// ask has the record take a binding, once.
 func (p *placement) ask(need *fleet.Binding) {
-	for _, b := range p.asks {
-		if b.need.Team == need.Team && slices.Equal(b.need.Tables, need.Tables) && slices.Equal(b.need.From, need.From) {
-			return
-		}
+	// the same everywhere and after a restart: an id of another binding would be taken as told already
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q %v %v", need.Team, need.Tables, need.From))
+	id := fmt.Sprintf("bind-%x", sum[:16])
+	if p.asks[id] != nil {
+		return
 	}
-	p.drawn++
-	id := fmt.Sprintf("bind-%s-%016x-%d", p.core.Site(), p.Seed, p.drawn)
 	b := &binding{need: need}
 	p.asks[id] = b
 	p.bindings++
 	p.want(id, b)
 }
 
+// bindWait is how long the fleet looks for an answer before it says that it isn't known yet.
+const bindWait = 2 * time.Second
+
 func (p *placement) want(id string, b *binding) {
 	p.report(fleet.Report{Kind: fleet.Wanted, ID: id, Ask: &fleet.Ask{Kind: "bind", ID: id, By: p.core.Site(), Team: b.need.Team,
-		Tables: b.need.Tables, From: b.need.From}})
+		Tables: b.need.Tables, From: b.need.From, Wait: bindWait.Milliseconds()}})
 }
 
 // answered: the record has a binding, or it isn't known yet, or it never will.
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -226,7 +226,7 @@
 	same := slices.EqualFunc(p.Bindings, c.picture.Bindings, alike) && maps.Equal(p.Emergencies, c.picture.Emergencies)
 	c.picture = *p
 	c.ahead = slices.DeleteFunc(c.ahead, func(b fleet.Binding) bool {
-		return slices.ContainsFunc(p.Bindings, func(x fleet.Binding) bool { return alike(b, x) })
+		return has(p.Bindings, b)
 	})
 	if !same { // most pictures only tell of other controllers
 		c.again()
@@ -237,9 +237,17 @@
 	return a.Team == b.Team && slices.Equal(a.Tables, b.Tables) && slices.Equal(a.From, b.From)
 }
 
+// has: one of them binds as much. The record joins those that follow the same.
+func has(l []fleet.Binding, b fleet.Binding) bool {
+	return slices.ContainsFunc(l, func(x fleet.Binding) bool {
+		return x.Team == b.Team && slices.Equal(x.From, b.From) &&
+			!slices.ContainsFunc(b.Tables, func(t int64) bool { return !slices.Contains(x.Tables, t) })
+	})
+}
+
 // Recorded: the record has a binding, though no picture has shown it yet.
 func (c *Core) Recorded(b fleet.Binding) {
-	if !slices.ContainsFunc(c.picture.Bindings, func(x fleet.Binding) bool { return alike(b, x) }) {
+	if !has(c.picture.Bindings, b) && !has(c.ahead, b) {
 		c.ahead = append(c.ahead, b)
 		c.again()
 	}
