A short lease for bound teams is renewed in its own time; keys replaced while all serve

Beside a longer lease a short one for bound teams was asked for only each quarter of the long one, so it lapsed between; it goes by the shorter of the two now, and a test in virtual time holds both cases and fails without the change.

--- a/cmd/railrelay-fleet/command.go
+++ b/cmd/railrelay-fleet/command.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -120,14 +121,23 @@
 }
 
 func (d *desk) forget() *cobra.Command {
-	id := ""
+	id, anyway := "", false
 	c := &cobra.Command{Use: "forget NAME", Short: "Say that a controller's disk is destroyed: it never serves again", Args: cobra.ExactArgs(1),
 		Long: "Say that a controller's disk is destroyed. Nothing waits for it any more, purges least of all, and that name and that disk\n" +
 			"never serve again. It can't be taken back: a controller that only stands still is not to be forgotten.",
 		RunE: func(c *cobra.Command, args []string) error {
+			r, err := d.reply(c, &fleet.Ask{Kind: "status"})
+			if err != nil {
+				return err
+			}
+			known := r.Status != nil && slices.ContainsFunc(r.Status.Members, func(m fleet.MemberStatus) bool { return m.Name == args[0] })
+			if !known && !anyway { // a slip of the pen would bar a name for good
+				return fmt.Errorf("no controller is called %q, as far as is known there; --anyway bars that name all the same", args[0])
+			}
 			return d.ask(c, &fleet.Ask{Kind: "forget", ID: id, Name: args[0], Wait: d.atMost.Milliseconds()})
 		}}
 	c.Flags().StringVar(&id, "id", "", "to ask again by (one is drawn)")
+	c.Flags().BoolVar(&anyway, "anyway", false, "also a name that isn't known")
 	c.Flags().DurationVar(&d.atMost, "at-most", 10*time.Second, "wait so long")
 	return c
 }
@@ -284,8 +294,11 @@
 		}
 		for _, m := range s.Members {
 			holds := yes(m.Holds)
-			if m.Forgotten {
+			switch {
+			case m.Forgotten:
 				holds = "forgotten"
+			case s.Leader != s.Name:
+				holds = "-" // only the leader knows
 			}
 			applied := ""
 			if m.Applied > 0 {
--- a/cmd/railrelay-fleet/fleet_test.go
+++ b/cmd/railrelay-fleet/fleet_test.go
@@ -286,6 +286,14 @@
 	if status != 3 || !strings.Contains(out, "e1") || !strings.Contains(out, "no engine or controller") {
 		t.Errorf("a plan by which no controller is inside: %d %s%s", status, out, errs)
 	}
+	for _, c := range []struct {
+		name   string
+		status int
+	}{{"c9", 1}, {"c9 --anyway", 0}} {
+		if _, errs, status := railrelay(t, append([]string{"fleet", "forget", "--setup", lost.setup}, strings.Fields(c.name)...)...); status != c.status {
+			t.Errorf("forget %s: %d %s", c.name, status, errs)
+		}
+	}
 	if err := lost.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -299,6 +307,57 @@
 	}
 }
 
+// hears waits for a line of its log.
+func (m *member) hears(what string) string {
+	m.t.Helper()
+	for wait := time.After(patienceMost); ; {
+		select {
+		case line := <-m.said:
+			if strings.Contains(line, what) {
+				return line
+			}
+		case <-wait:
+			m.t.Fatalf("%s never said %q", m.name, what)
+		}
+	}
+}
+
+// The key is replaced while all serve: second line everywhere, first line, alone. Who
+// has only the old one gets nowhere after that.
+func TestTheKeyIsReplaced(t *testing.T) {
+	all := band(t, 3, "")
+	for _, m := range all {
+		m.until("its lease", serves)
+	}
+	was, next := strings.Repeat("5a", 32), strings.Repeat("a5", 32)
+	keys := filepath.Join(filepath.Dir(all[0].setup), "keys")
+	for _, text := range []string{was + "\n" + next + "\n", next + "\n" + was + "\n", next + "\n"} {
+		if err := os.WriteFile(keys, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range all {
+			m.cmd.Process.Signal(syscall.SIGHUP)
+			m.hears("the configuration was read again")
+			if s := m.until("its lease", func(s *fleet.Status) bool { return s.Leader != "" }); !s.Serves {
+				t.Errorf("%s stopped serving", m.name)
+			}
+		}
+	}
+	old := filepath.Join(t.TempDir(), "keys")
+	if err := os.WriteFile(old, []byte(was+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, errs, status := railrelay(t, "fleet", "purge", "--team", "a", "--setup", all[0].setup, "--keys", old); status != 1 || !strings.Contains(errs, "signed") {
+		t.Errorf("by the old key: %d %s", status, errs)
+	}
+	for _, m := range all { // each asks for its lease anew within the time it has: by the new key
+		m.until("its lease", serves)
+	}
+	if r, status := all[1].fleet("purge", "--team", "a"); status != 0 || r.Word != "purged" {
+		t.Errorf("by the new key: %d %+v", status, r)
+	}
+}
+
 // What can't be asked says why and what to do, and the exit status tells it from a refusal.
 func TestCommandsThatReachNobody(t *testing.T) {
 	dir := t.TempDir()
--- a/cmd/railrelay-fleet/plan.go
+++ b/cmd/railrelay-fleet/plan.go
@@ -43,12 +43,16 @@
 			if err != nil {
 				return program.Failed(3, remedied(err))
 			}
-			now, _ := own.Base()
-			var world residency.World
-			if !alone {
-				if now, world, err = d.world(c, own); err != nil {
-					return err
+			if alone {
+				if d.json {
+					return printed(c, map[string]bool{"good": true})
 				}
+				_, err = fmt.Fprintln(c.OutOrStdout(), args[0]+": good")
+				return err
+			}
+			now, world, err := d.world(c, own)
+			if err != nil {
+				return err
 			}
 			was, _ := now.Rules.([]residency.Rule)
 			rules, _ := next.Rules.([]residency.Rule)
@@ -60,7 +64,7 @@
 			} else {
 				_, err = fmt.Fprint(c.OutOrStdout(), args[0]+": good\n"+o.Table())
 			}
-			if len(o.None) > 0 && !alone && err == nil {
+			if len(o.None) > 0 && err == nil {
 				return program.Status{Code: 3}
 			}
 			return err
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -354,7 +354,9 @@
 		s.Counts = map[string]int{}
 	}
 	for name, n := range e.wire.Counts() {
-		s.Counts["wire_"+name] += n
+		if n > 0 {
+			s.Counts["wire_"+name] += n
+		}
 	}
 	if n := int(e.dropped.Load()); n > 0 {
 		s.Counts["messages_dropped"] += n
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,17 +57,17 @@
 
 // Scope is what of a team a purge means.
 type Scope struct {
-	Team    string   `cbor:"1,keyasint"`
-	Tables  []int64  `cbor:"2,keyasint,omitempty"` // table groups, none: all
-	Before  int64    `cbor:"3,keyasint,omitempty"` // wall time it was kept before, 0: whenever
-	Outside []string `cbor:"4,keyasint,omitempty"` // only on controllers that are in none of these sites; none: on all
+	Team    string   `cbor:"1,keyasint" json:"team"`
+	Tables  []int64  `cbor:"2,keyasint,omitempty" json:"tables,omitempty"`  // table groups, none: all
+	Before  int64    `cbor:"3,keyasint,omitempty" json:"before,omitempty"`  // wall time it was kept before, 0: whenever
+	Outside []string `cbor:"4,keyasint,omitempty" json:"outside,omitempty"` // only on controllers that are in none of these sites; none: on all
 }
 
 // Counts are what a purge found.
 type Counts struct {
-	Results int64 `cbor:"1,keyasint"` // kept results
-	Answers int64 `cbor:"2,keyasint"` // cached answers
-	Bytes   int64 `cbor:"3,keyasint"`
+	Results int64 `cbor:"1,keyasint" json:"results"` // kept results
+	Answers int64 `cbor:"2,keyasint" json:"answers"` // cached answers
+	Bytes   int64 `cbor:"3,keyasint" json:"bytes"`
 }
 
 // Add adds what another controller found.
@@ -77,12 +77,12 @@
 
 // Member is a controller that may hold leases.
 type Member struct {
-	Name      string `cbor:"1,keyasint"`
-	Disk      string `cbor:"2,keyasint"` // its directory's own name, drawn when it was made
-	Site      string `cbor:"3,keyasint,omitempty"`
-	Peer      string `cbor:"4,keyasint"`           // where its peers reach it
-	Clients   string `cbor:"5,keyasint,omitempty"` // where clients reach it
-	Forgotten bool   `cbor:"6,keyasint,omitempty"`
+	Name      string `cbor:"1,keyasint" json:"name"`
+	Disk      string `cbor:"2,keyasint" json:"disk"` // its directory's own name, drawn when it was made
+	Site      string `cbor:"3,keyasint,omitempty" json:"site,omitempty"`
+	Peer      string `cbor:"4,keyasint" json:"peer"`                        // where its peers reach it
+	Clients   string `cbor:"5,keyasint,omitempty" json:"clients,omitempty"` // where clients reach it
+	Forgotten bool   `cbor:"6,keyasint,omitempty" json:"forgotten,omitempty"`
 }
 
 // Word is what a query looks at: may this controller decide now, and by which version.
@@ -175,9 +175,9 @@
 
 // Binding is one entry of Bind.
 type Binding struct {
-	Team   string  `cbor:"1,keyasint"`
-	Tables []int64 `cbor:"2,keyasint"`
-	From   []int64 `cbor:"3,keyasint"`
+	Team   string  `cbor:"1,keyasint" json:"team"`
+	Tables []int64 `cbor:"2,keyasint" json:"tables"`
+	From   []int64 `cbor:"3,keyasint" json:"from"`
 }
 
 // What a Report tells the fleet's side.
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -72,12 +72,13 @@
 	m.checks, m.dropped, m.here, m.wiped = map[string]*checking{}, map[string]bool{}, map[string]bool{}, map[string]fleet.Counts{}
 }
 
-// every is how often a lease is asked for.
+// every is how often a lease is asked for: the shorter one must go on, too.
 func (c *Core) every() time.Duration {
-	if c.b.Lease == fleet.Forever {
+	span := c.bound()
+	if span == fleet.Forever {
 		return 500 * time.Millisecond
 	}
-	return max(10*time.Millisecond, min(c.b.Lease/4, 500*time.Millisecond))
+	return max(10*time.Millisecond, min(span/4, 500*time.Millisecond))
 }
 
 // renew asks for the lease when it is time, or tells at once what is new.
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -427,3 +427,34 @@
 	}
 	t.Logf("a change is in force on all after %v", s.now-at)
 }
+
+// A lease without an end and a short one beside it for bound teams: the short one goes on
+// while the majority is there, and only it ends for who is cut off.
+func TestOnlyBoundTeamsStopWhereTheLeaseHasNoEnd(t *testing.T) {
+	for _, c := range []struct{ all, bound time.Duration }{{0, 200 * time.Millisecond}, {5 * time.Second, 200 * time.Millisecond}} {
+		s := newStage(t, 7, 3, 0, c.all)
+		for _, n := range s.names { // started anew with it
+			s.all[n].begin.LeaseBound = c.bound
+			s.all[n].start()
+		}
+		bound := func(n string) bool { return s.all[n].word.May(s.now, true) != 0 }
+		s.until(12*time.Second, "all serve", func() bool {
+			return s.serve(s.names...) && !slices.ContainsFunc(s.names, func(n string) bool { return !bound(n) })
+		})
+		for end := s.now + 5*time.Second; s.now < end; s.next() {
+			for _, n := range s.names {
+				if !bound(n) {
+					t.Fatalf("lease %v: the one for bound teams of %s ran out at %v", c.all, n, s.now)
+				}
+			}
+		}
+		alone := "v2"
+		for _, n := range s.names {
+			s.cut[n+">"+alone], s.cut[alone+">"+n] = true, true
+		}
+		s.until(c.bound+50*time.Millisecond, "bound teams stop", func() bool { return !bound(alone) })
+		if !s.serve(alone) {
+			t.Errorf("lease %v: all stopped", c.all)
+		}
+	}
+}
