Clients purge what is kept of their team; many who ask the same are answered by one run

A team had no way to have its kept results gone, and the same statement cost an engine run as often as it was asked. With an answers part in the set-up read-only queries are answered from what their team was answered while that is fresh, and followers share the leader's run; a load or mutating query taken here ends that for its tables until nothing of it is out. The method purge, beside page, has results and answers of the caller's own team go, by tables or time, and tells purged with counts, or not yet with who is outstanding; with an id it asks again. The fleet's order to drop is done the same way: unreached is reported once nothing from before is on its way out by any connection, then wiped. Without a lease nothing kept is served.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -27,13 +27,14 @@
 	"railrelay.dev/railrelay/internal/fleet"
 )
 
-// Limits are the cache's figures. All must be set.
+// Limits are the cache's figures. All must be set but Groups.
 type Limits struct {
 	Fresh  time.Duration // an answer is served for so long from when its run began
 	Memory int64         // of all that is kept, statements too
 	Count  int           // answers kept at once
 	Answer int64         // a larger one is not kept
 	Team   float64       // part of Memory that a team may have before its answers are the first to go
+	Groups []string      // whose answers are kept; none: of all that are read-only
 }
 
 // Usual are the figures where the set-up says nothing.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -15,6 +15,8 @@
 	Query(msg uint32, group, id []byte, patience time.Duration, key []byte, keyed bool, statement []byte, all Fields)
 	// Page asks for a page, by number, of a result that a token opens.
 	Page(msg uint32, token []byte, number int, all Fields)
+	// Purge asks for what is kept of the caller's team to go, or how far that is.
+	Purge(msg uint32, p Purge, all Fields)
 	Alive(msg uint32)
 	Left(msg uint32)
 	// Wrong is a call that can be answered but not understood.
@@ -90,6 +92,9 @@
 	if string(method) == "page" && params == 1 {
 		return page(c, msg, h)
 	}
+	if string(method) == "purge" && params == 1 {
+		return purge(c, msg, h)
+	}
 	if params != 2 {
 		c.fail(errForm)
 		return nil
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -18,6 +18,9 @@
 func (n *notes) Page(msg uint32, token []byte, number int, _ Fields) {
 	n.add("page %d %s %d", msg, token, number)
 }
+func (n *notes) Purge(msg uint32, p Purge, _ Fields) {
+	n.add("purge %d %s %v %d %v", msg, p.ID, p.Tables, p.Before, p.Patience)
+}
 func (n *notes) Alive(msg uint32)             { n.add("alive %d", msg) }
 func (n *notes) Left(msg uint32)              { n.add("left %d", msg) }
 func (n *notes) Wrong(msg uint32, why string) { n.add("wrong %d %s", msg, why) }
@@ -42,6 +45,36 @@
 	return n, nil
 }
 
+func TestPurge(t *testing.T) {
+	call := func(fields ...string) []byte {
+		p := append([]byte{0x94, 0, 5, 0xa5}, "purge\x91"...)
+		p = append(p, 0x80|byte(len(fields)/2))
+		for _, f := range fields {
+			p = append(p, forms(f)[0]...)
+		}
+		return p
+	}
+	for _, x := range []struct {
+		fields []string
+		want   string
+	}{
+		{[]string{"patience", "500"}, "purge 5  [] 0 500ms"},
+		{[]string{"patience", "500", "tables", "3,7", "before", "1700000000000", "team", "linz"}, "purge 5  [3 7] 1700000000000 500ms"},
+		{[]string{"id", "7f3a", "patience", "1"}, "purge 5 7f3a [] 0 1ms"},
+		{nil, "wrong 5 no patience"},
+		{[]string{"patience", "1", "tables", ""}, "wrong 5 no table groups"},
+		{[]string{"patience", "1", "tables", "3,-1"}, "wrong 5 no table groups"},
+		{[]string{"patience", "1", "before", "soon"}, "wrong 5 no time before which"},
+		{[]string{"patience", "1", "id", "a b"}, "wrong 5 no purge has this id"},
+		{[]string{"patience", "1", "id", "a", "tables", "3"}, "wrong 5 an id asks for a purge as it is: tables and before go with a new one"},
+	} {
+		n, err := readAll(call(x.fields...), 3)
+		if got := strings.Join(n.said, ";"); err != nil || got != x.want {
+			t.Errorf("%q: %v %q, not %q", x.fields, err, got, x.want)
+		}
+	}
+}
+
 // forms are the ways to write a string, from the shortest.
 func forms(s string) [][]byte {
 	var l [][]byte
--- /dev/null
+++ b/internal/relay/answers.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"railrelay.dev/railrelay/internal/answers"
+	"railrelay.dev/railrelay/internal/clients"
+	"railrelay.dev/railrelay/internal/due"
+	"railrelay.dev/railrelay/internal/fair"
+)
+
+// caching answers read-only queries from what others were answered. Without a part of
+// the set-up for it it is nil, and costs nothing.
+type caching struct {
+	*Relay
+	core   *answers.Cache
+	groups map[string]bool // whose answers are kept
+}
+
+// memo is what the cache knows of a query.
+type memo struct {
+	ask     *answers.Ask // it asks: read-only
+	follows *due.Item    // until when it may follow another
+	goes    func()       // its way, if it has to lead
+	changes bool         // it changes tables, which nothing of is answered until it is over
+	tables  []int64
+}
+
+func newCaching(r *Relay, l *answers.Limits) *caching {
+	core, err := answers.New(*l, r.Started.UnixMilli())
+	if err != nil {
+		r.say(true, err.Error())
+		return nil
+	}
+	a := &caching{Relay: r, core: core, groups: map[string]bool{}}
+	for name, g := range r.groups {
+		a.groups[name] = !g.load && !g.inOrder && g.readOnly && (len(l.Groups) == 0 || slices.Contains(l.Groups, name))
+	}
+	a.sweep()
+	return a
+}
+
+func (a *caching) sweep() {
+	a.after(time.Second, a.sweep)
+	a.core.Sweep(a.now)
+}
+
+// tablesOf are the groups of tables that a statement reads or writes, nil if any of it
+// can't be told.
+func tablesOf(statement []byte) []int64 {
+	read, written, known := clients.AllTables(statement)
+	if !known {
+		return nil
+	}
+	for _, t := range written {
+		if !slices.Contains(read, t) {
+			read = append(read, t)
+		}
+	}
+	return read
+}
+
+// changing notes a query that changes tables, as soon as it is taken.
+func (a *caching) changing(q *query) {
+	if g := q.group; g.load || !g.readOnly && !g.tokened {
+		_, written, known := clients.AllTables(q.statement)
+		if !known {
+			written = nil
+		}
+		q.memo = &memo{changes: true, tables: written}
+		a.core.Loading(a.now, written)
+	}
+}
+
+// enters is asked before a query goes its way, which goes is for. False: it doesn't
+// need to, for now.
+func (a *caching) enters(q *query, from From, goes func(From)) bool {
+	if !a.groups[q.group.name] || q.memo != nil || q.kept != nil || a.closing || a.purges.barred() {
+		return true
+	}
+	m := &memo{ask: &answers.Ask{Team: a.owner(from), Group: q.group.index, Statement: q.statement, Tables: tablesOf(q.statement),
+		Index: a.purges.index(), Until: q.deadline - answerBefore, Of: q}}
+	verdict, pages := a.core.Ask(a.now, m.ask)
+	switch verdict {
+	case answers.Hit:
+		a.finished(q, pages)
+		a.purges.hands(q)
+		return false
+	case answers.Follow:
+		from.Fields = from.Fields.Clone() // the call lies in its connection's buffer
+		q.memo = m
+		m.goes = func() { goes(from) }
+		m.follows = a.due.Add(max(a.now, m.ask.Until), func() { a.deferred(q, 0) })
+		return false
+	case answers.Lead:
+		q.memo = m
+	}
+	return true
+}
+
+// answerBefore is before the queue timeout of one that follows: that it is deferred
+// has to reach its client in time.
+const answerBefore = 10 * time.Millisecond
+
+// done: a query is about to be answered by what its engine told. It names who is
+// answered by it, too.
+func (a *caching) done(q *query, pages [][]byte) (others []*query) {
+	if q.memo == nil || q.memo.ask == nil {
+		return nil
+	}
+	for _, o := range a.core.Finished(a.now, q.memo.ask, pages) {
+		others = append(others, o.Of.(*query))
+	}
+	return others
+}
+
+// answered: no answer is owed any more, whether it led, followed or neither.
+func (a *caching) answered(q *query) {
+	if q.memo == nil || q.memo.ask == nil {
+		return
+	}
+	a.due.Drop(q.memo.follows)
+	a.leads(a.core.Left(a.now, q.memo.ask))
+}
+
+// over: nothing of a query is out any more.
+func (a *caching) over(q *query) {
+	if q.memo != nil && q.memo.changes {
+		a.core.Loaded(a.now, q.memo.tables)
+	}
+}
+
+// leads has one that followed go its way.
+func (a *caching) leads(next *answers.Ask) {
+	if next == nil {
+		return
+	}
+	q := next.Of.(*query)
+	a.due.Drop(q.memo.follows)
+	a.soon(func() {
+		if !q.answered {
+			q.memo.goes()
+		}
+	})
+}
+
+// hand answers those who followed with what another was answered.
+func (a *caching) hand(others []*query, pages [][]byte) {
+	for _, o := range others {
+		if a.purges.barred() {
+			a.deferred(o, a.warrant.pause())
+			continue
+		}
+		if a.close(o, fair.Finished) {
+			a.tally.finished++
+			o.asker.finished(pages)
+			a.purges.hands(o)
+		}
+	}
+}
+
+// Answers is what the cache holds and counts, nil without one. It is for reports,
+// between two steps.
+func (r *Relay) Answers() *answers.Cache {
+	if r.caching == nil {
+		return nil
+	}
+	return r.caching.core
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -184,10 +184,11 @@
 func (f *flooding) Query(msg uint32, _, _ []byte, _ time.Duration, _ []byte, _ bool, _ []byte, _ clients.Fields) {
 	f.tell(msg)
 }
-func (f *flooding) Page(msg uint32, _ []byte, _ int, _ clients.Fields) { f.tell(msg) }
-func (f *flooding) Alive(msg uint32)                                   { f.tell(msg) }
-func (f *flooding) Wrong(msg uint32, _ string)                         { f.tell(msg) }
-func (f *flooding) Left(msg uint32)                                    { f.client.Left(msg) }
+func (f *flooding) Page(msg uint32, _ []byte, _ int, _ clients.Fields)  { f.tell(msg) }
+func (f *flooding) Purge(msg uint32, _ clients.Purge, _ clients.Fields) { f.tell(msg) }
+func (f *flooding) Alive(msg uint32)                                    { f.tell(msg) }
+func (f *flooding) Wrong(msg uint32, _ string)                          { f.tell(msg) }
+func (f *flooding) Left(msg uint32)                                     { f.client.Left(msg) }
 
 // end closes the connection from our side; what was open on it is lost to it.
 func (c *client) end(gently bool) {
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -42,6 +42,7 @@
 	bound, waits      bool          // where there are peers: it needs the lease of bound teams; it is held, unjudged
 	place             *placed       // where its team's data may be, where there are peers
 	kept              *spool.Result // its client reads page by page
+	memo              *memo         // where answers are cached
 
 	// where teams wait for their turn, and only there
 	turn           *fair.Waiter
@@ -113,6 +114,9 @@
 	}
 	r.asked = r.now
 	// once all that has come is read: what is taken back in one breath goes nowhere
+	if r.caching != nil {
+		r.caching.changing(q)
+	}
 	r.soon(func() { r.enter(q, from, number) })
 	return q, ""
 }
@@ -134,6 +138,9 @@
 	if r.paging != nil && r.keeps(q) { // where it may not be kept it is answered whole
 		r.paging.wants(q, from)
 	}
+	if r.caching != nil && !q.answered && !r.caching.enters(q, from, func(from From) { r.enter(q, from, number) }) {
+		return
+	}
 	switch {
 	case q.answered:
 	case r.fair != nil:
@@ -186,15 +193,25 @@
 	if r.fair != nil {
 		r.fair.answered(q, end)
 	}
+	if r.caching != nil {
+		r.caching.answered(q)
+	}
 	r.drop(q)
 	return true
 }
 
 func (r *Relay) finished(q *query, pages [][]byte) {
+	var others []*query
+	if r.caching != nil && !q.answered {
+		others = r.caching.done(q, pages)
+	}
 	if r.close(q, fair.Finished) {
 		r.tally.finished++
 		q.asker.finished(pages)
 	}
+	if len(others) > 0 {
+		r.caching.hand(others, pages)
+	}
 }
 
 func (r *Relay) deferred(q *query, comeBack time.Duration) {
@@ -232,6 +249,9 @@
 				if r.fair != nil {
 					r.fair.over(q)
 				}
+				if r.caching != nil {
+					r.caching.over(q)
+				}
 				r.inHand -= len(q.statement)
 				q.statement, q.subs = nil, nil // what is due for it may outlive it
 				if q.key != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/decide"
+	"railrelay.dev/railrelay/internal/answers"
 	"railrelay.dev/railrelay/internal/conn"
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/fair"
@@ -127,11 +128,13 @@
 	Facts    map[string]string
 	Fair     *fair.Shape // teams, nil: there are none and whoever comes first goes first
 	Words    Words
-	Spool    *Spool    // nil: results are answered whole
-	Fleet    *Fleet    // nil: it has no peers
-	Manners  []Manners // of clients, by address; whoever is in no set has the platform's
-	Started  time.Time // what the list's clock times are told against
-	Trace    bool      // say every call of every query: who reads it follows one id through what became of it
+	Spool    *Spool          // nil: results are answered whole
+	Answers  *answers.Limits // nil: every query goes to an engine
+	Draw     func() uint64   // a number that no other controller draws, for the names of purges; nil: the start's time
+	Fleet    *Fleet          // nil: it has no peers
+	Manners  []Manners       // of clients, by address; whoever is in no set has the platform's
+	Started  time.Time       // what the list's clock times are told against
+	Trace    bool            // say every call of every query: who reads it follows one id through what became of it
 }
 
 // spare: a third of the descriptors is for clients; of the rest some is kept
@@ -165,6 +168,8 @@
 	customers []string // by their places in the settings
 	fair      *fairness
 	paging    *paging
+	caching   *caching
+	purges    *purges
 	warrant   *warrant
 
 	buffered     int // memory of all connections' buffers
@@ -183,6 +188,8 @@
 	index           int
 	name            string
 	inOrder, load   bool
+	readOnly        bool
+	tokened         bool
 	timeout, target time.Duration
 	threads, value  float64
 }
@@ -208,7 +215,8 @@
 	groups, _ := strconv.Atoi(f["groups"])
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
-		g := &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true"}
+		g := &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true",
+			readOnly: f[at+"effect"] == "read-only", tokened: f[at+"effect"] == "tokened"}
 		g.read(r)
 		r.groups[g.name] = g
 		r.longest = max(r.longest, g.timeout)
@@ -226,8 +234,17 @@
 	if means.Spool != nil {
 		r.paging = newPaging(r, means.Spool)
 	}
+	if means.Answers != nil {
+		r.caching = newCaching(r, means.Answers)
+	}
+	if r.paging != nil || r.caching != nil {
+		r.purges = newPurges(r)
+	}
 	if means.Fleet != nil {
 		r.warrant = newWarrant(r, means.Fleet)
+		if r.purges != nil {
+			r.warrant.purging = r.purges
+		}
 	}
 	r.follow()
 	r.sweep()
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -60,7 +60,7 @@
 	if len(from.Fields.Get(p.Words.Pages)) == 0 {
 		return
 	}
-	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from), spool.Tag{})
+	kept, err := p.core.Enter(p.now, q.id, p.teamOf(from), p.tag(q, from))
 	if err != nil {
 		p.sayOf(q.about(), "deferred: "+err.Error())
 		p.deferred(q, spoolPause)
@@ -69,6 +69,15 @@
 	q.kept = kept
 }
 
+// tag is what a purge finds a query's result by.
+func (p *paging) tag(q *query, from From) spool.Tag {
+	t := spool.Tag{Index: p.purges.index(), Tables: tablesOf(q.statement)}
+	if owner := p.owner(from); p.fair == nil {
+		t.Owner = owner
+	}
+	return t
+}
+
 // spoolPause is named to those for whom there was no place: results go as they are read.
 const spoolPause = time.Second
 
@@ -209,20 +218,19 @@
 		c.answer(clients.Deferred(nil, msg, spoolBusy))
 		return
 	}
-	barred := func() bool { // what is kept may be gone elsewhere
-		return c.warrant != nil && c.warrant.may(true) == 0
-	}
-	if barred() {
+	if c.purges.barred() {
 		c.answer(clients.Deferred(nil, msg, c.warrant.pause()))
 		return
 	}
 	c.pages++
-	c.paging.core.Read(c.now, token, c.teamOf(From{c.link.From, all}), number, func(body []byte, err error) {
+	from := From{c.link.From, all}
+	owner := c.owner(from)
+	c.paging.core.Read(c.now, token, c.teamOf(from), number, func(body []byte, err error) {
 		c.pages--
 		c.idle = c.now
 		switch {
 		case c.link.closed:
-		case barred():
+		case c.purges.barred():
 			c.answer(clients.Deferred(nil, msg, c.warrant.pause()))
 		case err == spool.ErrBusy:
 			c.answer(clients.Deferred(nil, msg, spoolBusy))
@@ -230,6 +238,7 @@
 			c.answer(clients.Killed(nil, msg, spool.ErrNone.Error()))
 		default:
 			c.answer(clients.Answer(nil, msg, [][]byte{body}))
+			c.purges.handsOut(c.link, owner)
 		}
 	})
 }
--- a/internal/relay/spool_test.go
+++ b/internal/relay/spool_test.go
@@ -39,7 +39,7 @@
 	return l
 }
 
-func newSpooled(t *testing.T, d *disk.Disk, x *disk.Index, l spool.Limits, shape *fair.Shape) *spooled {
+func newSpooled(t *testing.T, d *disk.Disk, x *disk.Index, l spool.Limits, shape *fair.Shape, change ...func(*relay.Means)) *spooled {
 	keeper, err := store.NewKeeper(d, x, store.Terms{SegmentBytes: 256 << 10})
 	if err != nil {
 		t.Fatal(err)
@@ -66,6 +66,9 @@
 	means := relay.Means{MemoryMB: 64, Sockets: 4096, Facts: lab.Facts(lab.Usual(), figures), Fair: shape, Started: time.UnixMilli(0),
 		Words: relay.Words{Team: "team", Pages: "pages"},
 		Spool: &relay.Spool{Limits: l, Keys: keys, First: keeper.First(), Restore: keeper.Restore}}
+	for _, do := range change {
+		do(&means)
+	}
 	s := &spooled{t: t, d: d, x: x, keeper: keeper, finished: map[string]time.Duration{}, released: map[string]time.Duration{}}
 	s.World = world.New(5, []engine.Figures{figures, figures}, means)
 	s.Keeper, s.Disk = keeper, time.Millisecond
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -58,6 +58,12 @@
 	if r.paging != nil {
 		b.WriteString(r.paging.text())
 	}
+	if r.caching != nil {
+		b.WriteString(r.caching.core.Text())
+	}
+	if r.purges != nil {
+		b.WriteString(r.purges.text())
+	}
 	if r.warrant != nil {
 		b.WriteString(r.warrant.text())
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -41,6 +41,7 @@
 	Clients  []Clients `yaml:"clients"`
 	Fairness *Fairness `yaml:"fairness"` // left out: whoever comes first goes first
 	Spool    *Spool    `yaml:"spool"`    // left out: results are answered whole
+	Answers  *Answers  `yaml:"answers"`  // left out: every query goes to an engine
 	Shares   *Shares   `yaml:"shares"`   // left out: no customer has one
 	Fleet    *Fleet    `yaml:"fleet"`    // left out: this controller decides by itself
 	// Placement are the rules on where teams' data may be; left out: anywhere.
@@ -348,6 +349,9 @@
 	if s.Spool != nil {
 		c.spool(s.Spool, s.Limits)
 	}
+	if s.Answers != nil {
+		c.answers(s)
+	}
 	if s.Fleet != nil {
 		c.fleet(s)
 	}
@@ -669,7 +673,7 @@
 func (x *Setup) Means(started time.Time) relay.Means {
 	seed, _ := strconv.ParseUint(x.Seed, 16, 64)
 	m := relay.Means{Seed: seed, MemoryMB: cmp.Or(x.Limits.MemoryMB, 512), Sockets: cmp.Or(x.Limits.Sockets, 4096), Feed: x.Feed,
-		Facts: x.facts(), Started: started}
+		Facts: x.facts(), Started: started, Answers: x.Answers.limits(), Draw: draw}
 	for _, set := range x.Clients {
 		m.Manners = append(m.Manners, relay.Manners{From: prefixes(set.Addresses), Open: set.Open, Messages: set.Messages,
 			Idle: time.Duration(set.Idle), Whole: time.Duration(set.Message)})
@@ -791,7 +795,7 @@
 		"limits": x.Limits == next.Limits, "engines": reflect.DeepEqual(x.Engines, next.Engines),
 		"groups": reflect.DeepEqual(x.Groups, next.Groups), "clients": reflect.DeepEqual(x.Clients, next.Clients),
 		"shares": reflect.DeepEqual(x.Shares, next.Shares), "estimates": x.Estimates == next.Estimates,
-		"spool": reflect.DeepEqual(x.Spool, next.Spool), "fleet": reflect.DeepEqual(x.Fleet, next.Fleet),
+		"spool": reflect.DeepEqual(x.Spool, next.Spool), "answers": reflect.DeepEqual(x.Answers, next.Answers), "fleet": reflect.DeepEqual(x.Fleet, next.Fleet),
 		"placement": reflect.DeepEqual(x.Placement, next.Placement), "fairness.fields": x.fields() == next.fields(), "fairness, there or not": (x.Fairness == nil) == (next.Fairness == nil),
 	} {
 		if !same {
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -47,6 +47,8 @@
 		{"10.4.0.0/16", "10.4.0.0/99", "10.4.0.0/99", "is no set"},
 		{"effect: mutating", "effect: sometimes", "groups[2].effect", "none of"},
 		{"listen: 127.0.0.1:6565", "listen: 127.0.0.1", "listen", "no address"},
+		{"fresh: 10s", "fresh: 0s", "answers.fresh", "is missing"},
+		{"groups: [lookup, report]", "groups: [lookup, load]", "answers.groups[1]", "is not read-only"},
 		{"default: others", "default: anyone", "fairness.default", "no team"},
 		{"- name: report", "- name: lookup", "groups[1].name", "a second group"},
 		{"    team: team ", "    team: '' ", "fairness.trusted", "nothing to trust"},
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -70,12 +70,12 @@
 	Query, Team string
 	Made, Ends  int64 // milliseconds since 1970
 	Rows        []uint32
-	Index       uint64 // of the record when its query was taken, 0: not known, or there is none
-	Tables      []int64
+	Tag
 }
 
-// Tag is what a purge finds a result by, beside its team.
+// Tag is what a purge finds a result by.
 type Tag struct {
+	Owner  string  // whose it is, where its team doesn't tell
 	Index  uint64  // of the record when its query was taken
 	Tables []int64 // groups of tables that it reads, none: it can't be told
 }
@@ -216,7 +216,7 @@
 // Restore takes in what the disk held at the start. Its life goes on as the clock on
 // the wall has it, but lasts no longer than a new one's, whatever that clock says.
 func (c *Core) Restore(f *Found) {
-	r := &Result{id: f.Result, query: f.Query, team: c.teamOf(f.Team), count: len(f.Rows), whole: true, tag: Tag{f.Index, f.Tables}, wall: f.Made}
+	r := &Result{id: f.Result, query: f.Query, team: c.teamOf(f.Team), count: len(f.Rows), whole: true, tag: f.Tag, wall: f.Made}
 	r.sizes = sums(func(i int) uint32 { return f.Bytes[i] }, func(i int) uint32 { return f.Rows[i] }, r.count)
 	for i, rows := range f.Rows {
 		r.bytes += int64(f.Bytes[i])
@@ -544,8 +544,7 @@
 	for i := range r.pages {
 		rows[i] = r.pages[i].rows
 	}
-	c.write(r, r.count, &Promise{Result: r.id, Query: r.query, Team: r.team.name, Made: c.wall + c.now.Milliseconds(), Ends: r.endsWall, Rows: rows,
-		Index: r.tag.Index, Tables: r.tag.Tables})
+	c.write(r, r.count, &Promise{Result: r.id, Query: r.query, Team: r.team.name, Made: c.wall + c.now.Milliseconds(), Ends: r.endsWall, Rows: rows, Tag: r.tag})
 }
 
 // number gives it the number that it has on disk.
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -32,6 +32,16 @@
 	return dst
 }
 
+// Purge asks for what is kept of its team to go, or with an id how far that is. Fields
+// are pairs of names and values.
+func Purge(dst []byte, msg uint32, fields ...string) []byte {
+	dst = append(str(whole(append(dst, 0x94, 0), msg), "purge"), 0x91, 0x80|byte(len(fields)/2))
+	for _, f := range fields {
+		dst = str(dst, f)
+	}
+	return dst
+}
+
 // Alive asks whether a controller is ready.
 func Alive(dst []byte, msg uint32) []byte {
 	return append(str(whole(append(dst, 0x94, 0), msg), "alive"), 0x91, 0x80)
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -14,6 +14,7 @@
 	"railrelay.dev/railrelay/internal/check"
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/fair"
+	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/spool"
 	"railrelay.dev/railrelay/internal/standin/caller"
@@ -34,7 +35,8 @@
 	Quit    bool
 	Keeper  *store.Keeper // of the spool's disk, nil: none
 	Disk    time.Duration // what work on it takes
-	Said    []string      // what the controller logged aloud, and its counters
+	Reports []fleet.Report
+	Said    []string // what the controller logged aloud, and its counters
 
 	delay  time.Duration
 	events due.Times
@@ -231,6 +233,8 @@
 				}
 				w.step(relay.Event{Kind: relay.Stored, Work: work})
 			})
+		case relay.Report:
+			w.Reports = append(w.Reports, *f.Report)
 		case relay.Quit:
 			w.Quit = true
 		}
@@ -435,6 +439,16 @@
 	c.w.feedBytes(c.end, caller.Page(nil, c.next, token, strconv.Itoa(page), fields...))
 }
 
+// Purge asks for what is kept of its team to go; then is called with the answer.
+func (c *Client) Purge(then func(ans caller.Answer), fields ...string) {
+	c.next++
+	c.pages[c.next] = then
+	c.w.feedBytes(c.end, caller.Purge(nil, c.next, fields...))
+}
+
+// Order has the controller do what a fleet orders; Reports has what it told in turn.
+func (w *World) Order(o fleet.Order) { w.step(relay.Event{Kind: relay.Ordered, Order: &o}) }
+
 // Leave takes a query back.
 func (c *Client) Leave(a *Asked) {
 	if !a.Answered && !a.Left && !c.Gone {
--- a/internal/store/erase_test.go
+++ b/internal/store/erase_test.go
@@ -27,7 +27,7 @@
 		rows = append(rows, 1)
 	}
 	if promised {
-		w.Promise = &spool.Promise{Result: id, Query: fmt.Sprintf("%016x", id), Team: team, Made: 1, Ends: 1 << 50, Rows: rows, Index: id, Tables: []int64{int64(id), -1}}
+		w.Promise = &spool.Promise{Result: id, Query: fmt.Sprintf("%016x", id), Team: team, Made: 1, Ends: 1 << 50, Rows: rows, Tag: spool.Tag{Index: id, Tables: []int64{int64(id), -1}, Owner: team}}
 	}
 	if k.Write([]*spool.Work{w}); w.Err != nil {
 		t.Fatal(w.Err)
@@ -54,7 +54,7 @@
 	if err := k.Restore(func(f *spool.Found) {
 		if f.Team == purgedTeam {
 			l = append(l, f.Result)
-		} else if others++; f.Index != f.Result || len(f.Tables) != 2 || f.Tables[0] != int64(f.Result) || f.Tables[1] != -1 {
+		} else if others++; f.Index != f.Result || len(f.Tables) != 2 || f.Tables[0] != int64(f.Result) || f.Tables[1] != -1 || f.Owner != f.Team {
 			t.Fatalf("what a purge finds it by is lost: %+v", f.Promise)
 		}
 	}); err != nil {
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -69,7 +69,7 @@
 func (k *Keeper) Restore(each func(f *spool.Found)) error {
 	return k.Each(func(m *Meta) error {
 		each(&spool.Found{Promise: spool.Promise{Result: m.Result, Query: m.Query, Team: m.Team, Made: m.Made, Ends: m.Ends, Rows: m.Rows,
-			Index: m.Index, Tables: m.Tables}, Bytes: m.Bytes})
+			Tag: spool.Tag{Index: m.Index, Tables: m.Tables, Owner: m.Owner}}, Bytes: m.Bytes})
 		return nil
 	})
 }
@@ -87,7 +87,7 @@
 			j.Pages = append(j.Pages, Record{Kind: Page, Result: p.Result, Page: p.Number, Body: p.Body})
 		}
 		if p := w.Promise; p != nil {
-			j.Promise = &Meta{Result: p.Result, Query: p.Query, Team: p.Team, Made: p.Made, Ends: p.Ends, Rows: p.Rows, Index: p.Index, Tables: p.Tables}
+			j.Promise = &Meta{Result: p.Result, Query: p.Query, Team: p.Team, Made: p.Made, Ends: p.Ends, Rows: p.Rows, Index: p.Index, Tables: p.Tables, Owner: p.Owner}
 		}
 		jobs = append(jobs, j)
 	}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -109,9 +109,11 @@
 	// Made and Ends are in milliseconds since 1970, as the clock on the wall had it.
 	Made, Ends int64
 	// Index is of the fleet's record when its query was taken, Tables the groups of tables
-	// that it reads; none: it can't be told. Those written by older programs have neither.
+	// that it reads; none: it can't be told. Owner is whose it is where the team doesn't
+	// tell. What older programs wrote has none of these.
 	Index  uint64
 	Tables []int64
+	Owner  string
 	Rows   []uint32 // by page
 	Bytes  []uint32 // by page
 	places []place
@@ -153,14 +155,14 @@
 			p = binary.AppendUvarint(p, x)
 		}
 	}
-	if m.Index == 0 && len(m.Tables) == 0 {
+	if m.Index == 0 && len(m.Tables) == 0 && m.Owner == "" {
 		return p
 	}
 	p = binary.AppendUvarint(binary.AppendUvarint(p, m.Index), uint64(len(m.Tables)))
 	for _, t := range m.Tables {
 		p = binary.AppendVarint(p, t)
 	}
-	return p
+	return append(binary.AppendUvarint(p, uint64(len(m.Owner))), m.Owner...)
 }
 
 var errMeta = errors.New("what is told of a result can't be read")
@@ -221,6 +223,7 @@
 		for range n {
 			m.Tables = append(m.Tables, signed())
 		}
+		m.Owner = text()
 	}
 	if bad || len(p) > 0 {
 		return nil, errMeta
