A load that runs when a rule comes to follow what it takes along is recorded, too

A rule that begins to follow data found loads under way: what they took along was in no entry, and a repeat could have been sent without one. They are put into the record when the rule comes, and no submission of a load goes out while what it binds is missing there.

Seen in a test: the ask for the binding comes with the rule, and the load runs on.

--- a/internal/relay/placing.go
+++ b/internal/relay/placing.go
@@ -266,6 +266,9 @@
 				continue
 			}
 		}
+		if need, _ := p.needs(q); need != nil {
+			p.ask(need) // what it takes along may be there already
+		}
 		inside := p.inside(q)
 		p.soon(func() { p.gate.Inside(p.now, q.id, inside) })
 	}
@@ -311,6 +314,10 @@
 		p.barred++
 		return false
 	}
+	if need, err := p.needs(q); v.Bound && !unrecorded && (need != nil || err != nil) {
+		p.barred++ // a repeat, and a rule came since that follows what it takes along
+		return false
+	}
 	if v.Bound && q.place.noted != len(q.subs) {
 		q.place.noted = len(q.subs)
 		if p.core.Sent(q.id, q.place.team, v, site) {
--- a/internal/relay/placing_test.go
+++ b/internal/relay/placing_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// A load that runs when a rule comes to follow what it takes along is recorded too.
+func TestALoadThatRunsIsRecordedByANewRule(t *testing.T) {
+	s := placedStage(t, 3, "a", nil)
+	s.rules(1)
+	s.body = "insert into d_5.x select * from d_1.y"
+	a := s.query(s.connect(), "load", "k", 9*time.Second, 0, "who", "bank")
+	s.reply(s.one("POST", a.id), "runs")
+	s.rules(2, residency.Rule{Name: "r", Team: "bank", Tables: []int64{1}, Engines: []string{"a", "b"}, Controllers: []string{"a"}, Follows: true})
+	if asks := s.wanted(); len(asks) != 1 || !slices.Equal(asks[0].Tables, []int64{5}) || len(a.subs) != 1 || a.answer != "" {
+		t.Fatalf("%+v %q", asks, a.answer)
+	}
+}
+
 func TestAnEmergencyWidensAndIsListed(t *testing.T) {
 	s := placedStage(t, 1, "a", map[string]string{"locations": "b,a", "own.location": "1"})
 	s.rules(1, residency.Rule{Name: "r", Team: "bank", Engines: []string{"a"}, Emergency: residency.Emergency{Sites: []string{"b"}, After: time.Second}})
