Kept pages and cached answers obey where a team's results may be kept

A rule that forbids to keep a result here barred only what began after it: a page kept before was read on until its purge, and answers went into the cache and out of it.

--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -76,7 +76,7 @@
 // enters is asked before a query goes its way, which goes is for. False: it doesn't
 // need to, for now.
 func (a *caching) enters(q *query, from From, goes func(From)) bool {
-	if !a.groups[q.group.name] || q.memo != nil || q.kept != nil || a.closing || a.purges.barred() {
+	if !a.groups[q.group.name] || q.memo != nil || q.kept != nil || a.closing || a.purges.barred() || !a.keeps(q) {
 		return true
 	}
 	m := &memo{ask: &answers.Ask{Team: a.owner(from), Group: q.group.index, Statement: q.statement, Tables: tablesOf(q.statement),
--- a/internal/relay/purge_test.go
+++ b/internal/relay/purge_test.go
@@ -18,7 +18,7 @@
 )
 
 // keeps is a world whose controller keeps results and answers, alone or in a fleet.
-func keeps(t *testing.T, word *fleet.Word) *spooled {
+func keeps(t *testing.T, word *fleet.Word, change ...func(*relay.Means)) *spooled {
 	d := disk.New()
 	small := limits()
 	small.Memory = 200 << 10
@@ -29,6 +29,9 @@
 		if word != nil {
 			m.Fleet = &relay.Fleet{Word: word}
 		}
+		for _, do := range change {
+			do(m)
+		}
 	})
 }
 
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -224,8 +224,15 @@
 	}
 	c.pages++
 	from := From{c.link.From, all}
-	owner := c.owner(from)
-	c.paging.core.Read(c.now, token, c.teamOf(from), number, func(body []byte, err error) {
+	owner, team := c.owner(from), c.teamOf(from)
+	var tables []int64
+	if c.warrant != nil {
+		tables = c.paging.core.Tagged(token, team).Tables
+	}
+	outside := func() bool { // the rules may have been others when it was kept
+		return c.warrant != nil && !c.warrant.placing.serves(owner, tables)
+	}
+	c.paging.core.Read(c.now, token, team, number, func(body []byte, err error) {
 		c.pages--
 		c.idle = c.now
 		switch {
@@ -234,7 +241,7 @@
 			c.answer(clients.Deferred(nil, msg, c.warrant.pause()))
 		case err == spool.ErrBusy:
 			c.answer(clients.Deferred(nil, msg, spoolBusy))
-		case err != nil:
+		case err != nil || outside():
 			c.answer(clients.Killed(nil, msg, spool.ErrNone.Error()))
 		default:
 			c.purges.serving(func() { c.answer(clients.Answer(nil, msg, [][]byte{body})) })
--- a/internal/spool/purge.go
+++ b/internal/spool/purge.go
@@ -61,3 +61,11 @@
 	}
 	c.do(w)
 }
+
+// Tagged is what a token's result is found by; none where it opens nothing.
+func (c *Core) Tagged(token []byte, teamName string) Tag {
+	if r := c.opened(token, teamName); r != nil {
+		return r.tag
+	}
+	return Tag{}
+}
