A query aside in its chain is offered once; a switch is no reason to be unready

Played in a fleet with teams, a turn was given twice: one that stood aside for the first of its chain was offered again when a younger one of its key left, and once more when the first came free, after which the waiting queries' lists were broken and their clients got no answer. It is offered once now, also where a reload rebuilds the lists. While a switch lasts, within the time queries are held for, the controller calls itself ready.

--- a/decide/retell.go
+++ b/decide/retell.go
@@ -58,7 +58,9 @@
 		if t == nil {
 			t = &team{}
 		}
-		t.quota = f.num(at(i)+"quota", 0) / max(1, f.num("gateways", 1))
+		if t.quota = f.num(at(i)+"quota", 0) / max(1, f.num("gateways", 1)); t.quota <= 0 {
+			t.quota = math.Inf(1) // no share any more, and some of its queries wait
+		}
 		g.teams = append(g.teams, t)
 	}
 	var unsent []*query
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -487,7 +487,7 @@
 	}
 	if kind == 1 {
 		c.unpark(x)
-	} else if next := x.first; next.state == waits && !next.inLeaf {
+	} else if next := x.first; next.state == waits && !next.inLeaf && !next.parked { // it may be one behind that left
 		c.offer(next)
 	}
 }
@@ -957,6 +957,7 @@
 			n.cost, n.rate = was.cost, was.rate
 		}
 	}
+	var offered []*Waiter
 	for i, w := range all {
 		team, ok := c.who.names[names[w.Team]]
 		if !ok {
@@ -971,9 +972,15 @@
 		n.waiting++
 		w.ahead = n.backlog[w.Lane]
 		c.queue(w)
-		offered := w.inLeaf
+		if w.inLeaf {
+			offered = append(offered, w)
+		}
 		w.prev, w.next, w.inLeaf = nil, nil, false
-		if offered {
+	}
+	// only now: one that is offered may bring back those parked behind it, which must
+	// be in their new teams by then
+	for _, w := range offered {
+		if !w.inLeaf {
 			c.offer(w)
 		}
 	}
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -677,3 +677,42 @@
 		}
 	}
 }
+
+// One that stands aside for the first of its chain is offered again once, though one
+// behind it in its key's line leaves meanwhile.
+func TestOneParkedIsOfferedOnce(t *testing.T) {
+	m := newMill(t, Shape{Teams: teams("a")}, 1, 1, 4)
+	runs := m.ask("a", 2, 3, key(0), chain(1))
+	first := m.ask("a", 2, 0.3, key(0), chain(2)) // its key's turn isn't its own
+	aside := m.ask("a", 2, 0.3, key(1), chain(2))
+	behind := m.ask("a", 2, 0.3, key(1), chain(3))
+	if !aside.parked || first.inLeaf {
+		t.Fatal("nobody stands aside")
+	}
+	m.end(behind, Left)
+	m.end(runs, Finished)
+	if n := m.c.plans[m.team("a")].at; n.ready[2] != 2 {
+		t.Fatalf("%d may go, and there are two", n.ready[2])
+	}
+	m.until(m.now + 30*time.Second)
+	if !slices.Equal(m.order, []*job{runs, first, aside}) {
+		t.Fatalf("%d went", len(m.order))
+	}
+}
+
+// A reload offers what stood aside to its new team, and only there.
+func TestAReloadWithOneParked(t *testing.T) {
+	l := slices.Clone(lanes)
+	l[1].Chained = true
+	s := Shape{Teams: teams("a"), Lanes: l}
+	m := newMill(t, s, 1, 0, 1)
+	m.ask("a", 1, 0.3, chain(2)) // no room for it
+	aside := m.ask("a", 2, 0.3, chain(2))
+	if !aside.parked {
+		t.Fatal("it doesn't stand aside")
+	}
+	m.c.Reload(m.now, s)
+	if m.c.lanes[2].teams != 1 || m.c.lanes[1].teams != 1 {
+		t.Fatalf("%d and %d teams are counted", m.c.lanes[1].teams, m.c.lanes[2].teams)
+	}
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -270,7 +270,7 @@
 
 func (c *client) Alive(msg uint32) {
 	c.tally.alive++
-	c.answer(clients.Alive(nil, msg, c.feed.listed && (c.warrant == nil || !c.warrant.stands())))
+	c.answer(clients.Alive(nil, msg, c.feed.listed && (c.warrant == nil || c.warrant.ready())))
 }
 
 func (c *client) Left(msg uint32) {
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -257,6 +257,13 @@
 // stands: nothing may be decided, whoever asks.
 func (w *warrant) stands() bool { return w.since[0] >= 0 }
 
+// ready: it takes queries and has them answered. A switch lasts a moment, and is no
+// reason for clients to go elsewhere; a lease that is gone is.
+func (w *warrant) ready() bool {
+	until, _ := w.Word.Until()
+	return !w.stands() || w.version != 0 && w.now < until && w.now-w.since[0] < w.HoldMost
+}
+
 // enters is where every query passes that has come. One that can't be judged now
 // is kept as it is, and judged by the version that it is let go by.
 func (w *warrant) enters(q *query, from From) bool {
