Where no look may be sent, engines full once are not held for full for good

Checked, with every call logged: from 16 s on 155 of 297 controllers sent nothing and deferred all 20,655 queries that they took. Ruled out: their lists were whole, engines neither silent nor at rest, queues short; the other 142 controllers sent nine in ten. At fault: without a fresh report `filled` takes an engine for as full as those seen of late, and past 0.85 of it `pressed` leaves room nowhere in `hasRoom`. Reports come in answers alone there, so who sends nothing is told nothing, and what was seen last stood for good.

Change: where no look may be sent and no report came for a second, what was seen fades by 7% a tick; the next query out brings a true report. The test fails without the fade.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -279,8 +279,7 @@
 			}
 		}
 	}
-	// among many gateways one's own queries tell nothing of an engine: some drawn
-	// from those unseen are looked at first, and what is sent goes to those seen
+	// among many, own queries tell nothing of an engine: some unseen are looked at first, and sent to if seen
 	want := 2
 	if g.light(q.rg) {
 		want = 1
@@ -354,8 +353,7 @@
 	case g.pressed(e):
 		return false
 	}
-	// among many gateways one's part of an engine is less than a query: it binds in the
-	// mean, over all, once most are full; all would go to the few before reports tell
+	// among many one's part is less than a query: it binds in the mean, once most are full; all would go to few
 	threads, _, count, cores := g.sums()
 	return g.counts && g.fillSeen.or(0) < 0.75 || count == 0 || g.light(q.rg) ||
 		threads+q.rg.threads <= threadsPerCore*cores*g.share*part
@@ -375,8 +373,7 @@
 func (g *Gateway) lately(e *engine) bool { return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second }
 
 func (g *Gateway) pressed(e *engine) bool {
-	// the larger one's own share the better the bound rations what is there; with a
-	// small one it rations next to nothing, and an engine is used while it has room
+	// with a small share of one's own the bound rations next to nothing: an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
 	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full
 }
@@ -726,14 +723,14 @@
 		return
 	}
 	g.fillSeen.add(g.filled(e), 20)
+	g.seenAt = g.now
 	if held := report["held"]; held > 0 {
 		g.allHeld.add(held, 60)
 	}
 }
 
-// noted: progress far behind what a fresh submission would need is a bad plan, a
-// slow or a crowded engine; all are met by moving the query, where that stops
-// the work left behind.
+// noted: progress far behind what a fresh submission would need is a bad plan, a slow or a crowded engine;
+// all are met by moving the query, where that stops the work left behind.
 func (g *Gateway) noted(s *submission, sign Sign, x float64) {
 	g.heard(s.e)
 	s.notedAt = g.now
@@ -814,6 +811,9 @@
 	g.usualMemory.add(memory, 300)
 	g.usualCount.add(count, 300)
 	g.share = g.ownShare()
+	if !g.looks && g.now-g.seenAt > reportKeeps {
+		g.fillSeen.value *= 0.93 // who sends nothing is told nothing: full once would be full for good
+	}
 	for _, rg := range g.groups {
 		rg.taken *= 0.995
 		rg.begun *= 1 - tick.Seconds()/flowSpan.Seconds()
@@ -849,8 +849,7 @@
 					g.stands(s)
 				}
 			case period > 0 && !s.stuck && g.now-max(s.at, s.notedAt) > mute:
-				// an engine that answers others but has no word on this one: it was
-				// lost, or what it reads hangs there if nothing of that came back since
+				// others are answered and this isn't: it was lost, or what it reads hangs if none of that came back
 				s.stuck = true
 				e.slow += (10 - e.slow) * 0.1
 				if e.doneAt[s.q.tables] <= s.at {
--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -286,3 +286,27 @@
 		t.Fatal("two notes missed, and not silent")
 	}
 }
+
+// Where reports come in answers alone, a gateway that held every engine for full sent nothing more, was
+// told nothing more, and refused all it took from then on: 155 gateways of 297 did so for a day's second half.
+func TestFullOnceIsNotFullForGood(t *testing.T) {
+	w := newWorld(t, 4, map[string]string{"gateways": "300", "may.probe": "false", "report.how": "answers", "report.figures": "held"})
+	for range 30 {
+		w.report("e0", map[string]float64{"held": 40})
+	}
+	if w.pass(500 * ms); len(w.take(0, 1, -1, 5*sec).subs) > 0 {
+		t.Fatalf("%.2f full by reports just had, and sent to", w.g.fillSeen.value)
+	}
+	w.pass(6 * sec)
+	if len(w.take(0, 2, -1, 5*sec).subs) == 0 {
+		t.Fatalf("nothing told for seven seconds, and still %.2f full", w.g.fillSeen.value)
+	}
+	w.report("e1", map[string]float64{"held": 40})
+	for range 30 {
+		w.pass(100 * ms)
+		w.report("e1", map[string]float64{"held": 40})
+	}
+	if w.g.fillSeen.value < 1 {
+		t.Fatalf("full engines told of for three seconds, and %.2f full", w.g.fillSeen.value)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -260,7 +260,7 @@
 	usualThreads, usualMemory, usualCount mean
 	probeLeft                             float64
 	fillSeen, meanWork                    mean
-	askedAt                               time.Duration
+	askedAt, seenAt                       time.Duration
 	subscribed                            bool
 	closing                               bool          // nothing more is taken on
 	holds                                 bool          // nothing is let go for now
