Processes of a fleet together: faults on every link, kills, stops; judged from outside

What a fleet promises is seen only where processes and links really fail. The laboratory starts them with a link with faults between every two, engines in several sites, clients and operators, and judges acts by the site that each policy binds a team to, pages, disks and words on one clock; make measure IN=together plays 13 faults on nine controllers while changes, second operators' changes and purges are under way, make planted the builds with a planted fault. Found and mended: a start that replays more changes than the ring of checks holds stood still for ever; a leader that was voted out kept naming itself to its followers. The edge connects from the address that it listens on.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,12 @@
 # An issue's measurement, in under 50 s: make measure IN=fair SEED=1
 SEED ?= 1
 measure: build
+	if [ "$(IN)" = together ]; then $(MAKE) -s bin/planted; fi
 	bin/raillab measure $(IN) --seed $(SEED)
+
+# Tests built with one planted fault each; each must be found and named.
+.PHONY: planted bin/planted
+bin/planted:
+	bin/raillab planted --list | while read tag package; do go test -c -tags $$tag -o bin/planted/$$tag.test $$package || exit 1; done
+planted: build bin/planted
+	bin/raillab planted
--- a/internal/check/fleet_test.go
+++ b/internal/check/fleet_test.go
@@ -29,6 +29,7 @@
 		"an act by the version before":      {Mixed, func(f *Fleet) { f.Acted(3, 3, "b", "q3", 1) }},
 		"an act by one nobody else has yet": {Half, func(f *Fleet) { f.Changed(3, "a", "c3", "in force", 3); f.Acted(9, 8, "b", "q3", 2) }},
 		"an act by what was withdrawn":      {Half, func(f *Fleet) { f.Changed(3, "a", "c3", "withdrawn", 0); f.ActedFor(4, "b", "q3", "c3") }},
+		"what was acted by is withdrawn":    {Half, func(f *Fleet) { f.ActedFor(3, "b", "q3", "c3"); f.Changed(4, "a", "c3", "withdrawn", 0) }},
 		"withdrawn after in force":          {FalseWord, func(f *Fleet) { f.Changed(3, "b", "c2", "withdrawn", 0) }},
 		"in force by another version":       {FalseWord, func(f *Fleet) { f.Changed(3, "b", "c2", "in force", 3) }},
 		"two changes of one version":        {FalseWord, func(f *Fleet) { f.Changed(3, "b", "c9", "in force", 2) }},
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -9,8 +9,7 @@
 //   - messages of peers: a full ring drops the message, which counts; whoever sent it
 //     asks again;
 //   - writes: agreement has one under way at a time, so the ring of one is never full;
-//   - checks: what was decided while a controller was away comes all at once, so they wait
-//     with the core, which takes nothing else in past the bound until some are done;
+//   - checks: a full ring makes the core wait, since policies come one after the other;
 //   - reports by the reducer: the ring is the reducer's to fill, which never waits for it;
 //   - orders for the reducer: where they pile up, leases that were renewed twice are told
 //     once, and past the bound the core takes nothing in until there is room: its leases
@@ -40,7 +39,7 @@
 	reportsMost  = 256  // of the reducer that wait for the core
 	asksMost     = 64   // that wait for the core
 	openMost     = 1024 // asks that wait for their answer
-	checksMost   = 64   // policies that wait to be checked before the core takes nothing in
+	checksMost   = 4    // policies that wait to be checked
 	complainMost = time.Minute
 
 	inForce = "in force " // begins the name under which node has the policy in force checked
@@ -113,7 +112,10 @@
 
 	// of the core's goroutine
 	pending []fleet.Order
-	unsure  []toCheck
+	// toCheck are the checks that the ring has no room for: a start replays a change after
+	// another, and a core that waited for the ring would wait for itself. They are no more
+	// than the changes since the last snapshot.
+	toCheck []toCheck
 	have    Have
 	open    map[uint64]chan *fleet.Reply
 	handle  uint64
@@ -133,7 +135,7 @@
 	return &Edge{core: c, first: first, check: o.Check, log: o.Log, started: o.Started, name: o.Begin.Self.Name,
 		messages: make(chan *node.Message, messagesMost), reports: make(chan fleet.Report, reportsMost), orders: make(chan fleet.Order),
 		asks: make(chan asked, asksMost), gone: make(chan uint64, asksMost), stores: make(chan *agree.Kept, 1), stored: make(chan error, 1),
-		checks: make(chan toCheck), checked: make(chan node.Event), open: map[uint64]chan *fleet.Reply{}, ended: make(chan struct{})}
+		checks: make(chan toCheck, checksMost), checked: make(chan node.Event), open: map[uint64]chan *fleet.Reply{}, ended: make(chan struct{})}
 }
 
 // Orders are for the reducer, in the order in which they came.
@@ -216,7 +218,7 @@
 		defer close(e.ended)
 		e.timer = time.NewTimer(time.Hour)
 		defer e.timer.Stop()
-		e.perform(e.first)
+		e.perform(ctx, e.first)
 		for ctx.Err() == nil {
 			e.step(ctx)
 		}
@@ -234,12 +236,9 @@
 		orders, order = e.orders, e.pending[0]
 	}
 	var checks chan toCheck
-	var check toCheck
-	if len(e.unsure) > 0 {
-		checks, check = e.checks, e.unsure[0]
-	}
-	if len(e.unsure) >= checksMost { // what was checked must go on coming in, or none would ever be
-		messages, reports, asks, timer, stored = nil, nil, nil, nil, nil
+	var first toCheck
+	if len(e.toCheck) > 0 {
+		checks, first = e.checks, e.toCheck[0]
 	}
 	if len(e.pending) >= ordersMost {
 		messages, reports, asks, timer, stored, checked = nil, nil, nil, nil, nil, nil
@@ -249,8 +248,8 @@
 	case orders <- order:
 		e.pending = e.pending[1:]
 		return
-	case checks <- check:
-		e.unsure = e.unsure[1:]
+	case checks <- first:
+		e.toCheck = e.toCheck[1:]
 		return
 	case m := <-messages:
 		ev = node.Event{Kind: node.Came, Message: m}
@@ -295,11 +294,11 @@
 		return
 	}
 	if e.failed == nil {
-		e.perform(e.core.Step(time.Since(e.started), ev))
+		e.perform(ctx, e.core.Step(time.Since(e.started), ev))
 	}
 }
 
-func (e *Edge) perform(effects []node.Effect) {
+func (e *Edge) perform(ctx context.Context, effects []node.Effect) {
 	for i := range effects {
 		f := &effects[i]
 		switch f.Kind {
@@ -308,7 +307,7 @@
 		case node.Store:
 			e.stores <- f.Kept // agreement has one under way at a time: there is room
 		case node.Check:
-			e.unsure = append(e.unsure, toCheck{f.Change, f.Text, e.have})
+			e.toCheck = append(e.toCheck, toCheck{f.Change, f.Text, e.have})
 		case node.Order:
 			e.order(f.Order)
 		case node.Told:
--- a/internal/fleet/edge/open.go
+++ b/internal/fleet/edge/open.go
@@ -98,7 +98,11 @@
 	refused := func(err fleet.Remedied, from string) {
 		o.Log.Log().Str("from", from).Str("error", err.Error()).Str("remedy", err.Remedy()).Msg("fleet: refused")
 	}
-	w, err := peers.Open(peers.Options{Fleet: o.Fleet, Self: b.Self.Name, Boot: b.Boot, Keys: keys, Listener: inward, Got: e.got,
+	var local net.IP // peers hear from the address that they reach this controller at, where it is a certain one
+	if at, ok := inward.Addr().(*net.TCPAddr); ok && !at.IP.IsUnspecified() {
+		local = at.IP
+	}
+	w, err := peers.Open(peers.Options{Local: local, Fleet: o.Fleet, Self: b.Self.Name, Boot: b.Boot, Keys: keys, Listener: inward, Got: e.got,
 		OnRefused: refused, Seed: draw()})
 	if err != nil {
 		return nil, err
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -90,6 +90,9 @@
 	if c.now < c.renewAt && !c.news {
 		return
 	}
+	if c.leader == c.b.Self.Name && !c.leads { // another may not have heard yet that it leads no more
+		c.leader = ""
+	}
 	to := c.leader
 	if to == "" || c.askedAt > 0 && c.now-c.askedAt > 3*c.every() { // it doesn't answer: another may know who does
 		c.hint++
--- a/internal/lab/schedules.go
+++ b/internal/lab/schedules.go
@@ -29,6 +29,7 @@
 	Lease       time.Duration
 	Faults      float64 // a second
 	Strike      *Strike // a fault at one step, in place of those
+	Revote      bool    // changes may name others who vote
 	Wire        bool    // messages go through the encoding
 }
 
@@ -92,6 +93,7 @@
 	ops      []*operation
 	words    []check.Word
 	settling bool
+	revoted  bool // who votes was to be changed
 	counting bool // messages are counted for the strike
 	counted  int
 	queries  int
@@ -297,6 +299,12 @@
 				if text == "" {
 					ev.Policy = "the set-up's"
 				}
+				if _, rest, had := strings.Cut(text, " voters "); had {
+					names, _, _ := strings.Cut(rest, " unfit")
+					for name := range strings.SplitSeq(names, ",") {
+						ev.Voters = append(ev.Voters, name+"="+p.byName[name].member.Peer)
+					}
+				}
 				if strings.HasSuffix(text, " unfit for "+a.name) {
 					ev.Why = "no team is called so here"
 				}
@@ -576,6 +584,14 @@
 	change := func(i int) *operation {
 		o := &operation{ask: fleet.Ask{Kind: "apply", ID: fmt.Sprintf("change-%d", i), By: "op", Base: base, Wait: 2000}}
 		text := "policy of " + o.ask.ID
+		if p.Revote && p.Controllers > p.Voters && p.rng.IntN(6) == 0 && !slices.ContainsFunc(p.all, func(a *actor) bool { return a.gone }) {
+			p.revoted = true // others vote from now on, if it comes into force
+			from, names := p.rng.IntN(len(p.all)), []string{}
+			for i := range p.Voters {
+				names = append(names, p.all[(from+i)%len(p.all)].name)
+			}
+			text += " voters " + strings.Join(names, ",")
+		}
 		if p.rng.IntN(5) == 0 {
 			o.unfit = p.all[p.rng.IntN(len(p.all))].name
 			text += " unfit for " + o.unfit
@@ -606,7 +622,7 @@
 		p.ops = append(p.ops, o)
 		p.check.PurgeAsked(p.now, o.ask.ID, *o.ask.Scope)
 		p.ask(o, false)
-	case x == 7 && p.Controllers > p.Voters && p.rng.IntN(4) == 0: // a follower's disk is destroyed
+	case x == 7 && p.Controllers > p.Voters && !p.revoted && p.rng.IntN(4) == 0: // a follower's disk is destroyed
 		a := p.all[p.Voters+p.rng.IntN(p.Controllers-p.Voters)]
 		if a.gone {
 			return
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,582 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"railrelay.dev/railrelay/internal/check"
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/feed"
+	"railrelay.dev/railrelay/internal/standin/link"
+)
+
+// round is one fault while a change is under way, and its end.
+type round struct {
+	name   string
+	strike func(g *gathering)
+	heal   func(g *gathering)
+	lasts  func(g *gathering) time.Duration
+	purges bool // a purge is under way, too
+}
+
+// past is longer than a lease that was just renewed.
+func past(g *gathering) time.Duration { return g.Lease*3/2 + 200*time.Millisecond }
+
+func short(*gathering) time.Duration { return 500 * time.Millisecond }
+
+// links is a round of a fault on the links from and to whom pick says, "" is any.
+func links(name string, f link.Fault, pick func(g *gathering) (from, to string), purges bool, lasts func(*gathering) time.Duration) round {
+	return round{name, func(g *gathering) {
+		from, to := pick(g)
+		g.mu.Lock()
+		g.fleet.Note(g.since(), fmt.Sprintf("links from %q to %q: %s", from, to, name), from, to)
+		g.mu.Unlock()
+		f.Seed = g.Seed
+		g.mesh.Set(from, to, f)
+	}, func(g *gathering) { g.mesh.Heal() }, lasts, purges}
+}
+
+func (g *gathering) all() (from, to string) { return "", "" }
+
+// ofOne has one process that a round means, and brings it back.
+func ofOne(name string, pick func(g *gathering) *process, stop bool, lasts func(*gathering) time.Duration, purges bool) round {
+	var p *process
+	return round{name, func(g *gathering) {
+		if p = pick(g); stop {
+			g.pause(p)
+		} else {
+			g.kill(p)
+		}
+	}, func(g *gathering) {
+		if stop {
+			g.resume(p)
+		} else if err := g.begin(p); err != nil {
+			g.wrong(err)
+		}
+	}, lasts, purges}
+}
+
+func (g *gathering) wrong(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rules.Broken(g.since(), err.Error())
+}
+
+// rounds are all faults that a measurement plays; the order follows from the seed.
+func rounds() []round {
+	leader := func(g *gathering) *process { return g.leader() }
+	follower := func(g *gathering) *process { return g.follower() }
+	ofLeader := func(g *gathering) (from, to string) { return g.leader().name, "" }
+	toFollower := func(g *gathering) (from, to string) { return "", g.follower().name }
+	var two []*process
+	return []round{
+		ofOne("the leader killed", leader, false, short, false),
+		ofOne("the leader stopped past its lease", leader, true, past, true),
+		ofOne("a follower stopped past its lease", follower, true, past, false),
+		ofOne("a follower killed", follower, false, past, true),
+		{"cut", func(g *gathering) {
+			p := g.follower()
+			g.note(p, "cut off")
+			g.mesh.Isolate(p.name)
+		}, func(g *gathering) { g.mesh.Heal() }, past, true},
+		links("one way", link.Fault{Kind: link.OneWay, Way: link.There}, toFollower, false, past),
+		links("slow", link.Fault{Kind: link.Slow, Rate: 30_000}, ofLeader, false, short),
+		links("jitter", link.Fault{Kind: link.Delay, By: 2 * time.Millisecond, Jitter: 60 * time.Millisecond}, (*gathering).all, true, short),
+		links("reset", link.Fault{Kind: link.Reset}, (*gathering).all, false, short),
+		links("stall", link.Fault{Kind: link.Stall, After: 1500}, ofLeader, false, short),
+		links("double", link.Fault{Kind: link.Double}, (*gathering).all, true, short),
+		{"the majority lost", func(g *gathering) {
+			two = g.members[:g.Voters/2+1]
+			for _, p := range two {
+				g.pause(p)
+			}
+		}, func(g *gathering) {
+			for _, p := range two {
+				g.resume(p)
+			}
+		}, past, false},
+		{"all killed", func(g *gathering) {
+			for _, p := range g.members {
+				g.kill(p)
+			}
+		}, func(g *gathering) {
+			for _, p := range g.members {
+				if err := g.begin(p); err != nil {
+					g.wrong(err)
+				}
+			}
+		}, short, true},
+	}
+}
+
+// play has a change, a second operator's at the same version and perhaps a purge under
+// way while a fault strikes, and waits until all of them have come to their end.
+func (g *gathering) play(r round) error {
+	before := g.mesh.Struck()
+	base := g.version
+	mine, other := g.change(base, 0, false), g.change(base, 0, false)
+	at := g.members[g.rng.IntN(len(g.members))]
+	too := g.members[g.rng.IntN(len(g.members))]
+	wait := time.Duration(g.rng.IntN(25)) * time.Millisecond
+	early := g.rng.IntN(2) == 0
+	var wg sync.WaitGroup
+	var purged error
+	if early { // the fault is there first
+		r.strike(g)
+	}
+	for _, x := range []struct {
+		p *process
+		a *fleet.Ask
+	}{{at, mine}, {too, other}} {
+		wg.Go(func() {
+			if x.p.running != nil && !x.p.stopped {
+				g.apply(x.p, x.a)
+			}
+		})
+	}
+	team := []string{"linz", "steyr"}[g.rng.IntN(2)]
+	if r.purges {
+		wg.Go(func() { purged = g.purge(g.members[0], team, 15*time.Second) })
+	}
+	if !early {
+		time.Sleep(wait) // somewhere in the middle of it
+		r.strike(g)
+	}
+	time.Sleep(r.lasts(g))
+	r.heal(g)
+	wg.Wait()
+	if purged != nil {
+		return fmt.Errorf("%s: %w", r.name, purged)
+	}
+	for _, a := range []*fleet.Ask{mine, other} {
+		if _, err := g.settled(a, 15*time.Second); err != nil {
+			return fmt.Errorf("%s: %w", r.name, err)
+		}
+	}
+	if err := g.allServe(15 * time.Second); err != nil {
+		return fmt.Errorf("%s: %w", r.name, err)
+	}
+	after := g.mesh.Struck()
+	for kind, n := range after {
+		if n > before[kind] {
+			g.mu.Lock()
+			g.faults["link "+kind]++
+			g.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+// torn has a follower start from a file that was cut short, which it must refuse by
+// itself, and then from what was there.
+func (g *gathering) torn() error {
+	p := g.follower()
+	g.kill(p)
+	file := filepath.Join(g.path(p.name+"-fleet"), "record")
+	whole, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	spoilt := slices.Clone(whole)
+	for i := len(spoilt) / 4; i < len(spoilt)*3/4; i += 97 {
+		spoilt[i] ^= 0x55
+	}
+	for what, text := range map[string][]byte{"cut short": whole[:len(whole)/3], "spoilt": spoilt} {
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return err
+		}
+		g.note(p, "given a file that is "+what)
+		size, err := p.log.Seek(0, io.SeekEnd)
+		if err != nil {
+			return err
+		}
+		if err := g.begin(p); err != nil {
+			return err
+		}
+		select {
+		case <-p.ended:
+		case <-time.After(10 * time.Second):
+			return fmt.Errorf("%s serves from a file that is %s", p.name, what)
+		}
+		p.running = nil
+		said, err := os.ReadFile(g.path(p.name + ".log"))
+		if err != nil {
+			return err
+		}
+		if !bytes.Contains(said[size:], []byte("record is ")) || !bytes.Contains(said[size:], []byte("fleet forget")) {
+			return fmt.Errorf("%s doesn't say what is wrong with a file that is %s: %s", p.name, what, said[size:])
+		}
+	}
+	if err := os.WriteFile(file, whole, 0o600); err != nil {
+		return err
+	}
+	if err := g.begin(p); err != nil {
+		return err
+	}
+	return g.allServe(15 * time.Second)
+}
+
+// emergency takes all engines inside away for longer than the rule says, sees the
+// bound team's queries run at the further site, and gives them back.
+func (g *gathering) emergency() error {
+	tell := func(phase string) {
+		var l []feed.Engine
+		for _, e := range g.list {
+			if e.Locality == "east" {
+				e.Phase = phase
+				l = append(l, e)
+			}
+		}
+		g.mu.Lock()
+		for _, e := range l {
+			g.rules.State(g.since(), e.ID, phase == "SERVING")
+		}
+		g.mu.Unlock()
+		g.feed.Tell(false, l...)
+	}
+	g.mu.Lock()
+	from := g.further
+	g.fleet.Loosed(g.since()+time.Second-g.fleet.Slack, "linz", "west")
+	g.faults["all engines of a site lost"]++
+	g.mu.Unlock()
+	tell("DRAINING")
+	err := g.eventually(10*time.Second, "a bound team's queries at the further site", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.further > from+5
+	})
+	tell("SERVING")
+	if err != nil {
+		return err
+	}
+	err = g.eventually(15*time.Second, "an end of the emergency", func() bool {
+		for _, p := range g.members {
+			if s := g.status(p); len(s.Emergencies) > 0 || !s.Serves {
+				return false
+			}
+		}
+		return true
+	})
+	g.mu.Lock()
+	g.fleet.Fastened(g.since(), "linz")
+	g.emergencies++
+	g.mu.Unlock()
+	return err
+}
+
+// voters has another controller vote in place of one that did, while clients ask.
+func (g *gathering) replaceVoter() error {
+	a := g.change(g.version, 0, false)
+	text := string(a.Policy) + "voters:\n"
+	for _, p := range append(slices.Clone(g.members[1:g.Voters]), g.members[g.Voters]) {
+		text += fmt.Sprintf("  - {name: %s, address: %q}\n", p.name, p.peer)
+	}
+	a.Policy = []byte(text)
+	if word, err := g.settled(a, 10*time.Second); err != nil || word != "in force" {
+		return fmt.Errorf("the change of voters: %s %w", word, err)
+	}
+	voter := g.members[g.Voters]
+	return g.eventually(10*time.Second, voter.name+" votes", func() bool {
+		for _, m := range g.status(g.leader()).Members {
+			if m.Name == voter.name {
+				return m.Votes
+			}
+		}
+		return false
+	})
+}
+
+// end makes a last change, sees all act by it, has all words told once more and clients
+// end, and says what was found broken.
+func (g *gathering) end() ([]string, error) {
+	a := g.change(g.version, 0, false)
+	if word, err := g.settled(a, 10*time.Second); err != nil || word != "in force" {
+		return nil, fmt.Errorf("the last change: %s %w", word, err)
+	}
+	for _, b := range g.changes { // asking again by id gives the same word
+		g.apply(g.members[g.rng.IntN(len(g.members))], &fleet.Ask{Kind: "status", ID: b.ID, Base: b.Base, Wait: 300})
+	}
+	if err := g.eventually(10*time.Second, "acts by the last version everywhere", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return !slices.ContainsFunc(g.acts, func(l []mark) bool { return len(l) == 0 || l[len(l)-1].version != g.version })
+	}); err != nil {
+		g.mu.Lock()
+		g.fleet.Faults = append(g.fleet.Faults, check.Fault{Kind: check.Half, What: err.Error()})
+		g.mu.Unlock()
+	}
+	close(g.quit)
+	g.clients.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	broken := slices.Clone(g.rules.Done(g.since()))
+	for _, f := range g.fleet.Faults {
+		broken = append(broken, f.String())
+	}
+	if ok, why := check.Agreed(g.words, 2*time.Second); !ok {
+		f := check.Fault{Kind: check.FalseWord, What: "there is no order of these words:\n" + why}
+		g.fleet.Faults = append(g.fleet.Faults, f)
+		broken = append(broken, f.String())
+	}
+	return broken, nil
+}
+
+func median(l []time.Duration) time.Duration {
+	if len(l) == 0 {
+		return 0
+	}
+	slices.Sort(l)
+	return l[len(l)/2]
+}
+
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// healthy has changes and a purge with nothing else going on, and gives what they cost.
+func (g *gathering) healthy(n int) (hold, trip, sync, purge time.Duration, err error) {
+	var holds, trips, syncs, purges []time.Duration
+	for range n {
+		a := g.change(g.version, 0, false)
+		if word, err := g.settled(a, 15*time.Second); err != nil || word != "in force" {
+			return 0, 0, 0, 0, fmt.Errorf("%s: %s %w", a.ID, word, err)
+		}
+		version := g.version
+		if err := g.eventually(5*time.Second, "acts by it everywhere", func() bool { return len(g.holds(version)) == len(g.members) }); err != nil {
+			return 0, 0, 0, 0, err
+		}
+		holds = append(holds, g.holds(version)...)
+	}
+	a := g.change(g.version, 0, true)
+	if word, err := g.settled(a, 15*time.Second); err != nil || word != "withdrawn" {
+		return 0, 0, 0, 0, fmt.Errorf("what nobody can take is %s %w", word, err)
+	}
+	for _, team := range []string{"linz", "steyr"} {
+		begin := time.Now()
+		if err := g.purge(g.leader(), team, 10*time.Second); err != nil {
+			return 0, 0, 0, 0, err
+		}
+		purges = append(purges, time.Since(begin))
+	}
+	f, err := os.Create(g.path("synced"))
+	if err != nil {
+		return 0, 0, 0, 0, err
+	}
+	defer f.Close()
+	for range 15 {
+		begin := time.Now()
+		g.status(g.members[0])
+		trips = append(trips, time.Since(begin)/2) // a greeting and the ask
+		begin = time.Now()
+		f.Write(make([]byte, 4096))
+		if err := f.Sync(); err != nil {
+			return 0, 0, 0, 0, err
+		}
+		syncs = append(syncs, time.Since(begin))
+	}
+	return median(holds), median(trips), median(syncs), median(purges), nil
+}
+
+// onOff is the queries a second of a controller in a fleet of its own, beside one
+// without, in short turns by turns.
+func onOff(ctx context.Context, program string, turns int, turn time.Duration) (float64, error) {
+	t := &Trial{Program: program, Engines: 8, Seed: 1, Log: io.Discard}
+	var rates [2]float64
+	run := func(ctx context.Context, address string) (int64, error) {
+		within, stop := context.WithTimeout(ctx, turn)
+		defer stop()
+		done := int64(0)
+		var wg sync.WaitGroup
+		faults := make([]error, 4)
+		for i := range faults {
+			wg.Go(func() { faults[i] = hammer(within, address, i, 16, &done) })
+		}
+		wg.Wait()
+		return done, errors.Join(faults...)
+	}
+	var stages [2]*stage
+	for on := range stages {
+		s, err := newStage(ctx, program, t.Engines, trialEngine(), t.Log, func(int, *engine.Server) {})
+		if err != nil {
+			return 0, err
+		}
+		defer s.close()
+		stages[on] = s
+		text := t.setup(s.feed, s.address)
+		if on == 1 {
+			peer, err := freeAddress()
+			if err != nil {
+				return 0, err
+			}
+			control, err := freeAddress()
+			if err != nil {
+				return 0, err
+			}
+			keys := filepath.Join(s.dir, "keys")
+			if err := os.WriteFile(keys, []byte(strings.Repeat("5e", 32)), 0o600); err != nil {
+				return 0, err
+			}
+			text += fmt.Sprintf("fleet: {name: alone, listen: %q, control: %q, directory: %q, keys: %q, voters: [{name: try, address: %q}]}\n", peer, control,
+				filepath.Join(s.dir, "fleet"), keys, peer)
+		}
+		if err := s.begin(text); err != nil {
+			return 0, err
+		}
+	}
+	for i := range turns + 1 {
+		for on, s := range stages {
+			n, err := run(ctx, s.address)
+			if err != nil {
+				return 0, err
+			}
+			if i > 0 { // the first warms them up
+				rates[on] += float64(n)
+			}
+		}
+	}
+	return rates[1] / max(rates[0], 1), nil
+}
+
+// planted plays each build with a planted fault, which must be found and named.
+func planted(ctx context.Context, dir string) (found, all int, lines []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, 3)
+	for _, x := range Planted {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			path, err := filepath.Abs(filepath.Join(dir, x.Tag+".test"))
+			if err != nil {
+				return
+			}
+			cmd := exec.CommandContext(ctx, path, "-test.run", x.Run, "-test.timeout", "60s")
+			cmd.Dir = dir
+			out, err := cmd.CombinedOutput()
+			mu.Lock()
+			defer mu.Unlock()
+			all++
+			var ended *exec.ExitError
+			named := ""
+			for l := range strings.SplitSeq(string(out), "\n") {
+				if strings.Contains(l, x.Named) {
+					named = strings.TrimSpace(l)
+					break
+				}
+			}
+			if errors.As(err, &ended) && named != "" {
+				found++
+				lines = append(lines, fmt.Sprintf("%s found: %.160s", x.Tag, named))
+			} else {
+				lines = append(lines, fmt.Sprintf("%s NOT found: %v %.300s", x.Tag, err, out))
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(lines)
+	return found, all, lines
+}
+
+// FindPlanted plays all of them and tells what was found; an error if one was not.
+func FindPlanted(ctx context.Context, out io.Writer, dir string) error {
+	found, all, lines := planted(ctx, dir)
+	fmt.Fprintf(out, "%s\nfound %d of %d\n", strings.Join(lines, "\n"), found, all)
+	if found < all {
+		return errors.New("a planted fault was not found")
+	}
+	return nil
+}
+
+// MeasureTogether is the measurement of a fleet, on real processes.
+func MeasureTogether(ctx context.Context, out io.Writer, program, plantedDir string, seed uint64, detail bool) error {
+	t := Together{Program: program, Voters: 3, Followers: 6, Seed: seed, Lease: time.Second}
+	g, err := t.gather(ctx)
+	if err != nil {
+		return err
+	}
+	defer g.close()
+	fmt.Fprintf(out, "%d controllers serve after %.2f s\n", len(g.members), g.since().Seconds())
+	g.busy()
+	hold, trip, sync1, purge, err := g.healthy(6)
+	if err != nil {
+		return err
+	}
+	var others sync.WaitGroup
+	var schedules *Played
+	others.Go(func() {
+		l := &Plan{}
+		l.Random(seed*1000, 100, 5, 3, 6*time.Second, 2)
+		l.Random(seed*1000+500, 1, 100, 5, 3*time.Second, 6)
+		l.Struck(seed, 1+int(seed%7), 120, 11)
+		schedules = l.Play(1, time.Now().Add(20*time.Second))
+	})
+	list := rounds()
+	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, r := range list {
+		if g.since() > 31*time.Second {
+			fmt.Fprintf(out, "no time for: %s\n", r.name)
+			continue
+		}
+		begin := time.Now()
+		if err := g.play(r); err != nil {
+			return err
+		}
+		if detail {
+			fmt.Fprintf(out, "%s: %.2f s\n", r.name, time.Since(begin).Seconds())
+		}
+	}
+	for _, do := range []func() error{g.emergency, g.torn, g.replaceVoter} {
+		if err := do(); err != nil {
+			return err
+		}
+	}
+	broken, err := g.end()
+	if err != nil {
+		return err
+	}
+	others.Wait()
+	found, planted, lines := planted(ctx, plantedDir)
+	g.close()
+	ratio, err := onOff(ctx, program, 5, 300*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	faults := 0
+	for _, kind := range slices.Sorted(maps.Keys(g.faults)) {
+		faults += g.faults[kind]
+		fmt.Fprintf(out, "%s: %d; ", kind, g.faults[kind])
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, strings.Join(lines, "\n"))
+	fmt.Fprintf(out, "schedules in virtual time: %d of up to 100 controllers, struck in %d states, %d changes, %d withdrawn, %d purges\n", schedules.Schedules,
+		schedules.Struck(), schedules.Changes, schedules.Withdrawn, schedules.Purges)
+	broken = append(broken, schedules.Broken...)
+	f := &g.fleet
+	for _, b := range broken {
+		fmt.Fprintf(out, "seed %d: %s\n", seed, b)
+	}
+	fmt.Fprintf(out, "measured controllers=%d faults=%d changes=%d withdrawn=%d mixed=%d half=%d false_word=%d purges=%d served_after=%d confirmed_wrongly=%d "+
+		"bound_queries=%d crossed=%d emergencies=%d rules_broken=%d switch_hold_ms=%.1f round_trip_ms=%.2f sync_ms=%.2f purge_ms=%.0f on_off=%.3f "+
+		"faults_found=%d/%d schedules=%d\n", len(g.members), faults, f.Changes, f.Withdrawn, f.Count(check.Mixed), f.Count(check.Half),
+		f.Count(check.FalseWord), f.Purges, f.Count(check.ServedAfter), f.Count(check.ConfirmedWrongly), f.Bound, f.Count(check.Crossed), g.emergencies,
+		len(g.rules.Faults), inMS(hold), inMS(trip), inMS(sync1), inMS(purge), ratio, found, planted, schedules.Schedules)
+	switch {
+	case len(broken) > 0:
+		return fmt.Errorf("%d things that must hold did not", len(broken))
+	case found < planted:
+		return errors.New("a planted fault was not found")
+	case faults == 0 || f.Changes == 0 || f.Withdrawn == 0 || f.Purges == 0 || f.Bound == 0 || g.emergencies == 0 || schedules.Struck() == 0:
+		return errors.New("something that must arise did not")
+	}
+	return nil
+}
