A submission is over by when its calls' lines were gone, not by our clock alone

A controller that stood still while a call lay behind a cut held the query for dropped by its engine in the moment in which it began there, and sent the next of its key 0.3 s later: the time was counted from when the bytes were queued. It counts from the end of the line now, and so does the second DELETE. The design has the table of all ends, call by call, with the one place that decides.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -37,6 +37,7 @@
 	e         *engine
 	up        bool
 	call      *call
+	carries   *call // the one written last, until it was answered: it may arrive yet
 	idleSince time.Duration
 	last      *submission // whose call it carried last
 	looked    bool        // that was a probe, and all was well
@@ -67,12 +68,15 @@
 	fits   func(status int, field func(string) string, body []byte) bool
 	fit    func() bool // asked once more just before the first byte; nil: always
 	starts bool        // a submission: it goes out by the version it was decided by, or not at all
+	keeps  bool        // its engine keeps the query for it
 	poll   bool        // gives way to all others where descriptors are short
 	within time.Duration
 	then   func(how, int, func(string) string, []byte)
 	size   int // bytes to write
-	limit  *due.Item
-	over   bool
+
+	answered bool
+	limit    *due.Item
+	over     bool
 }
 
 // pool shares out the descriptors that are for engines.
@@ -205,6 +209,10 @@
 	is := func(x *line) bool { return x == l }
 	l.e.lines, r.pool.lines = slices.DeleteFunc(l.e.lines, is), slices.DeleteFunc(r.pool.lines, is)
 	r.pool.links--
+	if c := l.carries; c != nil {
+		l.carries = nil
+		c.landed()
+	}
 	r.soon(r.next)
 }
 
@@ -224,7 +232,10 @@
 		return
 	}
 	text := c.write(nil)
-	l.call, l.last, l.looked, c.size = c, c.s, false, len(text)
+	l.call, l.carries, l.last, l.looked, c.size = c, c, c.s, false, len(text)
+	if c.s != nil && c.keeps {
+		c.s.open++
+	}
 	if r.Trace && c.s != nil {
 		r.trace(c.s.about(), "%s on line %d", c.what, l.n)
 	}
@@ -314,6 +325,11 @@
 			l.looked = c.s == nil && status == 200
 			r.free(l)
 		}
+		c.answered = true
+		if l.carries == c {
+			l.carries = nil
+			c.landed()
+		}
 		say() // now that the line may take the call this leads to
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1447,3 +1447,30 @@
 		}
 	}
 }
+
+// The controller itself stands still while its call lies behind a cut that heals: by its
+// clock the engine has long dropped the query, which in truth has only just come there.
+func TestAStallOfOursEndsNothing(t *testing.T) {
+	s := newStage(t, 1, 96, map[string]string{"may.probe": "false"})
+	c := s.connect()
+	s.query(c, "lookup", "", 2*time.Second, 3) // so that there is a line
+	s.until(s.now + 3*time.Second)
+	m := s.all()[0]
+	m.cut = true
+	first := s.query(c, "load", "k", 20*time.Second, 1)
+	next := s.query(c, "load", "k", 20*time.Second, 2)
+	if s.until(s.now + 60*time.Millisecond); len(m.lying) == 0 {
+		t.Fatal("the call is not on its way")
+	}
+	s.now += 3 * time.Second
+	s.heal(m)
+	s.step(Event{Kind: Woken})
+	s.until(s.now + time.Second) // posted checks the order
+	if len(first.subs) != 1 || len(next.subs) > 0 {
+		t.Fatalf("the first came %d times, the next %d", len(first.subs), len(next.subs))
+	}
+	s.reply(s.one("GET", first.id), "ok")
+	if s.until(s.now + 100*time.Millisecond); first.answer != "finished" || len(next.subs) != 1 {
+		t.Fatalf("the first: %q, the next came %d times", first.answer, len(next.subs))
+	}
+}
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -27,6 +27,8 @@
 	certain bool          // and how is known: outcome
 	told    bool          // and the decisions know
 	askedAt time.Duration // when its news were last asked for
+	open    int           // calls that it is kept for, under way: written, and their lines not gone
+	arrived time.Duration // when the last of the others may have arrived at the latest
 	onSet   []func()      // waits for settled
 	limit   *due.Item     // when it is given up at the latest
 
@@ -61,11 +63,29 @@
 	onTheWay = 50 * time.Millisecond
 )
 
-// gone is when it is over at its engine at the latest, whether that was heard
-// to answer or not, if nobody asks for it again.
-// The call it was asked by may have arrived as late as it was let wait for its answer.
-func (s *submission) gone() time.Duration {
-	return s.askedAt + answerMost + onTheWay + newsMost + forgets
+// gone: it is over at its engine, whether that was heard to answer or not, since it
+// went unasked for as long as engines keep it. Together with came, giveUp and landed this
+// decides when a submission is over; docs/design.md has the table. A call may arrive as
+// long as its line stands, and no less is counted than it was let wait for its answer: by
+// our clock alone it would be over too soon where we stood still ourselves meanwhile.
+func (s *submission) gone() bool {
+	return s.open == 0 && s.now >= max(s.arrived, s.askedAt+answerMost+onTheWay)+newsMost+forgets
+}
+
+// landed: a call for it, written once, was answered or its line is gone; what is on its
+// way then may still arrive.
+func (c *call) landed() {
+	if s := c.s; s != nil && c.keeps {
+		way := onTheWay
+		if c.answered {
+			way = 0
+		}
+		s.open--
+		s.arrived = max(s.arrived, s.now+way)
+		if c.starts {
+			s.after(way, s.settle)
+		}
+	}
 }
 
 func (r *Relay) submit(q *query, e *engine, within time.Duration) {
@@ -103,7 +123,7 @@
 	if s.ended || s.warrant != nil && !s.warrant.lets(s) {
 		return
 	}
-	c := &call{what: "POST", e: s.e, s: s, fits: s.fits(0), starts: true,
+	c := &call{what: "POST", e: s.e, s: s, fits: s.fits(0), starts: true, keeps: true,
 		write: func(dst []byte) []byte {
 			s.sent, s.askedAt, s.goodAt, s.ranked = true, s.now, s.now, s.q.rank()
 			if s.try == 0 {
@@ -115,11 +135,6 @@
 		then: func(as how, status int, field func(string) string, body []byte) {
 			s.came(0, as, status, field, body)
 			s.posted = true
-			if as == answered {
-				s.settle()
-			} else { // what is on its way when its line ends may still arrive
-				s.after(onTheWay, s.settle)
-			}
 		}}
 	c.fit = func() bool {
 		fit := !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
@@ -148,7 +163,7 @@
 
 // ask asks for the query's news, or for a page of its result.
 func (s *submission) ask(page int) {
-	s.call(&call{what: "GET", e: s.e, s: s, poll: page == 0, fits: s.fits(page),
+	s.call(&call{what: "GET", e: s.e, s: s, poll: page == 0, keeps: true, fits: s.fits(page),
 		fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte {
 			s.astray = s.astray || s.now > s.askedAt+forgets
@@ -184,7 +199,7 @@
 		s.end(decide.Reset)
 	case as == garbled && s.now-s.goodAt >= forgets:
 		s.withdraw(s, decide.Reset) // it is not one answer that was spoilt on its way
-	case s.now >= s.gone():
+	case s.gone():
 		s.end(decide.TimedOut) // if it still ran there, it has been forgotten by now
 	default:
 		// the call or its answer may have been lost and the query not: another
@@ -346,7 +361,7 @@
 	r.call(&call{what: "DELETE", e: s.e, s: s, fits: engines.FitsDone,
 		write: func(dst []byte) []byte { return engines.GiveUp(dst, s.e.address, s.q.id) },
 		then: func(as how, _ int, _ func(string) string, _ []byte) {
-			if as == answered || s.died(as) || r.now >= s.gone() {
+			if as == answered || s.died(as) || s.gone() {
 				then()
 				return
 			}
