What comes 0.65 s after SIGTERM is turned away; a feed back is heard within the grace

What comes later than 0.7 s after SIGTERM and is unanswered at SIGKILL, 3.7 s after it, is lost: the program took queries as usual for 0.75 s (stopGrace), which may run for 20 s. Now 0.65 s; queries come until 0.6 s. What a feed has to tell counts as told after 7 s though it is away: it was tried every 0.8 s with 0.83 s for a try (feedWaitsMax, feedSilent/3), so that a drain could be obeyed 1.6 s late where the grace is 0.5 s. Now tries and waits are half of the grace at the most once it has been silent for 5.4 s; before that calls stay as rare as they were. Ruled out: what is read acts at once, and a gap is asked for at once.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -13,6 +13,7 @@
 	last   int64 // the event had last
 	listed bool  // a list was had at all
 	heard  time.Duration
+	had    time.Duration // when it last said anything, on whatever connection
 	wait   time.Duration // before the next try
 	whole  bool          // the event at hand lists all there are
 }
@@ -21,8 +22,19 @@
 	feedSilent   = 2500 * time.Millisecond // a number comes every second
 	feedWaits    = 50 * time.Millisecond
 	feedWaitsMax = 800 * time.Millisecond
+	feedTold     = 7 * time.Second // what the feed has to tell counts as told after this, whether it came or not
 )
 
+// feedHurry bounds a wait for the feed once the first of what was missed is about to count as told:
+// half of the time that a drained engine may still be sent to, so that a try and the wait before it
+// are over within that once the feed is back. Before that nobody counts on it, and calls are priced.
+func (r *Relay) feedHurry(most time.Duration) time.Duration {
+	if grace := r.span("drain.grace"); grace > 0 && r.now-r.feed.had > feedTold-feedWaitsMax-feedSilent/3 {
+		return max(2*feedWaits, min(most, grace/2))
+	}
+	return most
+}
+
 // follow connects to the feed and asks for what comes after what we have. A
 // connection that goes silent, breaks a line or skips a number is given up for
 // a new one.
@@ -36,7 +48,7 @@
 	again := func() {
 		if f.link == l {
 			f.link = nil
-			f.wait = min(max(2*f.wait, feedWaits), feedWaitsMax)
+			f.wait = min(max(2*f.wait, feedWaits), r.feedHurry(feedWaitsMax))
 			r.after(f.wait, r.follow)
 		}
 	}
@@ -60,12 +72,12 @@
 			if n == 0 {
 				return
 			}
-			f.heard, f.wait = r.now, 0
+			f.heard, f.had, f.wait = r.now, r.now, 0
 			l.In.Drop(n)
 		}
 	}
 	r.tally.feedDials++
-	r.do(Effect{Verb: Dial, Link: l, Address: r.Feed, Within: feedSilent / 3})
+	r.do(Effect{Verb: Dial, Link: l, Address: r.Feed, Within: r.feedHurry(feedSilent / 3)})
 	r.watch(l, again)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -467,10 +467,12 @@
 	}
 }
 
-// For stopGrace after the word to stop queries come as before. The end then waits
-// for a moment in which none came, but no longer than stopMost from the word.
+// For stopGrace after the word to stop queries come as before: connections stay open and carry
+// new ones for 0.6 s, by the protocol. What comes after 0.7 s and is unanswered at SIGKILL is lost, and a
+// query may take longer than that waits; so from between the two on all that comes is turned away at once.
+// The end then waits for a moment in which none came, but no longer than stopMost from the word.
 const (
-	stopGrace = 750 * time.Millisecond
+	stopGrace = 650 * time.Millisecond
 	stopQuiet = 100 * time.Millisecond
 	stopMost  = 2 * stopGrace
 )
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1156,6 +1156,47 @@
 	}
 }
 
+// On a connection that stays open queries come for 0.6 s after the word to stop. SIGKILL may come 3.7 s
+// after it, whatever longer queries there are, and what came later than 0.7 s is lost if it is open then.
+func TestWhatComesLateOnOpenConnectionsIsTurnedAwayAtOnce(t *testing.T) {
+	s := newStage(t, 1, 256, nil)
+	c := s.connect()
+	s.step(Event{Kind: Stop})
+	s.until(s.now + 600*time.Millisecond)
+	if in := s.query(c, "report", "", 20*time.Second, 1); in.answer != "" || s.one("POST", in.id) == nil {
+		t.Fatalf("%q while queries may still come", in.answer)
+	}
+	s.until(s.now + 101*time.Millisecond)
+	if late := s.query(c, "report", "", 20*time.Second, 2); late.answer != "deferred" {
+		t.Fatalf("%q at 0.7 s, and it may be open when the end comes", late.answer)
+	}
+}
+
+// What the feed has to tell counts as told after 7 s, whether it came or not: a drain just before the feed
+// went down must be known within the grace after that, so tries come closer together by then.
+func TestAFeedThatWasAwayIsFoundAgainWithinTheGrace(t *testing.T) {
+	for late := range 10 { // whenever it comes back
+		s := newStage(t, 1, 256, map[string]string{"drain.grace": "500"})
+		s.until(s.now + 2*time.Second)
+		s.tell("")
+		down := s.now
+		s.feedUp = false
+		s.lose(s.feed)
+		s.flush()
+		dials := s.r.tally.feedDials
+		if s.until(down + 5*time.Second); s.r.tally.feedDials-dials > 10 {
+			t.Fatalf("%d calls for a list that nobody counts on yet", s.r.tally.feedDials-dials)
+		}
+		s.until(down + 7*time.Second + time.Duration(late)*90*time.Millisecond)
+		s.feedUp = true
+		for back := s.now; s.r.feed.had <= down; s.until(s.now + 10*time.Millisecond) {
+			if s.now > back+500*time.Millisecond {
+				t.Fatalf("back at %v and not heard by %v", back-down, s.now-down)
+			}
+		}
+	}
+}
+
 func TestASpoiltAnswerIsAskedForAgain(t *testing.T) {
 	for _, how := range []string{"garbled", "cut", "short", "lost", "twice"} {
 		s := newStage(t, 1, 256, nil)
