--- a/cmd/railrelay-fleet/fleet_test.go
+++ b/cmd/railrelay-fleet/fleet_test.go
@@ -63,7 +63,9 @@
 }
 
 // feed names one engine and goes on telling that there is nothing new.
-func feed(t *testing.T) string {
+func feed(t *testing.T) string { return feedOf(t, "127.0.0.1:9") }
+
+func feedOf(t *testing.T, engine string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -80,7 +82,7 @@
 				if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
 					return
 				}
-				fmt.Fprintln(c, `{"n":1,"members":{"revision":1,"complete":true,"members":[{"id":"e1","host_port":"127.0.0.1:9","locality":"linz","flavor":"std","cell":1,"phase":"SERVING","size":1,"up_since_ms":0},{"id":"e2","host_port":"127.0.0.1:9","locality":"steyr","flavor":"std","cell":1,"phase":"SERVING","size":1,"up_since_ms":0}]}}`)
+				fmt.Fprintln(c, strings.ReplaceAll(`{"n":1,"members":{"revision":1,"complete":true,"members":[{"id":"e1","host_port":"127.0.0.1:9","locality":"linz","flavor":"std","cell":1,"phase":"SERVING","size":1,"up_since_ms":0},{"id":"e2","host_port":"127.0.0.1:9","locality":"steyr","flavor":"std","cell":1,"phase":"SERVING","size":1,"up_since_ms":0}]}}`, "127.0.0.1:9", engine))
 				io.Copy(io.Discard, c)
 			}()
 		}
