A purge that no majority has yet is asked for until the record has it; its stage is told

With the leader killed a customer's purge was asked for only as long as the customer's patience lasted, and was then forgotten: asked by its id it would have been "not yet" for ever. The controller that was asked now goes on asking until the record has it, within a bound on their number, and the answer tells the stage: not recorded, recorded, unreachable.

--- a/internal/relay/purge.go
+++ b/internal/relay/purge.go
@@ -27,8 +27,9 @@
 	here   map[string]*purge // without peers, by id
 	past   []string          // ids of here, the oldest first
 	waits  map[string][]*purgeCall
-	links  map[handed]bool // that kept bytes were handed to, some of which may not be out
-	swept  int             // how many were left of them
+	unsaid map[string]*fleet.Ask // that the record is not known to have yet: asked for until it has
+	links  map[handed]bool       // that kept bytes were handed to, some of which may not be out
+	swept  int                   // how many were left of them
 	// Counts of purges are counted since the start.
 	ordered, done, called int
 }
@@ -69,7 +70,7 @@
 )
 
 func newPurges(r *Relay) *purges {
-	return &purges{Relay: r, here: map[string]*purge{}, waits: map[string][]*purgeCall{}, links: map[handed]bool{}}
+	return &purges{Relay: r, here: map[string]*purge{}, waits: map[string][]*purgeCall{}, unsaid: map[string]*fleet.Ask{}, links: map[handed]bool{}}
 }
 
 // index is the place in the record after which a query that comes now is taken.
@@ -267,7 +268,7 @@
 			}
 		}
 	}
-	if c.pages >= c.wants.Open || waiting >= purgesMost {
+	if c.pages >= c.wants.Open || waiting >= purgesMost || len(p.unsaid) >= purgesPast {
 		c.answer(clients.Deferred(nil, msg, spoolPause))
 		return
 	}
@@ -280,12 +281,13 @@
 	c.pages++
 	p.waits[x.id] = append(p.waits[x.id], x)
 	x.by = c.now + max(0, call.Patience-answerBefore)
-	x.until = c.due.Add(x.by, func() { p.tell(x, notYet, nil, nil) })
+	x.until = c.due.Add(x.by, func() { p.tell(x, notYet, "", nil, nil) })
 	switch {
 	case p.warrant != nil:
 		a := &fleet.Ask{Kind: "status", ID: x.id, By: team, Team: team, Wait: max(1, (call.Patience - 2*answerBefore).Milliseconds())}
 		if fresh {
 			a.Kind, a.Scope = "purge", &fleet.Scope{Team: team, Tables: call.Tables, Before: call.Before}
+			p.unsaid[x.id] = a
 		}
 		p.warrant.report(fleet.Report{Kind: fleet.Wanted, Ask: a})
 	case fresh:
@@ -330,7 +332,7 @@
 		case x == nil || x.team != w.team:
 			p.over(w, clients.Killed(nil, w.msg, unknownPurge))
 		case x.done:
-			p.tell(w, "purged", &x.counts, nil)
+			p.tell(w, "purged", "", &x.counts, nil)
 		}
 	}
 }
@@ -343,14 +345,21 @@
 // answered: the fleet's word on what was asked for here.
 func (p *purges) answered(id string, r *fleet.Reply) bool {
 	l := p.waiting(id)
+	again := p.unsaid[id]
+	if again != nil && r.Word == "unknown" && r.Stage == "" {
+		a := *again // its word may have been told already: that it is asked for holds
+		a.Wait = unsaidFor.Milliseconds()
+		p.warrant.report(fleet.Report{Kind: fleet.Wanted, Ask: &a})
+	} else {
+		delete(p.unsaid, id)
+	}
 	for _, x := range l {
 		switch {
 		case r.Word == "purged":
-			p.tell(x, r.Word, r.Counts, nil)
+			p.tell(x, r.Word, "", r.Counts, nil)
 		case r.Word == "unknown" && (r.Stage == "" || r.Stage == fleet.Purge || r.Stage == fleet.Unreachable || r.Stage == fleet.Erased):
-			// each who asks has a word of its own: this one is of whoever waits the least
-			if x == slices.MinFunc(l, func(a, b *purgeCall) int { return cmp.Compare(a.by, b.by) }) {
-				p.tell(x, notYet, nil, r.Outstanding)
+			if p.now >= x.by-4*answerBefore { // each who asks has a word of its own, and it comes right before
+				p.tell(x, notYet, cmp.Or(stages[r.Stage], stages[""]), nil, r.Outstanding)
 			}
 		case r.Word == "refused" && r.Why != "":
 			p.over(x, clients.Killed(nil, x.msg, r.Why))
@@ -358,12 +367,19 @@
 			p.over(x, clients.Killed(nil, x.msg, unknownPurge))
 		}
 	}
-	return len(l) > 0
+	return len(l) > 0 || again != nil
 }
 
 const notYet = "not yet"
 
-func (p *purges) tell(x *purgeCall, word string, n *fleet.Counts, outstanding []string) {
+// stages are what is told of how far a purge has come. One that isn't recorded is asked
+// for on and on by the controller that it was asked of, and by no other.
+var stages = map[string]string{"": "not recorded", fleet.Purge: "recorded", fleet.Unreachable: "unreachable", fleet.Erased: "erased"}
+
+// unsaidFor is how long the fleet may take for a word on what it is asked for again.
+const unsaidFor = 5 * time.Second
+
+func (p *purges) tell(x *purgeCall, word, stage string, n *fleet.Counts, outstanding []string) {
 	fields := []string{"id", x.id, "state", word}
 	if n != nil {
 		for _, f := range []struct {
@@ -373,6 +389,9 @@
 			fields = append(fields, f.name, strconv.FormatInt(f.n, 10))
 		}
 	}
+	if stage != "" {
+		fields = append(fields, "stage", stage)
+	}
 	if len(outstanding) > 0 {
 		fields = append(fields, "outstanding", strings.Join(outstanding, ","))
 	}
--- a/internal/relay/purge_test.go
+++ b/internal/relay/purge_test.go
@@ -163,6 +163,7 @@
 	if len(l) != 2 || l[0].Kind != fleet.Unreached || l[1].Kind != fleet.Wiped || l[0].ID != first || l[1].Counts.Results != 1 || l[1].Counts.Answers != 1 {
 		t.Fatalf("reported %+v", l)
 	}
+	s.Until(4880 * time.Millisecond)
 	s.Order(fleet.Order{Kind: fleet.Answered, ID: first, Reply: &fleet.Reply{ID: first, Word: "unknown", Stage: fleet.Unreachable, Outstanding: []string{"b", "c"}}})
 	s.Order(fleet.Order{Kind: fleet.Answered, ID: "p1", Reply: &fleet.Reply{ID: "p1", Word: "purged", Counts: &fleet.Counts{Results: 4}}})
 	s.Until(5 * time.Second)
@@ -172,6 +173,14 @@
 	if n := asks[1].About; n["state"] != "purged" || n["results"] != "4" {
 		t.Errorf("by id: %+v", asks[1])
 	}
+	n := len(s.Reports)
+	lost := s.purge(c, "patience", "100", "team", "linz") // no majority takes it: it is asked for again
+	s.Until(s.Now + 80*time.Millisecond)
+	s.Order(fleet.Order{Kind: fleet.Answered, ID: s.Reports[n].Ask.ID, Reply: &fleet.Reply{Word: "unknown"}})
+	s.Until(s.Now + 10*time.Millisecond)
+	if len(s.Reports) < n+2 || s.Reports[n+1].Ask == nil || s.Reports[n+1].Ask.ID != s.Reports[n].Ask.ID || lost.About["stage"] != "not recorded" {
+		t.Errorf("not recorded: %+v, %+v", lost, s.Reports[n:])
+	}
 	silent := s.purge(c, "patience", "300", "team", "linz") // the fleet says nothing
 	s.Order(fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever, UntilBound: fleet.Forever})
 	gone, stays := &caller.Answer{}, &caller.Answer{}
