--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -9,7 +9,8 @@
 //   - messages of peers: a full ring drops the message, which counts; whoever sent it
 //     asks again;
 //   - writes: agreement has one under way at a time, so the ring of one is never full;
-//   - checks: a full ring makes the core wait, since policies come one after the other;
+//   - checks: what was decided while a controller was away comes all at once, so what the
+//     ring has no room for waits with the core, no more than changes since the last snapshot;
 //   - reports by the reducer: the ring is the reducer's to fill, which never waits for it;
 //   - orders for the reducer: where they pile up, leases that were renewed twice are told
 //     once, and past the bound the core takes nothing in until there is room: its leases
--- a/internal/fleet/edge/edge_test.go
+++ b/internal/fleet/edge/edge_test.go
@@ -213,3 +213,21 @@
 		t.Error(log.text())
 	}
 }
+
+// Who was away for many changes is asked to check them all in one breath.
+func TestManyPoliciesToCheckAtOnce(t *testing.T) {
+	const many = 3 * checksMost
+	e, s, _ := play(t, func(ev node.Event) (l []node.Effect) {
+		if ev.Kind == node.Came {
+			l = append(l, node.Effect{Kind: node.Order, Order: fleet.Order{Kind: fleet.Open, Policy: "now"}})
+			for range many {
+				l = append(l, node.Effect{Kind: node.Check, Change: "c"})
+			}
+		}
+		return l
+	}, nil)
+	e.got(&node.Message{})
+	for range many {
+		s.saw(t, node.Checked)
+	}
+}
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -44,7 +44,7 @@
 	applied uint64
 	next    uint64        // the record that it is sent next
 	sent    time.Duration // when it was sent some
-	ends    time.Duration // when the last lease that it was given here ends at the latest
+	asked   time.Duration // when it asked for the last lease that it was given here or may still be; -1: it wasn't
 	r       *Renew
 }
 
@@ -79,6 +79,9 @@
 func (c *Core) confirm() {
 	c.handle++
 	c.asking, c.queue = c.queue, nil
+	for _, q := range c.asking { // it may be given one that knows only what is decided by now
+		c.peers[q.name].asked = q.at
+	}
 	c.leading.confirmed = c.now
 	c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Confirm, Handle: c.handle}))
 }
@@ -108,7 +111,7 @@
 	}
 	p := c.peers[from]
 	if p == nil {
-		p = &peer{runs: map[uint64]uint64{}}
+		p = &peer{runs: map[uint64]uint64{}, asked: -1}
 		c.peers[from] = p
 		c.names = append(c.names, from)
 		slices.Sort(c.names)
@@ -166,7 +169,6 @@
 		if m := c.state.Members[q.name]; m == nil || m.Forgotten || p.boot != q.r.Boot {
 			continue
 		}
-		p.ends = max(p.ends, c.ends(q.at, c.longer(c.b.Lease)))
 		c.send(q.name, q.r.Member.Peer, &Message{Grant: &Grant{Seq: q.r.Seq, Sent: q.r.Sent, Boot: q.r.Boot, Given: true, Index: index,
 			Leader: c.b.Self.Name, Waits: c.few()}})
 	}
@@ -215,8 +217,8 @@
 		return m != nil && !m.Forgotten
 	}
 	ends := c.since + c.longer(lease)
-	if p := c.peers[name]; p != nil && p.ends > 0 {
-		ends = max(ends, p.ends-c.longer(c.b.Lease)+c.longer(lease))
+	if p := c.peers[name]; p != nil && p.asked >= 0 {
+		ends = max(ends, p.asked+c.longer(lease))
 	}
 	return c.now < ends
 }
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -458,3 +458,47 @@
 		}
 	}
 }
+
+// A purge waits for all that may serve what is kept, also where only the lease of bound
+// teams has an end: who was given one a moment ago may serve for as long as that lasts.
+func TestAPurgeWaitsForTheShortLeaseWhereTheOtherHasNoEnd(t *testing.T) {
+	s := newStage(t, 8, 3, 1, 0)
+	bound := 600 * time.Millisecond
+	for _, n := range s.names { // started anew with it
+		s.all[n].begin.LeaseBound = bound
+		s.all[n].start()
+	}
+	served := func(n string) bool { return s.all[n].word.May(s.now, true) != 0 }
+	s.until(12*time.Second, "all serve", func() bool { return !slices.ContainsFunc(s.names, func(n string) bool { return !served(n) }) })
+	for end := s.now + 3*time.Second; s.now < end; { // what an earlier leader may have given is over
+		s.next()
+	}
+	for _, n := range s.names {
+		s.cut[n+">f0"], s.cut["f0>"+n] = true, true
+	}
+	l := s.leader()
+	l.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "purge", ID: "p1", Scope: &fleet.Scope{Team: "a"}, Until: fleet.Unreachable, Wait: 30000}})
+	s.until(5*time.Second, "unreachable", func() bool {
+		if l.core.state.Purges["p1"] != nil && l.core.state.Purges["p1"].Stage != "" && served("f0") {
+			t.Fatal("it is told while f0, which is cut off, serves on")
+		}
+		return s.word(l, 1) != nil
+	})
+}
+
+// A lease that is being confirmed may be given for the record as it was when that began:
+// who asked for it is waited for from then on.
+func TestALeaseBeingConfirmedCounts(t *testing.T) {
+	s := newStage(t, 9, 3, 1, 500*time.Millisecond)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	f, l := s.all["f0"], s.leader()
+	f.run = 0
+	s.until(5*time.Second, "its lease is over", func() bool { return !l.core.mayHold("f0", l.core.b.Lease) })
+	s.until(5*time.Second, "no confirmation is under way", func() bool { return len(l.core.asking)+len(l.core.queue) == 0 })
+	l.step(Event{Kind: Came, Message: &Message{From: "f0", Disk: "disk f0",
+		Renew: &Renew{Member: f.begin.Self, Boot: 99, Seq: 1, Applied: l.core.state.Index}}})
+	s.until(5*time.Second, "a confirmation has begun", func() bool { return len(l.core.asking) > 0 })
+	if !l.core.mayHold("f0", l.core.b.Lease) {
+		t.Error("it isn't waited for, and may be given a lease that knows nothing of what is decided meanwhile")
+	}
+}
--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -63,7 +63,7 @@
 
 // changing notes a query that changes tables, as soon as it is taken.
 func (a *caching) changing(q *query) {
-	if g := q.group; g.load || !g.readOnly && !g.tokened {
+	if q.group.load || !q.group.readOnly {
 		_, written, known := clients.AllTables(q.statement)
 		if !known {
 			written = nil
--- a/internal/relay/purge_test.go
+++ b/internal/relay/purge_test.go
@@ -11,6 +11,7 @@
 	"railrelay.dev/railrelay/internal/answers"
 	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/residency"
 	"railrelay.dev/railrelay/internal/standin/caller"
 	"railrelay.dev/railrelay/internal/standin/disk"
 	"railrelay.dev/railrelay/internal/standin/engine"
@@ -195,6 +196,29 @@
 	}
 }
 
+// A rule that a result lies outside of bars its pages at once, and not for ever.
+func TestPagesObeyTheRules(t *testing.T) {
+	s := keeps(t, &fleet.Word{})
+	c := s.client()
+	s.Order(fleet.Order{Kind: fleet.Open, Version: 1})
+	s.Order(fleet.Order{Kind: fleet.Renewed, Until: fleet.Forever, UntilBound: fleet.Forever})
+	a := s.of(c, "linz", 3, "pages", "1")
+	s.Until(3 * time.Second)
+	for i, want := range []caller.Kind{caller.Finished, caller.Killed, caller.Finished} {
+		var rules []residency.Rule
+		if i == 1 { // this controller stands nowhere
+			rules = []residency.Rule{{Name: "inside", Team: "linz", Tables: []int64{3}, Engines: []string{"here"}, Controllers: []string{"here"}, Keep: []string{"here"}}}
+		}
+		s.Order(fleet.Order{Kind: fleet.Open, Version: uint64(i + 2), Policy: &relay.Policy{Version: uint64(i + 2), Rules: rules}})
+		got := caller.Kind(-1)
+		c.Page(a.Paging["token"], 1, func(ans caller.Answer) { got = ans.Kind }, "team", "linz")
+		s.Until(s.Now + time.Second)
+		if got != want {
+			t.Errorf("by rules %v: %v", rules, got)
+		}
+	}
+}
+
 // Many who ask the same at once cost one run; so does whoever asks while it is fresh.
 // A load of its tables, or a purge, makes the next go to an engine again.
 func TestAnswersAreShared(t *testing.T) {
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -113,10 +113,10 @@
 		r.trace(q.about(), "taken, key %q (%d), for %v", k, number, patience)
 	}
 	r.asked = r.now
-	// once all that has come is read: what is taken back in one breath goes nowhere
 	if r.caching != nil {
 		r.caching.changing(q)
 	}
+	// once all that has come is read: what is taken back in one breath goes nowhere
 	r.soon(func() { r.enter(q, from, number) })
 	return q, ""
 }
@@ -138,7 +138,7 @@
 	if r.paging != nil && r.keeps(q) { // where it may not be kept it is answered whole
 		r.paging.wants(q, from)
 	}
-	if r.caching != nil && !q.answered && !r.caching.enters(q, from, func(from From) { r.enter(q, from, number) }) {
+	if r.caching != nil && !q.answered && r.keeps(q) && !r.caching.enters(q, from, func(from From) { r.enter(q, from, number) }) {
 		return
 	}
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,7 +191,6 @@
 	name            string
 	inOrder, load   bool
 	readOnly        bool
-	tokened         bool
 	timeout, target time.Duration
 	threads, value  float64
 }
@@ -218,7 +217,7 @@
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
 		g := &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true",
-			readOnly: f[at+"effect"] == "read-only", tokened: f[at+"effect"] == "tokened"}
+			readOnly: f[at+"effect"] == "read-only"}
 		g.read(r)
 		r.groups[g.name] = g
 		r.longest = max(r.longest, g.timeout)
@@ -247,6 +246,9 @@
 		if r.purges != nil {
 			r.warrant.purging = r.purges
 		}
+		if r.paging != nil {
+			r.paging.core.Serves = r.warrant.placing.serves
+		}
 	}
 	r.follow()
 	r.sweep()
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -125,6 +125,9 @@
 	room    []func() // wait for room, in turn
 	sweepAt time.Duration
 
+	// Serves is asked before a page is handed out, and again once it was read from disk:
+	// what is kept of these tables may be served here. nil: all may.
+	Serves func(owner string, tables []int64) bool
 	// Counts is what happened so far.
 	Counts Counts
 }
@@ -771,7 +774,7 @@
 func (c *Core) Read(now time.Duration, token []byte, teamName string, number int, tell func(body []byte, err error)) {
 	c.at(now)
 	r := c.opened(token, teamName)
-	if r == nil || number < 0 || number >= r.count {
+	if r == nil || number < 0 || number >= r.count || !c.serves(r) {
 		c.Counts.BadTokens++
 		tell(nil, ErrNone)
 		return
@@ -790,14 +793,19 @@
 		return
 	}
 	c.fetch(r, number, func(body []byte, err error) {
-		if err == ErrPurged { // which is nobody's to know
+		if err == ErrPurged || err == nil && !c.serves(r) { // which is nobody's to know
 			c.Counts.BadTokens++
-			err = ErrNone
+			body, err = nil, ErrNone
 		}
 		tell(body, err)
 	})
 }
 
+func (c *Core) serves(r *Result) bool { return c.Serves == nil || c.Serves(r.owner(), r.tag.Tables) }
+
+// owner is whose it is.
+func (r *Result) owner() string { return cmp.Or(r.tag.Owner, r.team.name) }
+
 func (c *Core) fetch(r *Result, number int, tell func(body []byte, err error)) {
 	c.reads++
 	r.reading++
