All voters can be replaced at once; whoever leads anew knows what a change changes

Voters that a policy no longer names stopped voting as soon as the policy was forced, before agreement itself had let them go: with two of three replaced at once the majority that the replacement needs was gone, and the fleet stood still for good. A voter now votes on until agreement counts without it or its leader passes the record on to it as to a follower; one that led and was let go no longer takes itself for the leader by hearsay. Who votes by a change went into the record with its end, from what the leader had checked: one started anew in between had not, and the voters stayed as they were. It now goes in with the close, beside the scopes. And these scopes are what a tighter rule has purged: started anew, the change was held against the set-up's own policy where another was in force. It waits until the one in force is known.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,7 +51,7 @@
 	From   []int64  `cbor:"13,keyasint,omitempty"` // Bind: whose boundary they follow
 	Counts *Counts  `cbor:"14,keyasint,omitempty"` // Erased
 	Wall   int64    `cbor:"15,keyasint,omitempty"` // when it was asked for, by the clock of who asked
-	Voters []string `cbor:"16,keyasint,omitempty"` // Force: who votes from now on, as name=address; empty: as before
+	Voters []string `cbor:"16,keyasint,omitempty"` // Close: who votes once it is in force, as name=address; empty: as before
 	Scopes []Scope  `cbor:"17,keyasint,omitempty"` // Close: what the policy leaves outside, to be purged once it is in force
 }
 
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -320,7 +320,7 @@
 			return
 		}
 		if k := c.checks[u.ID]; len(wait) == 0 && k != nil && k.done {
-			c.once("close "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Close, ID: u.ID, Scopes: k.scopes}) })
+			c.once("close "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Close, ID: u.ID, Scopes: k.scopes, Voters: k.voters}) })
 		}
 		c.wait(u.ID, wait)
 	case record.Closing:
@@ -330,11 +330,7 @@
 			return
 		}
 		if len(wait) == 0 || !waitForClosed {
-			e := &fleet.Entry{Kind: fleet.Force, ID: u.ID}
-			if k := c.checks[u.ID]; k != nil && k.done {
-				e.Voters = k.voters
-			}
-			c.once("force "+u.ID, func() { c.propose(e) })
+			c.once("force "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Force, ID: u.ID}) })
 		}
 		c.wait(u.ID, wait)
 	case record.Decided:
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -135,6 +135,9 @@
 	}
 	c.askedAt = 0
 	if !g.Given {
+		if g.Leader == c.b.Self.Name { // it led, and another may not know better yet
+			return
+		}
 		if g.Leader != c.leader && c.vote == nil || c.leader == "" {
 			if c.leader = g.Leader; c.leader != "" && c.leader != from {
 				c.renewAt = c.now
@@ -189,9 +192,6 @@
 // this run's first lease it is told nothing: what is known may be old.
 func (c *Core) reconcile() {
 	u := c.state.Under()
-	if u != nil && c.checks[u.ID] == nil {
-		c.check(u.ID, u.Version, u.Policy)
-	}
 	if !c.caught || c.bad != nil {
 		return
 	}
@@ -212,14 +212,21 @@
 		c.seen = max(1, c.state.Index)
 		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Pictured, Picture: c.state.Picture()}})
 	}
-	if u != nil && u.Phase == record.Closing || c.open == c.state.Version {
-		return
-	}
 	have, sum := c.policies[c.state.Version], xxhash.Sum64(c.state.Policy)
-	if have == nil || have.sum != sum {
-		if key := fmt.Sprintf("in force %d %x", c.state.Version, sum); c.checks[key] == nil {
+	if c.open != c.state.Version && (have == nil || have.sum != sum) {
+		have = nil
+		key := fmt.Sprintf("in force %d %x", c.state.Version, sum)
+		if c.checks[key] == nil {
 			c.check(key, c.state.Version, c.state.Policy)
 		}
+		if !c.checks[key].done {
+			return // the next is held against it
+		}
+	}
+	if u != nil && c.checks[u.ID] == nil {
+		c.check(u.ID, u.Version, u.Policy)
+	}
+	if u != nil && u.Phase == record.Closing || c.open == c.state.Version || have == nil {
 		return
 	}
 	c.open, c.opened, c.shutFor, c.closed = c.state.Version, 0, "", ""
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -152,6 +152,9 @@
 	if c.vote != nil && c.now >= c.vote.Due() {
 		c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Tick}))
 	}
+	if c.vote != nil && !c.voting(c.b.Self.Name) {
+		c.retire()
+	}
 	c.takeUp()
 	c.grant()
 	c.drive()
@@ -348,13 +351,18 @@
 // moved: the state has changed.
 func (c *Core) moved() {
 	c.stirred, c.behind = true, true
-	if c.vote != nil && !c.votes() && !c.leads {
+	c.lease()
+	c.reconcile()
+}
+
+// retire ends voting where the record names others. Not before agreement itself counts
+// without this controller: until then it takes a majority of those who voted to change them.
+func (c *Core) retire() {
+	if c.vote != nil && len(c.state.Voters) > 0 && !c.votes() && !c.leads {
 		c.vote, c.leader = nil, ""
 		c.coming = c.state.Index
 		c.say(true, "this controller votes no more")
 	}
-	c.lease()
-	c.reconcile()
 }
 
 // takeUp begins to vote where the record names this controller, once nothing of what it
@@ -390,12 +398,13 @@
 
 // followed takes what the leader passes on to those who don't vote.
 func (c *Core) followed(from string, f *Follow) {
-	if f.Leader != "" && c.vote == nil {
-		c.leader = f.Leader
-	}
+	c.retire() // who leads passes the record on to those only who don't vote with it
 	if c.vote != nil {
 		return
 	}
+	if f.Leader != "" {
+		c.leader = f.Leader
+	}
 	if s := f.Snapshot; s != nil && s.Index > c.coming {
 		c.coming = s.Index
 		c.store(&agree.Kept{Snapshot: s}, func() { c.restore(s) })
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -64,6 +64,8 @@
 	wake   time.Duration
 	word   fleet.Word
 	orders []fleet.Order
+	checks []string // asked for, and done
+	idle   string   // a change that it never comes to check
 }
 
 func newStage(t *testing.T, seed uint64, voters, followers int, lease time.Duration) *stage {
@@ -91,7 +93,7 @@
 	a.run = a.starts
 	a.begin.Boot = uint64(a.starts)
 	a.begin.Kept = a.disk
-	a.word = fleet.Word{}
+	a.word, a.checks = fleet.Word{}, nil
 	core, effects, err := New(a.begin)
 	if err != nil {
 		a.t.Fatal(err)
@@ -123,6 +125,9 @@
 				a.step(Event{Kind: Stored})
 			})
 		case Check:
+			if a.checks = append(a.checks, "asked "+e.Change); e.Change == a.idle {
+				continue
+			}
 			a.later(time.Millisecond, func() {
 				why := ""
 				if string(e.Text) == "bad for "+a.name {
@@ -132,6 +137,7 @@
 				if voters, ok := strings.CutPrefix(string(e.Text), "voters "); ok {
 					ev.Voters = strings.Fields(voters)
 				}
+				a.checks = append(a.checks, "done "+e.Change)
 				a.step(ev)
 			})
 		case Order:
@@ -502,3 +508,55 @@
 		t.Error("it isn't waited for, and may be given a lease that knows nothing of what is decided meanwhile")
 	}
 }
+
+// What a change leaves outside, and who votes by it, follow from it and the policy in force.
+// Whoever comes to lead in the middle, started anew, must know both alike.
+func TestALeaderStartedAnewInTheMiddleOfAChange(t *testing.T) {
+	s := newStage(t, 10, 3, 1, 500*time.Millisecond)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	anew := func() {
+		for _, n := range s.names[:3] {
+			s.all[n].run = 0
+			s.all[n].start()
+		}
+	}
+	f := s.all["f0"]
+	f.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "apply", ID: "c1", Base: 1, Policy: []byte("x")}})
+	s.until(5*time.Second, "in force", func() bool { return s.word(f, 1) != nil })
+	f.idle = "c2"
+	f.step(Event{Kind: Asked, Handle: 2, Ask: &fleet.Ask{Kind: "apply", ID: "c2", Base: 2, Policy: []byte("voters f0=f0:1"), Wait: 60000}})
+	checked := func(a *actor) bool { return slices.Contains(a.checks, "done c2") }
+	s.until(5*time.Second, "it is checked", func() bool { return checked(s.all["v0"]) && checked(s.all["v1"]) && checked(s.all["v2"]) })
+	anew()
+	s.until(9*time.Second, "it is checked again", func() bool { return s.leader() != nil && checked(s.leader()) })
+	if l := s.leader().checks; !strings.HasPrefix(l[0], "asked in force 2") || !strings.HasPrefix(l[1], "done in force 2") || l[2] != "asked c2" {
+		t.Errorf("it is held against what isn't in force: %q", l)
+	}
+	f.step(Event{Kind: Checked, Change: "c2", Voters: []string{"f0=f0:1"}})
+	s.until(5*time.Second, "closing", func() bool { return f.core.state.Changes["c2"].Phase == record.Closing })
+	anew()
+	s.until(20*time.Second, "in force", func() bool { return s.word(f, 2) != nil })
+	if w := s.word(f, 2); w.Word != record.InForce || !slices.Equal(f.core.state.Voters, []string{"f0=f0:1"}) {
+		t.Errorf("%+v, voters %v", w, f.core.state.Voters)
+	}
+}
+
+func TestAllVotersAreReplacedAtOnce(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newStage(t, 20+seed, 3, 3, 500*time.Millisecond)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		a := s.all["f0"]
+		a.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "apply", ID: "c1", Base: 1, Policy: []byte("voters f0=f0:1 f1=f1:1 f2=f2:1"), Wait: 60000}})
+		s.until(20*time.Second, "in force", func() bool { return s.word(a, 1) != nil })
+		s.until(20*time.Second, "the old ones follow, all serve", func() bool {
+			return s.all["v0"].core.vote == nil && s.all["v1"].core.vote == nil && s.all["v2"].core.vote == nil && s.serve(s.names...)
+		})
+		for _, n := range []string{"v0", "v1", "v2"} {
+			s.all[n].run = 0
+		}
+		for end := s.now + 2*time.Second; s.now < end; {
+			s.next()
+		}
+		s.until(10*time.Second, "the new ones serve alone", func() bool { return s.serve("f0", "f1", "f2") })
+	}
+}
--- a/internal/fleet/record/state.go
+++ b/internal/fleet/record/state.go
@@ -34,7 +34,8 @@
 	AtMost  int64
 	At      uint64 // its place in the record
 	Scopes  []fleet.Scope
-	Settled bool // what it left outside is gone, too
+	Voters  []string // none: as before
+	Settled bool     // what it left outside is gone, too
 }
 
 // Over: nothing more becomes of it but being settled.
@@ -147,14 +148,14 @@
 		s.propose(e)
 	case fleet.Close:
 		if c != nil && c.Phase == Proposed {
-			c.Phase, c.Scopes = Closing, e.Scopes
+			c.Phase, c.Scopes, c.Voters = Closing, e.Scopes, e.Voters
 		}
 	case fleet.Force:
 		if c != nil && c.Phase == Closing {
 			c.Phase = Decided
 			s.Version, s.Policy = c.Version, c.Policy
-			if len(e.Voters) > 0 {
-				s.Voters = e.Voters
+			if len(c.Voters) > 0 {
+				s.Voters = c.Voters
 			}
 		}
 	case fleet.Withdraw:
