--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -237,7 +237,13 @@
 	}
 	a := &asking{c: c, msg: msg}
 	q, why := c.take(a, string(name), string(id), patience, k, keyed, statement, From{c.link.From, all})
-	if why != "" {
+	switch why {
+	case "":
+	case tooMuch: // counted as a fault it would in the end cost what else is open on the connection
+		c.tally.deferred++
+		c.answer(clients.Deferred(nil, msg, c.span("return.most")))
+		return
+	default:
 		c.Wrong(msg, why)
 		return
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -40,6 +40,7 @@
 	carries   *call // the one written last, until it was answered: it may arrive yet
 	idleSince time.Duration
 	last      *submission // whose call it carried last
+	ranked    bool        // that changed a priority
 	looked    bool        // that was a probe, and all was well
 }
 
@@ -127,12 +128,13 @@
 
 // idle finds a line that its engine is not about to close, the one used last.
 // One that has just answered goes on with the same query only: a second copy
-// of an answer there fits none of its further calls, or says the same. After a
-// good look it goes on with any: a copy of that fits no call but a look, and
+// of an answer there fits none of its further calls, or says the same; but for a
+// changed priority's, which would say that it was given up before that has come.
+// After a good look it goes on with any: a copy of that fits no call but a look, and
 // what was looked at is sent to at once. Else each look costs two connections.
 func (r *Relay) idle(c *call) (found *line) {
 	for _, l := range c.e.lines {
-		if l.up && l.call == nil && !l.link.closed && (r.now-l.idleSince >= lineRest || c.s != nil && (l.last == c.s || l.looked)) &&
+		if l.up && l.call == nil && !l.link.closed && (r.now-l.idleSince >= lineRest || c.s != nil && (l.last == c.s && !(l.ranked && c.what == "DELETE") || l.looked)) &&
 			(found == nil || l.idleSince > found.idleSince) {
 			found = l
 		}
@@ -232,7 +234,7 @@
 		return
 	}
 	text := c.write(nil)
-	l.call, l.carries, l.last, l.looked, c.size = c, c, c.s, false, len(text)
+	l.call, l.carries, l.last, l.looked, l.ranked, c.size = c, c, c.s, false, c.what == "PUT", len(text)
 	if c.s != nil && c.keeps {
 		c.s.open++
 	}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -71,6 +71,10 @@
 	inHandMost int
 }
 
+// tooMuch is no fault of the call: the memory is all there is, and again later, or
+// elsewhere, it can be taken.
+const tooMuch = "too much is in hand"
+
 // unfit says why a call can't be taken, "" if it can.
 func (r *Relay) unfit(name, id string, patience time.Duration, keyed bool, size int) string {
 	g := r.groups[name]
@@ -84,7 +88,7 @@
 	case r.queries[id] != nil:
 		return "this trace is in hand"
 	case r.inHand+size > r.inHandMost:
-		return "too much is in hand" // the memory is all there is
+		return tooMuch
 	}
 	return ""
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -466,15 +466,18 @@
 		r.stopping, r.stopAt = true, r.now
 		r.say(false, "stopping once all is answered")
 		r.after(stopGrace, func() {})
+		r.after(stopStays, func() {})
 	}
 }
 
 // For stopGrace after the word to stop queries come as before: connections stay open and carry
 // new ones for 0.6 s, by the protocol. What comes after 0.7 s and is unanswered at SIGKILL is lost, and a
 // query may take longer than that waits; so from between the two on all that comes is turned away at once.
-// The end then waits for a moment in which none came, but no longer than stopMost from the word.
+// The end comes no sooner than stopStays, as a client's last one may still be on its way, and waits for
+// a moment in which none came, but no longer than stopMost from the word.
 const (
 	stopGrace = 650 * time.Millisecond
+	stopStays = 750 * time.Millisecond
 	stopQuiet = 100 * time.Millisecond
 	stopMost  = 2 * stopGrace
 )
@@ -497,7 +500,7 @@
 			r.warrant.shutDown()
 		}
 	}
-	busy := len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
+	busy := past < stopStays || len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
 	for _, c := range r.clients {
 		busy = busy || c.link.pending > 0 && (c.stuck < 0 || r.now-c.stuck < stopGrace)
 	}
