Who is forgotten stops at once; settled waits for what runs outside by the new version

A controller that was forgotten while it ran served on by a lease without an end, since nothing took it back, while nobody waited for it any more: it now stops when it hears of it, from the record or from who refuses it. What runs outside its sites was told once a second, so a tighter rule could be called settled by a figure from before it held; the figure now goes with the word that a version is opened. A client that asked for a purge by the id of a binding, which can be reckoned, took the answer that loads wait for. And what was told of purges is kept no longer than the record knows them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,7 +191,7 @@
 
 const (
 	Closed    ReportKind = iota // Change: nothing by the old version is being decided or written
-	Opened                      // Version
+	Opened                      // Version, Outside as with Sites
 	Unreached                   // ID: a purge; nothing from before comes out any more
 	Wiped                       // ID: gone from memory and disk here, with Counts
 	Sites                       // Sites that have engines which serve, Outside: submissions of bound teams that run outside their sites
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -127,10 +127,7 @@
 		return
 	}
 	if g.Why != "" {
-		if c.refused == "" {
-			c.refused = g.Why
-			c.wrong(&fleet.UnwantedError{Name: c.b.Self.Name, Why: g.Why})
-		}
+		c.unwanted(g.Why)
 		return
 	}
 	c.askedAt = 0
@@ -153,6 +150,18 @@
 	c.lease()
 }
 
+// unwanted: this name or disk never serves again. What it holds ends now, since a lease
+// without an end wouldn't by itself.
+func (c *Core) unwanted(why string) {
+	if c.refused != "" {
+		return
+	}
+	c.refused = why
+	c.wrong(&fleet.UnwantedError{Name: c.b.Self.Name, Why: why})
+	c.pending, c.until, c.untilBound = nil, 0, 0
+	c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Renewed}})
+}
+
 // lease makes those leases count whose record is applied. It counts from when it was
 // asked for, by this controller's own clock.
 func (c *Core) lease() {
@@ -164,7 +173,7 @@
 		until, bound = max(until, c.ends(p.sent, c.b.Lease)), max(bound, c.ends(p.sent, c.b.LeaseBound))
 		return true
 	})
-	if until <= c.until && bound <= c.untilBound || c.bad != nil {
+	if until <= c.until && bound <= c.untilBound || c.bad != nil || c.refused != "" {
 		return
 	}
 	if !c.caught {
@@ -208,6 +217,8 @@
 	for _, id := range sorted(c.state.Purges) {
 		c.purge(c.state.Purges[id])
 	}
+	// the record knows old ones no more, and neither need this
+	maps.DeleteFunc(c.dropped, func(id string, _ bool) bool { return c.state.Purges[id] == nil })
 	if c.state.Seen > c.seen || c.seen == 0 {
 		c.seen = max(1, c.state.Index)
 		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Pictured, Picture: c.state.Picture()}})
@@ -293,8 +304,8 @@
 			c.closed, c.news = r.Change, true
 		}
 	case fleet.Opened:
-		if r.Version == c.open {
-			c.opened, c.news = r.Version, true
+		if r.Version == c.open { // with what runs outside by this version: that by the one before is of no use
+			c.opened, c.outside, c.news = r.Version, r.Outside, true
 		}
 	case fleet.Unreached:
 		c.news = c.news || !c.here[r.ID]
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -351,6 +351,9 @@
 // moved: the state has changed.
 func (c *Core) moved() {
 	c.stirred, c.behind = true, true
+	if m := c.state.Members[c.b.Self.Name]; m != nil && m.Forgotten {
+		c.unwanted("its name was forgotten: the disk that had it is taken for destroyed")
+	}
 	c.lease()
 	c.reconcile()
 }
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -560,3 +560,40 @@
 		s.until(10*time.Second, "the new ones serve alone", func() bool { return s.serve("f0", "f1", "f2") })
 	}
 }
+
+// A controller whose disk is said to be destroyed, and which isn't, stops at once, also
+// where its lease has no end. What purges it was told is kept no longer than they are.
+func TestWhoIsForgottenServesNoMore(t *testing.T) {
+	for _, lease := range []time.Duration{0, 500 * time.Millisecond} {
+		s := newStage(t, 11, 3, 1, lease)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		l, f := s.leader(), s.all["f0"]
+		l.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "forget", ID: "x", Name: "f0"}})
+		s.until(2*time.Second, "it stops", func() bool { return !s.serve("f0") })
+		for end := s.now + 3*time.Second; s.now < end; s.next() {
+			if s.serve("f0") {
+				t.Fatalf("lease %v: it serves again", lease)
+			}
+		}
+		f.run = 0
+		f.start()
+		for end := s.now + 3*time.Second; s.now < end; s.next() {
+			if s.serve("f0") {
+				t.Fatalf("lease %v: it serves once started anew", lease)
+			}
+		}
+	}
+}
+
+// What runs outside is told with the version that makes it so: what was told of by the
+// one before is no reason to call a change settled.
+func TestWhatRunsOutsideGoesWithTheVersion(t *testing.T) {
+	s := newStage(t, 12, 1, 0, 500*time.Millisecond)
+	s.until(5*time.Second, "it serves", func() bool { return s.serve("v0") })
+	c := s.all["v0"].core
+	s.all["v0"].step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Sites, Sites: []string{"here"}}})
+	s.all["v0"].step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Opened, Version: 1, Outside: 2}})
+	if c.outside != 2 {
+		t.Errorf("%d outside", c.outside)
+	}
+}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -138,8 +138,10 @@
 		w.picture = o.Picture
 		w.placing.pictured(o.Picture)
 	case fleet.Answered:
-		if w.purging != nil && w.purging.answered(o.ID, o.Reply) || w.placing.answered(o.ID, o.Reply) {
-			return
+		// both, whatever the first says: a client may ask for any id, a binding's too
+		w.placing.answered(o.ID, o.Reply)
+		if w.purging != nil {
+			w.purging.answered(o.ID, o.Reply)
 		}
 	}
 }
@@ -171,7 +173,7 @@
 		}
 	}
 	w.Word.Set(o.Version)
-	w.report(fleet.Report{Kind: fleet.Opened, Version: o.Version})
+	w.report(fleet.Report{Kind: fleet.Opened, Version: o.Version, Outside: w.placing.outside()})
 	w.look()
 }
 
--- a/internal/relay/placing_test.go
+++ b/internal/relay/placing_test.go
@@ -251,3 +251,36 @@
 		t.Fatalf("only %d bound submissions: nothing was tried", sent)
 	}
 }
+
+// With the word that it decides by a tighter rule goes how much runs outside of that.
+func TestWhatRunsOutsideIsToldWithTheVersion(t *testing.T) {
+	s := placedStage(t, 3, "a", nil)
+	s.rules(1)
+	a := s.query(s.connect(), "lookup", "", 9*time.Second, 1, "who", "bank")
+	at := s.one("POST", a.id).m.site
+	within := slices.DeleteFunc([]string{"a", "b", "c"}, func(x string) bool { return x == at })
+	s.rules(2, residency.Rule{Name: "r", Team: "bank", Engines: within, Controllers: []string{"a"}})
+	for _, p := range s.reports {
+		if p.Kind == fleet.Opened && p.Version == 2 && p.Outside != 1 {
+			t.Errorf("%+v", p)
+		}
+	}
+}
+
+// The answer to a binding reaches the loads that wait for it, also where a client asks for
+// a purge by the same id.
+func TestAClientCantTakeABindingsAnswer(t *testing.T) {
+	s := placedStage(t, 3, "a", nil)
+	s.rules(1, residency.Rule{Name: "r", Team: "bank", Tables: []int64{1}, Engines: []string{"a"}, Follows: true})
+	s.r.purges = newPurges(s.r)
+	s.r.warrant.purging = s.r.purges
+	c := s.connect()
+	s.body = "insert into d_5.x select * from d_1.y"
+	a := s.query(c, "load", "k", 9*time.Second, 0, "who", "bank")
+	s.until(s.now + 10*time.Millisecond)
+	id := s.wanted()[0].ID
+	x := &purgeCall{c: s.r.clients[0], id: id, by: s.now + time.Minute}
+	s.r.purges.waits[id] = []*purgeCall{x}
+	s.order(fleet.Order{Kind: fleet.Answered, ID: id, Reply: &fleet.Reply{ID: id, Word: "bound"}})
+	s.one("POST", a.id)
+}
