Clients aren't ended for what came while the controller itself stood still

A client that had just connected and asked in time was closed as one that begins nothing, where the controller stood still for 2 s before it read: its query was lost.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -74,6 +74,7 @@
 	manners     manners
 	unread      int // bytes that clients have not taken yet
 	unreadMost  int
+	swept       time.Duration
 }
 
 // client is one connection from a client.
@@ -302,8 +303,19 @@
 // don't end, or nothing; and those idle for longer than clients keep theirs.
 func (r *Relay) sweepClients() {
 	r.unread = 0
+	// nobody is to blame for what we stood still ourselves: what came meanwhile is not read yet
+	stood := r.now - r.swept - sweepEvery
+	if r.swept = r.now; stood < sweepEvery {
+		stood = 0
+	}
 	var worst *client
 	for _, c := range slices.Clone(r.clients) {
+		if c.idle += stood; c.begun >= 0 {
+			c.begun += stood
+		}
+		if c.stuck >= 0 {
+			c.stuck += stood
+		}
 		p := c.link.pending
 		r.unread += p
 		c.heard = 0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1519,3 +1519,16 @@
 		t.Fatalf("the first: %q, the next came %d times", first.answer, len(next.subs))
 	}
 }
+
+// A client that asked in time is not to blame where we stood still and didn't read: its
+// connection was ended as one that begins nothing.
+func TestAStallOfOursIsNoClientsFault(t *testing.T) {
+	s := newStage(t, 1, 96, nil)
+	c := s.connect()
+	s.until(s.now + 100*time.Millisecond)
+	s.now += 2500 * time.Millisecond
+	s.step(Event{Kind: Woken})
+	if a := s.query(c, "lookup", "", 5*time.Second, 1); c.gone || s.one("POST", a.id) == nil {
+		t.Fatal("ended though it asked in time")
+	}
+}
