--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -25,6 +25,8 @@
 // text, so that a run can end and show them all.
 type History struct {
 	KeyRest time.Duration // after an end that isn't certain
+	Rests   bool          // every end that is no good one is such
+	Alone   bool          // no second copy may be out
 	Grace   time.Duration // for sends after a drain was told
 	Most    int           // submissions of a query, 0: any number
 	Faults  []string
@@ -36,6 +38,8 @@
 	// Answers counts what was told, by Answer.
 	Answers [3]int
 	Sent    int
+	// Ordered counts the runs of earlier ones that a later one of their key was held against.
+	Ordered int
 }
 
 type group struct {
@@ -106,12 +110,17 @@
 	}
 }
 
-// Submitted: an engine began to run it.
+// Submitted: it was sent to an engine, which began to run it at once.
 func (h *History) Submitted(now time.Duration, id, engine string, _ bool) {
-	h.Sent++
+	h.Written(now, id, engine)
+	h.Began(now, id, engine)
+}
+
+// Written: it left for an engine, where it may come later or never.
+func (h *History) Written(now time.Duration, id, engine string) {
 	q := h.queries[id]
 	if q == nil {
-		h.Broken(now, "an engine runs what nobody asked for: "+id)
+		h.Broken(now, "sent, and nobody asked for it: "+id)
 		return
 	}
 	if q.answered {
@@ -120,6 +129,16 @@
 	if s, told := h.states[engine]; told && !s.on && now > s.since+h.Grace {
 		h.Broken(now, fmt.Sprintf("rule 3: %s sent to %s %v after it left", id, engine, now-s.since))
 	}
+}
+
+// Began: an engine began to run it, however long after it was sent.
+func (h *History) Began(now time.Duration, id, engine string) {
+	h.Sent++
+	q := h.queries[id]
+	if q == nil {
+		h.Broken(now, "an engine runs what nobody asked for: "+id)
+		return
+	}
 	for _, r := range q.runs {
 		if q.group.mutating {
 			h.Broken(now, fmt.Sprintf("rule 2: %s ran at %s and again at %s", id, r.engine, engine))
@@ -127,24 +146,42 @@
 		if r.engine == engine && !r.ended {
 			h.Broken(now, "two of one query at one engine: "+id)
 		}
+		if h.Alone && !r.ended {
+			h.Broken(now, fmt.Sprintf("rule 2: %s runs at %s and at %s", id, r.engine, engine))
+		}
 	}
 	if h.Most > 0 && len(q.runs) >= h.Most {
 		h.Broken(now, "rule 7: too many submissions of "+id)
 	}
+	if q.group.ordered {
+		h.inTurn(now, q)
+	}
+	q.runs = append(q.runs, &run{engine: engine, at: now})
+}
+
+// inTurn: none of its key that came before it is open or runs, nor did any that came later.
+func (h *History) inTurn(now time.Duration, q *query) {
+	before := true
 	for _, x := range h.keys[q.key] {
-		if x == q || !q.group.ordered {
-			break
-		}
-		if !x.answered && !x.left {
-			h.Broken(now, fmt.Sprintf("rule 5: %s sent before %s of its key is over", id, x.id))
-		}
-		for _, r := range x.runs {
-			if !r.ended {
-				h.Broken(now, fmt.Sprintf("rule 5: %s sent while %s of its key runs", id, x.id))
+		switch {
+		case x == q:
+			before = false
+		case before && !x.answered && !x.left:
+			h.Broken(now, fmt.Sprintf("rule 5: %s sent before %s of its key is over", q.id, x.id))
+		case before:
+			for _, r := range x.runs {
+				h.Ordered++
+				switch {
+				case !r.ended:
+					h.Broken(now, fmt.Sprintf("rule 5: %s sent while %s of its key runs", q.id, x.id))
+				case h.Rests && !r.ok && now < r.over+h.KeyRest:
+					h.Broken(now, fmt.Sprintf("rule 5: %s begins %v after %s of its key was given up", q.id, now-r.over, x.id))
+				}
 			}
+		case len(x.runs) > 0:
+			h.Broken(now, fmt.Sprintf("rule 5: %s begins after %s of its key, which came later", q.id, x.id))
 		}
 	}
-	q.runs = append(q.runs, &run{engine: engine, at: now})
 }
 
 // Ended: an engine has it no more; ok if it came to a good end.
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -47,6 +47,23 @@
 			h.Answered(3, "l1", Killed, nil, nil)
 			h.Submitted(4, "l2", "e", true)
 		},
+		"rule 5: l1 begins after l2": func(h *History) {
+			h.Answered(2, "l1", Killed, nil, nil)
+			h.Submitted(3, "l2", "e", true)
+			h.Began(4, "l1", "f")
+		},
+		"rule 5: l2 begins 100ms after l1": func(h *History) {
+			h.Rests = true
+			h.Submitted(2, "l1", "e", true)
+			h.Answered(3, "l1", Killed, nil, nil)
+			h.Ended(4, "l1", "e", false)
+			h.Submitted(4+100*time.Millisecond, "l2", "e", true)
+		},
+		"rule 2: a runs at e and at f": func(h *History) {
+			h.Alone = true
+			h.Submitted(2, "a", "e", true)
+			h.Submitted(3, "a", "f", true)
+		},
 		"rule 7": func(h *History) {
 			for i, e := range []string{"e", "f", "g", "h"} {
 				h.Submitted(time.Duration(2+i), "a", e, true)
