Where nothing tells what engines hold, an even part is held to in the mean

A part is 4 to 7 threads and a report takes 3, so one gateway's traffic leaves its part at any moment though all gateways together do not.

Change: what was left of the part of late, over the span that rates are taken over, may go within a second on top; who uses all of it stays at an even part. A mere guess of how full an engine is turns away no light query of the group worth most for its work until it is twice as full. Taken for granted until now: that a gateway's own traffic is even at each moment. It holds for any deployment that tells nothing of load and lets nothing be asked, whatever the cause of uneven traffic; it may hurt where all gateways turn busy at once after a calm, for some five seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,9 +1,6 @@
-// Package decide holds the decisions of a railrelay gateway, all in this file.
-//
-// New (door.go) makes a Gateway for one instance from an Actor, a seed and a plain map of settings;
-// an adapter then calls the methods of Gate, each with the time since the start, and the Gateway acts
-// through its Actor before it returns. Both are in interface.go, plain state in state.go, due times in
-// internal/due, chance in pcg.go. Nothing blocks, reads a clock, or knows the wire in front of it.
+// Package decide holds the decisions of a railrelay gateway, all in this file. New (door.go) makes a Gateway
+// from an Actor, a seed and a map of settings; an adapter calls the methods of Gate, each with the time since
+// the start, and the Gateway acts through its Actor before it returns. Nothing blocks or reads a clock.
 //
 // The ordinary path follows Gargamel (docs/design.md): loads go into a chain per table group, the rest into
 // a queue per resource group, release lets them out in arrival order and pick draws an engine. submit is the
@@ -323,8 +320,7 @@
 	return g.rng.draw(clear, g.room), barred && len(unseen) == 0
 }
 
-// away: a light query brings little work for the way between locations that it costs, and so it
-// goes to another only for want of room; heavy ones, few, even the load out between them.
+// away: a light query goes to another location only for want of room; heavy ones, few, even the load out.
 func (g *Gateway) away(q *query, e *engine) int {
 	if e.home || !g.light(q.rg) {
 		return 0
@@ -350,7 +346,7 @@
 	case len(e.out) == 0 && bound >= 1 && g.dealt(e, bound/q.rg.threads),
 		e.threads+q.rg.threads <= bound && e.memory+g.needs(q) <= ram:
 		return true
-	case g.pressed(e):
+	case g.pressed(e, q):
 		return false
 	}
 	// among many one's part is less than a query: it binds in the mean, once most are full; all would go to few
@@ -372,20 +368,26 @@
 // lately: it turned a query away as full a moment ago.
 func (g *Gateway) lately(e *engine) bool { return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second }
 
-func (g *Gateway) pressed(e *engine) bool {
+func (g *Gateway) pressed(e *engine, q *query) bool {
 	// with a small share of one's own the bound rations next to nothing: an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
+	if !g.looks && g.fillSeen.count == 0 && q.rg == g.ranked[0] && g.light(q.rg) {
+		full *= 2 // a mere guess doesn't turn away what costs least for its worth
+	}
 	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full
 }
 
-// ownShare is one's own part of all work: by what was out of late against what
-// engines report to hold, an even part where they don't.
+// ownShare is one's own part of all work: by what was out of late against what engines report to hold. Where
+// nothing tells, an even part in the mean: what was left of it of late may go within a second on top, since
+// what one gateway's few queries take goes up and down far more than what all of them do.
 func (g *Gateway) ownShare() float64 {
 	n := max(1, g.facts.num("gateways", 1))
-	if g.allHeld.count == 0 {
+	threads, _, _, cores := g.sums()
+	if even := threadsPerCore * cores / n; !g.looks && g.fillSeen.count == 0 {
+		return min(1, (1+flowSpan.Seconds()*max(0, 1-g.recent.or(threads)/max(1, even)))/n)
+	} else if g.allHeld.count == 0 {
 		return 1 / n
 	}
-	g.on()
 	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, g.warm)/g.allHeld.value))
 }
 
@@ -507,7 +509,6 @@
 	return g.now >= e.coldUntil || g.coldFits(q, e) // 4
 }
 
-// guess is the work of a group's query while nothing is known of it.
 func (rg *resourceGroup) guess() float64 { return rg.target.Seconds() / 2 * rg.threads }
 
 // usual is a group's ordinary work, corrected by its best times where estimates are off.
@@ -710,8 +711,7 @@
 	e.silent, e.heardAt = false, g.now
 }
 
-// unanswered: a look that came to nothing, whatever took the engine, a crash, a cut
-// link or a long stall; the list will tell of it seconds later, if at all.
+// unanswered: a look that came to nothing, by a crash, a cut link or a stall; the list tells late, if at all.
 func (g *Gateway) unanswered(e *engine) {
 	e.report, e.restUntil = nil, max(e.restUntil, g.now+2*time.Second)
 }
@@ -808,6 +808,7 @@
 	g.stale = true // some are warm by now
 	threads, memory, count, _ := g.sums()
 	g.usualThreads.add(threads, 300)
+	g.recent.add(threads, flowSpan.Seconds()/tick.Seconds())
 	g.usualMemory.add(memory, 300)
 	g.usualCount.add(count, 300)
 	g.share = g.ownShare()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -149,6 +149,7 @@
 func TestBoundBindsUnderPressureOnlyAndOthersAreTriedFirst(t *testing.T) {
 	w := newWorld(t, 1, nil)
 	w.report("e0", map[string]float64{"held": 0})
+	w.pass(100 * ms) // now that engines tell, one's part is by that
 	for range 11 {
 		w.take(0, 5, -1, 5*sec)
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -35,9 +35,9 @@
 	g.longest = max(g.longest, f.span("cold.span", 0), chainWindow) + f.span("key.rest", 0)
 	g.nobody.quota = math.Inf(1)
 	g.seq = uint64(g.rng.next()) // gateways must not draw alike
+	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
 	g.ranked, g.share = slices.Clone(g.groups), g.ownShare()
 	g.counts = slices.Contains(f.list("report.figures"), "held") || f.text["report.figures"] == ""
-	g.looks = f.yes("may.probe") && f.text["report.how"] != "off"
 	if f.yes("may.name-return") {
 		g.comeBack = f.span("return.most", 0)
 	}
--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -25,14 +25,14 @@
 func TestBusyCoresStandForQueriesHeld(t *testing.T) {
 	w := busyOnly(t, 2, nil)
 	e := w.g.engines[0]
-	if w.report("e0", map[string]float64{"cores": 0.9}); w.g.filled(e) < 0.89 || !w.g.pressed(e) {
+	if w.report("e0", map[string]float64{"cores": 0.9}); w.g.filled(e) < 0.89 || !w.g.pressed(e, &query{rg: w.g.groups[1]}) {
 		t.Fatalf("nine tenths of the cores busy, and %.2f full", w.g.filled(e))
 	}
 	for range 4 {
 		e.out = append(e.out, &submission{q: &query{rg: w.g.groups[1]}, threads: 3})
 	}
 	e.threads = 12
-	if w.report("e0", map[string]float64{"cores": 0.03}); !w.g.pressed(e) {
+	if w.report("e0", map[string]float64{"cores": 0.03}); !w.g.pressed(e, &query{rg: w.g.groups[1]}) {
 		t.Fatalf("four of one's own there, of sixteen gateways', and %.2f full", w.g.filled(e))
 	}
 }
@@ -310,3 +310,33 @@
 		t.Fatalf("full engines told of for three seconds, and %.2f full", w.g.fillSeen.value)
 	}
 }
+
+// Where nothing tells what engines hold, an even part is held to in the mean and not at each moment, and by a mere
+// guess of how full they are a light query worth most for its work isn't turned away.
+func TestAnEvenPartIsHeldToInTheMean(t *testing.T) {
+	w := newWorld(t, 10, map[string]string{"gateways": "40", "may.probe": "false", "report.how": "off", "note.period": "0"})
+	w.g.groups[0].slots.add(0.2, 100) // worth most for what it takes
+	w.pass(sec)
+	even := 1.0 / 40
+	if w.g.share < 4*even {
+		t.Fatalf("nothing used of late, and a part of %.3f where an even one is %.3f", w.g.share, even)
+	}
+	// 2 threads on each of 80 cores for 40 gateways: 4 are one's own; they are in use for long
+	for _, e := range w.g.engines[:2] {
+		e.threads, e.out = 3, []*submission{{q: &query{rg: w.g.groups[1]}, e: e, threads: 3, at: time.Hour}}
+	}
+	w.g.stale = true
+	for range 300 {
+		w.g.periodic()
+	}
+	if w.g.share != even {
+		t.Fatalf("more than the part in use for long, and a part of %.3f where an even one is %.3f", w.g.share, even)
+	}
+	e := w.g.engines[0]
+	e.threads = 3
+	light, heavy := &query{rg: w.g.groups[0]}, &query{rg: w.g.groups[1]}
+	w.g.meanWork.value = 1 + w.g.usual(light.rg)
+	if full := w.g.filled(e); full < 0.85 || full > 1.7 || w.g.pressed(e, light) || !w.g.pressed(e, heavy) {
+		t.Fatalf("%.2f full by guess; pressed for light ones %v, for heavy ones %v", full, w.g.pressed(e, light), w.g.pressed(e, heavy))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -258,6 +258,7 @@
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
 	usualThreads, usualMemory, usualCount mean
+	recent                                mean // threads, over less
 	probeLeft                             float64
 	fillSeen, meanWork                    mean
 	askedAt, seenAt                       time.Duration
