--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -19,7 +19,7 @@
 	var detail bool
 	program, planted := "bin/railrelay", ""
 	measure := &cobra.Command{Use: "measure NAME", Short: "run a measurement, in under 50 s", Args: cobra.ExactArgs(1),
-		ValidArgs: []string{"fair", "spool", "together"}, RunE: func(c *cobra.Command, args []string) error {
+		ValidArgs: []string{"fair", "spool", "together", "fleet"}, RunE: func(c *cobra.Command, args []string) error {
 			switch args[0] {
 			case "fair":
 				return lab.MeasureFair(c.OutOrStdout(), seed, detail)
@@ -27,8 +27,10 @@
 				return lab.MeasureSpool(c.Context(), c.OutOrStdout(), program, seed)
 			case "together":
 				return lab.MeasureTogether(c.Context(), c.OutOrStdout(), program, planted, seed, detail)
+			case "fleet":
+				return lab.MeasureFleet(c.Context(), c.OutOrStdout(), program, seed)
 			}
-			return fmt.Errorf("no measurement is called %q: there are fair, spool and together", args[0])
+			return fmt.Errorf("no measurement is called %q: there are fair, spool, together and fleet", args[0])
 		}}
 	measure.Flags().Uint64Var(&seed, "seed", 1, "what is drawn at random follows from")
 	measure.Flags().StringVar(&program, "program", program, "the controller")
@@ -77,7 +79,20 @@
 		}}
 	sought.Flags().StringVar(&planted, "planted", "bin/planted", "where they are")
 	sought.Flags().BoolVar(&list, "list", false, "only name tags and packages")
-	root.AddCommand(sought, measure, try, speed, large)
+	from, plays := uint64(1), 2000
+	fleets := &cobra.Command{Use: "fleets", Short: "play drawn fleets in virtual time, and say how the first broke a rule", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			runs, ordered, late, broken, first := lab.Hunt(c.Context(), from, plays, time.Hour)
+			fmt.Fprintf(c.OutOrStdout(), "runs=%d rules_broken=%d order_checked=%d late_deliveries=%d\n", runs, broken, ordered, late)
+			if first == nil {
+				return nil
+			}
+			first.Explain(c.OutOrStdout())
+			return fmt.Errorf("seed %d breaks a rule", first.Seed)
+		}}
+	fleets.Flags().Uint64Var(&from, "seed", 1, "of the first")
+	fleets.Flags().IntVar(&plays, "plays", plays, "how many")
+	root.AddCommand(fleets, sought, measure, try, speed, large)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -42,6 +42,7 @@
 	Calls                float64       // the part of calls that something befalls on their way
 	Lag                  time.Duration // the most by which the list comes late
 	Ills                 []Ill
+	Traced               bool
 }
 
 // DrawFleet draws a day.
@@ -83,6 +84,7 @@
 	ColdWork, ColdAble float64  // core seconds sent to cold ones, and what they could do meanwhile
 	Trace              []string // the last of what happened
 	Took               map[string]int
+	Arrivals           time.Duration // what controllers took for queries as they came
 }
 
 type fleetRun struct {
@@ -221,16 +223,14 @@
 	return &f.out
 }
 
+// say keeps the last of what happened, up to where a rule was first broken.
 func (f *fleetRun) say(format string, more ...any) {
-	if f.quiet {
+	if !f.Traced || f.quiet {
 		return
 	}
 	f.out.Trace = append(f.out.Trace, f.now.String()+" "+fmt.Sprintf(format, more...))
-	broken := false
-	for _, c := range f.all {
-		broken = broken || len(c.history.Faults) > 0
-	}
-	if f.quiet = broken; !broken && len(f.out.Trace) > 4000 {
+	f.quiet = slices.ContainsFunc(f.all, func(c *fleetController) bool { return len(c.history.Faults) > 0 })
+	if !f.quiet && len(f.out.Trace) > 4000 {
 		f.out.Trace = append([]string{}, f.out.Trace[2000:]...)
 	}
 }
@@ -306,12 +306,19 @@
 	}
 	f.all = append(f.all, c)
 	r, effects := relay.New(relay.Means{Seed: f.rng.Uint64(), MemoryMB: 256, Sockets: 512, Feed: "feed", Known: f.log.Known(), Facts: facts,
-		Started: time.UnixMilli(fleetEpoch), Manners: []relay.Manners{{From: Homes, Open: 100_000, Messages: 100_000}}})
+		Started: time.UnixMilli(fleetEpoch), Manners: []relay.Manners{{From: Homes, Open: 100_000, Messages: 100_000, Idle: time.Minute}}})
 	c.r = r
 	c.perform(effects)
-	c.client = &fleetEnd{link: &relay.Link{From: Home}, client: true}
-	c.ends[c.client.link] = c.client
-	c.step(relay.Event{Kind: relay.Accepted, Link: c.client.link})
+}
+
+// connects has the clients' connection stand: one that says nothing is ended.
+func (c *fleetController) connects() {
+	if c.client == nil || c.client.gone {
+		c.client = &fleetEnd{link: &relay.Link{From: Home}, client: true}
+		c.ends[c.client.link] = c.client
+		end := c.client
+		c.deliver(func() { c.step(relay.Event{Kind: relay.Accepted, Link: end.link}) })
+	}
 }
 
 func number(text string) float64 {
@@ -338,7 +345,7 @@
 		msg++
 		id := fmt.Sprintf("%04x%012x", c.n, msg)
 		work := engine.Work{Threads: k.Threads, MemoryMB: k.MemoryMB, Tables: int64(c.rng.IntN(20)), Load: k.Load, Rows: k.Rows}
-		work.CPU = time.Duration(float64(k.CPU) * math.Exp(c.rng.NormFloat64()*k.Spread))
+		work.CPU = time.Duration(float64(k.CPU) * math.Exp(c.rng.NormFloat64()*k.Spread-k.Spread*k.Spread/2))
 		work.Disk = time.Duration(float64(work.CPU) / k.Threads * k.Disk)
 		patience := k.Patience/2 + time.Duration(c.rng.Int64N(int64(k.Patience/2)))
 		fields := []string{"trace", id, "patience", fmt.Sprint(patience.Milliseconds())}
@@ -354,11 +361,15 @@
 			a := &world.Asked{ID: id, Group: k.Name, Msg: m, At: c.now, Until: c.now + patience, Work: work}
 			c.open[m], c.byID[id] = a, c
 			c.out.Asked++
+			c.connects()
+			end := c.client
 			p := caller.Call(nil, m, k.Name, engine.Statement(work), fields...)
 			c.deliver(func() {
 				// taken once it is read: a patience that passed while it stood still is the client's
 				c.history.Asked(c.now, id, k.Name, key, max(a.Until, c.now)+c.stood(a.At))
-				c.gets(c.client, p)
+				began := time.Now()
+				c.gets(end, p)
+				c.out.Arrivals += time.Since(began)
 			})
 		})
 		c.after(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
@@ -909,3 +920,12 @@
 	}
 	return d
 }
+
+// MassRestart is a fleet half of whose engines start anew, cold, within seven seconds.
+func MassRestart(seed uint64, controllers, engines int) FleetDay {
+	d := FleetDay{Seed: seed, Controllers: controllers, Engines: engines, Load: 0.6, Long: 18 * time.Second, Lag: 1500 * time.Millisecond}
+	for i := range engines / 2 {
+		d.Ills = append(d.Ills, Ill{Kind: "crash", At: 5*time.Second + time.Duration(i)*7*time.Second/time.Duration(engines/2), For: 2 * time.Second, Engine: i})
+	}
+	return d
+}
