A purge takes what was kept before a start, also by another record's places

Results on disk say at which place they were asked for. A controller without peers counted its purges from nothing at each start, so one after a start left what was kept after an earlier purge, and told purged all the same; so did the first purges of a fleet that a controller came to with what it had kept alone, or by a record that is lost. Alone it now goes on from what the disk held; in a fleet what bears a later place than its record has is taken as kept before all of it, for which the first picture goes to the reducer before the first purge.

--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -214,14 +214,16 @@
 		c.shutFor, c.open, c.opened = fmt.Sprintf("version %d", c.state.Version), 0, 0
 		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Shut, Change: c.shutFor}})
 	}
+	if c.seen == 0 { // nothing is taken yet, and purges are measured by it
+		c.pictured()
+	}
 	for _, id := range sorted(c.state.Purges) {
 		c.purge(c.state.Purges[id])
 	}
 	// the record knows old ones no more, and neither need this
 	maps.DeleteFunc(c.dropped, func(id string, _ bool) bool { return c.state.Purges[id] == nil })
-	if c.state.Seen > c.seen || c.seen == 0 {
-		c.seen = max(1, c.state.Index)
-		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Pictured, Picture: c.state.Picture()}})
+	if c.state.Seen > c.seen {
+		c.pictured()
 	}
 	have, sum := c.policies[c.state.Version], xxhash.Sum64(c.state.Policy)
 	if c.open != c.state.Version && (have == nil || have.sum != sum) {
@@ -246,6 +248,12 @@
 	c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Open, Version: c.open, Policy: have.policy}})
 }
 
+// pictured shows the reducer the state.
+func (c *Core) pictured() {
+	c.seen = max(1, c.state.Index)
+	c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Pictured, Picture: c.state.Picture()}})
+}
+
 // watched are the rules in force that name further sites.
 func (c *Core) watched() []fleet.Watched {
 	if have := c.policies[c.state.Version]; have != nil && c.open == c.state.Version {
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -135,6 +135,9 @@
 		w.report(fleet.Report{Kind: fleet.Unreached, ID: o.ID})
 		w.report(fleet.Report{Kind: fleet.Wiped, ID: o.ID})
 	case fleet.Pictured:
+		if w.paging != nil && w.picture.Index == 0 { // the first of this run
+			w.paging.core.Recorded(o.Picture.Index)
+		}
 		w.picture = o.Picture
 		w.placing.pictured(o.Picture)
 	case fleet.Answered:
--- a/internal/relay/purge_test.go
+++ b/internal/relay/purge_test.go
@@ -21,9 +21,13 @@
 // keeps is a world whose controller keeps results and answers, alone or in a fleet.
 func keeps(t *testing.T, word *fleet.Word, change ...func(*relay.Means)) *spooled {
 	d := disk.New()
+	return keepsOn(t, d, disk.NewIndex(d), word, change...)
+}
+
+func keepsOn(t *testing.T, d *disk.Disk, x *disk.Index, word *fleet.Word, change ...func(*relay.Means)) *spooled {
 	small := limits()
 	small.Memory = 200 << 10
-	return newSpooled(t, d, disk.NewIndex(d), small, nil, func(m *relay.Means) {
+	return newSpooled(t, d, x, small, nil, func(m *relay.Means) {
 		l := answers.Usual()
 		m.Answers = &l
 		m.Words.Whose = "team" // whose a call is, believed from anybody
@@ -272,3 +276,51 @@
 		t.Error(line)
 	}
 }
+
+// What was kept after a purge goes by the next, also where the program was started anew between.
+func TestPurgeAloneAfterAStart(t *testing.T) {
+	s := keeps(t, nil)
+	c := s.client()
+	first := s.purge(c, "patience", "1000", "team", "linz")
+	s.Until(time.Second)
+	kept := s.of(c, "linz", 3, "pages", "1")
+	s.Until(4 * time.Second)
+	if first.About["state"] != "purged" || kept.Paging["token"] == "" {
+		t.Fatalf("%+v %+v", first, kept.Paging)
+	}
+	steps := s.d.Steps()
+	d := s.d.After(steps, disk.Torn)
+	next := keepsOn(t, d, s.x.After(steps, d), nil)
+	if n, _, _ := next.R.Spooled(); n != 1 {
+		t.Fatalf("%d are kept over a start", n)
+	}
+	a := next.purge(next.client(), "patience", "1000", "team", "linz")
+	next.Until(next.Now + time.Second)
+	if n, _, _ := next.R.Spooled(); a.About["state"] != "purged" || a.About["results"] != "1" || n != 0 {
+		t.Errorf("%+v, %d left", a.About, n)
+	}
+}
+
+// What a controller kept alone, or by another record, goes by the first purge of its fleet.
+func TestWhatWasKeptByOtherPlacesIsPurged(t *testing.T) {
+	s := keeps(t, nil)
+	c := s.client()
+	for range 5 {
+		s.purge(c, "patience", "1000", "team", "linz")
+		s.Until(s.Now + 100*time.Millisecond)
+	}
+	s.of(c, "linz", 3, "pages", "1")
+	s.Until(s.Now + 4*time.Second)
+	steps := s.d.Steps()
+	d := s.d.After(steps, disk.Torn)
+	next := keepsOn(t, d, s.x.After(steps, d), &fleet.Word{})
+	if n, _, _ := next.R.Spooled(); n != 1 {
+		t.Fatalf("%d are kept over a start", n)
+	}
+	next.Order(fleet.Order{Kind: fleet.Pictured, Picture: &fleet.Picture{Index: 3}})
+	next.Order(fleet.Order{Kind: fleet.Drop, ID: "p", Index: 3, Scope: &fleet.Scope{Team: "linz"}})
+	next.Until(next.Now + time.Second)
+	if n, _, _ := next.R.Spooled(); n != 0 {
+		t.Errorf("%d left", n)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -240,6 +240,9 @@
 	}
 	if r.paging != nil || r.caching != nil {
 		r.purges = newPurges(r)
+		if r.paging != nil && means.Fleet == nil { // a purge of this controller alone comes after all that it found
+			r.purges.place = r.paging.latest
+		}
 	}
 	if means.Fleet != nil {
 		r.warrant = newWarrant(r, means.Fleet)
--- a/internal/relay/spool.go
+++ b/internal/relay/spool.go
@@ -24,7 +24,8 @@
 // is nil, and costs nothing.
 type paging struct {
 	*Relay
-	core *spool.Core
+	core   *spool.Core
+	latest uint64 // place in the record of what the disk held
 }
 
 func newPaging(r *Relay, s *Spool) *paging {
@@ -33,7 +34,10 @@
 		r.do(Effect{Verb: Store, Work: w})
 	})
 	if s.Restore != nil {
-		if err := s.Restore(p.core.Restore); err != nil {
+		if err := s.Restore(func(f *spool.Found) {
+			p.latest = max(p.latest, f.Index)
+			p.core.Restore(f)
+		}); err != nil {
 			r.say(true, "what was spooled can't be read: "+err.Error())
 		}
 	}
--- a/internal/spool/purge.go
+++ b/internal/spool/purge.go
@@ -69,3 +69,14 @@
 	}
 	return Tag{}
 }
+
+// Recorded tells the place of the record that is gone by from now on. What is kept by a
+// later one is so by the places of another record, or of a controller alone: it comes
+// before all of this one's.
+func (c *Core) Recorded(index uint64) {
+	for _, r := range c.results {
+		if r.tag.Index > index {
+			r.tag.Index = 0
+		}
+	}
+}
