A tighter rule with nothing to purge is settled only once nothing runs outside

A change was called settled with the word in force where its rules left nothing kept outside, though queries might still run at engines that the new rules forbid. Whoever leads now always says so by an entry of its own, once all that may serve have told that nothing of theirs runs outside. The test saw settled at once while a query was told to run outside.

--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -66,6 +66,8 @@
 	orders []fleet.Order
 	checks []string // asked for, and done
 	idle   string   // a change that it never comes to check
+	// outside is how much it tells to run outside as it opens.
+	outside int
 }
 
 func newStage(t *testing.T, seed uint64, voters, followers int, lease time.Duration) *stage {
@@ -165,7 +167,7 @@
 		a.step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Closed, Change: o.Change}})
 	case fleet.Open:
 		a.word.Set(o.Version)
-		a.step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Opened, Version: o.Version}})
+		a.step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Opened, Version: o.Version, Outside: a.outside}})
 	case fleet.Renewed:
 		a.word.Lease(o.Until, o.UntilBound)
 	case fleet.Drop:
@@ -597,3 +599,24 @@
 		t.Errorf("%d outside", c.outside)
 	}
 }
+
+// A tighter rule with nothing to purge is settled only once what runs outside has ended.
+func TestSettledWaitsForWhatRunsOutside(t *testing.T) {
+	s := newStage(t, 13, 3, 1, 500*time.Millisecond)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	f := s.all["f0"]
+	f.outside = 1
+	f.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "apply", ID: "c1", Base: 1, Policy: []byte("x")}})
+	f.step(Event{Kind: Asked, Handle: 2, Ask: &fleet.Ask{Kind: "apply", ID: "c1", Base: 1, Policy: []byte("x"), Until: "settled", Wait: 60000}})
+	s.until(5*time.Second, "in force", func() bool { return s.word(f, 1) != nil })
+	for end := s.now + 2*time.Second; s.now < end; s.next() {
+		if s.word(f, 2) != nil {
+			t.Fatalf("%+v while a query runs outside", s.word(f, 2))
+		}
+	}
+	f.step(Event{Kind: Reported, Report: fleet.Report{Kind: fleet.Sites, Sites: []string{"here"}}})
+	s.until(5*time.Second, "settled", func() bool { return s.word(f, 2) != nil })
+	if w := s.word(f, 2); w.Word != "settled" {
+		t.Errorf("%+v", w)
+	}
+}
--- a/internal/fleet/record/state.go
+++ b/internal/fleet/record/state.go
@@ -165,7 +165,7 @@
 		}
 	case fleet.Settle:
 		if c != nil && c.Phase == Decided {
-			c.Phase, c.Settled = InForce, len(c.Scopes) == 0
+			c.Phase = InForce // settled once nothing runs outside any more, by Finish, also with nothing to purge
 			for i, scope := range c.Scopes {
 				s.purge(fmt.Sprintf("%s.outside.%d", c.ID, i), "the fleet", scope, c.ID)
 			}
