raillab many: what each process of a fleet costs, how soon a change is in force

Nobody had seen more than nine processes of a fleet together, nor a start with a long record. raillab many starts as many as the machine bears on addresses of their own, looks at bytes, processor time and memory at rest, changes the policy, and starts a voter with 100,000 entries made by its own agreement.

--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -66,6 +66,18 @@
 	large.Flags().StringVar(&program, "program", program, "the controller")
 	large.Flags().IntVar(&results, "results", results, "all of them are kept on disk")
 	large.Flags().IntVar(&size, "mb", size, "of each")
+	crowd := lab.Many{Program: program, Lease: 2 * time.Second, Changes: 5, Entries: 100_000}
+	many := &cobra.Command{Use: "many", Short: "a fleet of many processes: what each costs, how soon a change is in force on all", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cost, err := crowd.Measure(c.Context())
+			if err == nil {
+				crowd.Print(c.OutOrStdout(), cost)
+			}
+			return err
+		}}
+	many.Flags().StringVar(&crowd.Program, "program", program, "the controller")
+	many.Flags().IntVar(&crowd.Controllers, "controllers", 50, "processes")
+	many.Flags().DurationVar(&crowd.Rest, "rest", 10*time.Second, "how long to look at them at rest")
 	list := false
 	sought := &cobra.Command{Use: "planted", Short: "play the tests that have one planted fault each", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -92,7 +104,7 @@
 		}}
 	fleets.Flags().Uint64Var(&from, "seed", 1, "of the first")
 	fleets.Flags().IntVar(&plays, "plays", plays, "how many")
-	root.AddCommand(fleets, sought, measure, try, speed, large)
+	root.AddCommand(fleets, many, sought, measure, try, speed, large)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
 	}
