--- a/internal/lab/many.go
+++ b/internal/lab/many.go
@@ -88,7 +88,9 @@
 	}
 	// an address of its own for each, with ports that stay: what is free at 127.0.0.1 now
 	// may be some connection's the next moment
-	at := func(i, port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%240, i/250, i%250+1, port) }
+	at := func(i, port int) string {
+		return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%240, i/250, i%250+1, port)
+	}
 	for i := range min(n, voting) {
 		c.voters += fmt.Sprintf("    - {name: c%d, address: %q}\n", i, at(i, 7600))
 	}
