--- a/cmd/railrelay-fleet/command.go
+++ b/cmd/railrelay-fleet/command.go
@@ -47,18 +47,22 @@
 }
 
 func (d *desk) status() *cobra.Command {
-	id := ""
+	var id, until string
 	c := &cobra.Command{Use: "status", Short: "Tell how a controller sees the fleet, or with --id what became of a run", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return d.ask(c, &fleet.Ask{Kind: "status", ID: id, Wait: d.atMost.Milliseconds()})
+			if err := oneOf(until, "", "unreachable", "settled"); err != nil {
+				return err
+			}
+			return d.ask(c, &fleet.Ask{Kind: "status", ID: id, Until: until, Wait: d.atMost.Milliseconds()})
 		}}
+	c.Flags().StringVar(&until, "until", "", "with --id: unreachable of a purge, settled of a change (erased, in force)")
 	c.Flags().StringVar(&id, "id", "", "of a change or purge: waits for the last word on it")
 	c.Flags().DurationVar(&d.atMost, "at-most", 10*time.Second, "wait so long")
 	return c
 }
 
 func (d *desk) apply() *cobra.Command {
-	var id string
+	var id, until string
 	var base uint64
 	var wait time.Duration
 	c := &cobra.Command{Use: "apply FILE --base N", Short: "Change the policy everywhere or nowhere", Args: cobra.ExactArgs(1),
@@ -72,7 +76,10 @@
 			if !c.Flags().Changed("base") {
 				return errors.New("--base is missing: the version that the file was made against, which fleet status tells")
 			}
-			a := &fleet.Ask{Kind: "apply", ID: id, Base: base, Policy: text, AtMost: d.atMost.Milliseconds(), Wait: wait.Milliseconds()}
+			if err := oneOf(until, "", "settled"); err != nil {
+				return err
+			}
+			a := &fleet.Ask{Kind: "apply", ID: id, Base: base, Policy: text, Until: until, AtMost: d.atMost.Milliseconds(), Wait: wait.Milliseconds()}
 			if wait == 0 {
 				a.Wait = (d.atMost + 5*time.Second).Milliseconds()
 			}
@@ -81,6 +88,7 @@
 	c.Flags().StringVar(&id, "id", "", "of the change, to ask again by (one is drawn)")
 	c.Flags().Uint64Var(&base, "base", 0, "the version that the file was made against")
 	c.Flags().DurationVar(&d.atMost, "at-most", 30*time.Second, "withdrawn if not in force by then; 0: never")
+	c.Flags().StringVar(&until, "until", "", "settled: waits also for what tighter placement rules leave outside (in force)")
 	c.Flags().DurationVar(&wait, "wait", 0, "wait so long for the word (--at-most and five seconds)")
 	return c
 }
@@ -95,8 +103,8 @@
 			if team == "" {
 				return errors.New("--team is missing")
 			}
-			if until != "" && until != "unreachable" && until != "erased" {
-				return fmt.Errorf("--until %s: it is unreachable or erased", until)
+			if err := oneOf(until, "", "unreachable", "erased"); err != nil {
+				return err
 			}
 			a := &fleet.Ask{Kind: "purge", ID: id, Scope: &fleet.Scope{Team: team, Tables: tables}, Until: until, Wait: d.atMost.Milliseconds()}
 			if until == "erased" {
@@ -160,6 +168,14 @@
 		}}
 }
 
+// oneOf is wrong about what --until can't be.
+func oneOf(until string, words ...string) error {
+	if !slices.Contains(words, until) {
+		return fmt.Errorf("--until %s: it is %s", until, strings.Join(words[1:], " or "))
+	}
+	return nil
+}
+
 // moment reads a time, or a span before now.
 func moment(text string, now time.Time) (time.Time, error) {
 	if ago, err := time.ParseDuration(text); err == nil {
--- a/cmd/railrelay-fleet/fleet_test.go
+++ b/cmd/railrelay-fleet/fleet_test.go
@@ -275,6 +275,9 @@
 		t.Fatalf("purge with all there: %d %+v", status, r)
 	}
 	lost.until("the policy it has missed", func(s *fleet.Status) bool { return serves(s) && s.Version == 2 })
+	if r, status := lost.fleet("status", "--id", "first", "--until", "settled", "--at-most", "20s"); status != 0 || r.Word != "settled" {
+		t.Fatalf("nothing is left outside: %d %+v", status, r)
+	}
 	if r, status := lost.fleet("status", "--id", "first"); status != 0 || r.Word != "in force" {
 		t.Fatalf("asked of who was down: %d %+v", status, r)
 	}
