A list event that stays unreadable is passed over; starts out of range count as not told

Such an event was asked for again and again, and nothing after it was heard. It is asked for once more, in case it was spoilt on its way, then passed over, said and counted once; later events are heard. The new test stands still at that event without the change.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -31,7 +31,8 @@
 }
 
 // Read hands over the first line if all of it is there, and says how many
-// bytes it took: 0 while it isn't.
+// bytes it took: 0 while it isn't. With an error they are those of a line that
+// can't be used and may be passed over, 0 where there is no end of it.
 func Read(p []byte, most int, h Hearer) (int, error) {
 	end := bytes.IndexByte(p, '\n')
 	if end < 0 {
@@ -42,7 +43,7 @@
 	}
 	if line := bytes.TrimSpace(p[:end]); len(line) > 0 {
 		if err := Event(line, h); err != nil {
-			return 0, err
+			return end + 1, err
 		}
 	}
 	return end + 1, nil
@@ -118,8 +119,15 @@
 	case e.HostPort == "" && state == decide.On:
 		h.Odd("engine " + e.ID + ", which has no address")
 	default:
+		if e.Up < 0 || e.Up > startMost {
+			h.Odd("engine " + e.ID + ", whose start is out of range: taken as not told")
+			e.Up = 0
+		}
 		h.Engine(e.ID, e.HostPort, e.Locality, e.Flavor, e.Cell, state, int64(e.Up))
 	}
 }
 
+// startMost bounds the milliseconds of a start, in the year 2255: beyond it spans overflow.
+const startMost = 9e12
+
 var states = map[string]decide.EngineState{"SERVING": decide.On, "DRAINING": decide.Draining, "DELETED": decide.Gone}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -16,6 +16,8 @@
 	had    time.Duration // when it last said anything, on whatever connection
 	wait   time.Duration // before the next try
 	whole  bool          // the event at hand lists all there are
+	spoilt int64         // the event after this one could not be read once, -1: none
+	past   int64         // lines passed over since the last event, on this connection
 }
 
 const (
@@ -44,7 +46,7 @@
 		return
 	}
 	l := &Link{}
-	f.link, f.heard = l, r.now
+	f.link, f.heard, f.past = l, r.now, 0
 	again := func() {
 		if f.link == l {
 			f.link = nil
@@ -63,8 +65,14 @@
 			// its own bound, not a client's: one event names all engines there are
 			n, err := list.Read(l.In.Bytes(), r.bufferedMost, r)
 			if err != nil {
+				if f.spoilt == f.last && n > 0 { // it is no better: later ones are to be heard
+					f.past++
+					l.In.Drop(n)
+					continue
+				}
 				r.tally.feedFaults++
-				r.say(true, "the feed can't be read: "+err.Error())
+				r.say(true, "the feed can't be read: "+err.Error()+"; asked for once more, then passed over")
+				f.spoilt = f.last
 				r.shut(l, false)
 				again()
 				return
@@ -113,11 +121,11 @@
 	switch {
 	case number <= r.feed.last:
 		return false
-	case number > r.feed.last+1 && !whole:
+	case number > r.feed.last+1+r.feed.past && !whole:
 		r.gap()
 		return false
 	}
-	r.feed.last, r.feed.listed, r.feed.whole = number, true, whole
+	r.feed.last, r.feed.listed, r.feed.whole, r.feed.past = number, true, whole, 0
 	r.tally.events++
 	r.gate.ListBegins(r.now, whole)
 	return true
@@ -125,7 +133,13 @@
 
 // Last tells of events that should have come before it.
 func (r *Relay) Last(number int64) {
-	if number > r.feed.last {
+	f := &r.feed
+	switch {
+	case number <= f.last:
+	case number <= f.last+f.past: // those passed over
+		f.past -= number - f.last
+		f.last = number
+	default:
 		r.gap()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -253,6 +253,7 @@
 			r.paging.core.Serves = r.warrant.placing.serves
 		}
 	}
+	r.feed.spoilt = -1
 	r.follow()
 	r.sweep()
 	r.settle()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1532,3 +1532,36 @@
 		t.Fatal("ended though it asked in time")
 	}
 }
+
+// An event that can't be read is asked for once more, in case it was spoilt on its way;
+// then it is passed over and what comes later is heard.
+func TestAnEventThatStaysUnreadableIsPassedOver(t *testing.T) {
+	s := newStage(t, 2, 96, nil)
+	s.until(10 * time.Millisecond)
+	twice := func() {
+		s.read(s.feed, []byte("{\"n\":2,\"members\":[[\n"))
+		s.until(s.now + 200*time.Millisecond) // it is dialled anew
+		s.read(s.feed, []byte("{\"n\":2,\"members\":[[\n"))
+		s.events++
+	}
+	first := s.r.feed.link
+	twice()
+	if s.r.feed.link == first {
+		t.Fatal("not asked for once more")
+	}
+	m := s.all()[0]
+	m.state = "DRAINING"
+	s.tell(m.entry(0)) // the one after it
+	if s.r.feed.last != 3 || s.r.engines[m.id].state != decide.Draining || s.r.tally.feedFaults != 1 {
+		t.Fatalf("event %d, %d faults", s.r.feed.last, s.r.tally.feedFaults)
+	}
+	twice()
+	if s.tell(""); s.r.feed.last != 4 || s.r.tally.feedFaults != 2 {
+		t.Fatalf("event %d, %d faults", s.r.feed.last, s.r.tally.feedFaults)
+	}
+	m.state = "SERVING" // a start that no clock knows
+	s.tell(strings.Replace(m.entry(0), `"up_since_ms":0`, `"up_since_ms":1e300`, 1))
+	if s.r.engines[m.id].state != decide.On || s.r.tally.odd != 1 {
+		t.Fatalf("%v, %d odd", s.r.engines[m.id].state, s.r.tally.odd)
+	}
+}
