Without reports a cold engine is guessed to hold what it is able to

At fault: the last lines of `filled`, which divide the guessed work of all others by what a cold engine is able to and spread it evenly all the same: 1.70 full where warm ones are 0.56, so that `pressed` closes it before `coldFits` is asked.

Change: that work is spread by what each is able to. Cold engines stay bounded by `coldFits`.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -393,7 +393,7 @@
 
 // filled guesses how full an engine is with the work of all gateways; 1 is full. A
 // report tells, by whichever is nearest its end, with what one did since; without
-// one it should be as full as those seen of late, or as if all did as this one.
+// one it should be as full as those seen of late, or as if all did as this one, by what each is able to.
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
@@ -403,7 +403,7 @@
 		return g.fillSeen.value + e.threads/most
 	}
 	g.on()
-	others := (1/g.share - 1) * e.cores / max(1, g.cores)
+	others := (1/g.share - 1) * e.cores * g.able(e) / max(1, g.cores)
 	return max((e.threads+g.usualThreads.value*others)/most, (e.memory+g.usualMemory.value*others)/e.ram)
 }
 
--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -340,3 +340,19 @@
 		t.Fatalf("%.2f full by guess; pressed for light ones %v, for heavy ones %v", full, w.g.pressed(e, light), w.g.pressed(e, heavy))
 	}
 }
+
+// Without reports all gateways are taken to do as this one, on every engine alike. A cold one was taken to
+// hold as much as a warm one, and so for three times as full: it had room for nobody while it stood idle.
+func TestAColdEngineWithoutReportsIsNoFullerThanWarmOnes(t *testing.T) {
+	w := newWorld(t, 10, map[string]string{"gateways": "300", "may.probe": "false", "report.how": "off"})
+	light := &query{rg: w.g.groups[0]}
+	w.pass(200 * ms)
+	w.restart("e0")
+	w.g.usualThreads.value, w.g.usualThreads.count, w.g.share = 0.3, 300, 1.0/300
+	if !w.g.hasRoom(w.g.byID["e1"], light) {
+		t.Fatalf("warm ones %.2f full, and no room", w.g.filled(w.g.byID["e1"]))
+	}
+	if cold := w.g.byID["e0"]; w.g.able(cold) > 0.4 || !w.g.hasRoom(cold, light) {
+		t.Fatalf("a cold one is taken for %.2f full, warm ones for %.2f", w.g.filled(cold), w.g.filled(w.g.byID["e1"]))
+	}
+}
