An emergency doesn't outlive its rule

Only rules in force are watched, so an emergency whose rule a policy took away was never ended: it stood in the record for good, and a rule of that name to come began with its boundary open though nothing inside was lost. Whoever leads ends what belongs to no rule in force. Nothing is purged by that: results are never kept outside.

--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -249,7 +249,7 @@
 
 // busy: something is under way that time alone may move.
 func (c *Core) busy() bool {
-	return !c.steady || len(c.waits) > 0 || len(c.queue) > 0 || c.state.Under() != nil || len(c.watched()) > 0
+	return !c.steady || len(c.waits) > 0 || len(c.queue) > 0 || c.state.Under() != nil || len(c.watched()) > 0 || len(c.state.Emergencies) > 0
 }
 
 // once keeps what is proposed again and again a little apart: it may be under way.
@@ -287,6 +287,7 @@
 	for _, w := range c.watched() {
 		c.watch(w)
 	}
+	c.outlived()
 	c.finish()
 	if c.state.Under() == nil && len(c.state.Voters) > 0 {
 		c.reelect()
@@ -422,6 +423,20 @@
 	}
 }
 
+// outlived ends emergencies whose rule is in force no more: nobody watches for their end,
+// and a rule of that name to come would begin with its boundary open.
+func (c *Core) outlived() {
+	if c.open != c.state.Version {
+		return
+	}
+	watched := c.watched()
+	for _, name := range sorted(c.state.Emergencies) {
+		if !slices.ContainsFunc(watched, func(w fleet.Watched) bool { return w.Rule == name }) {
+			c.once("calm "+name, func() { c.propose(&fleet.Entry{Kind: fleet.Calm, Name: name}) })
+		}
+	}
+}
+
 // finish tells when what a tighter policy left outside is over.
 func (c *Core) finish() {
 	for _, id := range sorted(c.state.Changes) {
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -620,3 +620,15 @@
 		t.Errorf("%+v", w)
 	}
 }
+
+// An emergency doesn't outlive its rule.
+func TestAnEmergencyEndsWithItsRule(t *testing.T) {
+	s := newStage(t, 14, 3, 0, 500*time.Millisecond)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	l := s.leader()
+	l.core.out = nil
+	l.core.propose(&fleet.Entry{Kind: fleet.Emergency, Name: "r"})
+	l.perform(l.core.out)
+	s.until(5*time.Second, "it is on", func() bool { return len(l.core.state.Emergencies) > 0 })
+	s.until(5*time.Second, "it is over", func() bool { return len(l.core.state.Emergencies) == 0 })
+}
