Schedules start followers that are cut off: a missing fence shows at once

Schedules of their own now take a follower away for longer than its lease, let changes go on, and start it while it is cut off from all.

--- a/internal/lab/planted.go
+++ b/internal/lab/planted.go
@@ -22,7 +22,7 @@
 
 // Planted are all of them. `make planted` builds and plays them.
 var Planted = []Plant{
-	{"planted_fence", "no fence on restart", "./internal/lab", "^TestBriefSchedules$", "mixed:"},
+	{"planted_fence", "no fence on restart", "./internal/lab", "^TestStartedCutOff$", "mixed:"},
 	{"planted_force", "in force before all closed", "./internal/lab", "^TestBriefSchedules$", "mixed:"},
 	{"planted_down", "purge confirmed without those down", "./internal/lab", "^TestBriefSchedules$", "confirmed_wrongly:"},
 	{"planted_write", "lease not looked at before writing", "./internal/run", "^TestTheWordIsAskedRightBeforeAWrite$", `: "free by 7 free too", [`},
--- a/internal/lab/schedules.go
+++ b/internal/lab/schedules.go
@@ -31,6 +31,7 @@
 	Strike      *Strike // a fault at one step, in place of those
 	Revote      bool    // changes may name others who vote
 	Wire        bool    // messages go through the encoding
+	Apart       bool    // in place of those: followers go, and start cut off after a change or so
 }
 
 // Strike is a fault at the nth message between controllers once the first change or
@@ -201,7 +202,10 @@
 		p.start(a)
 	}
 	p.in(p.span(800*time.Millisecond, 1500*time.Millisecond), nil, p.operate)
-	if s.Strike == nil {
+	switch {
+	case s.Apart:
+		p.in(time.Second, nil, p.apart)
+	case s.Strike == nil:
 		p.in(500*time.Millisecond, nil, p.fault)
 	}
 	p.until(s.Long)
@@ -571,6 +575,27 @@
 	}
 }
 
+// apart kills a follower for longer than its lease, in which the rest goes on, and
+// starts it while it is cut off from all: it knows no more than its disk does.
+func (p *play) apart() {
+	if p.settling {
+		return
+	}
+	a := p.all[p.Voters+p.rng.IntN(p.Controllers-p.Voters)]
+	p.struck("started cut off", a.name)
+	p.kill(a)
+	back := 2*p.Lease + p.span(0, p.Lease)
+	p.in(back, nil, func() {
+		if a.down {
+			p.start(a)
+		}
+	})
+	for _, x := range p.all {
+		p.cuts[[2]string{a.name, x.name}], p.cuts[[2]string{x.name, a.name}] = p.now+back+2*p.Lease, p.now+back+2*p.Lease
+	}
+	p.in(back+3*p.Lease, nil, p.apart)
+}
+
 func (p *play) heal() {
 	clear(p.cuts)
 	p.lossy = 0
@@ -634,7 +659,7 @@
 		p.ops = append(p.ops, o)
 		p.check.PurgeAsked(p.now, o.ask.ID, *o.ask.Scope)
 		p.ask(o, false)
-	case x == 7 && p.Controllers > p.Voters && !p.revoted && p.rng.IntN(4) == 0: // a follower's disk is destroyed
+	case x == 7 && !p.Apart && p.Controllers > p.Voters && !p.revoted && p.rng.IntN(4) == 0: // a follower's disk is destroyed
 		a := p.all[p.Voters+p.rng.IntN(p.Controllers-p.Voters)]
 		if a.gone {
 			return
--- a/internal/lab/schedules_test.go
+++ b/internal/lab/schedules_test.go
@@ -56,3 +56,16 @@
 		t.Fatal("too little arose")
 	}
 }
+
+// Followers that were away for changes and start while they are cut off decide nothing
+// by what they knew.
+func TestStartedCutOff(t *testing.T) {
+	l := &Plan{}
+	for seed := range uint64(12) {
+		l.Schedules = append(l.Schedules, Schedule{Seed: 300 + seed, Controllers: 5, Voters: 3, Long: 8 * time.Second, Lease: 500 * time.Millisecond, Apart: true})
+	}
+	p := l.Play(3, time.Time{})
+	if sound(t, p); p.Changes < 12 || p.Faults["started cut off"] < 24 {
+		t.Fatal("too little arose")
+	}
+}
