A connection closed while it was being made ends once in the drawn fleets

The stand-in told a closed dial's end twice, so that the controller counted fewer connections than it had; the debug build's check found it.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -487,6 +487,9 @@
 	to := c.byAddr[address]
 	fail := func(kind relay.Kind, at time.Duration) {
 		c.after(at, func() {
+			if e.gone { // it was closed before
+				return
+			}
 			delete(c.ends, link)
 			e.gone = true
 			c.event(relay.Event{Kind: kind, Link: link})
