--- a/internal/fleet/agree/core.go
+++ b/internal/fleet/agree/core.go
@@ -144,6 +144,20 @@
 	return c, c.take(), nil
 }
 
+// Voted is of a hard state only what was voted for: for who begins to vote with an empty
+// log, and must not vote twice in a term.
+func Voted(hard []byte) []byte {
+	if hard == nil {
+		return nil
+	}
+	h := &pb.HardState{}
+	if proto.Unmarshal(hard, h) != nil {
+		return nil
+	}
+	h.Commit = new(uint64(0))
+	return wire(h)
+}
+
 // numbered looks whether names can be told apart by their numbers.
 func numbered(self string, voters []Voter) error {
 	if self == "" {
@@ -615,6 +629,13 @@
 		return // it voted once, and nobody knows its name any more
 	}
 	if m.GetType() == pb.MsgSnap {
+		conf := m.GetSnapshot().GetMetadata().GetConfState()
+		if !slices.Contains(conf.GetVoters(), m.GetTo()) && !slices.Contains(conf.GetVotersOutgoing(), m.GetTo()) {
+			// It is from before this one votes, who would pass it over in silence. A
+			// newer one will be there when it is tried again.
+			c.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFailure)
+			return
+		}
 		c.snaps[m.GetTo()] = c.now
 	}
 	c.emit(Effect{Kind: Send, To: to, Bytes: wire(m)})
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -102,6 +102,7 @@
 	Seq       uint64
 	Sent      int64                   // nanoseconds by the sender's clock: given back as it is
 	Applied   uint64                  // of the record
+	Votes     bool                    `cbor:",omitempty"` // agreement brings it the record; one that is named and doesn't know it yet still follows
 	Version   uint64                  // that its reducer decides by, 0: none
 	Ready     map[string]string       `cbor:",omitempty"` // changes that were checked: why not, "" if they can be taken
 	Closed    string                  `cbor:",omitempty"` // the change that it has stopped deciding for
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -107,7 +107,7 @@
 		c.askedAt = c.now
 	}
 	c.seq++
-	r := &Renew{Member: c.b.Self, Boot: c.b.Boot, Seq: c.seq, Sent: int64(c.now), Applied: c.state.Index, Version: c.opened, Closed: c.closed,
+	r := &Renew{Member: c.b.Self, Boot: c.b.Boot, Seq: c.seq, Sent: int64(c.now), Applied: c.state.Index, Votes: c.vote != nil, Version: c.opened, Closed: c.closed,
 		Sites: c.sites, Outside: c.outside}
 	if u := c.state.Under(); u != nil {
 		if k := c.checks[u.ID]; k != nil && k.done {
@@ -135,7 +135,7 @@
 		if g.Leader == c.b.Self.Name { // it led, and another may not know better yet
 			return
 		}
-		if g.Leader != c.leader && c.vote == nil || c.leader == "" {
+		if g.Leader != c.leader && (c.vote == nil || g.Leader != "") || c.leader == "" {
 			if c.leader = g.Leader; c.leader != "" && c.leader != from {
 				c.renewAt = c.now
 			}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -29,6 +29,9 @@
 	term     uint64         // of the last record applied
 	kept     int            // records since the last snapshot
 	storing  []*storing
+	spoken   time.Duration  // when agreement last heard of another voter
+	outvoted bool           // others vote by now, and the record up to here doesn't tell yet
+	hard     []byte         // what it voted for last, as agreement has it
 	agreeing []agree.Effect // not performed yet
 	inside   bool
 	coming   uint64 // the last record that is stored or being stored, where it only follows
@@ -74,8 +77,13 @@
 		}
 		c.state, c.term = state, s.Term
 	}
-	c.coming = c.state.Index
-	if named := c.votes(); named || b.Kept.Hard != nil {
+	c.coming, c.hard = c.state.Index, b.Kept.Hard
+	// A snapshot that doesn't tell who votes was taken while it followed. What the disk
+	// holds after it may be agreement's and not decided yet, if it ever voted.
+	followed := b.Kept.Snapshot != nil && len(b.Kept.Snapshot.Conf) == 0
+	if named := c.votes(); followed && b.Kept.Hard != nil {
+		c.say(false, "what was kept after %d is asked for anew", c.state.Index)
+	} else if (named || b.Kept.Hard != nil) && !followed {
 		voters := b.Voters
 		if !named || b.Kept.Hard != nil { // the log tells
 			voters = nil
@@ -232,7 +240,10 @@
 		return
 	}
 	switch {
+	case len(m.Agree) > 0 && c.vote == nil:
+		c.outvoted = false // it is counted among those who vote
 	case len(m.Agree) > 0 && c.vote != nil:
+		c.spoken = c.now
 		c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Message, From: m.From, Bytes: m.Agree}))
 	case m.Renew != nil:
 		c.renewed(m.From, m.Disk, m.Renew)
@@ -285,6 +296,9 @@
 		case agree.Send:
 			c.send(e.To, c.addressOf(e.To), &Message{Agree: e.Bytes})
 		case agree.Store:
+			if e.Kept.Hard != nil {
+				c.hard = e.Kept.Hard
+			}
 			vote := c.vote
 			c.store(e.Kept, func() {
 				if c.vote == nil || vote != nil && c.vote != vote { // it votes no more
@@ -303,6 +317,7 @@
 		case agree.Led:
 			c.led(e.Leader)
 		case agree.Voting:
+			c.kept = max(c.kept, c.b.KeepAtMost) // who votes anew is given a snapshot that names it
 			c.voters = e.Voters
 		}
 	}
@@ -371,11 +386,11 @@
 // takeUp begins to vote where the record names this controller, once nothing of what it
 // followed is on its way to the disk.
 func (c *Core) takeUp() {
-	if c.vote != nil || !c.votes() || len(c.storing) > 0 || c.bad != nil {
+	if c.vote != nil || c.outvoted || !c.votes() || len(c.storing) > 0 || c.bad != nil {
 		return
 	}
 	c.say(true, "this controller votes from now on")
-	if err := c.voteWith(agree.Kept{}, nil); err != nil {
+	if err := c.voteWith(agree.Kept{Hard: agree.Voted(c.hard)}, nil); err != nil {
 		c.say(true, "it can't vote: %v", err)
 	}
 }
@@ -402,6 +417,12 @@
 // followed takes what the leader passes on to those who don't vote.
 func (c *Core) followed(from string, f *Follow) {
 	c.retire() // who leads passes the record on to those only who don't vote with it
+	if c.vote != nil && !c.leads && f.Decided > c.state.Index && c.now-c.spoken > 2*c.b.Election {
+		// It was voted out while it was away, and can't learn that from agreement.
+		c.vote, c.leader, c.outvoted = nil, f.Leader, true
+		c.coming = c.state.Index
+		c.say(true, "this controller votes no more: others do by now")
+	}
 	if c.vote != nil {
 		return
 	}
@@ -439,7 +460,7 @@
 	c.behind = false
 	for _, name := range c.names {
 		p := c.peers[name]
-		if name == c.b.Self.Name || p.next == 0 || p.next > c.state.Index || c.now-p.heard > followsFor || c.voting(name) {
+		if name == c.b.Self.Name || p.next == 0 || p.next > c.state.Index || c.now-p.heard > followsFor || p.r != nil && p.r.Votes && c.voting(name) {
 			continue
 		}
 		p.sent = c.now
--- a/internal/lab/schedules_test.go
+++ b/internal/lab/schedules_test.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// Others vote from now on, again and again, with faults between.
+func TestVotersReplaced(t *testing.T) {
+	l := &Plan{}
+	l.Random(1, 40, 5, 3, 6*time.Second, 2)
+	for i := range l.Schedules {
+		l.Schedules[i].Revote = true
+	}
+	sound(t, l.Play(3, time.Time{}))
+}
+
 // One fault of each kind at messages of a change's or purge's way.
 func TestStrikes(t *testing.T) {
 	l := &Plan{}
