Who was forgotten knows it from its start on

It serves nothing before that either, since it has no lease yet, but it asked for one and said nothing of why it stands still. It now says so at its start.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -97,7 +97,8 @@
 			c.apply(r)
 		}
 	}
-	if !fenceOnRestart && c.state.Index > 0 { // planted: it goes on by what it knew
+	c.bury()
+	if !fenceOnRestart && c.state.Index > 0 && c.refused == "" { // planted: it goes on by what it knew
 		c.caught = true
 		c.reconcile()
 		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Renewed, Until: b.Lease, UntilBound: b.LeaseBound}})
@@ -366,11 +367,16 @@
 // moved: the state has changed.
 func (c *Core) moved() {
 	c.stirred, c.behind = true, true
+	c.bury()
+	c.lease()
+	c.reconcile()
+}
+
+// bury ends this controller's part where the record says that its disk is destroyed.
+func (c *Core) bury() {
 	if m := c.state.Members[c.b.Self.Name]; m != nil && m.Forgotten {
 		c.unwanted("its name was forgotten: the disk that had it is taken for destroyed")
 	}
-	c.lease()
-	c.reconcile()
 }
 
 // retire ends voting where the record names others. Not before agreement itself counts
