The measurement waits for clients everywhere before its first change

A change in force before every controller had been asked once had no act before it to reckon its hold from, and the wait for that never ended.

--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -345,6 +345,13 @@
 // healthy has changes and a purge with nothing else going on, and gives what they cost.
 func (g *gathering) healthy(n int) (hold, trip, sync, purge time.Duration, err error) {
 	var holds, trips, syncs, purges []time.Duration
+	if err := g.eventually(5*time.Second, "asked everywhere", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return !slices.ContainsFunc(g.acts, func(l []mark) bool { return len(l) == 0 })
+	}); err != nil {
+		return 0, 0, 0, 0, err
+	}
 	for range n {
 		a := g.change(g.version, 0, false)
 		if word, err := g.settled(a, 15*time.Second); err != nil || word != "in force" {
