A leader asks itself for its lease, whatever it hears late of another one

A late word of an earlier leader made the new one ask there for its own lease, again and again: all served but itself.

--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -90,6 +90,9 @@
 	if c.now < c.renewAt && !c.news {
 		return
 	}
+	if c.leads { // a late word of another leader must not have it ask elsewhere
+		c.leader = c.b.Self.Name
+	}
 	if c.leader == c.b.Self.Name && !c.leads { // another may not have heard yet that it leads no more
 		c.leader = ""
 	}
