A guess turns no light query away where counts are old; a part's rest counts by size

Light queries of the group worth most for their work were turned away by a mean over the engines that answered.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -365,26 +365,26 @@
 // light groups take less than the mean of the work: they fill no engine.
 func (g *Gateway) light(rg *resourceGroup) bool { return g.usual(rg) < g.meanWork.value }
 
-// lately: it turned a query away as full a moment ago.
 func (g *Gateway) lately(e *engine) bool { return e.fullAt > 0 && g.now-e.fullAt < 2*time.Second }
 
 func (g *Gateway) pressed(e *engine, q *query) bool {
 	// with a small share of one's own the bound rations next to nothing: an engine is used while it has room
 	full := max(0.7, 0.85-0.5*g.share)
-	if !g.looks && g.fillSeen.count == 0 && q.rg == g.ranked[0] && g.light(q.rg) {
-		full *= 2 // a mere guess doesn't turn away what costs least for its worth
+	if !g.looks && (g.counts || g.fillSeen.count == 0) && q.rg == g.ranked[0] && g.light(q.rg) {
+		full *= 2 // a guess or an old count doesn't turn away what costs least for its worth; busy cores do
 	}
 	return g.lately(e) || e.slow > pressedAt || g.filled(e) > full
 }
 
 // ownShare is one's own part of all work: by what was out of late against what engines report to hold. Where
-// nothing tells, an even part in the mean: what was left of it of late may go within a second on top, since
-// what one gateway's few queries take goes up and down far more than what all of them do.
+// nothing tells, an even part in the mean: what was left of it of late goes on top within a second, the more
+// so the more of it one query takes, as few go up and down far more than many.
 func (g *Gateway) ownShare() float64 {
 	n := max(1, g.facts.num("gateways", 1))
 	threads, _, _, cores := g.sums()
 	if even := threadsPerCore * cores / n; !g.looks && g.fillSeen.count == 0 {
-		return min(1, (1+flowSpan.Seconds()*max(0, 1-g.recent.or(threads)/max(1, even)))/n)
+		left := min(1, g.lump/max(1, even)) * max(0, 1-g.recent.or(threads)/max(1, even))
+		return min(1, (1+flowSpan.Seconds()*left)/n)
 	} else if g.allHeld.count == 0 {
 		return 1 / n
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -27,7 +27,7 @@
 	for i := range int(f.num("groups", 0)) {
 		rg := newGroup(f, i)
 		g.groups = append(g.groups, rg)
-		g.longest = max(g.longest, rg.timeout)
+		g.longest, g.lump = max(g.longest, rg.timeout), max(g.lump, rg.threads)
 	}
 	for i := range int(f.num("teams", 0)) {
 		g.teams = append(g.teams, &team{quota: f.num("team."+strconv.Itoa(i)+".quota", 0) / max(1, f.num("gateways", 1))})
--- a/decide/shape_test.go
+++ b/decide/shape_test.go
@@ -318,7 +318,9 @@
 	w.g.groups[0].slots.add(0.2, 100) // worth most for what it takes
 	w.pass(sec)
 	even := 1.0 / 40
-	if w.g.share < 4*even {
+	few := newWorld(t, 10, map[string]string{"gateways": "2", "may.probe": "false", "report.how": "off", "note.period": "0"})
+	few.pass(sec)
+	if w.g.share < 4*even || few.g.share > 0.65 { // half of all engines' threads are many queries, which hardly vary
 		t.Fatalf("nothing used of late, and a part of %.3f where an even one is %.3f", w.g.share, even)
 	}
 	// 2 threads on each of 80 cores for 40 gateways: 4 are one's own; they are in use for long
@@ -356,3 +358,21 @@
 		t.Fatalf("a cold one is taken for %.2f full, warm ones for %.2f", w.g.filled(cold), w.g.filled(w.g.byID["e1"]))
 	}
 }
+
+// The same where engines tell in answers only: what was seen of some is a guess of the others.
+func TestAGuessDoesNotTurnAwayWhatCostsLeast(t *testing.T) {
+	w := newWorld(t, 4, map[string]string{"gateways": "300", "may.probe": "false", "report.how": "answers", "report.figures": "held"})
+	w.g.groups[0].slots.add(0.2, 100)
+	w.pass(sec)
+	for range 30 {
+		w.report("e0", map[string]float64{"held": 20})
+	}
+	w.g.meanWork.value = 1 + w.g.usual(w.g.groups[0])
+	if e := w.g.engines[1]; w.g.filled(e) < 1 || w.g.pressed(e, &query{rg: w.g.groups[0]}) || !w.g.pressed(e, &query{rg: w.g.groups[1]}) {
+		t.Fatalf("%.2f full by those seen; pressed for light ones %v, for heavy ones %v", w.g.filled(e),
+			w.g.pressed(e, &query{rg: w.g.groups[0]}), w.g.pressed(e, &query{rg: w.g.groups[1]}))
+	}
+	if w.g.counts = false; !w.g.pressed(w.g.engines[1], &query{rg: w.g.groups[0]}) {
+		t.Fatal("busy cores told of, and a light one passes them")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -258,7 +258,8 @@
 	allHeld  mean    // queries an engine holds, from reports
 	// one's own out on all engines, as it was of late
 	usualThreads, usualMemory, usualCount mean
-	recent                                mean // threads, over less
+	recent                                mean    // threads, over less
+	lump                                  float64 // the most threads of one query
 	probeLeft                             float64
 	fillSeen, meanWork                    mean
 	askedAt, seenAt                       time.Duration
