--- a/internal/fleet/peers/control.go
+++ b/internal/fleet/peers/control.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -78,22 +77,20 @@
 
 // Desk is the listener that operators' commands ask.
 type Desk struct {
-	keys      atomic.Pointer[Keys]
-	ask       func(context.Context, *fleet.Ask) (*fleet.Reply, error)
-	onRefused func(fleet.Remedied, string)
-	listener  net.Listener
-	server    *http.Server
-	reading   *semaphore.Weighted
-	started   time.Time
-	ctx       context.Context // ends with Close
-	cancel    context.CancelFunc
-	serving   sync.WaitGroup
-	conns     sync.WaitGroup
+	keys     atomic.Pointer[Keys]
+	ask      func(context.Context, *fleet.Ask) (*fleet.Reply, error)
+	listener net.Listener
+	server   *http.Server
+	reading  *semaphore.Weighted
+	ctx      context.Context // ends with Close
+	cancel   context.CancelFunc
+	serving  sync.WaitGroup
+	conns    sync.WaitGroup
 
 	mu     sync.Mutex
 	nonces nonces
-	counts map[string]int
-	said   sayings
+
+	tally
 }
 
 // Control begins to answer operators on a listener: POST /ask takes a fleet.Ask and
@@ -106,9 +103,8 @@
 	if err := keys.good(); err != nil {
 		return nil, err
 	}
-	d := &Desk{ask: ask, onRefused: onRefused, listener: l, counts: map[string]int{}, said: sayings{},
-		reading: semaphore.NewWeighted(asksReading), started: time.Now(),
-		nonces: nonces{draw(), map[string]struct{}{}, draw}}
+	d := &Desk{ask: ask, listener: l, reading: semaphore.NewWeighted(asksReading), nonces: nonces{draw(), map[string]struct{}{}, draw}}
+	d.begin(onRefused)
 	d.keys.Store(&keys)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
@@ -140,20 +136,10 @@
 }
 
 // Counts are asks answered (asks), and refused_REASON.
-func (d *Desk) Counts() map[string]int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return maps.Clone(d.counts)
-}
+func (d *Desk) Counts() map[string]int { return d.tally.all() }
 
 func (d *Desk) refuse(rw http.ResponseWriter, err Refused, from string) {
-	d.mu.Lock()
-	d.counts["refused_"+err.Reason()]++
-	say := d.said.say(from, err.Reason(), time.Since(d.started))
-	d.mu.Unlock()
-	if say && d.onRefused != nil {
-		d.onRefused(err, from)
-	}
+	d.tally.refuse(err, from)
 	rw.WriteHeader(statusOf(err))
 }
 
@@ -233,9 +219,7 @@
 	if err != nil {
 		text, _ = json.Marshal(&fleet.Reply{ID: a.ID, Word: "unknown", Why: err.Error()})
 	}
-	d.mu.Lock()
-	d.counts["asks"]++
-	d.mu.Unlock()
+	d.count("asks", 1)
 	d.answer(rw, forReply, &asked{Nonce: nonce, Boot: boot, Status: http.StatusOK, Body: text})
 }
 
--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -9,7 +9,6 @@
 	"errors"
 	"io"
 	"log"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -71,7 +70,6 @@
 	transport *http.Transport
 	server    *http.Server
 	reading   *semaphore.Weighted
-	started   time.Time
 	ctx       context.Context // ends with Close
 	cancel    context.CancelFunc
 	serving   sync.WaitGroup // the listener's goroutine
@@ -85,9 +83,7 @@
 	gateMu sync.Mutex
 	gate   *gate
 
-	countMu sync.Mutex
-	counts  map[string]int
-	said    sayings
+	tally
 }
 
 // item is an encoded message that waits.
@@ -128,8 +124,9 @@
 	if o.Idle <= 0 {
 		o.Idle = 30 * time.Second
 	}
-	w := &Wire{o: o, peers: map[string]*peer{}, gate: newGate(o.Fleet, o.Self, o.Boot), counts: map[string]int{},
-		said: sayings{}, reading: semaphore.NewWeighted(readingBytes), started: time.Now()}
+	w := &Wire{o: o, peers: map[string]*peer{}, gate: newGate(o.Fleet, o.Self, o.Boot),
+		reading: semaphore.NewWeighted(readingBytes)}
+	w.begin(o.OnRefused)
 	w.keys.Store(&o.Keys)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	dialer := &net.Dialer{Timeout: o.Timeout}
@@ -186,28 +183,7 @@
 // (a ring was full, or its peer away for too long), lost (sent, and no answer came),
 // bytes_out and bytes_in of frames, cut (frames that ended too early), failed (POSTs
 // without an answer), and refused_REASON.
-func (w *Wire) Counts() map[string]int {
-	w.countMu.Lock()
-	defer w.countMu.Unlock()
-	return maps.Clone(w.counts)
-}
-
-func (w *Wire) count(name string, n int) {
-	w.countMu.Lock()
-	w.counts[name] += n
-	w.countMu.Unlock()
-}
-
-// refuse counts something that wasn't taken, and says it if it is time to.
-func (w *Wire) refuse(err Refused, from string) {
-	w.countMu.Lock()
-	w.counts["refused_"+err.Reason()]++
-	say := w.said.say(from, err.Reason(), time.Since(w.started))
-	w.countMu.Unlock()
-	if say && w.o.OnRefused != nil {
-		w.o.OnRefused(err, from)
-	}
-}
+func (w *Wire) Counts() map[string]int { return w.tally.all() }
 
 // Send puts a message into the ring of a peer and returns at once. If the ring is full
 // its oldest message goes. The message must not be changed until Send returns; it is
