State of the fleet's core that nothing reads is gone, and an error that nothing gave

Found on reading the change again: the core held a random source, a serial, a waking time and a peer's last Seq that nothing read, looked twice whether it votes, and fleet.AloneError was listed for operators though nothing ever gave it; how long there has been no lease is what fleet status tells. Behaviour stays; tests of node, edge and peers pass unchanged.

--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -54,20 +54,8 @@
 	return "give this controller a new name and an empty directory; a name whose disk was lost is ended by fleet forget"
 }
 
-// AloneError is a controller that no lease was given to for long.
-type AloneError struct{ Since string }
-
-func (e *AloneError) Error() string {
-	return "no lease for " + e.Since + ": this controller serves nothing"
-}
-
-// Remedy says what to do.
-func (e *AloneError) Remedy() string {
-	return "see whether a majority of the voters runs and can be reached from here (fleet status on each of them)"
-}
-
 // Errors is one of each, for the test that walks all of them.
 func Errors() []Remedied {
 	some := fmt.Errorf("some reason")
-	return []Remedied{&EntryError{1, some}, &SnapshotError{some}, &UnfitError{1, "why"}, &UnwantedError{"n1", "why"}, &AloneError{"5s"}}
+	return []Remedied{&EntryError{1, some}, &SnapshotError{some}, &UnfitError{1, "why"}, &UnwantedError{"n1", "why"}}
 }
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -36,7 +36,7 @@
 
 // peer is a controller as its last Renew told.
 type peer struct {
-	boot, seq uint64
+	boot uint64
 	// runs has the last Seq of each of its runs. What an earlier one said may come
 	// late, even first; it is still true, and must not shut out the present one.
 	runs    map[uint64]uint64
@@ -124,7 +124,7 @@
 	}
 	c.stirred = c.stirred || p.r == nil || p.boot != r.Boot || p.r.differs(r)
 	p.runs[r.Boot] = r.Seq
-	p.boot, p.seq, p.heard, p.r, p.applied = r.Boot, r.Seq, c.now, r, r.Applied
+	p.boot, p.heard, p.r, p.applied = r.Boot, c.now, r, r.Applied
 	if p.next == 0 || p.next > r.Applied+1 && c.now-p.sent > c.every() { // what was sent to it was lost
 		p.next = r.Applied + 1
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/fleet/agree"
 	"railrelay.dev/railrelay/internal/fleet/record"
@@ -21,7 +18,6 @@
 	out   []Effect
 	state *record.State
 	bad   fleet.Remedied // what keeps this controller from ever serving
-	rand  *rand.Rand
 
 	vote     *agree.Core // nil: it only follows
 	voters   []agree.Voter
@@ -39,8 +35,6 @@
 	member
 	leading
 	asks   []*asking
-	serial uint64
-	woken  time.Duration
 	Counts map[string]int // of what was refused or odd, for the status
 }
 
@@ -67,7 +61,7 @@
 	if b.KeepAtMost == 0 {
 		b.KeepAtMost = 2000
 	}
-	c := &Core{b: b, state: record.NewState(), rand: rand.New(rand.NewPCG(b.Seed, xxhash.Sum64String(b.Self.Name))), Counts: map[string]int{}}
+	c := &Core{b: b, state: record.NewState(), Counts: map[string]int{}}
 	c.member.start()
 	c.voters = b.Voters
 	if s := b.Kept.Snapshot; s != nil {
@@ -302,7 +296,7 @@
 			}
 			vote := c.vote
 			c.store(e.Kept, func() {
-				if c.vote == nil || vote != nil && c.vote != vote { // it votes no more
+				if vote == nil || c.vote != vote { // it votes no more
 					return
 				}
 				c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Stored}))
@@ -382,7 +376,7 @@
 // retire ends voting where the record names others. Not before agreement itself counts
 // without this controller: until then it takes a majority of those who voted to change them.
 func (c *Core) retire() {
-	if c.vote != nil && len(c.state.Voters) > 0 && !c.votes() && !c.leads {
+	if len(c.state.Voters) > 0 && !c.votes() && !c.leads {
 		c.vote, c.leader = nil, ""
 		c.coming = c.state.Index
 		c.say(true, "this controller votes no more")
