A tokened query carries its token, and names are met as the operators have them

Checked: what calls bear, with the fields now named in the trace of 'taken': "nonce" on tokened groups alone. At fault: engines.Submit, which knew no token, and relay.take, which read none.

And names, in the same lines: Looked for after 'a setting that belongs to another customer showing up where it should not'. Seen in a test that starts the program with drawn names: a group called zone was known as location and never served, one called none as off, for terms.put took every value that reads like a word of the settings for that word; a group or customer with a blank in its name was known with a line in its place, so that its calls were 'no such method', and engines of a location with a blank stood in none. Ruled out: the lists of names themselves, which agree with each other.

Only effect, scope and how have such values now. A call's group, its customer and a listed engine's location and kind are looked up in the form that the settings have here (terms.Plain); engines get the group's name as its client has it.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -189,6 +189,16 @@
 	return nil
 }
 
+// Names lists what fields there are, for who follows a call.
+func (f Fields) Names() (names []string) {
+	c := &cursor{p: f.p, most: uint64(len(f.p))}
+	for n := f.count; n > 0 && c.err == nil; n-- {
+		names = append(names, string(c.str()))
+		c.skip(0)
+	}
+	return names
+}
+
 const keyMost = 256
 
 // usable: the trace has the protocol's form. It stands in the path of calls to
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -10,11 +10,14 @@
 	"railrelay.dev/railrelay/internal/terms"
 )
 
-// Submit writes the call that starts a statement.
-func Submit(dst []byte, host, id, group string, within time.Duration, grantMB, priority int, statement []byte) []byte {
+// Submit writes the call that starts a statement; token "": none goes with it.
+func Submit(dst []byte, host, id, group, token string, within time.Duration, grantMB, priority int, statement []byte) []byte {
 	dst = start(dst, "POST", "/o", host)
 	dst = put(dst, "X-Req", id)
 	dst = put(dst, "X-Class", group)
+	if token != "" {
+		dst = put(dst, "Idempotency-Key", token)
+	}
 	dst = put(dst, "X-Wait-Ms", strconv.FormatInt(max(1, within.Milliseconds()), 10))
 	if grantMB > 0 {
 		dst = put(dst, "Pool-Mb", strconv.Itoa(grantMB))
@@ -28,6 +31,16 @@
 	return finish(dst, statement)
 }
 
+// Sendable: a value can stand in a field as it is, without an end of the line or of itself in it.
+func Sendable(value []byte) bool {
+	for _, b := range value {
+		if b <= ' ' || b > '~' {
+			return false
+		}
+	}
+	return len(value) <= 256
+}
+
 // Ask writes the call for a query's news, page 0, or a further page.
 func Ask(dst []byte, host, id string, page int) []byte {
 	return finish(start(dst, "GET", "/o/"+id+"/"+strconv.Itoa(page), host), nil)
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -113,8 +113,9 @@
 
 func TestCalls(t *testing.T) {
 	for want, got := range map[string][]byte{
-		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: report\r\nX-Wait-Ms: 1500\r\nPool-Mb: 64\r\nPool-Rank: 2\r\nContent-Length: 8\r\n\r\nSELECT 1": Submit(nil, "h:1", "id", "report", 1500*time.Millisecond, 64, 2, []byte("SELECT 1")),
-		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: r\r\nX-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n":                                                Submit(nil, "h:1", "id", "r", 0, 0, -1, nil),
+		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: report\r\nX-Wait-Ms: 1500\r\nPool-Mb: 64\r\nPool-Rank: 2\r\nContent-Length: 8\r\n\r\nSELECT 1": Submit(nil, "h:1", "id", "report", "", 1500*time.Millisecond, 64, 2, []byte("SELECT 1")),
+		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: r\r\nX-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n":                                                Submit(nil, "h:1", "id", "r", "", 0, 0, -1, nil),
+		"POST /o HTTP/1.1\r\nHost: h:1\r\nX-Req: id\r\nX-Class: r\r\nIdempotency-Key: a-1\r\nX-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n":                        Submit(nil, "h:1", "id", "r", "a-1", 0, 0, -1, nil),
 		"GET /o/id/3 HTTP/1.1\r\nHost: h:1\r\n\r\n":                     Ask(nil, "h:1", "id", 3),
 		"PUT /o/id HTTP/1.1\r\nHost: h:1\r\nContent-Length: 1\r\n\r\n0": Rank(nil, "h:1", "id", 0),
 		"DELETE /o/id HTTP/1.1\r\nHost: h:1\r\n\r\n":                    GiveUp(nil, "h:1", "id"),
@@ -126,7 +127,7 @@
 		}
 	}
 	// an id that would start a field of its own
-	if got := string(Submit(nil, "h", "a\r\nPool-Rank: 3", "g", 0, 0, 1, nil)); strings.Count(got, "\r\nPool-Rank") != 1 {
+	if got := string(Submit(nil, "h", "a\r\nPool-Rank: 3", "g", "", 0, 0, 1, nil)); strings.Count(got, "\r\nPool-Rank") != 1 {
 		t.Errorf("%q", got)
 	}
 	if load := Load(func(string) string { return "inflight:-3;util:NaN;outstanding:;utilization:Inf" }); len(load) != 0 {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -42,7 +42,7 @@
 }
 
 // platformWords are the platform's names for what a call may tell besides.
-var platformWords = relay.Words{Whose: "customer", Work: "weight", Need: "ram"}
+var platformWords = relay.Words{Whose: "customer", Work: "weight", Need: "ram", Token: "nonce"}
 
 // servePlatform serves by ROUTER_CONFIG and what stands beside it.
 func servePlatform(signals <-chan os.Signal) error {
--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -34,8 +34,8 @@
 		return nil
 	}
 	a := &caching{Relay: r, core: core, groups: map[string]bool{}}
-	for name, g := range r.groups {
-		a.groups[name] = !g.load && !g.inOrder && g.readOnly && (len(l.Groups) == 0 || slices.Contains(l.Groups, name))
+	for _, g := range r.groups {
+		a.groups[g.name] = !g.load && !g.inOrder && g.readOnly && (len(l.Groups) == 0 || slices.Contains(l.Groups, g.name))
 	}
 	a.sweep()
 	return a
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -228,7 +228,7 @@
 		c.end(false)
 		return
 	case len(c.open) >= c.wants.Open:
-		if why := c.unfit(string(name), string(id), patience, keyed, len(statement)); why != "" {
+		if why := c.unfit(string(name), string(id), patience, keyed, len(statement), From{c.link.From, all}); why != "" {
 			c.Wrong(msg, why)
 			return
 		}
--- a/internal/relay/fairness.go
+++ b/internal/relay/fairness.go
@@ -23,6 +23,7 @@
 	Whose string // names the customer whose share it counts to
 	Work  string // estimates its work, in milliseconds of one thread
 	Need  string // estimates the memory it needs, in MB
+	Token string // the mark by which engines know a repeat, of groups that the settings call tokened
 }
 
 // From is where a call comes from and what it says beside the query itself.
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -7,9 +7,11 @@
 
 	"railrelay.dev/railrelay/internal/clients"
 	"railrelay.dev/railrelay/internal/due"
+	"railrelay.dev/railrelay/internal/engines"
 	"railrelay.dev/railrelay/internal/fair"
 	"railrelay.dev/railrelay/internal/must"
 	"railrelay.dev/railrelay/internal/spool"
+	"railrelay.dev/railrelay/internal/terms"
 )
 
 // asker is whoever a query belongs to: a call on a connection, or what stands
@@ -29,10 +31,11 @@
 
 // query is one thing taken, until it is answered and nothing of it is out.
 type query struct {
-	id                string
+	id, method        string // as its client has them
 	asker             asker
 	group             *group
 	key               *key
+	token             string // the mark by which engines know a repeat, "": none was given
 	statement         []byte
 	takenAt           time.Duration
 	deadline          time.Duration
@@ -76,8 +79,8 @@
 const tooMuch = "too much is in hand"
 
 // unfit says why a call can't be taken, "" if it can.
-func (r *Relay) unfit(name, id string, patience time.Duration, keyed bool, size int) string {
-	g := r.groups[name]
+func (r *Relay) unfit(name, id string, patience time.Duration, keyed bool, size int, from From) string {
+	g := r.groups[terms.Plain(name)]
 	switch {
 	case g == nil:
 		return "no such method"
@@ -85,6 +88,8 @@
 		return "no such patience"
 	case g.inOrder && !keyed:
 		return "no entity"
+	case g.tokened && !engines.Sendable(from.Fields.Get(r.Words.Token)):
+		return "no such token"
 	case r.queries[id] != nil:
 		return "this trace is in hand"
 	case r.inHand+size > r.inHandMost:
@@ -96,14 +101,17 @@
 // take is the one way in, whichever front a query came by. It copies what it
 // keeps; why tells what is wrong with a call that isn't taken.
 func (r *Relay) take(a asker, name, id string, patience time.Duration, k []byte, keyed bool, statement []byte, from From) (q *query, why string) {
-	if why = r.unfit(name, id, patience, keyed, len(statement)); why != "" {
+	if why = r.unfit(name, id, patience, keyed, len(statement), from); why != "" {
 		return nil, why
 	}
-	g := r.groups[name]
+	g := r.groups[terms.Plain(name)]
 	r.inHand += len(statement)
-	q = &query{id: id, asker: a, group: g, statement: append([]byte{}, statement...),
+	q = &query{id: id, method: name, asker: a, group: g, statement: append([]byte{}, statement...),
 		takenAt: r.now, deadline: r.now + patience, priority: -1}
 	q.customer = r.customer(from)
+	if g.tokened {
+		q.token = string(from.Fields.Get(r.Words.Token))
+	}
 	q.work = time.Duration(told(from.Fields.Get(r.Words.Work), 24*3600*1000) * float64(time.Millisecond))
 	q.need = told(from.Fields.Get(r.Words.Need), 1<<30)
 	number := int64(-1)
@@ -114,7 +122,7 @@
 	r.queries[q.id] = q
 	r.tally.taken++
 	if r.Trace {
-		r.trace(q.about(), "taken, key %q (%d), for %v", k, number, patience)
+		r.trace(q.about(), "taken, key %q (%d), for %v, fields %q", k, number, patience, from.Fields.Names())
 	}
 	r.asked = r.now
 	if r.caching != nil {
@@ -127,7 +135,7 @@
 
 // customer is the place of the one that a call names among the settings', -1: none.
 func (r *Relay) customer(from From) int {
-	return slices.Index(r.customers, string(from.Fields.Get(r.Words.Whose)))
+	return slices.Index(r.customers, terms.Plain(string(from.Fields.Get(r.Words.Whose))))
 }
 
 // enter hands a query on to its turn or to the decisions.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"railrelay.dev/railrelay/internal/list"
 	"railrelay.dev/railrelay/internal/must"
 	"railrelay.dev/railrelay/internal/spool"
+	"railrelay.dev/railrelay/internal/terms"
 )
 
 // What an Event tells.
@@ -191,6 +192,7 @@
 	name            string
 	inOrder, load   bool
 	readOnly        bool
+	tokened         bool
 	timeout, target time.Duration
 	threads, value  float64
 }
@@ -217,9 +219,9 @@
 	for i := range groups {
 		at := "group." + strconv.Itoa(i) + "."
 		g := &group{index: i, name: f[at+"name"], inOrder: f[at+"in-order"] == "true", load: item(f["loads"], i) == "true",
-			readOnly: f[at+"effect"] == "read-only"}
+			readOnly: f[at+"effect"] == "read-only", tokened: f[at+"effect"] == "tokened"}
 		g.read(r)
-		r.groups[g.name] = g
+		r.groups[terms.Plain(g.name)] = g
 		r.longest = max(r.longest, g.timeout)
 	}
 	r.named()
@@ -272,7 +274,7 @@
 	r.customers = nil
 	n, _ := strconv.Atoi(r.Facts["teams"])
 	for i := range n {
-		r.customers = append(r.customers, r.Facts["team."+strconv.Itoa(i)+".name"])
+		r.customers = append(r.customers, terms.Plain(r.Facts["team."+strconv.Itoa(i)+".name"]))
 	}
 }
 
@@ -574,5 +576,5 @@
 // place is where a name stands in one of the settings' lists, which is how the
 // decisions know it; -1 if it is in none.
 func (r *Relay) place(facts, name string) int {
-	return slices.Index(strings.Split(r.Facts[facts], ","), name)
+	return slices.Index(strings.Split(r.Facts[facts], ","), terms.Plain(name))
 }
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -129,7 +129,7 @@
 			if s.try == 0 {
 				s.tally.firstByte(s.now - s.q.takenAt)
 			}
-			return engines.Submit(dst, s.e.address, s.q.id, s.q.group.name, s.until-s.now,
+			return engines.Submit(dst, s.e.address, s.q.id, s.q.method, s.q.token, s.until-s.now,
 				s.q.grantMB, s.ranked, s.q.statement)
 		},
 		then: func(as how, status int, field func(string) string, body []byte) {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -66,6 +66,10 @@
 	"zone": "location", "on_request": "asked", "on_probe": "probed", "inline": "answers",
 }
 
+// valued are the last parts of the names of settings that have such values. What else reads like
+// one is somebody's name: a group called zone is not called location.
+var valued = map[string]bool{"effect": true, "scope": true, "how": true}
+
 // FromPairs turns the settings as path=value pairs into our words and leaves
 // out what we don't know.
 func FromPairs(pairs []string) map[string]string {
@@ -91,7 +95,7 @@
 		}
 		name = strings.Replace(name, "N", place, 1)
 	}
-	if v, ok := values[value]; ok {
+	if v, ok := values[value]; ok && valued[name[strings.LastIndex(name, ".")+1:]] {
 		value = v
 	}
 	if name == "report.figures" {
@@ -158,12 +162,15 @@
 
 var spaces = strings.NewReplacer(" ", "_", ",", "_")
 
+// Plain is how the settings have a name here: as one word, which may stand in a list of them.
+func Plain(name string) string { return spaces.Replace(name) }
+
 func plain(x any) string {
 	switch x := x.(type) {
 	case nil:
 		return "-"
 	case string:
-		return spaces.Replace(x)
+		return Plain(x)
 	default:
 		return fmt.Sprint(x)
 	}
