A watch is given up by the number that is due, not after two and a half

The program waited 2.5 s of a number that comes every second (feedSilent), so that a drain told right after the last one was heard 2.6 s later, past a grace of 0.5 to 2 s.

Now 1.25 s: the second by the protocol and five times the network's 50 ms. Where we stood still ourselves, what came meanwhile is read before it is judged, or every stall would cost a call for the list.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -21,7 +21,9 @@
 }
 
 const (
-	feedSilent   = 2500 * time.Millisecond // a number comes every second
+	feedBeat     = 1 * time.Second       // a number comes every so often, by the protocol
+	feedSilent   = feedBeat + 5*onTheWay // one that was due has not come: what was told since is missing
+	feedDials    = 800 * time.Millisecond
 	feedWaits    = 50 * time.Millisecond
 	feedWaitsMax = 800 * time.Millisecond
 	feedTold     = 7 * time.Second // what the feed has to tell counts as told after this, whether it came or not
@@ -31,7 +33,7 @@
 // half of the time that a drained engine may still be sent to, so that a try and the wait before it
 // are over within that once the feed is back. Before that nobody counts on it, and calls are priced.
 func (r *Relay) feedHurry(most time.Duration) time.Duration {
-	if grace := r.span("drain.grace"); grace > 0 && r.now-r.feed.had > feedTold-feedWaitsMax-feedSilent/3 {
+	if grace := r.span("drain.grace"); grace > 0 && r.now-r.feed.had > feedTold-feedWaitsMax-feedDials {
 		return max(2*feedWaits, min(most, grace/2))
 	}
 	return most
@@ -85,7 +87,7 @@
 		}
 	}
 	r.tally.feedDials++
-	r.do(Effect{Verb: Dial, Link: l, Address: r.Feed, Within: r.feedHurry(feedSilent / 3)})
+	r.do(Effect{Verb: Dial, Link: l, Address: r.Feed, Within: r.feedHurry(feedDials)})
 	r.watch(l, again)
 }
 
@@ -103,16 +105,22 @@
 	r.follow()
 }
 
+// watch gives a feed up once a number that was due has not come, though nothing was closed: what
+// it should have told since counts as told, and a drain among it must pass no grace.
 func (r *Relay) watch(l *Link, again func()) {
-	r.at(r.feed.heard+feedSilent, func() {
+	due := r.feed.heard + feedSilent
+	r.at(due, func() {
 		switch {
 		case r.feed.link != l:
-		case r.now-r.feed.heard >= feedSilent:
+		case r.now-r.feed.heard < feedSilent:
+			r.watch(l, again)
+		case r.now > due+onTheWay: // we stood still ourselves: what came meanwhile is read first
+			r.feed.heard = r.now + onTheWay - feedSilent
+			r.watch(l, again)
+		default:
 			r.tally.feedFaults++
 			r.shut(l, false)
 			again()
-		default:
-			r.watch(l, again)
 		}
 	})
 }
--- a/internal/relay/standing_test.go
+++ b/internal/relay/standing_test.go
@@ -29,7 +29,7 @@
 	s.tell("") // the last that it says
 	silent, from, m := s.feed, s.now, s.all()[0]
 	for s.feed == silent || !s.feed.up {
-		if s.until(s.now + time.Millisecond); s.now-from > 3500*time.Millisecond {
+		if s.until(s.now + time.Millisecond); s.now-from > 1400*time.Millisecond {
 			t.Fatal("still waited for after ", s.now-from)
 		}
 	}
