Who asks whether we are ready isn't idle, and an answer on its way keeps its place

Seen on the stage: a connection on which only 'alive' was asked, twice a second, was closed as idle after 6.5 s, since what is idle was counted from the last query's end; one with nothing open but an answer half written was displaced by a newcomer, and its answer broken off; with all descriptors for engines in use ten looks at one engine waited before the calls for news, whose queries engines drop after 2 s. Also: a deferral for want of memory named a time to come back beyond the query's own. Lines: client.go makeWay, got, Query; engine.go probe.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -115,7 +115,7 @@
 func (r *Relay) makeWay(newcomer *client) {
 	rank := func(c *client) int {
 		switch {
-		case len(c.open) > 0:
+		case len(c.open) > 0, c.link.pending > 0 && (c.stuck < 0 || r.now-c.stuck < wholeMost):
 			return 4
 		case c == newcomer:
 			return 3
@@ -156,7 +156,7 @@
 			c.end(true)
 			return
 		case n > 0:
-			whole, c.spoke = true, true
+			whole, c.spoke, c.idle = true, true, c.now
 			c.link.In.Drop(n)
 			if c.heard++; c.heard > c.wants.Messages {
 				c.tally.turnedOff++
@@ -242,7 +242,7 @@
 	case "":
 	case tooMuch: // counted as a fault it would in the end cost what else is open on the connection
 		c.tally.deferred++
-		c.answer(clients.Deferred(nil, msg, c.span("return.most")))
+		c.answer(clients.Deferred(nil, msg, min(c.span("return.most"), patience/2)))
 		return
 	default:
 		c.Wrong(msg, why)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -22,6 +22,7 @@
 	waiting     []*submission // held until the one of the same id is over
 	untold      int           // submissions to it whose end the decisions don't know
 	goneAt      time.Duration
+	look        *call // the last one
 	named       int64 // the event that last named it
 }
 
@@ -380,8 +381,11 @@
 
 // probe looks at an engine; no answer in the time a connection may take is one too.
 func (r *Relay) probe(e *engine) {
+	if e.look != nil && !e.look.over { // with all descriptors in use one waits, and more of them would starve the news
+		return
+	}
 	r.tally.probes++
-	r.call(&call{what: "probe", e: e, within: r.connectWithin, fits: engines.FitsProbe,
+	e.look = &call{what: "probe", e: e, within: r.connectWithin, fits: engines.FitsProbe,
 		write: func(dst []byte) []byte { return engines.Probe(dst, e.address, r.reports) },
 		then: func(as how, status int, field func(string) string, _ []byte) {
 			outcome, report := decide.TimedOut, map[string]float64(nil)
@@ -396,5 +400,6 @@
 				outcome = decide.Reset
 			}
 			r.soon(func() { r.gate.Probed(r.now, e.id, outcome, report) })
-		}})
+		}}
+	r.call(e.look)
 }
