--- a/decide/decide.go
+++ b/decide/decide.go
@@ -445,12 +445,7 @@
 }
 
 // needs is the memory a query should need, in MB; 0 while nothing is known.
-func (g *Gateway) needs(q *query) float64 {
-	if q.memory > 0 {
-		return q.memory
-	}
-	return q.rg.need.or(0)
-}
+func (g *Gateway) needs(q *query) float64 { return cmp.Or(q.memory, q.rg.need.or(0)) }
 
 // expect is the time it should take as things are, in seconds.
 func (g *Gateway) expect(q *query) float64 { return g.lone(q) * max(1, q.rg.stretchy.or(1)) }
@@ -473,12 +468,10 @@
 func (g *Gateway) maySend(q *query) bool {
 	f, l := g.facts, g.line(q)
 	switch {
-	case q.over || g.now >= q.deadline:
-		return false // 1
-	case q.out > 0 && !f.yes("may.copy") || !g.mayRepeat(q):
-		return false // 2
-	case l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q):
-		return false // 5
+	case q.over || g.now >= q.deadline, // 1
+		q.out > 0 && !f.yes("may.copy") || !g.mayRepeat(q),                   // 2
+		l != nil && (l.line[0] != q || g.now < l.restUntil && l.restBy != q): // 5
+		return false
 	}
 	return len(q.subs) == 0 || g.affords() // 7
 }
@@ -493,9 +486,8 @@
 func (g *Gateway) allowed(q *query, e *engine) bool {
 	rg := q.rg
 	switch {
-	case e.state != On:
-		return false // 3: not even within the grace
-	case q.inside != nil && !slices.Contains(q.inside, strconv.Itoa(e.location)) && !(Astray && len(q.subs) > 0),
+	case e.state != On, // 3: not even within the grace
+		q.inside != nil && !slices.Contains(q.inside, strconv.Itoa(e.location)) && !(Astray && len(q.subs) > 0),
 		len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
 		return false // 6
 	}
@@ -661,6 +653,18 @@
 		q.rg.effect == "tokened" && g.now-ran[0].at < q.rg.window
 }
 
+// beginsBy: one may have waited for its connection past what it was decided on. What is tokened is repeated
+// within the window only, from the first that may have run.
+func (g *Gateway) beginsBy(s *submission) time.Duration {
+	ran, rg := s.q.mayHaveRun(), s.q.rg
+	if s.q.over || s.e.state != On {
+		return 0
+	} else if rg.effect == "tokened" && ran[0] != s {
+		return min(s.q.deadline, ran[0].at+rg.window)
+	}
+	return s.q.deadline
+}
+
 func (g *Gateway) mayRepeat(q *query) bool {
 	return len(q.subs) < int(g.facts.num("submissions.most", 1)) && g.harmless(q)
 }
@@ -670,8 +674,7 @@
 	if q.over || q.begun {
 		return
 	}
-	anywhere := q.rg.effect != "tokened" || q.rg.scope == "all" || len(q.mayHaveRun()) == 0
-	if g.harmless(q) && anywhere {
+	if g.harmless(q) && (q.rg.effect != "tokened" || q.rg.scope == "all" || len(q.mayHaveRun()) == 0) {
 		g.act.Defer(q.id, g.comeBack)
 	} else {
 		g.act.Kill(q.id)
@@ -734,10 +737,9 @@
 func (g *Gateway) noted(s *submission, sign Sign, x float64) {
 	g.heard(s.e)
 	s.notedAt = g.now
-	switch {
-	case sign == WaitsForLoad:
+	if sign == WaitsForLoad {
 		g.shut(s, g.facts.span("note.period", time.Second)*2)
-	case sign == Progress && x > 0:
+	} else if sign == Progress && x > 0 {
 		s.share, s.shareAt = x, g.now
 		g.move(s, g.remains(s))
 	}
@@ -816,8 +818,7 @@
 		g.fillSeen.value *= 0.93 // who sends nothing is told nothing: full once would be full for good
 	}
 	for _, rg := range g.groups {
-		rg.taken *= 0.995
-		rg.begun *= 1 - tick.Seconds()/flowSpan.Seconds()
+		rg.taken, rg.begun = rg.taken*0.995, rg.begun*(1-tick.Seconds()/flowSpan.Seconds())
 	}
 	g.workRate *= 0.995
 	took, quota := 0.0, 0.0
--- a/decide/door.go
+++ b/decide/door.go
@@ -259,6 +259,16 @@
 	}
 }
 
+// BeginsBy is until when the first byte of a submission may go, 0 where it may not any more:
+// an adapter that let it wait for a connection asks once more. It changes nothing, so that
+// it may be asked while the decisions act.
+func (g *Gateway) BeginsBy(id string, try int) time.Duration {
+	if s := g.submission(id, try); s != nil {
+		return g.beginsBy(s)
+	}
+	return 0
+}
+
 // Out is how many submissions an engine is thought to have.
 func (g *Gateway) Out(id string) (out int, known bool) {
 	e := g.byID[id]
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -102,7 +102,7 @@
 
 func (r *Relay) accept(l *Link) {
 	c := &client{Relay: r, link: l, wants: r.manners.of(l.From), stuck: -1, begun: r.now, idle: r.now}
-	l.got, l.ended = c.got, c.ended
+	l.got, l.last, l.ended = c.got, c.allLeft, c.ended
 	r.clients = append(r.clients, c)
 	r.tally.connections++
 	r.makeWay(c)
@@ -138,7 +138,8 @@
 	}
 	if open > r.clientsMost {
 		r.tally.turnedOff++
-		r.shut(first.link, false)
+		// gently: it may have been answered a moment ago, and ask again just now
+		r.shutWithin(first.link, true, onTheWay)
 	}
 }
 
@@ -225,7 +226,7 @@
 	case c.find(msg) != nil:
 		// answers could no longer be told apart
 		c.tally.malformed++
-		c.end(false)
+		c.end(true)
 		return
 	case len(c.open) >= c.wants.Open:
 		if why := c.unfit(string(name), string(id), patience, keyed, len(statement), From{c.link.From, all}); why != "" {
@@ -270,6 +271,8 @@
 
 func (a *asking) told(wait time.Duration) { a.c.answer(clients.Told(nil, a.msg, wait)) }
 
+func (a *asking) from() *Link { return a.c.link }
+
 func (a *asking) closed() {
 	a.c.open = slices.DeleteFunc(a.c.open, func(x *asking) bool { return x == a })
 	a.c.idle = a.c.now
@@ -289,7 +292,7 @@
 func (c *client) Wrong(msg uint32, why string) {
 	c.tally.malformed++
 	if c.find(msg) != nil {
-		c.end(false)
+		c.end(true)
 		return
 	}
 	c.answer(clients.Killed(nil, msg, why))
@@ -331,7 +334,7 @@
 			continue
 		case c.stuck >= 0 && r.now-c.stuck > stuckMost, c.begun >= 0 && r.now-c.begun > c.wants.Whole:
 			r.tally.turnedOff++
-			c.end(false)
+			c.end(c.stuck < 0) // who takes nothing is not waited for
 		case c.begun < 0 && len(c.open) == 0 && c.pages == 0 && p == 0 && r.now-c.idle > c.wants.Idle:
 			r.tally.idled++
 			c.end(true)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -243,7 +243,7 @@
 		r.trace(c.s.about(), "%s on line %d", c.what, l.n)
 	}
 	if c.starts {
-		r.writeBy(l.link, text, c.s.version, c.s.q.bound)
+		r.writeBy(l.link, text, c.s)
 	} else {
 		r.write(l.link, text)
 	}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -172,6 +172,9 @@
 	if e.state != state && state == decide.Gone {
 		r.away(e)
 	}
+	if state != decide.On {
+		e.bar()
+	}
 	e.state, e.kind, e.location = state, r.place("kinds", kind), r.place("locations", location)
 	e.named = r.feed.last
 	switch x := r.atAddress[e.address]; {
@@ -207,7 +210,17 @@
 	}
 }
 
+// bar: it is sent nothing more, and what waits to be written doesn't begin there either.
+func (e *engine) bar() {
+	for _, l := range e.lines {
+		if c := l.call; c != nil && c.starts {
+			c.s.permit.Revoke()
+		}
+	}
+}
+
 func (r *Relay) away(e *engine) {
+	e.bar()
 	e.state, e.goneAt = decide.Gone, r.now
 	for _, l := range e.lines {
 		if l.up && l.call == nil {
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/clients"
 	"railrelay.dev/railrelay/internal/due"
 	"railrelay.dev/railrelay/internal/engines"
@@ -27,6 +28,8 @@
 	told(wait time.Duration)
 	// closed: no answer is owed any more, or it follows in the same breath.
 	closed()
+	// from is the connection it came by, whose end ends it; nil: none.
+	from() *Link
 }
 
 // query is one thing taken, until it is answered and nothing of it is out.
@@ -185,18 +188,25 @@
 // left: its asker wants no answer any more.
 func (r *Relay) left(q *query) {
 	r.tally.left++
+	r.soon(func() { r.gate.ClientLeft(r.now, q.id) }) // before the end of what was not sent, or it counts as answered
 	r.close(q, fair.Left)
-	r.soon(func() { r.gate.ClientLeft(r.now, q.id) })
 }
 
+var endNames = [...]string{fair.Finished: "finished", fair.Deferred: "deferred", fair.Killed: "killed", fair.Left: "left"}
+
 // close marks the query answered, or no answer owed.
 func (r *Relay) close(q *query, end fair.End) bool {
 	if !must.Hold(!q.answered, "one final answer a query") {
 		return false
 	}
 	q.answered = true
+	for _, s := range q.subs {
+		if s.permit.Revoke(); !s.sent { // where nothing may be cancelled, too: its key's next would wait for a dial
+			r.withdraw(s, decide.NeverSent)
+		}
+	}
 	if r.Trace {
-		r.trace(q.about(), "closed: %v", end)
+		r.trace(q.about(), "closed: %s", endNames[end])
 	}
 	q.asker.closed()
 	if q.waits {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,9 +52,13 @@
 	Kind Kind
 	Link *Link
 	N    int
-	Feed string
-	Fair *fair.Shape // with Reload: the teams, nil to leave them as they are
-	Work *spool.Work
+	Last bool // with Got: its end came right behind, nothing more follows
+	// We stood still, and this came meanwhile: what is due waits until all of it was heard, as a
+	// Woken then says. An answer that lies here unread is not late.
+	Early bool
+	Feed  string
+	Fair  *fair.Shape // with Reload: the teams, nil to leave them as they are
+	Work  *spool.Work
 
 	Order  *fleet.Order
 	Report *fleet.Report // with Untold
@@ -92,9 +96,13 @@
 	Work    *spool.Work
 	// with Write: the version these bytes were decided by, 0: none. They go out only
 	// while the fleet's word is that version, by the lease of bound teams if Bound.
-	Guard  uint64
-	Bound  bool
-	Kept   bool // with Write: what is kept of a team, which goes out only while the lease of bound teams holds
+	Guard uint64
+	Bound bool
+	Kept  bool // with Write: what is kept of a team, which goes out only while the lease of bound teams holds
+	// with Write of what starts a query: Permit is asked right before the first byte, and
+	// what came from For, its client's connection, and was not stepped yet goes before it
+	Permit *Permit
+	For    *Link
 	Report *fleet.Report
 }
 
@@ -114,6 +122,7 @@
 	up      func()
 	failed  func(refused bool)
 	got     func()
+	last    func() // nothing more comes; nil: that is told by ended alone
 	ended   func()
 	closed  bool
 	pending int // bytes asked to be written and not out yet
@@ -258,7 +267,7 @@
 	r.feed.spoilt = -1
 	r.follow()
 	r.sweep()
-	r.settle()
+	r.settle(false)
 	return r, r.out
 }
 
@@ -326,6 +335,9 @@
 		if !l.closed {
 			l.In.Took(ev.N)
 			l.got()
+			if ev.Last && l.last != nil {
+				l.last()
+			}
 			r.holds(l, l.In.Held())
 			if r.buffered > r.bufferedMost {
 				r.relieve()
@@ -351,14 +363,17 @@
 	case Untold:
 		r.warrant.noRoom(ev.Report)
 	case Barred:
-		r.warrant.refusedWrites++
+		r.tally.barred++
+		if r.warrant != nil {
+			r.warrant.refusedWrites++
+		}
 	case Reload:
 		r.refeed(ev.Feed)
 		if r.fair != nil && ev.Fair != nil && r.warrant == nil { // where there are peers teams are the fleet's to change
 			r.fair.reload(ev.Fair)
 		}
 	}
-	r.settle()
+	r.settle(ev.Early)
 }
 
 // caught: a fault of ours costs the connection that it came by, not all that is
@@ -377,21 +392,23 @@
 	}
 }
 
-// settle does what is due and tells the decisions what waits to be told.
-func (r *Relay) settle() {
+// settle does what is due and tells the decisions what waits to be told; early, only the latter.
+func (r *Relay) settle(early bool) {
 	for {
 		if len(r.later) > 0 {
 			do := r.later[0]
 			r.later = r.later[1:]
 			do()
-		} else if do, ok := r.due.Next(r.now); ok {
+		} else if do, ok := r.overdue(early); ok {
 			do()
 		} else if r.fair == nil || r.warrant != nil && r.warrant.stands() || !r.fair.next() {
 			break
 		}
 	}
 	r.later = nil
-	r.leave()
+	if !early {
+		r.leave()
+	}
 	if at, ok := r.due.First(); ok && (r.woken < 0 || at < r.woken) {
 		r.woken = at
 		r.do(Effect{Verb: Wake, Within: max(0, at-r.now)})
@@ -405,6 +422,13 @@
 	must.Hold(r.pool.links >= 0 && r.pool.links <= r.pool.most, "engine links within their part")
 }
 
+func (r *Relay) overdue(early bool) (func(), bool) {
+	if early {
+		return nil, false
+	}
+	return r.due.Next(r.now)
+}
+
 func (r *Relay) do(e Effect)                         { r.out = append(r.out, e) }
 func (r *Relay) at(when time.Duration, what func())  { r.due.Add(when, what) }
 func (r *Relay) after(span time.Duration, do func()) { r.due.Add(r.now+span, do) }
@@ -430,15 +454,20 @@
 func (r *Relay) count()           { r.do(Effect{Verb: Count, Text: r.tally.text(r), N: r.tally.taken}) }
 func (r *Relay) soon(what func()) { r.later = append(r.later, what) }
 
-func (r *Relay) write(l *Link, p []byte) { r.writeBy(l, p, 0, false) }
+func (r *Relay) write(l *Link, p []byte) { r.writeBy(l, p, nil) }
 
-// writeBy writes what may go out only while the fleet's word is a version, 0: always.
-func (r *Relay) writeBy(l *Link, p []byte, version uint64, bound bool) {
+// writeBy writes what starts a submission, which goes out only while the fleet's word is the
+// version it was decided by, and by its permit; nil: anything else.
+func (r *Relay) writeBy(l *Link, p []byte, s *submission) {
 	if l.closed || len(p) == 0 {
 		return
 	}
 	l.pending += len(p)
-	r.do(Effect{Verb: Write, Link: l, Bytes: p, Guard: version, Bound: bound, Kept: r.serves})
+	e := Effect{Verb: Write, Link: l, Bytes: p, Kept: r.serves}
+	if s != nil {
+		e.Guard, e.Bound, e.Permit, e.For = s.version, s.q.bound, s.permit, s.q.asker.from()
+	}
+	r.do(e)
 }
 
 func (r *Relay) holds(l *Link, bytes int) {
@@ -449,10 +478,14 @@
 func (r *Relay) wrote(l *Link, n int) { l.pending = max(0, l.pending-n) }
 
 // shut closes a link for good; its Ended comes when its descriptor is free.
-func (r *Relay) shut(l *Link, gently bool) {
+func (r *Relay) shut(l *Link, gently bool) { r.shutWithin(l, gently, wholeMost) }
+
+// shutWithin closes a link; gently, its peer has so long to take what was written and to
+// close its own side: a close over bytes that nobody read would reset what it has not taken.
+func (r *Relay) shutWithin(l *Link, gently bool, within time.Duration) {
 	if !l.closed {
 		l.closed = true
-		r.do(Effect{Verb: Close, Link: l, Gently: gently, Within: wholeMost})
+		r.do(Effect{Verb: Close, Link: l, Gently: gently, Within: within})
 	}
 }
 
@@ -506,7 +539,7 @@
 			r.warrant.shutDown()
 		}
 	}
-	busy := past < stopStays || len(r.queries) > 0 || r.now-r.asked < stopQuiet && past < stopMost
+	busy := past < stopStays || len(r.queries) > 0 || past < stopMost && (r.now-r.asked < stopQuiet || r.gives())
 	for _, c := range r.clients {
 		busy = busy || c.link.pending > 0 && (c.stuck < 0 || r.now-c.stuck < stopGrace)
 	}
@@ -517,6 +550,16 @@
 	}
 }
 
+// gives: something that was given up is not yet over at its engine, which would work on for nobody.
+func (r *Relay) gives() bool {
+	for _, e := range r.engines {
+		if len(e.leaving) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // What the decisions act through; none of it calls them back at once.
 
 func (r *Relay) Submit(id, engine string, within time.Duration) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -55,6 +55,7 @@
 	// where it has peers
 	reports []fleet.Report
 	full    bool          // the ring of reports
+	early   bool          // it stood still, and this came meanwhile
 	stopped time.Duration // the process stands still between a step and what it writes
 	written []uint64      // versions of submissions, in the order they went out
 }
@@ -173,6 +174,7 @@
 }
 
 func (s *stage) step(ev Event) {
+	ev.Early = s.early
 	s.perform(s.r.Step(s.now, ev))
 	s.flush()
 }
@@ -181,6 +183,7 @@
 	for len(s.back) > 0 {
 		ev := s.back[0]
 		s.back = s.back[1:]
+		ev.Early = s.early
 		s.perform(s.r.Step(s.now, ev))
 	}
 }
@@ -221,7 +224,7 @@
 			if e.ignores || e.gone { // its end is on the way
 				break
 			}
-			if f.Guard != 0 && !s.mayGo(f) {
+			if !f.Permit.Holds(s.now+s.stopped) || f.Guard != 0 && !s.mayGo(f) {
 				s.back = append(s.back, Event{Kind: Barred, Link: f.Link})
 				s.lose(e)
 				break
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -20,6 +20,7 @@
 	at      time.Duration
 	endedAt time.Duration // when its end was told
 	until   time.Duration
+	permit  *Permit       // of its first byte, from when it was handed over to be written
 	sent    bool          // its first byte was let go
 	posted  bool          // the call that starts it has come out, in one way or another
 	settled bool          // the call that starts it can't arrive any more, or has
@@ -63,6 +64,11 @@
 	onTheWay = 50 * time.Millisecond
 )
 
+// beginMost bounds what may pass between the step that lets a first byte go and the write: the
+// process may stand still there, and its client leave meanwhile, for whom nothing may begin more
+// than 0.1 s later. What takes longer is held to be not sent, and decided anew.
+const beginMost = 75 * time.Millisecond
+
 // gone: it is over at its engine, whether that was heard to answer or not, since it
 // went unasked for as long as engines keep it. Together with came, giveUp and landed this
 // decides when a submission is over; docs/design.md has the table. A call may arrive as
@@ -137,7 +143,10 @@
 			s.posted = true
 		}}
 	c.fit = func() bool {
-		fit := !s.ended && !s.q.answered && s.now < s.until && s.e.state == decide.On
+		// it may have waited for its turn, a descriptor or its connection: what it was decided on is asked anew
+		by := min(s.until, s.gate.BeginsBy(s.q.id, s.try), s.now+beginMost)
+		fit := !s.ended && !s.q.answered && s.now < by && s.e.state == decide.On
+		s.permit = NewPermit(by)
 		if fit && s.warrant != nil && !s.warrant.lets(s) {
 			c.over, fit = true, false // it came to nothing here: another starts it once it may go
 		}
@@ -255,7 +264,7 @@
 		return
 	}
 	s.pages = append(s.pages, append([]byte{}, rows...))
-	if len(s.pages) < s.of {
+	if len(s.pages) < s.of && !s.q.answered { // it is over there, and nobody wants the others
 		s.ask(len(s.pages))
 		return
 	}
@@ -320,6 +329,7 @@
 		return
 	}
 	s.ended = true
+	s.permit.Revoke()
 	if r.Trace {
 		r.trace(s.about(), "withdrawn")
 	}
--- a/internal/relay/tally.go
+++ b/internal/relay/tally.go
@@ -15,6 +15,7 @@
 	idled                                    int
 	taken, finished, deferred, killed, left  int
 	submissions, probes, dials, waited       int
+	barred                                   int // first bytes that were let go and not written
 	answers, notes, odd, again               int
 	events, feedDials, feedFaults, reloads   int
 	ends                                     [8]int // by outcome
@@ -46,6 +47,9 @@
 	}
 	fmt.Fprintf(&b, "; engine answers %d notes %d odd %d asked again %d probes %d dials %d links %d of %d waited %d", t.answers, t.notes,
 		t.odd, t.again, t.probes, t.dials, r.pool.links, r.pool.most, t.waited)
+	if t.barred > 0 {
+		fmt.Fprintf(&b, " barred %d", t.barred)
+	}
 	fmt.Fprintf(&b, "; list event %d connections %d faults %d reloads %d", r.feed.last, t.feedDials,
 		t.feedFaults, t.reloads)
 	if len(t.delays) > 0 {
--- /dev/null
+++ b/internal/run/endings_test.go
@@ -0,0 +1,699 @@
+package run
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/standin/caller"
+)
+
+// waiting is where a query waits, and what lets it go on from there.
+type waiting struct {
+	options options
+	// waits leaves query 1 of a client waiting; the returned lets what it waits for happen.
+	waits func(y *yard, c *asker) (open func())
+}
+
+var queues = map[string]waiting{
+	"for an engine": {options{state: "DRAINING"}, func(y *yard, c *asker) func() {
+		watch, _ := y.feed.watch()
+		c.ask("squall", 1, 15*time.Second)
+		return func() { io.WriteString(watch, listed(2, false, entry("e1", y.engine, "SERVING"))+"\n") }
+	}},
+	"in a chain": {options{}, func(y *yard, c *asker) func() {
+		first := y.client()
+		first.ask("haul", 90, 15*time.Second)
+		y.engine.heard.wait(1, "POST "+id(90))
+		c.ask("haul", 1, 15*time.Second)
+		return func() { y.engine.over(id(90)); first.finished(90) }
+	}},
+	"in its key's line": {options{}, func(y *yard, c *asker) func() {
+		first := y.client()
+		first.ask("entry", 90, 15*time.Second, "entity", "k")
+		y.engine.heard.wait(1, "POST "+id(90))
+		c.ask("entry", 1, 15*time.Second, "entity", "k")
+		return func() { y.engine.over(id(90)); first.finished(90) }
+	}},
+	"for a connection": {options{facts: map[string]string{"connect.timeout": "8000"}}, func(y *yard, c *asker) func() {
+		c.ask("squall", 1, 15*time.Second)
+		y.log.wait(1, "dialled for POST", id(1))
+		return func() { y.engine = newGate(y.t, y.engine.Listener) }
+	}},
+}
+
+// However a client goes, nothing begins for a query of its that waits, wherever it does, once what
+// it waited for comes. A half-close counts as going: nobody who still wants an answer sends one.
+func TestClientGoneWhileItsQueryWaits(t *testing.T) {
+	for where, w := range queues {
+		for how, goes := range gone {
+			t.Run(where+", "+how, func(t *testing.T) {
+				t.Parallel()
+				o := w.options
+				if where == "for a connection" {
+					o.engine = jammed(t)
+				}
+				y := newYard(t, o)
+				if y.engine == nil {
+					y.engine = &gate{Listener: o.engine, heard: newRecord(t)}
+				}
+				c := y.client()
+				open := w.waits(y, c)
+				y.log.wait(1, "taken", id(1))
+				goes(c)
+				y.log.wait(1, "closed: left", id(1))
+				open()
+				b := y.client() // one that comes after it goes, so that the way was open
+				b.ask("squall", 2, 15*time.Second)
+				y.engine.heard.wait(1, "POST "+id(2))
+				y.engine.over(id(2))
+				b.finished(2)
+				y.ends()
+				if n := y.engine.heard.has("POST " + id(1)); n > 0 {
+					t.Fatalf("sent %d times for a client that was gone", n)
+				}
+			})
+		}
+	}
+}
+
+// The other order: it has begun as its client goes. It is given up at its engine, and nothing more begins.
+func TestClientGoneOnceItsQueryRuns(t *testing.T) {
+	for where, w := range queues {
+		for how, goes := range gone {
+			t.Run(where+", "+how, func(t *testing.T) {
+				t.Parallel()
+				o := w.options
+				if where == "for a connection" {
+					o.engine = jammed(t)
+				}
+				y := newYard(t, o)
+				if y.engine == nil {
+					y.engine = &gate{Listener: o.engine, heard: newRecord(t)}
+				}
+				c := y.client()
+				open := w.waits(y, c)
+				y.log.wait(1, "taken", id(1))
+				open()
+				y.engine.heard.wait(1, "POST "+id(1))
+				goes(c)
+				y.log.wait(1, "closed: left", id(1))
+				y.engine.heard.wait(1, "DELETE "+id(1))
+				y.ends()
+				if n := y.engine.heard.has("POST " + id(1)); n != 1 {
+					t.Fatalf("sent %d times", n)
+				}
+			})
+		}
+	}
+}
+
+// With every descriptor for engines in use a query waits for one; its client goes meanwhile.
+func TestClientGoneWhileItWaitsForADescriptor(t *testing.T) {
+	t.Parallel()
+	for range 8 { // an engine's line is not held up for more than 400 ms: where we were too slow, again
+		y := newYard(t, options{sockets: 27}) // two for engines
+		first := y.client()
+		for n := 90; n < 92; n++ {
+			y.engine.hold("POST", id(n))
+			first.ask("squall", n, 15*time.Second)
+			y.engine.heard.wait(1, "POST "+id(n))
+		}
+		c := y.client()
+		c.ask("squall", 1, 15*time.Second)
+		y.log.wait(1, "taken", id(1))
+		c.Close()
+		y.log.wait(1, "closed: left", id(1))
+		late := y.engine.heard.has("POST " + id(1))
+		y.engine.over(id(90))
+		y.engine.over(id(91))
+		for range 2 {
+			if a, ok := first.answer(); !ok || a.Kind != caller.Finished {
+				t.Fatalf("%v %+v", ok, a)
+			}
+		}
+		y.ends()
+		if late == 0 {
+			if n := y.engine.heard.has("POST " + id(1)); n > 0 {
+				t.Fatalf("sent %d times", n)
+			}
+			return
+		}
+	}
+	t.Fatal("its query never waited")
+}
+
+// A word of a client that was read and is not stepped yet goes before what would begin for it, and
+// what lies in a queue to be written asks for its permit right before its first byte.
+func TestWhatAClientSaysGoesBeforeWhatBeginsForIt(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		l := &loop{group: &errgroup.Group{}, wires: map[*relay.Link]*wire{}, later: map[*wire][]func(){}, start: time.Now()}
+		engine, client := newWire(&relay.Link{}, nil), newWire(&relay.Link{}, nil)
+		l.wires[engine.link], l.wires[client.link] = engine, client
+		client.unheard.Store(true)
+		permit := relay.NewPermit(time.Hour)
+		l.perform([]relay.Effect{{Verb: relay.Write, Link: engine.link, Bytes: []byte("POST"), Permit: permit, For: client.link}})
+		if len(engine.queue) > 0 {
+			t.Fatal("queued before its client was heard")
+		}
+		if leaves {
+			permit.Revoke()
+		}
+		l.heard(client)
+		if string(engine.queue) != "POST" || len(engine.guards) != 1 || engine.guards[0].permit != permit {
+			t.Fatalf("%q, %d guards", engine.queue, len(engine.guards))
+		}
+		if engine.guards[0].permit.Holds(0) == leaves {
+			t.Fatal("the permit doesn't tell whether its client left")
+		}
+	}
+}
+
+func TestAPermitIsAskedRightBeforeTheFirstByte(t *testing.T) {
+	now := time.Now().Add(-time.Minute)
+	for what, p := range map[string]*relay.Permit{"it holds": relay.NewPermit(time.Hour), "revoked": relay.NewPermit(time.Hour), "over": relay.NewPermit(30 * time.Second)} {
+		if what == "revoked" {
+			p.Revoke()
+		}
+		out, kinds := sends(t, now, "starts ", guard{permit: p}, nil)
+		if what == "it holds" {
+			if out != "free starts free too" {
+				t.Fatalf("%q, %v", out, kinds)
+			}
+		} else if out != "free " || len(kinds) != 3 || kinds[1] != relay.Barred || kinds[2] != relay.Ended {
+			t.Fatalf("%s: %q, %v", what, out, kinds)
+		}
+	}
+}
+
+// A query that crosses our close of a connection at rest: read after we shut it, it is not sent on,
+// and the connection still ends well; read before, it is answered whole.
+func TestAQueryCrossesOurClose(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, options{manners: []relay.Manners{{From: loopback, Idle: time.Millisecond}}})
+	after := y.client()
+	if _, ok := after.answer(); ok {
+		t.Fatal("an answer to nothing")
+	}
+	after.ask("squall", 1, 5*time.Second) // it hears that we shut it, and asks all the same
+	before := y.client()
+	before.ask("squall", 2, 5*time.Second)
+	y.engine.heard.wait(1, "POST "+id(2))
+	y.engine.over(id(2))
+	before.finished(2)
+	if _, ok := before.answer(); ok { // it rests then, and is ended
+		t.Fatal("a second answer")
+	}
+	for n := 10; n < 40; n++ { // and as it falls: written once an instant, whatever the sweep does just then
+		c := y.client()
+		time.Sleep(time.Duration(n*9) * time.Millisecond / 2)
+		c.msgs++
+		c.Write(caller.Call(nil, c.msgs, "squall", []byte("SELECT 1 FROM sales_3.x"), "trace", id(n), "patience", "5000"))
+		y.engine.over(id(n))
+		if a, ok := c.answer(); ok != (y.engine.heard.has("POST "+id(n)) == 1) || ok && a.Kind != caller.Finished {
+			t.Fatalf("query %d: sent %d times, answered: %v %+v", n, y.engine.heard.has("POST "+id(n)), ok, a)
+		}
+		c.Close()
+	}
+	y.ends()
+	if y.engine.heard.has("POST "+id(1)) > 0 {
+		t.Fatal("what came after we shut the connection was sent on")
+	}
+}
+
+// An answer larger than what the kernels hold comes whole though its connection is closed behind
+// it and its client has written what nobody reads: closed at once, the connection would be reset.
+func TestAnAnswerIsNotResetAway(t *testing.T) {
+	t.Parallel()
+	front := listen(t)
+	theirs, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	ours, err := front.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{ctx: t.Context(), group: &errgroup.Group{}, events: make(chan event), start: time.Now()}
+	w := newWire(&relay.Link{}, ours)
+	w.client = true
+	ours.(*net.TCPConn).SetWriteBuffer(4 << 20)
+	size := 3 << 20
+	w.write([]byte(strings.Repeat("x", size)), guard{})
+	ended, out := make(chan struct{}), make(chan struct{})
+	go func() {
+		for ev := range l.events {
+			if ev.Kind == relay.Got {
+				w.turn <- struct{}{}
+			} else if ev.Kind == relay.Wrote {
+				close(out)
+			} else if ev.Kind == relay.Ended {
+				close(ended)
+				return
+			}
+		}
+	}()
+	w.closeGently(patienceMost)
+	go l.serve(w)
+	<-out // all of it lies in the kernels
+	select {
+	case <-ended: // closed for good behind it
+	case <-time.After(50 * time.Millisecond):
+	}
+	if _, err := io.WriteString(theirs, "one more query"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // whatever that does to the connection
+	theirs.SetReadDeadline(time.Now().Add(patienceMost))
+	n, err := io.Copy(io.Discard, theirs)
+	if n != int64(size) || err != nil {
+		t.Fatalf("%d bytes of %d, %v", n, size, err)
+	}
+	theirs.Close()
+	<-ended
+}
+
+// At the end of the program a client that rests hears that nothing more comes, and isn't waited
+// for; what is asked before is answered, what comes late is turned away or not taken, and nothing of
+// it is sent on. Being told twice, and to read the configuration anew meanwhile, changes nothing.
+func TestTheEndOfAController(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, options{})
+	rests, asks := y.client(), y.client()
+	asks.ask("squall", 1, 15*time.Second)
+	y.engine.heard.wait(1, "POST "+id(1))
+	y.tell(relay.Stop)
+	rests.ask("squall", 2, 15*time.Second) // on a connection that rested, as the word comes
+	y.engine.heard.wait(1, "POST "+id(2))
+	y.tell(relay.Stop)
+	y.tell(relay.Reload)
+	y.engine.over(id(2))
+	rests.finished(2)
+	late := y.client()
+	for n := 3; ; n++ { // until it turns them away
+		late.ask("squall", n, 15*time.Second)
+		y.engine.over(id(n))
+		a, ok := late.answer()
+		if !ok {
+			t.Fatal("ended with a query in hand")
+		}
+		time.Sleep(4 * time.Millisecond) // more at a time would be a flood
+		if a.Kind == caller.Deferred {
+			if y.engine.heard.has("POST "+id(n)) > 0 {
+				t.Fatal("deferred, and sent")
+			}
+			break
+		}
+	}
+	y.engine.over(id(1))
+	asks.finished(1)
+	for _, c := range []*asker{rests, asks, late} {
+		if _, ok := c.answer(); ok {
+			t.Fatal("an answer that nobody asked for")
+		}
+	}
+	y.gone() // though none of the three has closed its side
+}
+
+// Engines hang with a query in each state of a submission as the word to stop comes: each has its
+// answer before its client gives up, and the end comes.
+func TestTheEndWhileEnginesHang(t *testing.T) {
+	t.Parallel()
+	jam := jammed(t)
+	y := newYard(t, options{facts: map[string]string{"connect.timeout": "8000"}, more: []string{entry("e2", jam, "DRAINING")}})
+	watch, _ := y.feed.watch()
+	c := y.client()
+	patience := 900 * time.Millisecond
+	from := time.Now()
+	y.engine.hold("POST", id(1)) // written, and no answer
+	c.ask("squall", 1, patience)
+	c.ask("entry", 2, patience, "entity", "k") // runs
+	y.engine.heard.wait(1, "POST "+id(1))
+	y.engine.heard.wait(1, "GET "+id(2))
+	c.ask("entry", 3, patience, "entity", "k") // waits for its key's turn
+	half := y.engine.hold("POST", id(4))       // half an answer
+	c.ask("squall", 4, patience)
+	y.engine.heard.wait(1, "POST "+id(4))
+	half <- "HTTP/1.1 200 x\r\nChunks: 1\r\nConte"
+	io.WriteString(watch, listed(2, false, entry("e1", y.engine, "DRAINING"), entry("e2", jam, "SERVING"))+"\n")
+	y.log.wait(0, "")
+	c.ask("squall", 5, patience) // its connection doesn't come up
+	y.log.wait(1, "dialled for POST", id(5))
+	y.tell(relay.Stop)
+	for range 5 {
+		a, ok := c.answer()
+		if !ok || a.Kind == caller.Finished {
+			t.Fatalf("%v %+v", ok, a)
+		}
+		if a.Kind == caller.Deferred && a.Msg == 2 {
+			t.Fatal("deferred, and it runs")
+		}
+	}
+	if took := time.Since(from); took > patience+time.Second {
+		t.Fatalf("the last answer after %v", took)
+	}
+	y.gone()
+}
+
+// A drain told while a connection to its engine comes up: nothing is sent on it. Told once the query
+// runs there, that goes on to its end.
+func TestADrainCrossesAConnectionComingUp(t *testing.T) {
+	for _, first := range []string{"drain", "connection"} {
+		t.Run(first+" first", func(t *testing.T) {
+			t.Parallel()
+			jam := jammed(t)
+			y := newYard(t, options{engine: jam, facts: map[string]string{"connect.timeout": "8000"}})
+			watch, _ := y.feed.watch()
+			c := y.client()
+			c.ask("squall", 1, 12*time.Second)
+			y.log.wait(1, "dialled for POST", id(1))
+			other := newGate(t, nil)
+			drains := listed(2, false, entry("e1", jam, "DRAINING"), entry("e2", other, "SERVING")) + "\n"
+			if first == "drain" {
+				io.WriteString(watch, drains)
+				b := y.client() // goes to the other, so the drain was heard
+				b.ask("squall", 2, 12*time.Second)
+				other.heard.wait(1, "POST "+id(2))
+				other.over(id(1))
+				other.over(id(2))
+				b.finished(2)
+				y.engine = newGate(t, jam)
+				c.finished(1)
+				y.ends()
+				if y.engine.heard.has("POST") > 0 || other.heard.has("POST "+id(1)) != 1 {
+					t.Fatal("sent to an engine that was told to drain")
+				}
+				return
+			}
+			y.engine = newGate(t, jam)
+			y.engine.heard.wait(1, "POST "+id(1))
+			io.WriteString(watch, drains)
+			b := y.client()
+			b.ask("squall", 2, 12*time.Second)
+			other.heard.wait(1, "POST "+id(2))
+			other.over(id(2))
+			b.finished(2)
+			y.engine.over(id(1))
+			c.finished(1)
+			y.ends()
+		})
+	}
+}
+
+// A watch that falls silent, though nothing was closed, is asked for anew by the number that is due,
+// after the last event had; so is one that comes back after its address was dead. What it tells then holds.
+func TestAWatchThatFallsSilentOrDies(t *testing.T) {
+	for _, how := range []string{"silent", "half a line", "dies"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			other := newGate(t, nil)
+			y := newYard(t, options{more: []string{entry("e2", other, "SERVING")}})
+			watch, said := y.feed.watch()
+			if said != "SUB 1" {
+				t.Fatal(said)
+			}
+			io.WriteString(watch, listed(2, false, entry("e3", other, "DELETED"))+"\n2\n")
+			switch how {
+			case "half a line":
+				io.WriteString(watch, `{"n":3,"members":{"rev`)
+			case "dies":
+				watch.Close()
+			}
+			watch, said = y.feed.watch()
+			if said != "SUB 2" {
+				t.Fatal(said)
+			}
+			io.WriteString(watch, listed(3, false, entry("e1", y.engine, "DRAINING"))+"\n")
+			c := y.client()
+			for n := 1; n <= 12; n++ {
+				c.ask("squall", n, 10*time.Second)
+				other.over(id(n))
+				y.engine.over(id(n))
+				c.finished(n)
+				if n == 1 {
+					continue // it may have crossed the word
+				}
+				if y.engine.heard.has("POST "+id(n)) > 0 {
+					t.Fatal("sent to an engine that drains")
+				}
+			}
+			y.ends()
+		})
+	}
+}
+
+// An engine ends the connection in the midst of its answer, or right behind it: the client has it
+// whole, and once.
+func TestAnEngineResetsInItsAnswer(t *testing.T) {
+	for what, says := range map[string][]string{
+		"before":  {"reset"},
+		"half":    {good(id(1))[:60], "reset"},
+		"close":   {good(id(1))[:60], "close"},
+		"no word": {"close"},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			y := newYard(t, options{})
+			c := y.client()
+			held := y.engine.hold("POST", id(1))
+			c.ask("squall", 1, 10*time.Second)
+			y.engine.heard.wait(1, "POST "+id(1))
+			y.engine.over(id(1))
+			for _, s := range says {
+				held <- s
+			}
+			c.finished(1)
+			y.ends()
+			if _, ok := c.answer(); ok {
+				t.Fatal("a second answer")
+			}
+			if n := y.engine.heard.has("POST " + id(1)); n != 1 {
+				t.Fatalf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// A second copy of an answer, at once or after its line was let go, answers nobody else.
+func TestALateSecondAnswer(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, options{})
+	c := y.client()
+	held := y.engine.hold("GET", id(1))
+	c.ask("squall", 1, 10*time.Second)
+	y.engine.heard.wait(1, "GET "+id(1))
+	held <- good(id(1)) + good(id(1)) + "HTTP"
+	y.engine.over(id(1))
+	c.finished(1)
+	for n := 2; n < 8; n++ {
+		c.ask("squall", n, 10*time.Second)
+		y.engine.over(id(n))
+		c.finished(n)
+	}
+	held <- "/1.1 200 late\r\n"
+	c.ask("squall", 9, 10*time.Second)
+	y.engine.over(id(9))
+	c.finished(9)
+	y.ends()
+}
+
+// A client takes its query back as its end comes, in both orders: no answer once it was taken back,
+// and nothing more begins; as its repeat is about to begin, none does.
+func TestACancelCrosses(t *testing.T) {
+	t.Run("the end", func(t *testing.T) {
+		t.Parallel()
+		y := newYard(t, options{})
+		for n := 1; n <= 20; n++ {
+			c := y.client()
+			held := y.engine.hold("GET", id(n))
+			c.ask("squall", n, 10*time.Second)
+			y.engine.heard.wait(1, "GET "+id(n))
+			if n%2 == 0 {
+				held <- good(id(n))
+				c.cancel()
+			} else {
+				c.cancel()
+				held <- good(id(n))
+			}
+			c.ask("squall", 100+n, 10*time.Second)
+			y.engine.over(id(100 + n))
+			a, ok := c.answer()
+			if ok && a.Msg == 1 {
+				a, ok = c.answer()
+			}
+			if !ok || a.Msg != 2 || a.Kind != caller.Finished {
+				t.Fatalf("%v %+v", ok, a)
+			}
+			c.Close()
+		}
+		y.ends()
+	})
+	t.Run("a repeat", func(t *testing.T) {
+		t.Parallel()
+		other := newGate(t, nil)
+		y := newYard(t, options{state: "DRAINING"})
+		watch, _ := y.feed.watch()
+		io.WriteString(watch, listed(2, false, entry("e1", y.engine, "SERVING"))+"\n")
+		c := y.client()
+		held := y.engine.hold("POST", id(1))
+		c.ask("squall", 1, 10*time.Second)
+		y.engine.heard.wait(1, "POST "+id(1))
+		io.WriteString(watch, listed(3, false, entry("e1", y.engine, "DRAINING"))+"\n")
+		held <- word(503, "X-Not-Run: 1\r\n") // it would go elsewhere, but there is nowhere yet
+		y.log.wait(1, "told", "full", id(1))
+		c.cancel()
+		y.log.wait(1, "closed: left", id(1))
+		io.WriteString(watch, listed(4, false, entry("e2", other, "SERVING"))+"\n")
+		c.ask("squall", 2, 10*time.Second)
+		other.heard.wait(1, "POST "+id(2))
+		other.over(id(2))
+		c.finished(2)
+		y.ends()
+		if other.heard.has("POST "+id(1)) > 0 {
+			t.Fatal("a repeat for a client that took its query back")
+		}
+	})
+}
+
+// Idle clients fill all that clients may hold while the feed is away: who asks displaces one that
+// rests, engines get theirs, and the feed is heard once it is back.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	t.Parallel()
+	away := listen(t)
+	address := away.Addr().String()
+	away.Close()
+	y := newYard(t, options{sockets: 96, feed: address})
+	var idle []*asker
+	for range 60 { // clients may hold a third
+		idle = append(idle, y.client())
+	}
+	asks := y.client()
+	asks.ask("squall", 1, 10*time.Second)
+	y.engine.heard.wait(1, "POST "+id(1))
+	y.engine.over(id(1))
+	asks.finished(1)
+	if _, err := asks.Write(caller.Alive(nil, 77)); err != nil {
+		t.Fatal(err)
+	}
+	if a, ok := asks.answer(); !ok || !a.Ready {
+		t.Fatalf("not ready: %v %+v", ok, a)
+	}
+	back, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Skip("its address was taken meanwhile: ", err)
+	}
+	y.feed = newWatched(t, back)
+	watch, said := y.feed.watch()
+	if said != "SUB 1" {
+		t.Fatal(said)
+	}
+	other := newGate(t, nil)
+	io.WriteString(watch, listed(2, false, entry("e1", y.engine, "DELETED"), entry("e2", other, "SERVING"))+"\n")
+	for n := 2; other.heard.has("POST") == 0; n++ {
+		asks.ask("squall", n, 10*time.Second)
+		other.over(id(n))
+		y.engine.over(id(n))
+		asks.finished(n)
+	}
+	y.ends()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// An engine has said something that was not stepped yet as the next call is about to be written:
+// a second copy of its last answer, which would pass for the answer to this one. It isn't written.
+func TestWhatAnEngineSaidUnaskedAnswersNothing(t *testing.T) {
+	t.Parallel()
+	front := listen(t)
+	theirs, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	ours, err := front.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{ctx: t.Context(), group: &errgroup.Group{}, events: make(chan event), start: time.Now()}
+	w := newWire(&relay.Link{}, ours)
+	io.WriteString(theirs, good(id(1)))
+	go l.serve(w)
+	first := <-l.events // read, and not stepped
+	w.write([]byte("POST"), guard{})
+	var kinds []relay.Kind
+	for kinds = append(kinds, first.Kind); kinds[len(kinds)-1] != relay.Ended; {
+		ev := <-l.events
+		kinds = append(kinds, ev.Kind)
+		if ev.Kind == relay.Barred {
+			w.turn <- struct{}{}
+		}
+	}
+	if len(kinds) != 3 || kinds[0] != relay.Got || kinds[1] != relay.Barred {
+		t.Fatal(kinds)
+	}
+	theirs.SetReadDeadline(time.Now().Add(patienceMost))
+	if n, _ := theirs.Read(make([]byte, 9)); n > 0 {
+		t.Fatal("it was written")
+	}
+}
+
+// The last answer is on its way to a client that is slow to take it, and asks for more, as the
+// program ends: it comes whole.
+func TestTheLastAnswerComesWhole(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, options{})
+	c := y.client()
+	c.SetReadBuffer(4 << 10)
+	held := y.engine.hold("POST", id(1))
+	c.ask("squall", 1, 10*time.Second)
+	y.engine.heard.wait(1, "POST "+id(1))
+	page := strings.Repeat(id(1)+"\tof\tit\n", 260)
+	first := good(id(1))
+	_, body, _ := strings.Cut(first, "\r\n\r\n")
+	y.engine.page(page)
+	held <- strings.Replace(first, "Chunks: 1", "Chunks: 9", 1)
+	y.log.wait(1, "closed: finished", id(1))
+	y.tell(relay.Stop)
+	y.log.wait(1, "taken 1 finished 1") // the counters, with which it ends
+	c.ask("squall", 2, 10*time.Second)
+	a, ok := c.answer()
+	if want := body + strings.Repeat(page, 8); !ok || string(a.Rows) != want {
+		t.Fatalf("%v, %d bytes of %d", ok, len(a.Rows), len(want))
+	}
+	y.gone()
+	if y.engine.heard.has("POST "+id(2)) > 0 {
+		t.Fatal("what came after the end was sent on")
+	}
+}
+
+// What is given up in the last moments of the program is ended at its engine, too, which else would
+// work on for nobody.
+func TestTheEndWaitsForWhatIsGivenUp(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, options{facts: map[string]string{"idle.most": "100"}}) // so that it takes a connection of its own
+	c, late := y.client(), y.client()
+	c.ask("squall", 1, 15*time.Second)
+	y.engine.heard.wait(1, "GET "+id(1))
+	y.tell(relay.Stop)
+	for n := 2; ; n++ {
+		late.ask("squall", n, 15*time.Second)
+		y.engine.over(id(n))
+		if a, ok := late.answer(); !ok || a.Kind == caller.Deferred {
+			break
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+	time.Sleep(150 * time.Millisecond) // from here on the end waits for nothing else
+	c.cancel()
+	y.gone()
+	if y.engine.heard.has("DELETE "+id(1)) == 0 {
+		t.Fatal("its engine works on")
+	}
+}
--- a/internal/run/fleet_test.go
+++ b/internal/run/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -34,7 +35,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	word := &fleet.Word{}
-	set(word)
+	if set != nil {
+		set(word)
+	}
 	l := &loop{ctx: ctx, group: &errgroup.Group{}, events: make(chan event), start: started, word: word}
 	w := newWire(&relay.Link{}, ours)
 	w.write([]byte("free "), guard{})
@@ -42,6 +45,13 @@
 	w.write([]byte("free too"), guard{})
 	w.closeGently(20 * time.Second)
 	go l.serve(w)
+	read := make(chan string, 1)
+	go func() { // and closes once nothing more comes, which a gentle close waits for
+		theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
+		out, _ := io.ReadAll(theirs)
+		theirs.Close()
+		read <- string(out)
+	}()
 	var kinds []relay.Kind
 	for wait := time.After(20 * time.Second); ; {
 		select {
@@ -57,15 +67,7 @@
 	if !word.Idle() {
 		t.Fatal("the word is still held")
 	}
-	var out []byte
-	p := make([]byte, 64)
-	for {
-		theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
-		n, err := theirs.Read(p)
-		if out = append(out, p[:n]...); err != nil {
-			return string(out), kinds
-		}
-	}
+	return <-read, kinds
 }
 
 // What is guarded goes out by its version and within the lease, whatever the reducer
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	group  *errgroup.Group
 	events chan event
 	wires  map[*relay.Link]*wire
+	later  map[*wire][]func() // writes that wait for what has come from a client to be stepped
+	wakeAt time.Duration      // when the reducer is to be woken, since the start
 	log    zerolog.Logger
 	start  time.Time
 	timer  *time.Timer
@@ -53,15 +56,18 @@
 // link's buffer.
 type wire struct {
 	link   *relay.Link
+	client bool
 	stop   context.CancelFunc // while dialling
 	turn   chan struct{}
 	conn   net.Conn
 	mu     sync.Mutex
 	queue  []byte
 	guards []guard // of what is in the queue, from where on
-	ending bool    // close once the queue is out
+	ending bool    // shut for writing once the queue is out, and close once its peer has
 	closed bool
 	wake   chan struct{}
+	// what was read, or its end, is with the reducer and not stepped yet
+	unheard atomic.Bool
 }
 
 // guard is by what bytes of a queue may go out.
@@ -70,14 +76,18 @@
 	version uint64 // 0: they always may
 	bound   bool
 	kept    bool // what is kept of a team: within the lease of bound teams only
+	permit  *relay.Permit
 }
 
+// asks: there is something to be asked before it goes out.
+func (g guard) asks() bool { return g.version != 0 || g.kept || g.permit != nil }
+
 // Serve runs a controller on a listener until it is done or ctx ends. Peers are left
 // empty where it has none.
 func Serve(ctx context.Context, listener net.Listener, means relay.Means, disk *store.Keeper, peers Peers, asked <-chan relay.Event, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
-	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, log: log,
+	l := &loop{ctx: ctx, group: group, events: make(chan event), wires: map[*relay.Link]*wire{}, later: map[*wire][]func(){}, log: log,
 		start: means.Started, timer: time.NewTimer(time.Hour), room: make(chan struct{}, means.ClientsMost()), disk: disk, peers: peers}
 	if means.Fleet != nil {
 		l.word = means.Fleet.Word
@@ -125,20 +135,109 @@
 		case <-l.ctx.Done():
 			return l.ctx.Err()
 		}
-		if ev.wire != nil {
-			l.wires[ev.Link] = ev.wire
+		if now := time.Since(l.start); l.wakeAt > 0 && now > l.wakeAt+stoodMost {
+			done = l.meanwhile(r, ev)
+			ev = event{Event: relay.Event{Kind: relay.Woken}}
+		}
+		done = l.step(r, ev) || done
+	}
+	l.finish()
+	return nil
+}
+
+// step has the reducer hear an event and performs what it asks for.
+func (l *loop) step(r *relay.Relay, ev event) (done bool) {
+	if ev.wire != nil {
+		l.wires[ev.Link] = ev.wire
+	}
+	w := l.wires[ev.Link]
+	if ev.Kind == relay.Got && w != nil && w.client {
+		ev.N, ev.Last = w.more(ev.N)
+	}
+	if w != nil && (ev.Kind == relay.Got || ev.Kind == relay.Ended) {
+		w.unheard.Store(false)
+	}
+	if ev.Kind == relay.Ended || ev.Kind == relay.Refused || ev.Kind == relay.Unanswered {
+		delete(l.wires, ev.Link)
+	}
+	done = l.perform(r.Step(time.Since(l.start), ev.Event))
+	if ev.Kind == relay.Got || ev.Kind == relay.Ended {
+		l.heard(w)
+	}
+	if w != nil && ev.Kind == relay.Got {
+		w.turn <- struct{}{}
+	}
+	return done
+}
+
+// heard lets go what waited for a client's word to be stepped.
+func (l *loop) heard(w *wire) {
+	for _, do := range l.later[w] {
+		do()
+	}
+	delete(l.later, w)
+}
+
+// meanwhile is for when we stood still ourselves, or had no processor: what came is heard before
+// anything that is due is done. A client may have hung up long ago, and an answer that is held to
+// be late lies here unread. The pause lets those that read run, who then wait with what they have.
+func (l *loop) meanwhile(r *relay.Relay, ev event) (done bool) {
+	time.Sleep(time.Millisecond)
+	for n := 0; ; n++ {
+		if ev.Kind != relay.Woken {
+			ev.Early = true
+			done = l.step(r, ev) || done
 		}
-		if ev.Kind == relay.Ended || ev.Kind == relay.Refused || ev.Kind == relay.Unanswered {
-			delete(l.wires, ev.Link)
+		if n > len(l.wires) { // more than one of each: what is due has waited long enough
+			return done
 		}
-		done = l.perform(r.Step(time.Since(l.start), ev.Event))
-		if w := l.wires[ev.Link]; w != nil && ev.Kind == relay.Got {
-			w.turn <- struct{}{}
+		select {
+		case ev = <-l.events:
+		default:
+			return done
+		}
+	}
+}
+
+// stoodMost is how late we may be before we hold that we stood still: a part of the 0.1 s after
+// which nothing may begin for a client that left.
+const stoodMost = 25 * time.Millisecond
+
+// finish ends what clients' connections there are gently: an answer may be on its way, and one
+// that rests is not waited for. What still comes on them is not read any more.
+func (l *loop) finish() {
+	left := 0
+	for link, w := range l.wires {
+		if w.client {
+			left++
+			w.closeGently(finishMost)
+		} else {
+			delete(l.wires, link)
+			w.close()
+		}
+	}
+	for wait := time.After(2 * finishMost); left > 0; {
+		select {
+		case ev := <-l.events:
+			switch w := l.wires[ev.Link]; {
+			case ev.wire != nil:
+				ev.wire.close()
+			case w == nil:
+			case ev.Kind == relay.Got:
+				w.turn <- struct{}{}
+			case ev.Kind == relay.Ended:
+				delete(l.wires, ev.Link)
+				left--
+			}
+		case <-wait:
+			return
 		}
 	}
-	return nil
 }
 
+// finishMost is for the last answers to come to clients that are there to read them.
+const finishMost = 200 * time.Millisecond
+
 func (l *loop) perform(effects []relay.Effect) (done bool) {
 	for _, e := range effects {
 		w := l.wires[e.Link]
@@ -146,8 +245,15 @@
 		case relay.Dial:
 			l.dial(e.Link, e.Address, e.Within)
 		case relay.Write:
-			if w != nil {
-				w.write(e.Bytes, guard{version: e.Guard, bound: e.Bound, kept: e.Kept && l.word != nil})
+			if w == nil {
+				break
+			}
+			g, bytes := guard{version: e.Guard, bound: e.Bound, kept: e.Kept && l.word != nil, permit: e.Permit}, e.Bytes
+			if from := l.wires[e.For]; from != nil && from.unheard.Load() {
+				// its client has said something, perhaps that it leaves: that first
+				l.later[from] = append(l.later[from], func() { w.write(bytes, g) })
+			} else {
+				w.write(bytes, g)
 			}
 		case relay.Close:
 			if w != nil && e.Gently {
@@ -157,6 +263,7 @@
 			}
 		case relay.Wake:
 			l.timer.Reset(e.Within)
+			l.wakeAt = time.Since(l.start) + e.Within
 		case relay.Say:
 			if e.Loud {
 				told(l.log.Log(), e.About).Msg(e.Text)
@@ -248,6 +355,7 @@
 			link.From = a.AddrPort().Addr()
 		}
 		w := newWire(link, c)
+		w.client = true
 		if !l.tell(relay.Accepted, w, 0) { // before the next: it may be one too many
 			w.close()
 			return nil
@@ -296,9 +404,19 @@
 		l.send(w)
 		return nil
 	})
-	for {
+	for drained := 0; ; {
 		n, err := w.conn.Read(w.link.In.Space())
+		w.unheard.Store(true)
 		if n > 0 {
+			if w.isEnding() { // what comes after we shut it is nobody's, and only read so that it is not reset
+				if drained += n; drained > drainMost {
+					break
+				}
+				if err == nil {
+					continue
+				}
+				break
+			}
 			if !l.tell(relay.Got, w, n) {
 				return
 			}
@@ -334,7 +452,8 @@
 		case closed:
 			return
 		case len(p) > 0:
-			if g.kept && !l.word.Holds(time.Since(l.start)) || g.version != 0 && !l.mayWrite(g) {
+			// an engine that has said something since was not asked for it, and it would pass for the answer
+			if !w.client && w.unheard.Load() || !g.permit.Holds(time.Since(l.start)) || g.kept && !l.word.Holds(time.Since(l.start)) || g.version != 0 && !l.mayWrite(g) {
 				l.tell(relay.Barred, w, 0)
 				w.close() // nothing of it went out, and its end says so
 				return
@@ -354,7 +473,7 @@
 				p = nil
 			}
 		case ending:
-			w.close()
+			w.shutForWriting()
 			return
 		default:
 			<-w.wake
@@ -403,7 +522,7 @@
 
 func (w *wire) write(p []byte, g guard) {
 	w.mu.Lock()
-	if g.version != 0 || g.kept || len(w.guards) > 0 {
+	if g.asks() || len(w.guards) > 0 {
 		g.at = len(w.queue)
 		w.guards = append(w.guards, g)
 	}
@@ -412,8 +531,48 @@
 	w.poke()
 }
 
-// closeGently closes once the queue is out, and after a time whether it is or
-// not: who doesn't read would keep the connection for good.
+// drainMost is how many bytes are read of a connection that we shut for writing.
+const drainMost = 256 << 10
+
+// shutForWriting tells the peer that nothing more comes. Its own side is read to its end, or to
+// the time that closeGently set: closed over bytes that nobody read, a connection is reset, and
+// the answer that its peer has not taken yet goes with it.
+func (w *wire) shutForWriting() {
+	if c, ok := w.conn.(*net.TCPConn); !ok || c.CloseWrite() != nil {
+		w.close()
+	}
+}
+
+func (w *wire) isEnding() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ending
+}
+
+// more reads what has come behind the n bytes at hand without waiting, and whether that was all:
+// what was asked by one that has hung up already need not begin.
+func (w *wire) more(n int) (all int, last bool) {
+	c, ok := w.conn.(*net.TCPConn)
+	if !ok {
+		return n, false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return n, false
+	}
+	raw.Read(func(fd uintptr) bool {
+		if room := w.link.In.Space()[n:]; len(room) > 0 {
+			m, err := syscall.Read(int(fd), room)
+			n += max(m, 0)
+			last = m == 0 && err == nil || m < 0 && err != syscall.EAGAIN && err != syscall.EINTR
+		}
+		return true
+	})
+	return n, last
+}
+
+// closeGently closes once the queue is out and the peer has closed, and after a time whether they
+// are or not: who doesn't read, or rests, would keep the connection for good.
 func (w *wire) closeGently(within time.Duration) {
 	w.mu.Lock()
 	w.ending = true
