Rests, holds and times to come back don't outlast deadlines of less than seconds

At a queue timeout of 300 ms, in the world of the module's tests: a deferral named 1,000 ms to come back (giveUp); a load held behind another's went on alone after 1 s, when its client had gone (join); an engine that had been full was left alone for 250 ms (afterEnd); one that takes all and says nothing was never found, since its first note is due 3.3 s on and every query's end came before (late), and once found would rest for 2 s (stands). Ruled out: the queue's own judgement (hopeless, latest, thin), which goes by targets and patience and scales.

What stays is listed as open: dials and answers may take 250 and 400 ms by settings and protocol, a key's rest may outlast a deadline.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -65,8 +65,9 @@
 
 // late: past its target, which is a sign in itself where no note tells why.
 func (g *Gateway) late(q *query) {
+	quiet := g.facts.span("note.period", 0)*3/2 + 300*time.Millisecond // none is sure to come before
 	for _, s := range q.subs {
-		if !s.ended && g.facts.span("note.period", 0) <= 0 {
+		if !s.ended && (g.facts.span("note.period", 0) <= 0 || quiet > q.deadline-q.takenAt) {
 			g.stands(s)
 		}
 	}
@@ -114,7 +115,7 @@
 		return
 	}
 	c.held = append(c.held, q)
-	g.of(q, g.now+time.Second, func() {
+	g.of(q, g.now+short(time.Second, q.rg.target/3), func() {
 		if c.drop(q) {
 			c.link = q
 			g.enqueue(q)
@@ -288,7 +289,8 @@
 		}
 		g.rng.shuffle(unseen)
 		slices.SortStableFunc(unseen, func(a, b *engine) int { return cmp.Compare(g.away(q, a), g.away(q, b)) })
-		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && g.now > q.lookedAt+250*time.Millisecond) {
+		again := g.now > q.lookedAt+short(250*time.Millisecond, q.rg.timeout/6)
+		if g.probeLeft >= 1 && (q.looks == nil || len(clear) == 0 && again) {
 			q.looks, q.lookedAt = nil, g.now
 			for _, e := range unseen {
 				if len(clear)+len(q.looks) < want && g.probeLeft >= 1 && g.allowed(q, e) {
@@ -435,10 +437,9 @@
 // lone is the time a query should take alone, in seconds.
 func (g *Gateway) lone(q *query) float64 {
 	work := q.work
-	switch {
-	case work <= 0:
+	if work <= 0 {
 		work = q.rg.work.or(q.rg.guess())
-	case !q.told: // estimates lie too high or too low by group
+	} else if !q.told { // estimates lie too high or too low by group
 		work *= q.rg.off.or(1)
 	}
 	return work / q.rg.threads
@@ -630,7 +631,7 @@
 	q, e := s.q, s.e
 	switch s.outcome {
 	case Full:
-		e.fullAt, e.restUntil = g.now, g.now+250*time.Millisecond
+		e.fullAt, e.restUntil = g.now, g.now+short(250*time.Millisecond, q.rg.timeout/6)
 	case Unreachable:
 		e.restUntil = g.now + time.Second
 	case Reset:
@@ -675,7 +676,7 @@
 		return
 	}
 	if g.harmless(q) && (q.rg.effect != "tokened" || q.rg.scope == "all" || len(q.mayHaveRun()) == 0) {
-		g.act.Defer(q.id, g.comeBack)
+		g.act.Defer(q.id, short(g.comeBack, q.rg.timeout/2))
 	} else {
 		g.act.Kill(q.id)
 	}
@@ -683,8 +684,7 @@
 	g.settle(q)
 }
 
-// abandoned: the client left before its time.
-func (g *Gateway) abandoned(q *query) {
+func (g *Gateway) abandoned(q *query) { // the client left before its time
 	q.rg.leaving.add(1, 100)
 	q.rg.patience.add((g.now - q.takenAt).Seconds(), 30)
 	g.finish(q)
@@ -755,7 +755,7 @@
 	}
 	if e := s.e; g.now >= e.restUntil {
 		e.slow += (10 - e.slow) * 0.3
-		e.restUntil = g.now + 2*time.Second<<min(e.stood, 3)
+		e.restUntil = g.now + short(2*time.Second, 2*s.q.rg.timeout)<<min(e.stood, 3)
 		e.stood++
 	}
 	g.move(s, math.Inf(1))
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -29,8 +31,16 @@
 	coldAble float64 // what those could do meanwhile
 	worst    float64 // of rule 4's limit, in any window
 	over     int     // submissions that passed it
+
+	multiple   float64       // of what a cold engine is able to, in a window
+	window     time.Duration // over which it is counted
+	lateShare  float64       // of the connections, which come up to 1 s late
+	worstCalls float64       // of N + 2 x root of N + 2, in queries of mean work
 }
 
+// fleetMean is the work of a query in the mean.
+var fleetMean = (14*fleetWork[0] + 2.5*fleetWork[1] + fleetWork[2]) / 17.5
+
 func (f *fleet) after(span time.Duration, do func()) { f.events.Add(f.now+span, do) }
 
 func (f *fleet) run(until time.Duration) {
@@ -168,7 +178,11 @@
 	t := &task{m: m, id: id, try: q.tries, threads: fleetThreads[q.group], left: q.work, at: f.now}
 	q.tries++
 	q.runs[t.try] = t
-	f.after(500*time.Microsecond, func() {
+	way := 500 * time.Microsecond
+	if f.rng.Float64() < f.lateShare {
+		way += seconds(f.rng.Float64())
+	}
+	f.after(way, func() {
 		f.weigh(w, q.group)
 		if len(w.tasks) >= 32 || w.state == Gone {
 			f.after(500*time.Microsecond, func() { m.done(t, Full) })
@@ -188,14 +202,17 @@
 	}
 	f.coldWork += fleetWork[group]
 	w.sent = append(w.sent, sent{f.now, fleetWork[group]})
-	for w.sent[0].at <= f.now-time.Second {
+	for w.sent[0].at <= f.now-f.window {
 		w.sent = w.sent[1:]
 	}
 	sum := 0.0
 	for _, s := range w.sent {
 		sum += s.work
 	}
-	part := sum / (3 * able * 0.85 * fleetCores)
+	limit := f.multiple * able * 0.85 * fleetCores * f.window.Seconds()
+	n := limit / fleetMean
+	f.worstCalls = max(f.worstCalls, sum/fleetMean/(n+2*math.Sqrt(n)+2))
+	part := sum / limit
 	f.worst = max(f.worst, part)
 	if part > 1 {
 		f.over++
@@ -257,14 +274,15 @@
 
 // newFleet starts gateways and engines with a share of all they can do as load,
 // spread unevenly over the gateways.
-func newFleet(seed uint64, gateways, engines int, load float64, length time.Duration) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*worker{}}
+func newFleet(seed uint64, gateways, engines int, load float64, length time.Duration, more map[string]string) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*worker{}, multiple: 3, window: time.Second}
 	facts := plainFacts(map[string]string{"gateways": strconv.Itoa(gateways), "may.copy": "true", "note.period": "2000",
 		"report.how": "probed", "memory.short": "swap", "answers.cost": "true", "submissions.most": "3",
 		"group.0.target": "1000", "group.0.stretch": "1.5", "group.0.timeout": "5000",
 		"group.1.target": "2000", "group.1.stretch": "2.5", "group.1.timeout": "15000",
 		"group.2.target": "3000", "group.2.stretch": "2.5", "group.2.timeout": "25000", "group.2.in-order": "",
 		"loads": "", "waits": ""})
+	maps.Copy(facts, more)
 	for i := range engines {
 		f.add(fmt.Sprint("e", i), 0)
 	}
@@ -389,7 +407,7 @@
 	}
 	for _, shape := range []struct{ gateways, engines, replaced int }{{300, 80, 48}, {350, 40, 20}, {60, 80, 40}} {
 		for seed := range seeds {
-			f := newFleet(uint64(seed+1), shape.gateways, shape.engines, 0.75, 22*sec)
+			f := newFleet(uint64(seed+1), shape.gateways, shape.engines, 0.75, 22*sec, nil)
 			f.from = 8 * sec
 			for i := range shape.replaced {
 				f.release(5*sec+time.Duration(i*7/shape.replaced)*sec, fmt.Sprint("e", i))
@@ -413,3 +431,73 @@
 		}
 	}
 }
+
+// Whatever the fleet's size, and however small what a cold engine stands: what all controllers send
+// it in any window stays under N + 2 x root of N + 2 queries of mean work, which is chance, and cold
+// engines are not starved for it where they stand a query at all. A third of the connections come up
+// late, by up to a second, so that what was sent in turn arrives together; engines that are full send
+// queries on; and controllers that were away come back all at once, having learned nothing, counted
+// by the settings or not.
+func TestColdEnginesUnderTheSumAtAnySize(t *testing.T) {
+	for _, shape := range []struct {
+		gateways, told, engines, replaced int
+		multiple                          float64
+		window                            time.Duration
+		use                               float64 // at the least
+	}{
+		{1, 1, 8, 4, 3, time.Second, 0.1},
+		{2, 2, 8, 4, 3, time.Second, 0.04},
+		{20, 20, 16, 8, 3, time.Second, 0.08},
+		{20, 30, 16, 8, 3, time.Second, 0.08},    // ten of them down
+		{30, 20, 16, 8, 3, time.Second, 0.08},    // ten more than is told
+		{350, 350, 40, 20, 3, time.Second, 0.05}, // two thirds of them know nothing of the load after 11 s
+		{20, 20, 16, 8, 2, 300 * ms, 0},          // N is under one
+		{350, 300, 40, 20, 2, 500 * ms, 0},
+	} {
+		for seed := range 2 {
+			f := newFleet(uint64(seed+11), shape.gateways, shape.engines, 0.75, 20*sec, map[string]string{"gateways": strconv.Itoa(shape.told),
+				"cold.multiple": fmt.Sprint(shape.multiple), "cold.window": fmt.Sprint(shape.window.Milliseconds())})
+			f.multiple, f.window, f.lateShare, f.from = shape.multiple, shape.window, 1.0/3, 8*sec
+			for i := range shape.replaced {
+				f.release(5*sec+time.Duration(i*5/shape.replaced)*sec, fmt.Sprint("e", i))
+			}
+			f.after(11*sec, f.anew) // in the midst of it, knowing the list and nothing else
+			f.run(26 * sec)
+			able := 0.0
+			for _, id := range f.names {
+				if w := f.engines[id]; w.started > 0 {
+					for at := w.started; at < min(20*sec, w.started+fleetSpan); at += 100 * ms {
+						able += w.able(at) * fleetCores * 0.85 * 0.1
+					}
+				}
+			}
+			use := f.coldWork / able
+			t.Logf("%v seed %d: worst window %.2f of N + 2 x root of N + 2, cold_use=%.2f service=%.3f", shape, seed, f.worstCalls, use, f.served/f.offered)
+			if f.worstCalls > 1 {
+				t.Errorf("%v seed %d: a cold engine was sent %.2f of what is chance", shape, seed, f.worstCalls)
+			}
+			if use < shape.use {
+				t.Errorf("%v seed %d: cold engines were sent %.2f of what they can do: safe by starving them", shape, seed, use)
+			}
+		}
+	}
+}
+
+// anew has two thirds of the controllers start again at once: what they held is their clients' to ask again.
+func (f *fleet) anew() {
+	for i, m := range f.gates {
+		if i%3 == 0 {
+			continue
+		}
+		facts := m.g.facts.text
+		for _, id := range slices.Sorted(maps.Keys(m.open)) {
+			if q := m.open[id]; len(q.runs) == 0 {
+				delete(m.open, id)
+			} else {
+				q.closed = true
+			}
+		}
+		m.g = New(m, f.rng.Uint64(), facts)
+		f.list(m, f.names...)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -366,3 +366,12 @@
 	locks := func(s *submission) bool { return s.q.rg.load && s.q.tables == tables }
 	return g.now < e.loadSeen[tables] || slices.ContainsFunc(e.out, locks)
 }
+
+// short is a span, or one that follows from a group's times where that is told and shorter: what
+// suits deadlines of seconds may outlast one of less.
+func short(usual, follows time.Duration) time.Duration {
+	if follows <= 0 {
+		return usual
+	}
+	return min(usual, follows)
+}
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -25,6 +25,7 @@
 	rests   map[int64]time.Duration // until when a key rests
 	restBy  map[int64]*asked
 	probes  []string
+	named   []time.Duration // with each deferral, to come back
 }
 
 type wake struct {
@@ -296,8 +297,9 @@
 	w.did = append(w.did, id+" "+how)
 }
 
-func (w *world) Defer(id string, _ time.Duration) {
+func (w *world) Defer(id string, comeBack time.Duration) {
 	q := w.queries[id]
+	w.named = append(w.named, comeBack)
 	for _, s := range q.subs {
 		e := w.fact("effect", q.group)
 		scoped := e == "tokened" && w.fact("scope", q.group) != "all"
