Order holds where nothing may be cancelled, and an old note is no sign of life

Followed by id: a POST written as a cut begins is mute, all asks go unreached, 2.7 s after the last one the query is told as timed out, its key rests for 0.3 s and the next one is sent, 24.036; the first still ran at its engine. Ruled out: the list, a process's end, the DELETE (none was due), the controller's own clock. So where nothing may be cancelled, which the settings say, an engine works on though nobody asks for the query. Line: submission.gone. Now what keeps order is over there only once it was heard to be, or with the time that its engine was told to have.

Now a note within half a second of a silence longer than engines keep a query is an old one: the error behind it is given up by DELETE, and the key rests.

Each test fails with its lines taken out. Where second copies are forbidden but no order is asked for, 2.7 s stand: open. No deployment of the operators has order without cancelling.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -188,7 +188,7 @@
 
 	connectWithin, lineIdle, keyRest time.Duration
 	longest                          time.Duration // what any query may take
-	reports, inline, copies          bool
+	reports, inline, copies, cancels bool
 	stopping                         bool
 	stopAt, asked                    time.Duration // when told to stop, when a query last came
 	closing                          bool
@@ -216,6 +216,7 @@
 	r.reports = f["report.how"] != "off" && f["report.how"] != ""
 	r.inline = f["report.how"] == "answers"
 	r.copies = f["may.copy"] == "true"
+	r.cancels = f["may.cancel"] == "true"
 	r.keys = newKeyring()
 	// their ends and their next connections may cross: a little over a third is let in
 	r.manners = newManners(means.Manners)
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -34,6 +34,7 @@
 	limit   *due.Item     // when it is given up at the latest
 
 	astray  bool          // it went unheard of since the last word: it may be forgotten there
+	strays  time.Duration // until when a word that it runs is an old one: it went unasked for so long that it may have been dropped
 	pause   time.Duration // before it is asked for once more
 	ranked  int           // the priority last sent
 	ranking bool          // a change of it is under way
@@ -74,8 +75,15 @@
 // decides when a submission is over; docs/design.md has the table. A call may arrive as
 // long as its line stands, and no less is counted than it was let wait for its answer: by
 // our clock alone it would be over too soon where we stood still ourselves meanwhile.
+//
+// Where nothing may be cancelled an engine may work on, asked or not: what keeps order is over then
+// only once it was heard to be, or with the time that its engine was told to have.
 func (s *submission) gone() bool {
-	return s.open == 0 && s.now >= max(s.arrived, s.askedAt+answerMost+onTheWay)+newsMost+forgets
+	kept := max(s.arrived, s.askedAt+answerMost+onTheWay) + newsMost + forgets
+	if s.q.group.inOrder && !s.cancels {
+		kept = max(kept, s.until+onTheWay+newsMost+forgets)
+	}
+	return s.open == 0 && s.now >= kept
 }
 
 // landed: a call for it, written once, was answered or its line is gone; what is on its
@@ -175,7 +183,9 @@
 	s.call(&call{what: "GET", e: s.e, s: s, poll: page == 0, keeps: true, fits: s.fits(page),
 		fit: func() bool { return !s.ended },
 		write: func(dst []byte) []byte {
-			s.astray = s.astray || s.now > s.askedAt+forgets
+			if s.now > s.askedAt+forgets {
+				s.astray, s.strays = true, s.now+2*newsMost
+			}
 			s.askedAt = s.now
 			return engines.Ask(dst, s.e.address, s.q.id, page)
 		},
@@ -228,8 +238,10 @@
 // hearing keeps the words of an engine's answer apart from what s can do.
 type hearing struct{ *submission }
 
+// Runs: after it went unasked for longer than engines keep a query, what was noted before it was
+// dropped comes first, as fast as it is asked for, and looks like life.
 func (h *hearing) Runs() {
-	h.astray = false
+	h.astray = h.now < h.strays
 	h.ask(0)
 }
 
