A key's queries may have waited at their client: their time is counted from then

Followed by id: taken with 2.2 s of patience, answered or left within it, and yet lost, 40 ms before its client took it back, 0.5 s to 1.3 s before the time that it came with. Its key's queries had come for seconds at exactly 60 ms, as close as clients write them, with whole turns left empty by what was taken back unwritten. Ruled out: our clock, a stall, the end of a connection. Lines: relay.take, which counted from when it was read.

Now counted from when the run of such turns began, with 0.3 s over: at the worst a query is given up that much too early, at once and with a time to come back. A query that comes by itself has all of its time.

NOT mended: what a client had held back for a controller that was killed comes to another that can't know since when (two of those followed: the first of their key there, with nothing before). Tests: TestAKeysQueriesMayHaveWaitedAtTheirClient, TestEmptyTurnsGoOnWithABurst.

--- /dev/null
+++ b/internal/relay/keyring_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// A client writes a key's queries 60 ms apart, and holds back those that come faster: the tenth of a
+// burst may have waited for half a second as we read it, and its time is over that much sooner. It is
+// answered by then; one that comes by itself has all of its time.
+func TestAKeysQueriesMayHaveWaitedAtTheirClient(t *testing.T) {
+	s := newStage(t, 1, 256, map[string]string{"may.probe": "false", "group.2.stretch": "100"})
+	c := s.connect()
+	s.until(time.Second)
+	from := s.now
+	var last *asked
+	for i := range 10 {
+		s.until(from + time.Duration(i)*70*time.Millisecond)
+		last = s.query(c, "load", "k", 25*time.Second, 1+i)
+	}
+	q := s.r.queries[last.id]
+	if q == nil || q.deadline != from+25*time.Second+keyLate {
+		t.Fatalf("%+v, and not until %v", q, from+25*time.Second+keyLate)
+	}
+	alone := s.query(c, "load", "other", 25*time.Second, 30)
+	if d := s.r.queries[alone.id].deadline; d != s.now+25*time.Second {
+		t.Fatalf("one by itself has until %v", d-s.now)
+	}
+	if s.until(q.deadline); last.answer == "" {
+		t.Fatal("unanswered by then")
+	}
+}
+
+// A client that took back some of what it held back leaves their turns empty, and writes on at whole
+// numbers of turns; what comes at any other time after a pause is held to have come by itself.
+func TestEmptyTurnsGoOnWithABurst(t *testing.T) {
+	k := &key{}
+	at := 3 * time.Second
+	first := at
+	k.comes(at, 2*time.Second)
+	for _, gap := range []time.Duration{60, 60, 120, 59, 181, 240, 60, 1499} {
+		at += gap * time.Millisecond
+		if since := k.comes(at, 2*time.Second); since != first {
+			t.Fatalf("after %v held to have waited since %v, not %v", gap, since, first)
+		}
+	}
+	for _, gap := range []time.Duration{330, 9000} {
+		at += gap * time.Millisecond
+		if since := k.comes(at, 2*time.Second); since != at {
+			t.Fatalf("after %v held to have waited since %v, at %v", gap, since, at)
+		}
+	}
+}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -121,6 +121,9 @@
 	if g.inOrder {
 		q.key = r.keys.take(string(k))
 		number = q.key.number
+		// its client's time counts from when it would have sent it, which of a key's queries it may have
+		// held back: answered by when it was written some were lost, half a second after that time
+		q.deadline = min(q.deadline, q.key.comes(r.now, patience)+patience+keyLate)
 	}
 	r.queries[q.id] = q
 	r.tally.taken++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -498,7 +498,7 @@
 	r.sweepLines()
 	r.sweepEngines()
 	r.sweepClients()
-	r.keys.sweep(r.now - r.keyRest)
+	r.keys.sweep(r.now - max(r.keyRest, min(r.longest, keyHeld)))
 }
 
 func (r *Relay) stop() {
