The socket tests share one way to a connection's two ends and to each queue

Read once more: two tests repeated the same set-up of a query that waits, and four the same listen, dial and accept.

--- a/internal/run/endings_test.go
+++ b/internal/run/endings_test.go
@@ -47,9 +47,9 @@
 	}},
 }
 
-// However a client goes, nothing begins for a query of its that waits, wherever it does, once what
-// it waited for comes. A half-close counts as going: nobody who still wants an answer sends one.
-func TestClientGoneWhileItsQueryWaits(t *testing.T) {
+// inEachQueue has query 1 of a client wait in each place in turn, and hands over how that client goes
+// and what lets the query go on.
+func inEachQueue(t *testing.T, play func(t *testing.T, y *yard, c *asker, goes func(*asker), open func())) {
 	for where, w := range queues {
 		for how, goes := range gone {
 			t.Run(where+", "+how, func(t *testing.T) {
@@ -65,52 +65,44 @@
 				c := y.client()
 				open := w.waits(y, c)
 				y.log.wait(1, "taken", id(1))
-				goes(c)
-				y.log.wait(1, "closed: left", id(1))
-				open()
-				b := y.client() // one that comes after it goes, so that the way was open
-				b.ask("squall", 2, 15*time.Second)
-				y.engine.heard.wait(1, "POST "+id(2))
-				y.engine.over(id(2))
-				b.finished(2)
-				y.ends()
-				if n := y.engine.heard.has("POST " + id(1)); n > 0 {
-					t.Fatalf("sent %d times for a client that was gone", n)
-				}
+				play(t, y, c, goes, open)
 			})
 		}
 	}
 }
 
+// However a client goes, nothing begins for a query of its that waits, wherever it does, once what
+// it waited for comes. A half-close counts as going: nobody who still wants an answer sends one.
+func TestClientGoneWhileItsQueryWaits(t *testing.T) {
+	inEachQueue(t, func(t *testing.T, y *yard, c *asker, goes func(*asker), open func()) {
+		goes(c)
+		y.log.wait(1, "closed: left", id(1))
+		open()
+		b := y.client() // one that comes after it goes, so that the way was open
+		b.ask("squall", 2, 15*time.Second)
+		y.engine.heard.wait(1, "POST "+id(2))
+		y.engine.over(id(2))
+		b.finished(2)
+		y.ends()
+		if n := y.engine.heard.has("POST " + id(1)); n > 0 {
+			t.Fatalf("sent %d times for a client that was gone", n)
+		}
+	})
+}
+
 // The other order: it has begun as its client goes. It is given up at its engine, and nothing more begins.
 func TestClientGoneOnceItsQueryRuns(t *testing.T) {
-	for where, w := range queues {
-		for how, goes := range gone {
-			t.Run(where+", "+how, func(t *testing.T) {
-				t.Parallel()
-				o := w.options
-				if where == "for a connection" {
-					o.engine = jammed(t)
-				}
-				y := newYard(t, o)
-				if y.engine == nil {
-					y.engine = &gate{Listener: o.engine, heard: newRecord(t)}
-				}
-				c := y.client()
-				open := w.waits(y, c)
-				y.log.wait(1, "taken", id(1))
-				open()
-				y.engine.heard.wait(1, "POST "+id(1))
-				goes(c)
-				y.log.wait(1, "closed: left", id(1))
-				y.engine.heard.wait(1, "DELETE "+id(1))
-				y.ends()
-				if n := y.engine.heard.has("POST " + id(1)); n != 1 {
-					t.Fatalf("sent %d times", n)
-				}
-			})
+	inEachQueue(t, func(t *testing.T, y *yard, c *asker, goes func(*asker), open func()) {
+		open()
+		y.engine.heard.wait(1, "POST "+id(1))
+		goes(c)
+		y.log.wait(1, "closed: left", id(1))
+		y.engine.heard.wait(1, "DELETE "+id(1))
+		y.ends()
+		if n := y.engine.heard.has("POST " + id(1)); n != 1 {
+			t.Fatalf("sent %d times", n)
 		}
-	}
+	})
 }
 
 // With every descriptor for engines in use a query waits for one; its client goes meanwhile.
@@ -230,16 +222,8 @@
 // it and its client has written what nobody reads: closed at once, the connection would be reset.
 func TestAnAnswerIsNotResetAway(t *testing.T) {
 	t.Parallel()
-	front := listen(t)
-	theirs, err := net.Dial("tcp", front.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	ours, theirs := pair(t)
 	defer theirs.Close()
-	ours, err := front.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
 	l := &loop{ctx: t.Context(), group: &errgroup.Group{}, events: make(chan event), start: time.Now()}
 	w := newWire(&relay.Link{}, ours)
 	w.client = true
@@ -611,16 +595,8 @@
 // a second copy of its last answer, which would pass for the answer to this one. It isn't written.
 func TestWhatAnEngineSaidUnaskedAnswersNothing(t *testing.T) {
 	t.Parallel()
-	front := listen(t)
-	theirs, err := net.Dial("tcp", front.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	ours, theirs := pair(t)
 	defer theirs.Close()
-	ours, err := front.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
 	l := &loop{ctx: t.Context(), group: &errgroup.Group{}, events: make(chan event), start: time.Now()}
 	w := newWire(&relay.Link{}, ours)
 	io.WriteString(theirs, good(id(1)))
--- a/internal/run/fleet_test.go
+++ b/internal/run/fleet_test.go
@@ -18,19 +18,7 @@
 // events it led to.
 func sends(t *testing.T, started time.Time, by string, g guard, set func(*fleet.Word)) (string, []relay.Kind) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	ours, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	theirs, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	ours, theirs := pair(t)
 	defer theirs.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/run/gate_test.go
+++ b/internal/run/gate_test.go
@@ -145,6 +145,19 @@
 	return l
 }
 
+// pair is the two ends of a connection.
+func pair(t testing.TB) (ours, theirs net.Conn) {
+	l := listen(t)
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ours, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return ours, theirs
+}
+
 // hold has the next such call of a query wait; what is sent on the channel is written as it is
 // ("": what it would have answered), "reset" and "close" end the connection.
 func (g *gate) hold(method, id string) chan<- string {
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -39,19 +39,7 @@
 // it they go out for minutes after, whenever the other end listens again.
 func TestWhatIsAbortedNeverArrives(t *testing.T) {
 	arrives := func(abort bool) (n int) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer listener.Close()
-		ours, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		theirs, err := listener.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
+		ours, theirs := pair(t)
 		defer theirs.Close()
 		ours.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
 		out, _ := ours.Write(make([]byte, 32<<20)) // as much as both kernels hold: nobody reads
