A reducer that is idle, and the fields by which a controller names its relays

Cause: processes without clients, engines or feed (the control role to come, hollow controllers of scale runs) still get the fleet's orders, and changes wait for their reports. Change: internal/fleet/idle carries out each order at once and reports it. node.Begin gets Relays and Relay, not used yet, so that set-up and core can be worked on apart.

--- /dev/null
+++ b/internal/fleet/idle/idle_test.go
@@ -0,0 +1,33 @@
+package idle
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+func TestEveryOrderIsCarriedOutAndReported(t *testing.T) {
+	orders, reports := make(chan fleet.Order, 8), make(chan fleet.Report, 8)
+	word := &fleet.Word{}
+	orders <- fleet.Order{Kind: fleet.Renewed, Until: time.Minute, UntilBound: time.Second}
+	orders <- fleet.Order{Kind: fleet.Open, Version: 3}
+	orders <- fleet.Order{Kind: fleet.Drop, ID: "p1"}
+	orders <- fleet.Order{Kind: fleet.Shut, Change: "c1"}
+	close(orders)
+	if err := (Reducer{Word: word, Delay: time.Millisecond}).Serve(t.Context(), orders, reports); err != nil {
+		t.Fatal(err)
+	}
+	close(reports)
+	var kinds []fleet.ReportKind
+	for r := range reports {
+		kinds = append(kinds, r.Kind)
+	}
+	if want := []fleet.ReportKind{fleet.Opened, fleet.Unreached, fleet.Wiped, fleet.Closed}; !slices.Equal(kinds, want) {
+		t.Errorf("reported %v, want %v", kinds, want)
+	}
+	if until, bound := word.Until(); until != time.Minute || bound != time.Second || word.May(0, false) != 0 {
+		t.Errorf("lease until %v and %v, version %d after a shut", until, bound, word.May(0, false))
+	}
+}
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -23,8 +23,18 @@
 	Boot       uint64 // drawn anew at each start
 	Kept       agree.Kept
 	KeepAtMost int // records kept before a snapshot replaces them
+
+	// Relays are asked for the lease and bring the record, in place of the leader: the
+	// first one, the second where that doesn't answer. None: the leader is asked itself.
+	Relays []Upstream
+	// Relay makes this controller a relay: it gathers the renewals of others for the
+	// leader and passes grants and the record on. It never grants anything itself.
+	Relay bool
 }
 
+// Upstream is a relay as a controller reaches it.
+type Upstream struct{ Name, Address string }
+
 // What an Event tells.
 type EventKind int
 
