Relays gather the renewals of many controllers into one message to the leader

Cause: the leader's bytes and processor time grow by 376 bytes/s and 0.57 ms/s with each controller (issue's table), 220 kB/s and a third of a core at 580, where a controller may spend 4 KB/s and 42 ms/s. It answered each renewal by itself and sent each follower the record. Change: a controller asks through one of two relays (node/route.go), a relay tells the leader what has changed in its controllers' renewals (gather.go, relay.go), the leader has one confirmation for all and answers once (cover.go); the record is passed on by relays, too (follow.go). A lease counts from when its holder asked, after a majority's confirmation; a relay grants nothing by itself. A relay that doesn't answer is passed by within a lease, an older leader is asked directly. Measured in virtual time: no renewal reaches the leader at rest; 12 tests with relays and leaders killed, cut, stopped, late and doubled gathers; no two versions at once, no gap in service where a relay goes. On real processes it is not measured yet.

--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -57,5 +57,18 @@
 // Errors is one of each, for the test that walks all of them.
 func Errors() []Remedied {
 	some := fmt.Errorf("some reason")
-	return []Remedied{&EntryError{1, some}, &SnapshotError{some}, &UnfitError{1, "why"}, &UnwantedError{"n1", "why"}}
+	return []Remedied{&EntryError{1, some}, &SnapshotError{some}, &UnfitError{1, "why"}, &UnwantedError{"n1", "why"}, &RelayUnansweredError{"n1"}}
+}
+
+// RelayUnansweredError is a leader that doesn't answer a relay's gathers though it
+// gives leases: its program may be older than relays are.
+type RelayUnansweredError struct{ Leader string }
+
+func (e *RelayUnansweredError) Error() string {
+	return "the leader " + e.Leader + " doesn't answer what this relay gathers"
+}
+
+// Remedy says what to do.
+func (e *RelayUnansweredError) Remedy() string {
+	return "bring " + e.Leader + " to this program's version; until then controllers ask it directly"
 }
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -103,6 +103,8 @@
 	Follow   *Follow    `cbor:",omitempty"`
 	Ask      *fleet.Ask `cbor:",omitempty"` // passed on to who leads; what comes of it is seen in the record
 	Lacks    *Lacks     `cbor:",omitempty"`
+	Gather   *Gather    `cbor:",omitempty"` // a relay's, to the leader
+	Gathered *Gathered  `cbor:",omitempty"` // the leader's answer
 }
 
 // Renew asks for a lease and tells how far its sender has come.
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -28,6 +28,8 @@
 	found   map[string]time.Duration
 	seenAt  map[string]time.Duration // changes, since when this controller has known of them
 
+	covers map[coverKey]*cover // what relays have told
+
 	confirmed time.Duration // when a confirmation was last asked for
 	stirred   bool          // something came that may move what is under way
 	driven    time.Duration
@@ -36,23 +38,23 @@
 
 // peer is a controller as its last Renew told.
 type peer struct {
+	follower
 	boot uint64
 	// runs has the last Seq of each of its runs. What an earlier one said may come
 	// late, even first; it is still true, and must not shut out the present one.
-	runs    map[uint64]uint64
-	heard   time.Duration
-	applied uint64
-	next    uint64        // the record that it is sent next
-	sent    time.Duration // when it was sent some
-	asked   time.Duration // when it asked for the last lease that it was given here or may still be; -1: it wasn't
-	r       *Renew
+	runs  map[uint64]uint64
+	asked time.Duration // when it asked for the last lease that it was given here or may still be; neverAsked: it wasn't
+	r     *Renew
 }
 
-// renewal is a Renew that waits for a confirmation.
+// renewal is a Renew or a relay's Gather that waits for a confirmation.
 type renewal struct {
-	name string
-	at   time.Duration
-	r    *Renew
+	name     string
+	at       time.Duration
+	r        *Renew
+	gather   *Gather
+	covers   *cover
+	withheld map[string]string // by the gather's controllers: why they are given no lease
 }
 
 // led: who leads has changed.
@@ -65,7 +67,9 @@
 		return
 	}
 	c.leading = leading{leads: leads, since: c.now, handle: c.handle, peers: map[string]*peer{}, tried: map[string]time.Duration{},
-		waits: map[string][]string{}, lost: map[string]time.Duration{}, found: map[string]time.Duration{}, seenAt: map[string]time.Duration{}}
+		waits: map[string][]string{}, lost: map[string]time.Duration{}, found: map[string]time.Duration{}, seenAt: map[string]time.Duration{},
+		covers: map[coverKey]*cover{}}
+	c.startRelay()
 	c.say(true, "leads: %v", leads)
 	c.renewAt, c.stirred, c.behind = c.now, true, true
 	if leads { // what was decided before must be applied before anything is driven
@@ -80,7 +84,11 @@
 	c.handle++
 	c.asking, c.queue = c.queue, nil
 	for _, q := range c.asking { // it may be given one that knows only what is decided by now
-		c.peers[q.name].asked = q.at
+		if q.covers != nil {
+			q.covers.asked = q.at
+		} else {
+			c.peers[q.name].asked = q.at
+		}
 	}
 	c.leading.confirmed = c.now
 	c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Confirm, Handle: c.handle}))
@@ -92,6 +100,10 @@
 		g.Seq, g.Sent, g.Boot = r.Seq, r.Sent, r.Boot
 		c.send(from, r.Member.Peer, &Message{Grant: g})
 	}
+	if c.relays() {
+		c.gatherFrom(from, disk, r)
+		return
+	}
 	if !c.leads {
 		leader := c.leader
 		if leader == c.b.Self.Name { // it led until a moment ago
@@ -100,44 +112,43 @@
 		answer(&Grant{Leader: leader})
 		return
 	}
-	m := c.state.Members[from]
-	switch {
-	case m != nil && m.Forgotten:
-		answer(&Grant{Why: "its name was forgotten: the disk that had it is taken for destroyed"})
-		return
-	case m != nil && m.Disk != disk:
-		answer(&Grant{Why: "another disk has this name"})
+	if p := c.peers[from]; p != nil && r.Seq <= p.runs[r.Boot] && c.identity(from, disk) == "" {
+		return // late, or doubled
+	}
+	why, known := c.admit(from, disk, r, toldOnce)
+	if why != "" {
+		answer(&Grant{Why: why})
 		return
 	}
 	p := c.peers[from]
-	if p == nil {
-		p = &peer{runs: map[uint64]uint64{}, asked: -1}
-		c.peers[from] = p
-		c.names = append(c.names, from)
-		slices.Sort(c.names)
-	}
-	switch {
-	case r.Seq <= p.runs[r.Boot]:
-		return // late, or doubled
-	case p.boot != 0 && p.boot != r.Boot:
-		p.next = 0
+	p.told(r, c.now, c.every())
+	c.behind = c.behind || p.next <= c.state.Index
+	if !known {
+		answer(&Grant{Leader: c.b.Self.Name})
+		return
 	}
-	c.stirred = c.stirred || p.r == nil || p.boot != r.Boot || p.r.differs(r)
-	p.runs[r.Boot] = r.Seq
-	p.boot, p.heard, p.r, p.applied = r.Boot, c.now, r, r.Applied
-	if p.next == 0 || p.next > r.Applied+1 && c.now-p.sent > c.every() { // what was sent to it was lost
-		p.next = r.Applied + 1
+	c.enqueue(renewal{name: from, at: c.now, r: r})
+}
+
+// enqueue has a renewal confirmed with the next ones. Of a relay's gathers the last one
+// stands for those before it.
+func (c *Core) enqueue(next renewal) {
+	if next.covers != nil {
+		c.queue = slices.DeleteFunc(c.queue, func(q renewal) bool { return q.covers == next.covers })
 	}
-	c.behind = c.behind || p.next <= c.state.Index
-	if m == nil || *m != r.Member {
-		member := r.Member
-		c.once("join "+from, func() { c.propose(&fleet.Entry{Kind: fleet.Join, ID: from, Name: from, Member: &member}) })
-		if m == nil {
-			answer(&Grant{Leader: c.b.Self.Name})
-			return
-		}
+	c.queue = append(c.queue, next)
+}
+
+// peerOf is what is known of a controller, made where there is nothing yet.
+func (c *Core) peerOf(name string) *peer {
+	p := c.peers[name]
+	if p == nil {
+		p = &peer{runs: map[uint64]uint64{}, asked: neverAsked}
+		c.peers[name] = p
+		c.names = append(c.names, name)
+		slices.Sort(c.names)
 	}
-	c.queue = append(c.queue, renewal{from, c.now, r})
+	return p
 }
 
 // together is how long renewals gather for one confirmation: a thousand controllers
@@ -152,6 +163,9 @@
 
 // grant has what waits for a lease confirmed, when it is time.
 func (c *Core) grant() {
+	if c.leads {
+		c.expireCovers()
+	}
 	if c.leads && len(c.queue) > 0 && len(c.asking) == 0 && c.now >= c.leading.confirmed+c.together() {
 		c.confirm()
 	}
@@ -165,6 +179,10 @@
 	asked := c.asking
 	c.asking = nil
 	for _, q := range asked {
+		if q.gather != nil {
+			c.grantGather(q, index)
+			continue
+		}
 		p := c.peers[q.name]
 		if m := c.state.Members[q.name]; m == nil || m.Forgotten || p.boot != q.r.Boot {
 			continue
@@ -220,6 +238,9 @@
 	if p := c.peers[name]; p != nil && p.asked >= 0 {
 		ends = max(ends, p.asked+c.longer(lease))
 	}
+	if at := c.coveredAt(name); at >= 0 {
+		ends = max(ends, at+c.longer(lease))
+	}
 	return c.now < ends
 }
 
@@ -390,7 +411,7 @@
 	heard, inside := 0, false
 	for _, name := range c.names {
 		p := c.peers[name]
-		if p.r == nil || c.now-p.heard > max(2*time.Second, 4*c.every()) || p.r.Sites == nil {
+		if p.r == nil || c.now-c.heardOf(name) > max(2*time.Second, 4*c.every()) || p.r.Sites == nil {
 			continue
 		}
 		heard++
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 type member struct {
 	leader     string // who leads, as far as is known
 	hint       int    // whom to ask while nobody is known to lead
+	routes     routes // through which relay it asks
 	seq        uint64
 	renewAt    time.Duration
 	askedAt    time.Duration
@@ -96,13 +98,9 @@
 	if c.leader == c.b.Self.Name && !c.leads { // another may not have heard yet that it leads no more
 		c.leader = ""
 	}
-	to := c.leader
-	if to == "" || c.askedAt > 0 && c.now-c.askedAt > 3*c.every() { // it doesn't answer: another may know who does
-		c.hint++
-		if len(c.voters) == 0 {
-			return
-		}
-		to = c.voters[c.hint%len(c.voters)].Name
+	upstreams := c.upstreams()
+	if len(upstreams) == 0 {
+		return
 	}
 	c.news = false
 	c.renewAt = c.now + c.every()
@@ -121,7 +119,9 @@
 		r.Unreached = append(r.Unreached, id)
 	}
 	r.Wiped = maps.Clone(c.wiped)
-	c.send(to, c.addressOf(to), &Message{Renew: r})
+	for _, to := range upstreams {
+		c.send(to.Name, to.Address, &Message{Renew: r})
+	}
 }
 
 // granted: the leader's word on a Renew.
@@ -133,6 +133,7 @@
 		c.unwanted(g.Why)
 		return
 	}
+	c.routes.answered(c.routeOf(from), c.now, c.askedAt > 0, relayRetryEach*c.every())
 	c.askedAt = 0
 	if !g.Given {
 		if g.Leader == c.b.Self.Name { // it led, and another may not know better yet
@@ -146,7 +147,7 @@
 		return
 	}
 	if c.vote == nil {
-		c.leader = from
+		c.leader = cmp.Or(g.Leader, from)
 	}
 	c.told = g.Waits
 	c.pending = append(c.pending, pending{time.Duration(g.Sent), g.Index})
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -32,6 +32,9 @@
 	inside   bool
 	coming   uint64 // the last record that is stored or being stored, where it only follows
 
+	gatherer *gatherer       // nil: this controller is no relay
+	latest   *agree.Snapshot // of the state, for those far behind; nil: none was asked for yet
+
 	member
 	leading
 	asks   []*asking
@@ -63,6 +66,7 @@
 	}
 	c := &Core{b: b, state: record.NewState(), Counts: map[string]int{}}
 	c.member.start()
+	c.startRelay()
 	c.voters = b.Voters
 	if s := b.Kept.Snapshot; s != nil {
 		state, err := record.DecodeState(s.Data)
@@ -163,6 +167,7 @@
 	c.drive()
 	c.follow()
 	c.answer()
+	c.gather()
 	c.renew()
 	c.compact()
 	c.wake()
@@ -194,7 +199,8 @@
 	if c.leads && len(c.queue) > 0 && len(c.asking) == 0 {
 		at = min(at, c.leading.confirmed+c.together())
 	}
-	if c.leads && c.behind { // one that lacks more than a message holds
+	at = min(at, c.gatherDue())
+	if c.passesOn() && c.behind { // one that lacks more than a message holds
 		at = c.now
 	}
 	for _, a := range c.asks {
@@ -246,9 +252,13 @@
 		c.granted(m.From, m.Grant)
 	case m.Follow != nil:
 		c.followed(m.From, m.Follow)
+	case m.Gather != nil:
+		c.gatheredBy(m.From, m.Gather)
+	case m.Gathered != nil:
+		c.gatheredAnswer(m.From, m.Gathered)
 	case m.Lacks != nil:
-		if p := c.peers[m.From]; p != nil && c.leads {
-			p.next, c.behind = m.Lacks.From, true
+		if f := c.followerOf(m.From); f != nil {
+			f.next, c.behind = m.Lacks.From, true
 		}
 	case m.Ask != nil && c.leads:
 		c.propose(c.entryOf(m.Ask))
@@ -452,41 +462,10 @@
 	}
 }
 
-// follow passes the record on to those who follow, while this controller leads.
-func (c *Core) follow() {
-	if !c.leads || !c.behind {
-		return
-	}
-	c.behind = false
-	for _, name := range c.names {
-		p := c.peers[name]
-		if name == c.b.Self.Name || p.next == 0 || p.next > c.state.Index || c.now-p.heard > followsFor || p.r != nil && p.r.Votes && c.voting(name) {
-			continue
-		}
-		p.sent = c.now
-		f := &Follow{Decided: c.state.Index, Leader: c.b.Self.Name}
-		if len(c.log) == 0 || p.next < c.log[0].Index {
-			f.Snapshot = &agree.Snapshot{Index: c.state.Index, Term: c.term, Data: c.state.Encode()}
-			p.next = c.state.Index + 1
-		} else {
-			from := int(p.next - c.log[0].Index)
-			f.Records = c.log[from:min(len(c.log), from+batch)]
-			p.next = f.Records[len(f.Records)-1].Index + 1
-			c.behind = c.behind || p.next <= c.state.Index
-		}
-		c.send(name, c.addressOf(name), &Message{Follow: f})
-	}
-}
-
 func (c *Core) voting(name string) bool {
 	return slices.ContainsFunc(c.voters, func(v agree.Voter) bool { return v.Name == name })
 }
 
-const (
-	batch      = 512             // records in a message
-	followsFor = 5 * time.Second // who wasn't heard of for so long is sent nothing
-)
-
 // Asks.
 
 func (c *Core) asked(a *fleet.Ask, handle uint64) {
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -27,6 +27,8 @@
 	count int
 	cut   map[string]bool // "a>b"
 	words map[string][]*fleet.Reply
+	lose  func(from, to string, m *Message) bool // nil: none but those that are cut
+	seen  func(from, to string, m *Message)
 }
 
 type event struct {
@@ -71,25 +73,43 @@
 }
 
 func newStage(t *testing.T, seed uint64, voters, followers int, lease time.Duration) *stage {
-	s := &stage{t: t, rand: rand.New(rand.NewPCG(seed, 1)), all: map[string]*actor{}, cut: map[string]bool{}, words: map[string][]*fleet.Reply{}}
-	var l []agree.Voter
-	for i := range voters {
-		l = append(l, agree.Voter{Name: fmt.Sprintf("v%d", i), Address: fmt.Sprintf("v%d:1", i)})
-	}
+	s := emptyStage(t, seed)
+	l := votersNamed(voters)
 	for i := range voters + followers {
 		name := fmt.Sprintf("v%d", i)
 		if i >= voters {
 			name = fmt.Sprintf("f%d", i-voters)
 		}
-		a := &actor{stage: s, name: name, begin: Begin{Self: fleet.Member{Name: name, Disk: "disk " + name, Site: "here", Peer: name + ":1"},
-			Voters: l, Lease: lease, Drift: 0.01, Election: 200 * time.Millisecond, Heartbeat: 40 * time.Millisecond, Seed: seed, KeepAtMost: 50}}
-		s.all[name] = a
-		s.names = append(s.names, name)
-		a.start()
+		s.add(beginOf(name, l, seed, lease))
 	}
 	return s
 }
 
+func emptyStage(t *testing.T, seed uint64) *stage {
+	return &stage{t: t, rand: rand.New(rand.NewPCG(seed, 1)), all: map[string]*actor{}, cut: map[string]bool{}, words: map[string][]*fleet.Reply{}}
+}
+
+func votersNamed(n int) (l []agree.Voter) {
+	for i := range n {
+		l = append(l, agree.Voter{Name: fmt.Sprintf("v%d", i), Address: fmt.Sprintf("v%d:1", i)})
+	}
+	return l
+}
+
+func beginOf(name string, voters []agree.Voter, seed uint64, lease time.Duration) Begin {
+	return Begin{Self: fleet.Member{Name: name, Disk: "disk " + name, Site: "here", Peer: name + ":1"},
+		Voters: voters, Lease: lease, Drift: 0.01, Election: 200 * time.Millisecond, Heartbeat: 40 * time.Millisecond, Seed: seed, KeepAtMost: 50}
+}
+
+// add starts one more.
+func (s *stage) add(b Begin) *actor {
+	a := &actor{stage: s, name: b.Self.Name, begin: b}
+	s.all[a.name] = a
+	s.names = append(s.names, a.name)
+	a.start()
+	return a
+}
+
 func (a *actor) start() {
 	a.starts++
 	a.run = a.starts
@@ -117,9 +137,12 @@
 		case Send:
 			to := a.all[e.To]
 			a.sent++
-			if to == nil || a.cut[a.name+">"+e.To] {
+			if to == nil || a.cut[a.name+">"+e.To] || a.lose != nil && a.lose(a.name, e.To, e.Message) {
 				continue
 			}
+			if a.seen != nil {
+				a.seen(a.name, e.To, e.Message)
+			}
 			to.later(time.Millisecond+time.Duration(a.rand.IntN(3000))*time.Microsecond, func() { to.step(Event{Kind: Came, Message: e.Message}) })
 		case Store:
 			a.later(2*time.Millisecond, func() {
--- /dev/null
+++ b/internal/fleet/node/relay_test.go
@@ -0,0 +1,463 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/record"
+)
+
+// relayStage is voters v0.., relays r0.. that don't vote, and followers f0.. of which
+// each asks through two of the relays.
+func relayStage(t *testing.T, seed uint64, voters, relays, followers int, lease time.Duration) *stage {
+	s := emptyStage(t, seed)
+	named := votersNamed(voters)
+	for _, v := range named {
+		s.add(beginOf(v.Name, named, seed, lease))
+	}
+	var upstreams []Upstream
+	for i := range relays {
+		name := fmt.Sprintf("r%d", i)
+		begin := beginOf(name, named, seed, lease)
+		begin.Relay = true
+		s.add(begin)
+		upstreams = append(upstreams, Upstream{Name: name, Address: name + ":1"})
+	}
+	for i := range followers {
+		begin := beginOf(fmt.Sprintf("f%d", i), named, seed, lease)
+		begin.Relays = []Upstream{upstreams[i%relays], upstreams[(i+1)%relays]}
+		s.add(begin)
+	}
+	return s
+}
+
+// play goes on for a while and checks something after each event.
+func (s *stage) play(long time.Duration, check func()) {
+	for end := s.now + long; s.now < end; {
+		s.next()
+		if check != nil {
+			check()
+		}
+	}
+}
+
+// noMix fails where two controllers may decide by different versions at one moment.
+func (s *stage) noMix() {
+	version, by := uint64(0), ""
+	for _, name := range s.names {
+		a := s.all[name]
+		if a.run == 0 {
+			continue
+		}
+		v := a.word.May(s.now, false)
+		if v == 0 {
+			continue
+		}
+		if version != 0 && v != version {
+			s.t.Fatalf("at %v %s decides by %d and %s by %d", s.now, by, version, name, v)
+		}
+		version, by = v, name
+	}
+}
+
+// change applies a policy at a controller and gives what looks for its word.
+func (s *stage) change(a *actor, id string, handle, base uint64) func() bool {
+	a.step(Event{Kind: Asked, Handle: handle, Ask: &fleet.Ask{Kind: "apply", ID: id, Base: base, Policy: []byte(id), Wait: 60000}})
+	return func() bool {
+		s.noMix()
+		return s.word(a, handle) != nil
+	}
+}
+
+func (s *stage) inForce(a *actor, handle uint64) {
+	s.t.Helper()
+	if w := s.word(a, handle); w.Word != record.InForce {
+		s.t.Fatalf("%+v", w)
+	}
+}
+
+func (s *stage) cutBoth(a, b string) { s.cut[a+">"+b], s.cut[b+">"+a] = true, true }
+
+func (s *stage) heal() { clear(s.cut) }
+
+const relayLease = 800 * time.Millisecond
+
+func TestAFleetServesThroughRelays(t *testing.T) {
+	s := relayStage(t, 1, 3, 2, 12, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	s.play(2*relayLease, nil) // what joining led to is over
+	direct, gathers, renewals := 0, 0, 0
+	s.seen = func(from, to string, m *Message) {
+		leader := s.leader()
+		switch {
+		case m.Renew != nil && from[0] == 'f' && to == leader.name:
+			direct++
+		case m.Gather != nil:
+			gathers++
+			renewals += len(m.Gather.Renews)
+		}
+	}
+	s.play(4*time.Second, func() {
+		if !s.serve(s.names...) {
+			t.Fatalf("at %v not all serve", s.now)
+		}
+	})
+	if direct != 0 || renewals != 0 {
+		t.Errorf("at rest %d renewals came to the leader, and gathers named %d controllers", direct, renewals)
+	}
+	// a relay gathers four times in the time in which a controller asks once
+	if most := int(2 * gathersEach * 4 * time.Second / s.all["f0"].core.every()); gathers == 0 || gathers > most+4 {
+		t.Errorf("%d gathers in 4 s, at most %d are wanted", gathers, most)
+	}
+	s.seen = nil
+	f := s.all["f3"]
+	s.until(3*time.Second, "in force", s.change(f, "c1", 1, 1))
+	s.inForce(f, 1)
+	for _, name := range s.names {
+		if v := s.all[name].word.May(s.now, false); v != 2 {
+			t.Errorf("%s decides by %d", name, v)
+		}
+	}
+	s.until(2*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+}
+
+// A lease that a relay passes on was given by the leader after its holder asked, and
+// the leader waits for the holder at least as long.
+func TestALeaseThroughARelayIsWaitedFor(t *testing.T) {
+	for _, reach := range []string{"relay killed", "follower killed", "relay cut from the leader", "follower cut"} {
+		s := relayStage(t, 2, 3, 2, 4, relayLease)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		l, f := s.leader(), s.all["f0"]
+		switch reach {
+		case "relay killed":
+			s.all["r0"].run = 0
+		case "follower killed":
+			f.run = 0
+		case "relay cut from the leader":
+			s.cutBoth("r0", l.name)
+		case "follower cut":
+			for _, name := range s.names {
+				if name != f.name {
+					s.cutBoth(f.name, name)
+				}
+			}
+		}
+		s.play(time.Duration(s.rand.IntN(200))*time.Millisecond, nil)
+		s.until(4*time.Second, "in force after "+reach, s.change(l, "c1", 1, 1))
+		s.inForce(l, 1)
+		s.play(time.Second, s.noMix)
+	}
+}
+
+func TestControllersLeaveARelayThatDoesntAnswer(t *testing.T) {
+	for _, reach := range []string{"killed", "cut from the leader", "cut from its controllers", "both gone"} {
+		s := relayStage(t, 3, 3, 2, 8, relayLease)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		l := s.leader()
+		followers := s.names[5:]
+		switch reach {
+		case "killed":
+			s.all["r0"].run = 0
+		case "cut from the leader":
+			s.cutBoth("r0", l.name)
+		case "cut from its controllers":
+			for _, name := range followers {
+				s.cutBoth("r0", name)
+			}
+		case "both gone":
+			s.all["r0"].run, s.all["r1"].run = 0, 0
+		}
+		gap := time.Duration(0)
+		last := s.now
+		s.play(6*time.Second, func() {
+			if !s.serve(followers...) {
+				gap += s.now - last
+			}
+			last = s.now
+		})
+		if gap > 0 {
+			t.Errorf("%s: a controller served nothing for %v", reach, gap)
+		}
+		s.until(4*time.Second, "in force while a relay is "+reach, s.change(s.all["f1"], "c1", 1, 1))
+		s.inForce(s.all["f1"], 1)
+		s.heal()
+		for _, name := range []string{"r0", "r1"} {
+			if s.all[name].run == 0 {
+				s.all[name].start()
+			}
+		}
+		s.until(20*time.Second, "all ask through their first relay again", func() bool {
+			return !slices.ContainsFunc(followers, func(name string) bool { return s.all[name].core.routes.current != 0 })
+		})
+	}
+}
+
+// A relay that stands still past a lease and goes on holds nobody's lease up, and what
+// it says late is no new ask.
+func TestARelayStoppedPastALeaseAndWoken(t *testing.T) {
+	s := relayStage(t, 4, 3, 2, 6, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	r := s.all["r0"]
+	// what reaches it meanwhile waits in its connections
+	var waiting []*Message
+	run := r.run
+	s.lose = func(from, to string, m *Message) bool {
+		if to == "r0" && r.run == 0 {
+			waiting = append(waiting, m)
+		}
+		return to == "r0" && r.run == 0
+	}
+	r.run = 0
+	s.until(4*time.Second, "in force", s.change(s.all["f0"], "c1", 1, 1))
+	s.play(3*relayLease, s.noMix)
+	r.run = run
+	for _, m := range waiting {
+		r.step(Event{Kind: Came, Message: m})
+		s.noMix()
+	}
+	r.step(Event{Kind: Woken})
+	s.until(5*time.Second, "in force once more", s.change(s.all["f1"], "c2", 2, 2))
+	s.inForce(s.all["f1"], 2)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+}
+
+// Grants that come late or twice lengthen no lease.
+func TestGrantsReplayedOrLate(t *testing.T) {
+	s := relayStage(t, 5, 3, 2, 4, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	var toRelay, toFollower []*Message
+	s.seen = func(_, to string, m *Message) {
+		if to == "r0" && m.Gathered != nil {
+			toRelay = append(toRelay, m)
+		}
+		if to == "f0" && m.Grant != nil {
+			toFollower = append(toFollower, m)
+		}
+	}
+	s.play(2*time.Second, nil)
+	f := s.all["f0"]
+	for _, name := range s.names {
+		if name != "f0" {
+			s.cutBoth(name, "f0")
+		}
+	}
+	s.seen = nil
+	s.play(relayLease/2, nil)
+	until, _ := f.word.Until()
+	for _, m := range toRelay {
+		s.all["r0"].step(Event{Kind: Came, Message: m})
+	}
+	for _, m := range toFollower {
+		f.step(Event{Kind: Came, Message: m})
+	}
+	s.play(10*time.Millisecond, nil)
+	if now, _ := f.word.Until(); now != until || len(toRelay) < 5 || len(toFollower) < 5 {
+		t.Errorf("the lease until %v is until %v after %d and %d replayed grants", until, now, len(toRelay), len(toFollower))
+	}
+	s.play(relayLease, nil)
+	if s.serve("f0") {
+		t.Error("a controller that is cut off serves past its lease")
+	}
+}
+
+// Whatever is lost, doubled or late between relays and leader, changes come through and
+// no two versions are in force at once.
+func TestGathersLostDoubledAndLate(t *testing.T) {
+	for seed := range uint64(12) {
+		s := relayStage(t, 200+seed, 3, 2, 6, relayLease)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		s.lose = func(from, to string, m *Message) bool {
+			if m.Gather == nil && m.Gathered == nil && m.Grant == nil && m.Renew == nil && m.Follow == nil {
+				return false
+			}
+			switch s.rand.IntN(5) {
+			case 0:
+				return true
+			case 1, 2: // once more, later
+				target := s.all[to]
+				target.later(time.Duration(s.rand.IntN(600))*time.Millisecond, func() { target.step(Event{Kind: Came, Message: m}) })
+			}
+			return false
+		}
+		for i := range uint64(4) {
+			a := s.all[s.names[s.rand.IntN(len(s.names))]]
+			s.until(15*time.Second, "in force", s.change(a, fmt.Sprintf("c%d", i), 10+i, 1+i))
+			s.inForce(a, 10+i)
+		}
+		s.lose = nil
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		s.play(time.Second, s.noMix)
+	}
+}
+
+// Leaders, relays and followers come and go in the middle of changes.
+func TestRelaysAndLeadersLostInTheMiddleOfAChange(t *testing.T) {
+	phases := map[string]int{}
+	for seed := range uint64(40) {
+		s := relayStage(t, 300+seed, 3, 2, 4, relayLease)
+		s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+		f := s.all["f2"]
+		done := s.change(f, "c1", 1, 1)
+		s.play(time.Duration(s.rand.IntN(90))*time.Millisecond, s.noMix)
+		lost := s.all["r0"]
+		if seed%2 == 1 {
+			lost = s.leader()
+		}
+		if c := lost.core.state.Changes["c1"]; c != nil {
+			phases[c.Phase]++
+		}
+		lost.run = 0
+		s.until(20*time.Second, "in force", done)
+		s.inForce(f, 1)
+		lost.start()
+		s.until(10*time.Second, "all serve", func() bool { s.noMix(); return s.serve(s.names...) })
+	}
+	for _, p := range []string{record.Proposed, record.Closing, record.Decided} {
+		if phases[p] == 0 {
+			t.Errorf("nobody was lost while %s: %v", p, phases)
+		}
+	}
+}
+
+// A run of a relay that is still about beside the next one covers for itself alone.
+func TestAnOldRelayBesideANewOne(t *testing.T) {
+	s := relayStage(t, 6, 3, 2, 4, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	l := s.leader()
+	old := s.all["r0"].core
+	s.all["r0"].start()
+	s.until(5*time.Second, "all serve again", func() bool { return s.serve(s.names...) })
+	for _, covers := range l.core.covers {
+		if covers.key.relay == "r0" && covers.key.boot == old.b.Boot {
+			old.gatherer.acked = covers.seq
+		}
+	}
+	seq := old.gatherer.seq
+	for i := range uint64(5) { // it speaks on, and knows nothing of who left it
+		g := &Gather{Boot: old.b.Boot, Seq: seq + 1 + i, Base: old.gatherer.acked}
+		l.step(Event{Kind: Came, Message: &Message{From: "r0", To: l.name, Disk: "disk r0", Gather: g}})
+		s.play(20*time.Millisecond, s.noMix)
+	}
+	if !s.serve(s.names...) {
+		t.Fatal("not all serve beside an old run of a relay")
+	}
+	s.until(4*time.Second, "in force", s.change(s.all["f0"], "c1", 1, 1))
+	s.inForce(s.all["f0"], 1)
+	s.play(12*time.Second, s.noMix)
+	for key := range l.core.covers {
+		if key.boot == old.b.Boot && key.relay == "r0" {
+			t.Error("an old run of a relay is remembered for good")
+		}
+	}
+}
+
+func TestMostJoinWithinASecond(t *testing.T) {
+	s := relayStage(t, 7, 3, 2, 2, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	named := votersNamed(3)
+	for i := range 97 {
+		begin := beginOf(fmt.Sprintf("n%02d", i), named, 7, relayLease)
+		begin.Relays = []Upstream{{Name: "r0", Address: "r0:1"}, {Name: "r1", Address: "r1:1"}}
+		s.add(begin)
+		s.play(8*time.Millisecond, nil)
+	}
+	s.until(3*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	s.until(3*time.Second, "in force", s.change(s.all["n50"], "c1", 1, 1))
+	s.inForce(s.all["n50"], 1)
+}
+
+// Who is forgotten is granted nothing more, through a relay neither.
+func TestAForgottenControllerIsRefusedThroughARelay(t *testing.T) {
+	s := relayStage(t, 8, 3, 2, 2, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	l, f := s.leader(), s.all["f0"]
+	s.cut["r0>f0"] = true // it hears of its end by nothing but grants
+	s.lose = func(_, to string, m *Message) bool { return to == "f0" && m.Follow != nil }
+	l.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "forget", ID: "x", Name: "f0"}})
+	s.until(4*time.Second, "it stops", func() bool { return !s.serve("f0") })
+	s.heal()
+	s.lose = nil
+	s.play(3*time.Second, func() {
+		if s.serve("f0") {
+			t.Fatal("it serves again")
+		}
+	})
+	if f.core.refused == "" {
+		t.Error("it isn't told why")
+	}
+}
+
+// A leader whose program knows no relays answers no gathers: controllers go to it
+// themselves, and the relay says what is wrong.
+func TestALeaderThatKnowsNoRelays(t *testing.T) {
+	s := relayStage(t, 9, 3, 2, 4, relayLease)
+	s.lose = func(_, _ string, m *Message) bool { return m.Gather != nil } // what it can't read it passes over
+	s.until(8*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	s.play(8*time.Second, func() {
+		if !s.serve(s.names...) {
+			t.Fatal("not all serve by asking the leader itself")
+		}
+	})
+	if g := s.all["r0"].core.gatherer; !g.complained {
+		t.Error("the relay doesn't say that it isn't answered")
+	}
+	s.until(4*time.Second, "in force", s.change(s.all["f0"], "c1", 1, 1))
+	s.inForce(s.all["f0"], 1)
+}
+
+// A relay that has nothing of the leader's after its ask passes on no lease, whatever
+// it was answered before.
+func TestARelayGrantsNothingByItself(t *testing.T) {
+	s := relayStage(t, 10, 3, 1, 3, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	r := s.all["r0"]
+	given := 0
+	s.seen = func(from, _ string, m *Message) {
+		if from == "r0" && m.Grant != nil && m.Grant.Given {
+			given++
+		}
+	}
+	for _, name := range s.names[:3] {
+		s.cutBoth("r0", name)
+	}
+	s.play(10*time.Millisecond, nil) // what was under way has come
+	given = 0
+	for i := range uint64(20) {
+		member := s.all["f0"].begin.Self
+		r.step(Event{Kind: Came, Message: &Message{From: "f0", To: "r0", Disk: member.Disk,
+			Renew: &Renew{Member: member, Boot: 1, Seq: 1000 + i, Sent: int64(s.now), Applied: r.core.state.Index}}})
+		s.play(20*time.Millisecond, nil)
+	}
+	if given != 0 {
+		t.Errorf("a relay answered %d renewals by itself", given)
+	}
+}
+
+// A controller that was started anew while its old relay is slow: what the old run said,
+// told once more by that relay, doesn't stand for the new one for good.
+func TestAnOldRunToldByAnotherRelayIsCorrected(t *testing.T) {
+	s := relayStage(t, 11, 3, 2, 2, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	l, f := s.leader(), s.all["f0"]
+	oldRun := l.core.peers["f0"].r
+	s.cutBoth("r0", "f0")
+	f.start()
+	s.until(5*time.Second, "it serves through the other relay", func() bool { return s.serve("f0") && l.core.peers["f0"].boot == f.begin.Boot })
+	r := s.all["r0"].core
+	late := *oldRun
+	late.Seq++
+	l.step(Event{Kind: Came, Message: &Message{From: "r0", To: l.name, Disk: "disk r0",
+		Gather: &Gather{Boot: r.b.Boot, Seq: r.gatherer.seq + 1, Base: r.gatherer.acked,
+			Renews: []GatheredFrom{{Name: "f0", Disk: "disk f0", Renew: &late}}}}})
+	r.gatherer.seq++
+	if l.core.peers["f0"].boot == f.begin.Boot {
+		t.Fatal("the old run isn't told: this test shows nothing")
+	}
+	l.step(Event{Kind: Came, Message: &Message{From: "r0", To: l.name, Disk: "disk r0",
+		Gather: &Gather{Boot: r.b.Boot, Seq: r.gatherer.seq + 1, Base: r.gatherer.acked, Silents: []Silent{{Name: "f0", Ago: int64(time.Second)}}}}})
+	r.gatherer.seq++
+	s.until(2*time.Second, "the new run is told again", func() bool { return l.core.peers["f0"].boot == f.begin.Boot })
+}
