Drawn schedules play fleets with relays

Cause: relays were played by tests of package node alone. Change: Schedule.Relays; relays fail, stop, lose messages and disks as all others do, judged from what was decided and written.

--- a/internal/lab/schedules.go
+++ b/internal/lab/schedules.go
@@ -25,6 +25,7 @@
 	Seed        uint64
 	Controllers int // the first Voters of them vote
 	Voters      int
+	Relays      int           // the next so many pass on the renewals of those after them, 0: none do
 	Long        time.Duration // in which faults come; after it all is healed and must come right
 	Lease       time.Duration
 	Faults      float64 // a second
@@ -252,8 +253,10 @@
 		voters = append(voters, agree.Voter{Name: v.name, Address: v.member.Peer})
 	}
 	p.check.Note(p.now, a.name+" starts", a.name)
-	core, effects, err := node.New(node.Begin{Self: a.member, Voters: voters, Lease: p.Lease, LeaseBound: p.Lease / 2, Drift: 0.01,
-		Election: 300 * time.Millisecond, Heartbeat: 60 * time.Millisecond, Seed: p.rng.Uint64(), Boot: a.boot, Kept: clone(a.kept), KeepAtMost: 3 + int(p.Seed%30)})
+	begin := node.Begin{Self: a.member, Voters: voters, Lease: p.Lease, LeaseBound: p.Lease / 2, Drift: 0.01,
+		Election: 300 * time.Millisecond, Heartbeat: 60 * time.Millisecond, Seed: p.rng.Uint64(), Boot: a.boot, Kept: clone(a.kept), KeepAtMost: 3 + int(p.Seed%30)}
+	begin.Relay, begin.Relays = p.upstreams(a)
+	core, effects, err := node.New(begin)
 	if err != nil {
 		p.broken("%s can't start: %v", a.name, err)
 		a.down = true
@@ -264,6 +267,20 @@
 	p.in(p.span(0, 20*time.Millisecond), a, func() { p.take(a) })
 }
 
+// upstreams tells whether a controller is a relay, and otherwise which two it asks
+// through, if any.
+func (p *play) upstreams(a *actor) (relay bool, upstreams []node.Upstream) {
+	place := slices.Index(p.all, a) - p.Voters
+	if p.Relays == 0 || place < 0 || place < p.Relays {
+		return place >= 0 && p.Relays > 0, nil
+	}
+	for i := range min(2, p.Relays) {
+		via := p.all[p.Voters+(place+i)%p.Relays]
+		upstreams = append(upstreams, node.Upstream{Name: via.name, Address: via.member.Peer})
+	}
+	return false, upstreams
+}
+
 func clone(k agree.Kept) agree.Kept {
 	k.Hard, k.Records = slices.Clone(k.Hard), slices.Clone(k.Records)
 	return k
--- a/internal/lab/schedules_test.go
+++ b/internal/lab/schedules_test.go
@@ -29,6 +29,23 @@
 	}
 }
 
+// Followers ask through relays, which fail as all others do.
+func TestSchedulesWithRelays(t *testing.T) {
+	l := &Plan{}
+	l.Random(2000, 80, 9, 3, 6*time.Second, 2)
+	for i := range l.Schedules {
+		l.Schedules[i].Relays = 2
+	}
+	p := l.Play(3, time.Time{})
+	if sound(t, p); p.Changes < 80 || p.Withdrawn < 15 || p.Purges < 60 || p.Struck() < 80 || p.Forgotten == 0 {
+		t.Fatal("too little arose")
+	}
+	many := Schedule{Seed: 6, Controllers: 120, Voters: 3, Relays: 4, Long: 3 * time.Second, Lease: time.Second, Faults: 6}.Play()
+	if sound(t, many); many.Changes == 0 || many.Struck() == 0 {
+		t.Fatal("too little arose among many")
+	}
+}
+
 // Others vote from now on, again and again, with faults between.
 func TestVotersReplaced(t *testing.T) {
 	l := &Plan{}
