--- /dev/null
+++ b/internal/fleet/node/gather_test.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+func renewOf(name string, boot, seq uint64) *Renew {
+	return &Renew{Member: fleet.Member{Name: name, Disk: "disk " + name, Site: "here", Peer: name + ":1"}, Boot: boot, Seq: seq, Sent: int64(seq)}
+}
+
+func named(g *Gather) (names []string) {
+	for _, from := range g.Renews {
+		names = append(names, from.Name)
+	}
+	return names
+}
+
+func silentIn(g *Gather) (names []string) {
+	for _, s := range g.Silents {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (g *gatherer) given(seq uint64, withheld ...Withheld) []grantTo {
+	return g.answered("l", &Gathered{Boot: g.boot, Seq: seq, Given: true, Index: 7, Leader: "l", Withheld: withheld})
+}
+
+// gathering is a relay that a leader has everything of: a and b ask through it.
+func gathering() *gatherer {
+	g := newGatherer(1)
+	g.follows("l")
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 1))
+	g.renewed(0, "b", "disk b", renewOf("b", 1, 1))
+	g.next(0)
+	g.given(1)
+	return g
+}
+
+func TestOnlyWhatWasAskedBeforeAGatherIsGrantedByIt(t *testing.T) {
+	g := gathering()
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 2))
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 3))
+	g.next(0)
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 4))
+	grants := g.given(2)
+	if len(grants) != 1 || grants[0].name != "a" || grants[0].grant.Seq != 3 || grants[0].grant.Sent != 3 || grants[0].grant.Index != 7 {
+		t.Fatalf("%+v", grants)
+	}
+	if again := g.given(2); len(again) != 0 {
+		t.Errorf("an answer that comes twice grants %+v", again)
+	}
+	if early := g.given(3); len(early) != 0 {
+		t.Errorf("an answer to a gather that wasn't sent grants %+v", early)
+	}
+	if other := g.answered("l", &Gathered{Boot: 2, Seq: 2, Given: true}); len(other) != 0 {
+		t.Errorf("an answer to another run grants %+v", other)
+	}
+}
+
+func TestAsksOfAnEarlierRunAreNotGranted(t *testing.T) {
+	g := gathering()
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 2))
+	g.renewed(0, "a", "disk a", renewOf("a", 2, 1))
+	g.next(0)
+	for _, to := range g.given(2) {
+		if to.grant.Boot != 2 || to.grant.Seq != 1 {
+			t.Errorf("%+v", to.grant)
+		}
+	}
+	if late := g.renewed(0, "a", "disk a", renewOf("a", 2, 1)); late != nil {
+		t.Error("a doubled renewal is an ask")
+	}
+}
+
+func TestAGatherTellsWhatTheLeaderLacks(t *testing.T) {
+	g := gathering()
+	if names := named(g.next(0)); len(names) != 0 {
+		t.Errorf("unchanged, and told again: %v", names)
+	}
+	changed := renewOf("b", 1, 2)
+	changed.Version = 3
+	g.renewed(0, "b", "disk b", changed)
+	for range 2 { // until the leader has it
+		if next := g.next(0); !slices.Equal(named(next), []string{"b"}) || next.Base != 1 {
+			t.Errorf("%v since %d", named(next), next.Base)
+		}
+	}
+	g.given(4)
+	if names := named(g.next(0)); len(names) != 0 {
+		t.Errorf("the leader has it, and it is told again: %v", names)
+	}
+	g.follows("m")
+	if next := g.next(0); !slices.Equal(named(next), []string{"a", "b"}) || next.Base != 0 {
+		t.Errorf("another leader is told %v since %d", named(next), next.Base)
+	}
+}
+
+func TestSilenceIsToldUntilTheLeaderHasIt(t *testing.T) {
+	g := gathering()
+	g.renewed(time.Second, "b", "disk b", renewOf("b", 1, 2))
+	g.expire(time.Second, 500*time.Millisecond)
+	next := g.next(1500 * time.Millisecond)
+	if !slices.Equal(silentIn(next), []string{"a"}) || next.Silents[0].Ago != int64(1500*time.Millisecond) {
+		t.Fatalf("%+v", next.Silents)
+	}
+	if grants := g.given(2); len(grants) != 1 || grants[0].name != "b" {
+		t.Errorf("who is silent is granted a lease: %+v", grants)
+	}
+	if next := g.next(2 * time.Second); len(next.Silents) != 0 {
+		t.Errorf("the leader has it, and it is told again: %+v", next.Silents)
+	}
+}
+
+// A leader that has one gather of everything and not the next must still hear of who
+// went silent between them.
+func TestSilenceOutlastsAGatherOfEverything(t *testing.T) {
+	g := newGatherer(1)
+	g.follows("l")
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 1))
+	g.next(0)
+	g.expire(time.Second, 500*time.Millisecond)
+	if lost := g.next(time.Second); lost.Base != 0 || len(named(lost)) != 0 {
+		t.Fatalf("%+v", lost)
+	}
+	g.given(1)
+	if next := g.next(time.Second); next.Base != 1 || !slices.Equal(silentIn(next), []string{"a"}) {
+		t.Errorf("%+v", next)
+	}
+}
+
+func TestWhoIsWithheldIsToldAgainOrRefused(t *testing.T) {
+	g := gathering()
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 2))
+	g.renewed(0, "b", "disk b", renewOf("b", 1, 2))
+	g.next(0)
+	grants := g.given(2, Withheld{Name: "a"}, Withheld{Name: "b", Why: "forgotten"})
+	if len(grants) != 2 || grants[0].grant.Given || grants[0].grant.Why != "" || grants[1].grant.Given || grants[1].grant.Why != "forgotten" {
+		t.Fatalf("%+v %+v", grants[0].grant, grants[1].grant)
+	}
+	if next := g.next(0); !slices.Equal(named(next), []string{"a"}) {
+		t.Errorf("told again: %v", named(next))
+	}
+}
+
+func TestAnswersThatAskForMore(t *testing.T) {
+	g := gathering()
+	g.renewed(0, "a", "disk a", renewOf("a", 1, 2))
+	g.next(0)
+	if grants := g.answered("l", &Gathered{Boot: 1, Seq: 2, Resync: true}); len(grants) != 0 {
+		t.Errorf("%+v", grants)
+	}
+	if next := g.next(0); next.Base != 0 || !slices.Equal(named(next), []string{"a", "b"}) {
+		t.Errorf("%v since %d", named(next), next.Base)
+	}
+	g.answered("l", &Gathered{Boot: 1, Seq: 3, Given: true, Again: []string{"b"}})
+	if next := g.next(0); !slices.Equal(named(next), []string{"b"}) {
+		t.Errorf("%v", named(next))
+	}
+}
+
+// leadOf plays a fleet with a relay that is driven by hand: the leader, and what it
+// answers the relay.
+func leadOf(t *testing.T) (s *stage, l *actor, tell func(*Gather) *Gathered) {
+	s = relayStage(t, 21, 3, 1, 2, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	for _, name := range []string{"r0", "f0", "f1"} {
+		s.all[name].run = 0
+	}
+	l = s.leader()
+	var last *Gathered
+	s.seen = func(_, to string, m *Message) {
+		if to == "r0" && m.Gathered != nil && m.Gathered.Boot == 77 {
+			last = m.Gathered
+		}
+	}
+	return s, l, func(g *Gather) *Gathered {
+		g.Boot, last = 77, nil
+		l.step(Event{Kind: Came, Message: &Message{From: "r0", To: l.name, Disk: "disk r0", Gather: g}})
+		s.play(60*time.Millisecond, nil)
+		return last
+	}
+}
+
+func from(name string, boot, seq uint64) GatheredFrom {
+	return GatheredFrom{Name: name, Disk: "disk " + name, Renew: renewOf(name, boot, seq)}
+}
+
+func TestALeaderThatLacksTheBaseAsksForEverything(t *testing.T) {
+	_, l, tell := leadOf(t)
+	if a := tell(&Gather{Seq: 3, Base: 2}); a == nil || !a.Resync || a.Given {
+		t.Fatalf("it has nothing of this relay and says %+v", a)
+	}
+	if a := tell(&Gather{Seq: 4, Renews: []GatheredFrom{from("f0", 50, 1)}}); a == nil || !a.Given || len(a.Withheld) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	if a := tell(&Gather{Seq: 6, Base: 5}); a == nil || !a.Resync || a.Given {
+		t.Errorf("it lacks gather 5 and says %+v", a)
+	}
+	if a := tell(&Gather{Seq: 7, Base: 4}); a == nil || !a.Given {
+		t.Errorf("%+v", a)
+	}
+	if !l.core.covers[coverKey{"r0", 77}].controllers["f0"] {
+		t.Error("it isn't covered")
+	}
+}
+
+func TestAGatherThatComesLateIsPassedOver(t *testing.T) {
+	_, l, tell := leadOf(t)
+	tell(&Gather{Seq: 5, Renews: []GatheredFrom{from("f0", 50, 5)}})
+	if a := tell(&Gather{Seq: 4, Renews: []GatheredFrom{from("f1", 51, 4)}}); a != nil {
+		t.Errorf("a late gather is answered: %+v", a)
+	}
+	if a := tell(&Gather{Seq: 5, Renews: []GatheredFrom{from("f1", 51, 4)}}); a != nil {
+		t.Errorf("a doubled gather is answered: %+v", a)
+	}
+	if covers := l.core.covers[coverKey{"r0", 77}]; !covers.controllers["f0"] || covers.controllers["f1"] {
+		t.Errorf("covered: %v", covers.controllers)
+	}
+}
+
+func TestAGatherOfEverythingReplacesWhatWasTold(t *testing.T) {
+	_, l, tell := leadOf(t)
+	tell(&Gather{Seq: 1, Renews: []GatheredFrom{from("f0", 50, 1), from("f1", 51, 1)}})
+	heard := l.core.covers[coverKey{"r0", 77}].heard
+	tell(&Gather{Seq: 2, Renews: []GatheredFrom{from("f1", 51, 2)}})
+	if covers := l.core.covers[coverKey{"r0", 77}]; covers.controllers["f0"] || !covers.controllers["f1"] {
+		t.Errorf("covered: %v", covers.controllers)
+	}
+	if asked := l.core.peers["f0"].asked; asked < heard {
+		t.Errorf("f0 asked at %v as the leader has it, and was covered at %v", asked, heard)
+	}
+}
+
+// A controller that isn't in the record yet is given no lease by the gather that told
+// of it, also if the record has it before the answer goes out.
+func TestWhoJoinsIsWithheldByTheGatherThatToldOfIt(t *testing.T) {
+	s, l, tell := leadOf(t)
+	if a := tell(&Gather{Seq: 1, Renews: []GatheredFrom{from("new", 60, 1)}}); a == nil || !slices.Equal(a.Withheld, []Withheld{{Name: "new"}}) {
+		t.Fatalf("%+v", a)
+	}
+	s.play(time.Second, nil)
+	if l.core.state.Members["new"] == nil {
+		t.Fatal("it hasn't joined")
+	}
+	if a := tell(&Gather{Seq: 2, Renews: []GatheredFrom{from("new", 60, 2)}}); a == nil || !a.Given || len(a.Withheld) != 0 {
+		t.Errorf("%+v", a)
+	}
+	// two gathers in one confirmation: what the first withheld stays withheld for it
+	covers := &cover{key: coverKey{"r0", 78}, controllers: map[string]bool{"new": true}, withheld: map[string]string{}}
+	first := renewal{name: "r0", gather: &Gather{Boot: 77, Seq: 9}, covers: covers, withheld: map[string]string{"new": ""}}
+	l.core.out = nil
+	l.core.grantGather(first, 1)
+	if sent := l.core.out[0].Message.Gathered; len(sent.Withheld) != 1 {
+		t.Errorf("%+v", sent)
+	}
+}
+
+func TestAForgottenControllerIsWithheld(t *testing.T) {
+	s, l, tell := leadOf(t)
+	tell(&Gather{Seq: 1, Renews: []GatheredFrom{from("f0", 50, 1)}})
+	l.step(Event{Kind: Asked, Handle: 1, Ask: &fleet.Ask{Kind: "forget", ID: "x", Name: "f0"}})
+	s.until(2*time.Second, "forgotten", func() bool { return l.core.state.Members["f0"].Forgotten })
+	if a := tell(&Gather{Seq: 2, Base: 1}); a == nil || len(a.Withheld) != 1 || a.Withheld[0].Why != forgottenName {
+		t.Errorf("%+v", a)
+	}
+	if a := tell(&Gather{Seq: 3, Renews: []GatheredFrom{{Name: "f1", Disk: "another", Renew: renewOf("f1", 51, 1)}}}); a == nil || a.Withheld[0].Why != foreignDisk {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Who asked for silence to be told, and of whom another relay told since, is told again.
+func TestWhatAnotherRelayToldIsAskedForAgain(t *testing.T) {
+	_, l, tell := leadOf(t)
+	tell(&Gather{Seq: 1, Renews: []GatheredFrom{from("f0", 90, 1)}})
+	old := &Gather{Boot: 5, Seq: 1, Renews: []GatheredFrom{from("f0", 80, 1)}}
+	l.step(Event{Kind: Came, Message: &Message{From: "r9", To: l.name, Disk: "disk r9", Gather: old}})
+	if l.core.peers["f0"].boot != 80 {
+		t.Fatal("the other relay's word doesn't stand")
+	}
+	l.step(Event{Kind: Came, Message: &Message{From: "r9", To: l.name, Disk: "disk r9",
+		Gather: &Gather{Boot: 5, Seq: 2, Base: 1, Silents: []Silent{{Name: "f0", Ago: 1}}}}})
+	if a := tell(&Gather{Seq: 2, Base: 1}); a == nil || !slices.Equal(a.Again, []string{"f0"}) {
+		t.Fatalf("%+v", a)
+	}
+	a := tell(&Gather{Seq: 3, Base: 1, Renews: []GatheredFrom{from("f0", 90, 1)}})
+	if a == nil || len(a.Again) != 0 || l.core.peers["f0"].boot != 90 {
+		t.Errorf("%+v, and run %d stands", a, l.core.peers["f0"].boot)
+	}
+}
