The idle reducer takes orders while its reports find no room

Cause: it waited with each report. The edge takes in no report while 256 orders wait for the reducer, so some 400 purges at a start would have had both wait for good. Change: reports that find no room are kept and the next order is taken; closing orders still waits until all are told. Measured: the new test (100 orders before the first report is taken) passes; go test ./internal/fleet/idle.

--- a/internal/fleet/idle/idle.go
+++ b/internal/fleet/idle/idle.go
@@ -17,39 +17,47 @@
 	Delay time.Duration
 }
 
-// Serve takes orders until ctx ends or orders is closed.
+// Serve takes orders until ctx ends or orders is closed. Reports that find no room are
+// kept here and the next order is taken all the same: the fleet's side may take in no
+// report before it is rid of its orders.
 func (r Reducer) Serve(ctx context.Context, orders <-chan fleet.Order, reports chan<- fleet.Report) error {
-	for {
+	var untold []fleet.Report
+	for orders != nil || len(untold) > 0 {
+		var room chan<- fleet.Report
+		var next fleet.Report
+		if len(untold) > 0 {
+			room, next = reports, untold[0]
+		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case room <- next:
+			untold = untold[1:]
 		case order, open := <-orders:
 			if !open {
-				return nil
+				orders = nil
+				continue
 			}
-			if r.carryOut(ctx, order, reports) != nil {
+			if !r.wait(ctx, order) {
 				return nil
 			}
+			untold = append(untold, r.answer(order)...)
 		}
 	}
+	return nil
 }
 
-func (r Reducer) carryOut(ctx context.Context, order fleet.Order, reports chan<- fleet.Report) error {
-	if order.Kind != fleet.Renewed && r.Delay > 0 {
-		select {
-		case <-time.After(r.Delay):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// wait is the delay before an order is answered; false if ctx ended meanwhile.
+func (r Reducer) wait(ctx context.Context, order fleet.Order) bool {
+	if order.Kind == fleet.Renewed || r.Delay <= 0 {
+		return true
 	}
-	for _, report := range r.answer(order) {
-		select {
-		case reports <- report:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	select {
+	case <-time.After(r.Delay):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return nil
 }
 
 // answer changes the word as the order says and gives what is reported of it.
--- a/internal/fleet/idle/idle_test.go
+++ b/internal/fleet/idle/idle_test.go
@@ -31,3 +31,26 @@
 		t.Errorf("lease until %v and %v, version %d after a shut", until, bound, word.May(0, false))
 	}
 }
+
+// The fleet's side takes in no report while too many of its orders wait: whoever waited
+// with a report then would wait for good.
+func TestOrdersAreTakenWhileNobodyTakesReports(t *testing.T) {
+	orders, reports := make(chan fleet.Order), make(chan fleet.Report)
+	done := make(chan error, 1)
+	go func() { done <- Reducer{}.Serve(t.Context(), orders, reports) }()
+	const most = 100
+	for range most {
+		select {
+		case orders <- fleet.Order{Kind: fleet.Drop, ID: "p"}:
+		case <-time.After(10 * time.Second):
+			t.Fatal("an order is not taken")
+		}
+	}
+	close(orders)
+	for range 2 * most {
+		<-reports
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
