Set-ups name a process's role, relays, and who is one

Change: fleet.role (controller, control), fleet.relay and fleet.relays with their checks; a control process may have name, log, limits, fleet and placement only. It checks a policy by its form; what a change has to purge errs towards purging: rules of set-ups are not relied on as the ones before, and where they would follow and aren't known, the policy is refused. Unused setup.PolicyRules is gone.

--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -14,6 +14,10 @@
 )
 
 func (c *checker) all(s *Setup) {
+	if s.Control() {
+		c.control(s)
+		return
+	}
 	c.plain(s)
 	c.names(s)
 	if s.Fairness != nil {
@@ -32,17 +36,22 @@
 	c.shape(s)
 }
 
+// process checks what processes of all roles have.
+func (c *checker) process(s *Setup) {
+	c.oneOf("log", s.Log, "debug", "info", "warn", "error")
+	c.maybe("limits.cores", s.Limits.Cores, 0, 1024)
+	c.maybe("limits.memory_mb", s.Limits.MemoryMB, 16, 1<<24)
+	c.maybe("limits.sockets", float64(s.Limits.Sockets), 64, 1<<20)
+}
+
 // plain checks each figure by itself.
 func (c *checker) plain(s *Setup) {
+	c.process(s)
 	c.address("listen", s.Listen)
 	c.address("feed", s.Feed)
 	if _, err := strconv.ParseUint(s.Seed, 16, 64); s.Seed != "" && err != nil {
 		c.wrong("seed", "%q is no hexadecimal number of up to 16 digits", s.Seed)
 	}
-	c.oneOf("log", s.Log, "debug", "info", "warn", "error")
-	c.maybe("limits.cores", s.Limits.Cores, 0, 1024)
-	c.maybe("limits.memory_mb", s.Limits.MemoryMB, 16, 1<<24)
-	c.maybe("limits.sockets", float64(s.Limits.Sockets), 64, 1<<20)
 	e := &s.Engines
 	c.maybe("engines.controllers", float64(e.Controllers), 1, 100_000)
 	c.maybe("engines.submissions", float64(e.Submissions), 1, 20)
--- /dev/null
+++ b/internal/setup/control_test.go
@@ -0,0 +1,234 @@
+package setup
+
+import (
+	"errors"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+func exampleOf(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/fleet/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func parsed(t *testing.T, text string) *Setup {
+	t.Helper()
+	s, err := Parse("x.yaml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestAControlProcessHasNoSiteAndNoClients(t *testing.T) {
+	s := parsed(t, exampleOf(t, "control.yaml"))
+	if !s.Control() || s.Fleet.Relay || s.Cores() != 1 || s.MemoryMB() != 256 {
+		t.Errorf("%+v", s.Fleet)
+	}
+	if got, want := s.Member(), (fleet.Member{Name: "v0", Peer: "127.0.0.1:7610"}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	if s = parsed(t, exampleOf(t, "relay.yaml")); !s.Control() || !s.Fleet.Relay {
+		t.Errorf("%+v", s.Fleet)
+	}
+	if s = parsed(t, exampleOf(t, "c0.yaml")); s.Control() || s.MemoryMB() != 512 {
+		t.Errorf("%+v", s.Fleet)
+	}
+	s = parsed(t, exampleOf(t, "relayed.yaml"))
+	if want := []Upstream{{"r0", "127.0.0.1:7620"}, {"r1", "127.0.0.1:7621"}}; s.Control() || !slices.Equal(s.Fleet.Relays, want) {
+		t.Errorf("%+v", s.Fleet)
+	}
+}
+
+// A voter may be a relay, and a process that is neither stands by to be named a voter.
+func TestARelayMayVote(t *testing.T) {
+	parsed(t, strings.Replace(exampleOf(t, "control.yaml"), "role: control", "role: control\n  relay: true", 1))
+	parsed(t, strings.Replace(exampleOf(t, "control.yaml"), "name: v0\nlog", "name: v9\nlog", 1))
+	voting := strings.ReplaceAll(exampleOf(t, "relayed.yaml"), `{name: r0, address: "127.0.0.1:7620"}`, `{name: v0, address: "127.0.0.1:7610"}`)
+	parsed(t, voting)
+}
+
+// Each case spoils an example; the error must name the file, the field and a line, and say why.
+func TestWhatIsWrongWithRolesAndRelaysIsNamed(t *testing.T) {
+	voters := exampleOf(t, "relay.yaml")
+	voters = voters[strings.Index(voters, "  voters:"):]
+	twoRelays := "  relays:\n    - {name: r1, address: \"127.0.0.1:7621\"}\n  voters:"
+	for _, c := range []struct{ example, old, new, field, why string }{
+		{"control.yaml", "role: control", "role: contrl", "fleet.role", "none of: controller, control"},
+		{"control.yaml", "log: info", "listen: 127.0.0.1:6560", "listen", "takes no queries"},
+		{"control.yaml", "log: info", "feed: 127.0.0.1:7070", "feed", "takes no queries"},
+		{"control.yaml", "log: info", "seed: 8c1f", "seed", "takes no queries"},
+		{"control.yaml", "log: info", "engines: {}", "engines", "takes no queries"},
+		{"control.yaml", "log: info", "groups: []", "groups", "takes no queries"},
+		{"control.yaml", "log: info", "groups:", "groups", "takes no queries"},
+		{"control.yaml", "log: info", "clients: [{name: a, addresses: [10.0.0.0/8]}]", "clients", "takes no queries"},
+		{"control.yaml", "log: info", "fairness: {teams: [{name: a, weight: 1}]}", "fairness", "takes no queries"},
+		{"control.yaml", "log: info", "spool: {field: pages}", "spool", "takes no queries"},
+		{"control.yaml", "log: info", "answers: {fresh: 1s}", "answers", "takes no queries"},
+		{"control.yaml", "log: info", "shares: {field: customer}", "shares", "takes no queries"},
+		{"control.yaml", "log: info", "estimates: {work: weight}", "estimates", "takes no queries"},
+		{"control.yaml", "log: info", "log: loud", "log", "none of"},
+		{"control.yaml", "memory_mb: 256", "memory_mb: 2", "limits.memory_mb", "under 16"},
+		{"control.yaml", "role: control", "role: control\n  clients: 127.0.0.1:6560", "fleet.clients", "has no clients"},
+		{"control.yaml", "name: v0\nlog", "name: ''\nlog", "name", "is missing"},
+		{"control.yaml", "name: v2, ", "name: v1, ", "fleet.voters[2].name", "a second voter"},
+		{"control.yaml", "# placement:", "placement: [{name: a, team: linz}] #", "placement[0].engines", "binds nothing"},
+		{"relay.yaml", voters, "", "fleet.relay", "nobody to pass renewals on to"},
+		{"relay.yaml", "  voters:", twoRelays, "fleet.relays", "relays ask the leader itself"},
+		{"c0.yaml", "role: controller", "relay: true", "fleet.relay", "only a process with role: control"},
+		{"relayed.yaml", "  voters:", "    - {name: r2, address: \"127.0.0.1:7622\"}\n  voters:", "fleet.relays", "2 at most"},
+		{"relayed.yaml", "controllers: 2", "controllers: 1", "fleet.relays", "2 relays for 1 controllers"},
+		{"relayed.yaml", "  controllers: 2\n", "", "fleet.relays", "2 relays for 1 controllers"},
+		{"relayed.yaml", "name: r1,", "name: r0,", "fleet.relays[1].name", `both relays are called "r0"`},
+		{"relayed.yaml", "127.0.0.1:7621", "127.0.0.1:7620", "fleet.relays[1].address", "both relays are at"},
+		{"relayed.yaml", "name: r1,", "name: n0,", "fleet.relays[1].name", "is this process itself"},
+		{"relayed.yaml", "127.0.0.1:7621", "127.0.0.1:7630", "fleet.relays[1].address", "where this process itself is reached"},
+		{"relayed.yaml", "name: r1,", "name: '',", "fleet.relays[1].name", "is missing"},
+		{"relayed.yaml", "127.0.0.1:7621", "7621", "fleet.relays[1].address", "no address"},
+		{"relayed.yaml", "name: r1,", "name: v1,", "fleet.relays[1].address", "fleet.voters has v1 at 127.0.0.1:7611"},
+		{"relayed.yaml", "127.0.0.1:7621", "127.0.0.1:7611", "fleet.relays[1].address", "fleet.voters has v1 at 127.0.0.1:7611"},
+	} {
+		text := exampleOf(t, c.example)
+		spoilt := strings.Replace(text, c.old, c.new, 1)
+		if spoilt == text {
+			t.Fatalf("%q is not in %s", c.old, c.example)
+		}
+		_, err := Parse("x.yaml", []byte(spoilt))
+		if f := faultAt(err, c.field); f == nil || f.Line == 0 || f.File != "x.yaml" || !strings.Contains(f.Why, c.why) {
+			t.Errorf("%s with %q: %v", c.example, c.new, err)
+		}
+	}
+}
+
+// faultAt finds the fault of a field among all that an error joins.
+func faultAt(err error, field string) *Fault {
+	var joined interface{ Unwrap() []error }
+	if !errors.As(err, &joined) {
+		return nil
+	}
+	for _, e := range joined.Unwrap() {
+		var f *Fault
+		if errors.As(e, &f) && f.Field == field {
+			return f
+		}
+	}
+	return nil
+}
+
+func TestAControlProcessChecksAPolicyByItsForm(t *testing.T) {
+	own := parsed(t, exampleOf(t, "control.yaml"))
+	text := `
+fairness: {default: x, teams: [{name: x, weight: 3}, {name: y, weight: 1}]}
+shares: {over: 0.5, customers: [{name: someone, rate: 3}]}
+groups: [{name: whatever, target: 2s, timeout: 9s}]
+placement: [{name: a, team: unheard-of, engines: [mars], emergency: {sites: [moon], after: 3s}}]
+voters: [{name: v0, address: 'h:1'}]
+`
+	p, err := ParseControlPolicy("p.yaml", []byte(text), own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !p.Stated || !p.Known || len(p.Rules) != 1 || len(p.Watched) != 1 || p.Watched[0].After != 3*time.Second || !slices.Equal(p.Voters, []string{"v0=h:1"}) {
+		t.Errorf("%+v", p)
+	}
+	if own.Fairness != nil || own.Shares != nil || own.Groups != nil || own.Placement != nil {
+		t.Error("the set-up itself was changed")
+	}
+	if p, err = ParseControlPolicy("p.yaml", nil, own); err != nil || p.Stated || p.Known || len(p.Rules) > 0 {
+		t.Errorf("%+v %v", p, err)
+	}
+	for text, want := range map[string]string{
+		"groups: [{name: a, threads: 4000}]":                                              "groups[0].threads: 4000 is over 1024",
+		"groups: [{name: a, target: 3s, timeout: 2s}]":                                    "groups[0].target: is longer than",
+		"groups: [{name: a, value: 2}, {name: a, value: 3}]":                              "groups[1].name: a second group",
+		"fairness: {teams: []}":                                                           "fairness.teams: is missing",
+		"fairness: {teams: [{name: x, weight: 0}]}":                                       "fairness.teams[0].weight",
+		"fairness: {default: z, teams: [{name: x, weight: 1}]}":                           "fairness.default: no team",
+		"shares: {over: 5}":                                                               "shares.over",
+		"shares: {customers: [{name: a, rate: 0}]}":                                       "shares.customers[0].rate",
+		"placement: [{name: x, team: linz}]":                                              "placement[0].engines",
+		"placement: [{name: x, engines: [here]}]":                                         "placement[0].team",
+		"voters: [{name: a, address: 'h:1'}, {name: b, address: 'h:2'}]":                  "2 voters",
+		"voters: [{name: a=b, address: 'h:1'}]":                                           "no =",
+		"listen: :1":                                                                      "unknown field",
+		"groups: [":                                                                       "p.yaml",
+		"placement: [{name: a, team: x, engines: [p]}, {name: b, team: x, engines: [q]}]": "leave team",
+	} {
+		_, err := ParseControlPolicy("p.yaml", []byte(text), own)
+		var unfit *Unfit
+		if !errors.As(err, &unfit) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// A control leader must name every purge that a narrower boundary needs, whatever it knows
+// of the rules before.
+func TestWhatAControlLeaderPurges(t *testing.T) {
+	bare := parsed(t, exampleOf(t, "control.yaml"))
+	placing := func(rules string) *Setup {
+		return parsed(t, strings.Replace(exampleOf(t, "control.yaml"), "# placement:", "placement: "+rules+" #", 1))
+	}
+	inLinz, inBoth := "[{name: a, team: x, engines: [linz]}]", "[{name: a, team: x, engines: [linz, steyr]}]"
+	all := []fleet.Scope{{Team: "x", Outside: []string{"linz"}}}
+	both := []fleet.Scope{{Team: "x", Outside: []string{"linz", "steyr"}}}
+	for _, c := range []struct {
+		name         string
+		own          *Setup
+		before, next string // texts of policies; "" is that of the set-ups
+		want         []fleet.Scope
+		refused      bool
+	}{
+		{"the set-ups' rules before aren't known", bare, "", "placement: " + inLinz, all, false},
+		{"nor relied on where they are", placing(inLinz), "", "placement: " + inLinz, all, false},
+		{"narrower", bare, "placement: " + inBoth, "placement: " + inLinz, all, false},
+		{"the same", bare, "placement: " + inLinz, "placement: " + inLinz, nil, false},
+		{"wider", bare, "placement: " + inLinz, "placement: " + inBoth, nil, false},
+		{"none any more", bare, "placement: " + inLinz, "placement: []", nil, false},
+		{"none before", bare, "placement: []", "placement: " + inBoth, both, false},
+		{"both as the set-ups have it", bare, "", "groups: [{name: g, target: 2s}]", nil, false},
+		{"the set-ups' anew, and they aren't known", bare, "placement: " + inBoth, "groups: [{name: g, target: 2s}]", nil, true},
+		{"the set-ups' anew, which this one has", placing(inLinz), "placement: " + inBoth, "groups: [{name: g, target: 2s}]", all, false},
+		{"the set-ups' anew, which have none", placing("[]"), "placement: " + inBoth, "groups: [{name: g, target: 2s}]", nil, false},
+	} {
+		before, err := ParseControlPolicy("before", []byte(c.before), c.own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, err := ParseControlPolicy("next", []byte(c.next), c.own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		scopes, err := next.Narrowed("next", before, nil)
+		var unfit *Unfit
+		if errors.As(err, &unfit) != c.refused || c.refused && !strings.Contains(err.Error(), "placement: is missing") {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if !slices.EqualFunc(scopes, c.want, func(a, b fleet.Scope) bool { return a.Team == b.Team && slices.Equal(a.Outside, b.Outside) }) {
+			t.Errorf("%s: %+v, want %+v", c.name, scopes, c.want)
+		}
+	}
+	tables := parsedPolicy(t, bare, "placement: [{name: a, team: x, tables: [3], engines: [linz], follows: true}]")
+	scopes, err := tables.Narrowed("next", bare.BaseControlPolicy(), []fleet.Binding{{Team: "x", Tables: []int64{7}, From: []int64{3}}})
+	if err != nil || len(scopes) != 1 || !slices.Equal(scopes[0].Tables, []int64{3, 7}) {
+		t.Errorf("what a load bound goes, too: %+v %v", scopes, err)
+	}
+}
+
+func parsedPolicy(t *testing.T, own *Setup, text string) *ControlPolicy {
+	t.Helper()
+	p, err := ParseControlPolicy("p.yaml", []byte(text), own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
--- a/internal/setup/fleet.go
+++ b/internal/setup/fleet.go
@@ -11,8 +11,9 @@
 	"railrelay.dev/railrelay/internal/fleet"
 )
 
-// Fleet is what makes a controller one of a fleet. Its name is the set-up's name.
+// Fleet is what makes a process one of a fleet. Its name is the set-up's name.
 type Fleet struct {
+	Role      string  `yaml:"role"`      // RoleController or RoleControl: controller
 	Name      string  `yaml:"name"`      // of the fleet: another's messages are refused
 	Listen    string  `yaml:"listen"`    // where its peers reach it
 	Address   string  `yaml:"address"`   // what peers are told in its place, where that differs: as listen
@@ -21,6 +22,12 @@
 	Keys      string  `yaml:"keys"`      // the key file, the same on all; one or two keys
 	Clients   string  `yaml:"clients"`   // what clients are told who must go to this controller: as listen of the set-up
 	Voters    []Voter `yaml:"voters"`    // the same on all: 1, 3, 5 or 7; the others follow
+	// Relay makes a control process pass renewals of controllers on to the leader, and
+	// grants and the record back.
+	Relay bool `yaml:"relay"` // false
+	// Relays are asked for leases and bring the record in place of the leader: the first
+	// one, the second where that doesn't answer.
+	Relays []Upstream `yaml:"relays"` // none: the leader is asked itself
 	// Lease is how long a controller that is cut off serves on, and so how long a
 	// change may have to wait for it: a span, or unbounded.
 	Lease Lease `yaml:"lease"` // 5s
@@ -39,6 +46,12 @@
 	Address string `yaml:"address"`
 }
 
+// Upstream is a relay as a controller reaches it.
+type Upstream struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+}
+
 // Lease is a span or unbounded.
 type Lease struct {
 	Span      Span
@@ -72,10 +85,12 @@
 	usualKeep      = 4096
 	leaseMost      = 24 * time.Hour
 	votersMost     = 7
+	relaysMost     = 2
 )
 
 func (c *checker) fleet(x *Setup) {
 	f := x.Fleet
+	c.oneOf("fleet.role", f.Role, RoleController, RoleControl)
 	c.name("name", x.Name)
 	c.name("fleet.name", f.Name)
 	c.address("fleet.listen", f.Listen)
@@ -94,7 +109,16 @@
 	if x.Spool != nil && f.Directory != "" && f.Directory == x.Spool.Directory {
 		c.wrong("fleet.directory", "is the spool's: the fleet's must be its own")
 	}
-	if n := len(f.Voters); n%2 == 0 || n > votersMost {
+	c.voters(x)
+	c.relays(x)
+	c.spans(f)
+}
+
+func (c *checker) voters(x *Setup) {
+	f := x.Fleet
+	switch n := len(f.Voters); {
+	case n == 0 && f.Relay: // told by relays
+	case n%2 == 0 || n > votersMost:
 		c.wrong("fleet.voters", "%d voters, and there must be 3, 5 or 7, or 1 for a trial", n)
 	}
 	names, addresses := map[string]bool{}, map[string]bool{}
@@ -116,6 +140,61 @@
 			c.wrong(at+"address", "%s is this controller, and fleet.address is %s", v.Name, f.Address)
 		}
 	}
+}
+
+// relays checks what a relay and those who name relays need.
+func (c *checker) relays(x *Setup) {
+	f := x.Fleet
+	if f.Relay && !x.Control() {
+		c.wrong("fleet.relay", "only a process with role: control is a relay: set that role, or take this out")
+	}
+	if f.Relay && len(f.Voters) == 0 {
+		c.wrong("fleet.relay", "this relay has nobody to pass renewals on to: name the fleet's voters under fleet.voters")
+	}
+	if f.Relay && len(f.Relays) > 0 {
+		c.wrong("fleet.relays", "this process is a relay, and relays ask the leader itself: take the relays out")
+	}
+	if n := len(f.Relays); n > relaysMost {
+		c.wrong("fleet.relays", "%d relays, and there are %d at most: one that is asked, one in its place where it doesn't answer", n, relaysMost)
+	}
+	controllers := max(1, x.Engines.Controllers)
+	if n := len(f.Relays); !x.Control() && n > controllers {
+		c.wrong("fleet.relays", "%d relays for %d controllers (engines.controllers): take relays out, the leader can be asked itself", n, controllers)
+	}
+	for i := range f.Relays {
+		c.upstream(x, i)
+	}
+}
+
+// upstream checks one relay that is named.
+func (c *checker) upstream(x *Setup, i int) {
+	f := x.Fleet
+	relay, at := f.Relays[i], fmt.Sprintf("fleet.relays[%d].", i)
+	c.name(at+"name", relay.Name)
+	c.address(at+"address", relay.Address)
+	if relay.Name != "" && relay.Name == x.Name {
+		c.wrong(at+"name", "%q is this process itself: name another", relay.Name)
+	}
+	if relay.Address != "" && (relay.Address == f.Listen || relay.Address == f.Address) {
+		c.wrong(at+"address", "%s is where this process itself is reached: name another", relay.Address)
+	}
+	for _, other := range f.Relays[:i] {
+		if relay.Name != "" && relay.Name == other.Name {
+			c.wrong(at+"name", "both relays are called %q: name two", relay.Name)
+		}
+		if relay.Address != "" && relay.Address == other.Address {
+			c.wrong(at+"address", "both relays are at %s: name two", relay.Address)
+		}
+	}
+	for _, voter := range f.Voters {
+		if (voter.Name == relay.Name) != (voter.Address == relay.Address) {
+			c.wrong(at+"address", "relay %s is at %s, and fleet.voters has %s at %s: one of the two is wrong", relay.Name, relay.Address, voter.Name, voter.Address)
+		}
+	}
+}
+
+// spans checks the figures of leases and elections.
+func (c *checker) spans(f *Fleet) {
 	c.maybe("fleet.drift", f.Drift, 0.0001, 0.2)
 	c.maybe("fleet.keep", float64(f.Keep), 16, 1_000_000)
 	election, heartbeat := f.Election.or(usualElection), f.Heartbeat.or(usualHeartbeat)
@@ -162,7 +241,8 @@
 		Heartbeat: f.Heartbeat.or(usualHeartbeat), Hold: f.Hold.or(usualHold), Keep: cmp.Or(f.Keep, usualKeep)}
 }
 
-// Member is how this controller is known in its fleet; the disk's name is not here.
+// Member is how this process is known in its fleet; the disk's name is not here. One of the
+// control role has no site and no clients.
 func (x *Setup) Member() fleet.Member {
 	f := x.Fleet
 	m := fleet.Member{Name: x.Name, Site: x.Engines.Location, Peer: cmp.Or(f.Address, f.Listen), Clients: cmp.Or(f.Clients, x.Listen)}
--- a/internal/setup/means.go
+++ b/internal/setup/means.go
@@ -29,7 +29,7 @@
 // Means are what the controller starts with, started at a time.
 func (x *Setup) Means(started time.Time) relay.Means {
 	seed, _ := strconv.ParseUint(x.Seed, 16, 64)
-	m := relay.Means{Seed: seed, MemoryMB: cmp.Or(x.Limits.MemoryMB, 512), Sockets: cmp.Or(x.Limits.Sockets, 4096), Feed: x.Feed,
+	m := relay.Means{Seed: seed, MemoryMB: x.MemoryMB(), Sockets: cmp.Or(x.Limits.Sockets, 4096), Feed: x.Feed,
 		Facts: x.facts(), Started: started, Answers: x.Answers.limits(), Draw: draw}
 	for _, set := range x.Clients {
 		m.Manners = append(m.Manners, relay.Manners{From: prefixes(set.Addresses), Open: set.Open, Messages: set.Messages,
@@ -57,6 +57,11 @@
 // Cores is how many the program may use.
 func (x *Setup) Cores() float64 { return cmp.Or(x.Limits.Cores, 1) }
 
+// MemoryMB is how much memory the program may use.
+func (x *Setup) MemoryMB() float64 { return cmp.Or(x.Limits.MemoryMB, usualMemoryMB) }
+
+const usualMemoryMB = 512
+
 // facts are the settings in the decisions' words.
 func (x *Setup) facts() map[string]string {
 	e := x.Engines
--- a/internal/setup/placement.go
+++ b/internal/setup/placement.go
@@ -85,7 +85,11 @@
 	if len(sites) == 0 {
 		sites = []string{"here"}
 	}
-	for _, f := range residency.Check(x.rules(), sites, x.teamNames()) {
+	teams := x.teamNames()
+	if x.Control() { // which there are is known to controllers only
+		sites, teams = nil, nil
+	}
+	for _, f := range residency.Check(x.rules(), sites, teams) {
 		c.wrong(fmt.Sprintf("placement[%d].%s", f.Rule, f.Field), "%s", f.Why)
 	}
 }
@@ -158,21 +162,16 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	var voters []string
-	for _, v := range p.Voters {
-		voters = append(voters, v.Name+"="+v.Address)
-	}
 	policy, watched := x.Base()
-	return policy, watched, voters, nil
+	return policy, watched, p.voters(), nil
 }
 
-// PolicyRules are the placement rules of a policy's text, for `fleet plan`.
-func PolicyRules(file string, text []byte, own *Setup) (old, next []residency.Rule, err error) {
-	x, _, err := own.with(file, text)
-	if err != nil {
-		return nil, nil, err
+// voters are those that a policy names, as name=address.
+func (p *Policy) voters() (l []string) {
+	for _, v := range p.Voters {
+		l = append(l, v.Name+"="+v.Address)
 	}
-	return own.rules(), x.rules(), nil
+	return l
 }
 
 // with is this set-up with what a policy says in it.
@@ -185,9 +184,13 @@
 	if err := yaml.UnmarshalWithOptions(text, p, yaml.Strict()); err != nil && !(errors.Is(err, io.EOF) && len(bytes.TrimSpace(text)) == 0) {
 		return nil, nil, &Unfit{file, []error{spot(file, err)}}
 	}
+	own := x
+	if x.Control() {
+		own = x.naming(p)
+	}
 	c := &checker{file: file, text: text, tree: tree}
-	s := *x
-	c.policy(p, x, &s)
+	s := *own
+	c.policy(p, own, &s)
 	if len(c.faults) > 0 {
 		return nil, nil, &Unfit{file, c.faults}
 	}
