A control process serves: it votes, leads and takes no queries

Change: serve with fleet.role: control runs the fleet's edge with the idle reducer, no listener for clients and no feed. SIGTERM ends it, SIGHUP reads the keys again, SIGUSR1 logs the counters. Relays of the set-up go to node.Begin. fleet plan asks for a controller's set-up and counts members without clients no more.

--- /dev/null
+++ b/cmd/railrelay-fleet/control_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/edge"
+	"railrelay.dev/railrelay/internal/setup"
+)
+
+const (
+	controlVoters = 3
+	controllers   = 2
+)
+
+// apart starts voters that are set apart for control, and controllers that follow them.
+func apart(t *testing.T) (voting, serving []*member) {
+	t.Helper()
+	dir, from := t.TempDir(), feed(t)
+	keys := filepath.Join(dir, "keys")
+	if err := os.WriteFile(keys, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	voters, at := "", free(t, 2*controlVoters+3*controllers)
+	next := func() (address string) {
+		address, at = at[0], at[1:]
+		return address
+	}
+	peers := map[string]string{}
+	for i := range controlVoters {
+		name := fmt.Sprintf("v%d", i)
+		peers[name] = next()
+		voters += fmt.Sprintf("    - {name: %s, address: %q}\n", name, peers[name])
+	}
+	begin := func(name, role, peer, parts string) *member {
+		m := &member{t: t, name: name, setup: filepath.Join(dir, name+".yaml")}
+		text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  role: %s\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
+			"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n  voters:\n%s", name, parts, role, peer, next(), filepath.Join(dir, name), keys, voters)
+		if err := os.WriteFile(m.setup, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		m.begin()
+		return m
+	}
+	for i := range controlVoters {
+		name := fmt.Sprintf("v%d", i)
+		voting = append(voting, begin(name, setup.RoleControl, peers[name], ""))
+	}
+	for i := range controllers {
+		parts := fmt.Sprintf("listen: %s\nfeed: %s\ngroups: [{name: lookup, effect: read-only}]\n"+
+			"engines: {controllers: %d, kinds: [{name: std, cores: 8, memory_mb: 4096}], locations: [linz, steyr], location: steyr}\n"+
+			"fairness: {fields: {team: team}, trusted: [127.0.0.0/8], teams: [{name: a, weight: 1}, {name: b, weight: 1}]}\n", next(), from, controllers)
+		serving = append(serving, begin(fmt.Sprintf("c%d", i), setup.RoleController, next(), parts))
+	}
+	return voting, serving
+}
+
+// Three voters without clients, engines or feed lead two controllers: a change is in force
+// on all and what it leaves outside is purged; a controller's word that it can't take one
+// counts; a voter that led is killed and another leads the next change.
+func TestControlProcessesLeadControllers(t *testing.T) {
+	voting, serving := apart(t)
+	all := slices.Concat(voting, serving)
+	for _, m := range all {
+		m.until("its lease and a leader", serves)
+	}
+	isVoter := func(name string) bool {
+		return slices.ContainsFunc(voting, func(m *member) bool { return m.name == name })
+	}
+	s := serving[0].until("all members", func(s *fleet.Status) bool { return serves(s) && len(s.Members) == len(all) })
+	if !isVoter(s.Leader) {
+		t.Fatalf("%s leads", s.Leader)
+	}
+	for _, m := range s.Members {
+		if m.Votes != isVoter(m.Name) || (m.Clients == "") != isVoter(m.Name) {
+			t.Errorf("%+v", m)
+		}
+	}
+
+	policy := filepath.Join(t.TempDir(), "policy.yaml")
+	apply := func(by *member, id, base, text string) (*fleet.Reply, int) {
+		t.Helper()
+		if err := os.WriteFile(policy, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return by.fleet("apply", policy, "--base", base, "--id", id, "--until", "settled")
+	}
+	if r, status := apply(serving[0], "first", "1", "placement: [{name: a-linz, team: a, engines: [linz]}]\n"); status != 0 || r.Word != "settled" || r.Version != 2 {
+		t.Fatalf("%d %+v", status, r)
+	}
+	if r, status := serving[1].fleet("status", "--id", "first.outside.0"); status != 0 || r.Word != "purged" {
+		t.Fatalf("what the first rules leave outside isn't purged: %d %+v", status, r)
+	}
+	if r, status := apply(serving[0], "second", "2", "groups: [{name: nothing, target: 2s}]\nplacement: []\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "c") {
+		t.Fatalf("that no controller can take: %d %+v", status, r)
+	}
+	if r, status := apply(serving[0], "third", "2", "groups: [{name: lookup, target: 2s}]\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "placement: is missing") {
+		t.Fatalf("whose rules no voter knows: %d %+v", status, r)
+	}
+
+	i := slices.IndexFunc(voting, func(m *member) bool { return m.name == s.Leader })
+	voting[i].kill()
+	rest := slices.Delete(slices.Clone(voting), i, i+1)
+	for _, m := range slices.Concat(rest, serving) {
+		m.until("another leader", func(now *fleet.Status) bool { return serves(now) && now.Leader != s.Leader })
+	}
+	if r, status := apply(rest[0], "fourth", "2", "placement: []\n"); status != 0 || r.Word != "settled" || r.Version != 3 {
+		t.Fatalf("after the leader was killed: %d %+v", status, r)
+	}
+	for _, m := range slices.Concat(rest, serving) {
+		m.until("the last version", func(s *fleet.Status) bool { return serves(s) && s.Version == 3 })
+	}
+	heedsSignals(t, rest[0])
+	if out, errs, status := railrelay(t, "fleet", "plan", policy, "--alone", "--setup", rest[1].setup); status != 1 || !strings.Contains(errs, "name a controller's set-up") {
+		t.Errorf("a plan by a control process: %d %s%s", status, out, errs)
+	}
+}
+
+// heedsSignals has a control process log its counters, read its keys again and end.
+func heedsSignals(t *testing.T, m *member) {
+	t.Helper()
+	m.cmd.Process.Signal(syscall.SIGUSR1)
+	if line := m.hears(`"message":"counters"`); !strings.Contains(line, `"version":3`) || !strings.Contains(line, `"holds_lease":true`) {
+		t.Error(line)
+	}
+	m.cmd.Process.Signal(syscall.SIGHUP)
+	m.hears("the configuration was read again")
+	m.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(patienceMost):
+		t.Fatal("it doesn't end")
+	}
+	if !m.cmd.ProcessState.Success() {
+		t.Error(m.cmd.ProcessState)
+	}
+}
+
+// A policy that is in force is never refused by a control process, whatever is known of
+// the rules before: it couldn't be withdrawn any more.
+func TestAControlProcessTakesWhatIsInForce(t *testing.T) {
+	own, err := setup.Load("../../deploy/fleet/control.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := checkControl(own, "first", []byte("placement: [{name: a, team: x, engines: [linz]}]"), edge.Have{})
+	if before.Why != "" || len(before.Scopes) != 1 || before.Scopes[0].Team != "x" {
+		t.Fatalf("%+v", before)
+	}
+	unstated := []byte("groups: [{name: lookup, target: 2s}]")
+	if c := checkControl(own, "second", unstated, edge.Have{Policy: before.Policy}); !strings.Contains(c.Why, "placement: is missing") || !strings.Contains(c.Why, "apply it again") {
+		t.Errorf("%+v", c)
+	}
+	if c := checkControl(own, "in force 3", unstated, edge.Have{Policy: before.Policy, Decided: true}); c.Why != "" || c.Policy == nil {
+		t.Errorf("%+v", c)
+	}
+	if c := checkControl(own, "third", []byte("placement: 3"), edge.Have{Decided: true}); c.Why == "" {
+		t.Errorf("no policy at all is taken: %+v", c)
+	}
+}
--- a/cmd/railrelay-fleet/join.go
+++ b/cmd/railrelay-fleet/join.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 
 	"github.com/rs/zerolog"
@@ -24,27 +25,32 @@
 	for _, v := range f.Voters {
 		begin.Voters = append(begin.Voters, agree.Voter{Name: v.Name, Address: v.Address})
 	}
+	for _, relay := range f.Relays {
+		begin.Relays = append(begin.Relays, node.Upstream{Name: relay.Name, Address: relay.Address})
+	}
+	begin.Relay = f.Relay
+	judge := check
+	if have.Control() {
+		judge = checkControl
+	}
 	e, err := edge.Open(edge.Options{Begin: begin, Fleet: f.Name, Listen: f.Listen, Control: f.Control, Directory: f.Directory, Keys: f.Keys,
-		Started: means.Started, Log: log, Check: func(change string, text []byte, now edge.Have) edge.Checked { return check(have, change, text, now) }})
+		Started: means.Started, Log: log, Check: func(change string, text []byte, now edge.Have) edge.Checked { return judge(have, change, text, now) }})
 	if err != nil {
 		return program.Joined{}, remedied(err)
 	}
 	means.Fleet = &relay.Fleet{Word: &fleet.Word{}, HoldMost: terms.Hold}
-	return program.Joined{Peers: run.Peers{Orders: e.Orders(), Reports: e.Reports()}, Serve: e.Serve, Again: e.Again}, nil
+	status := func(ctx context.Context) *fleet.Status { return e.Ask(ctx, &fleet.Ask{Kind: "status"}).Status }
+	return program.Joined{Peers: run.Peers{Orders: e.Orders(), Reports: e.Reports()}, Serve: e.Serve, Again: e.Again, Status: status}, nil
 }
 
 // check makes of a policy's text what the reducer decides by, and tells what of it is
 // narrower than what is in force.
-func check(own *setup.Setup, change string, text []byte, have edge.Have) (c edge.Checked) {
+func check(own *setup.Setup, change string, text []byte, have edge.Have) edge.Checked {
 	policy, watched, voters, err := setup.ParsePolicy("policy "+change, text, own)
 	if err != nil {
-		var r fleet.Remedied
-		if c.Why = err.Error(); errors.As(err, &r) {
-			c.Why += "; " + r.Remedy()
-		}
-		return c
+		return refused(err)
 	}
-	c = edge.Checked{Policy: policy, Watched: watched, Voters: voters}
+	c := edge.Checked{Policy: policy, Watched: watched, Voters: voters}
 	before, _ := have.Policy.(*relay.Policy)
 	if before == nil {
 		before, _ = own.Base()
@@ -58,3 +64,36 @@
 	}
 	return c
 }
+
+// checkControl makes of a policy's text what a control process leads by, and tells what
+// has to be purged for it. Such a process knows no teams, groups or engines: it checks the
+// form only, and each controller the rest.
+func checkControl(own *setup.Setup, change string, text []byte, have edge.Have) edge.Checked {
+	file := "policy " + change
+	policy, err := setup.ParseControlPolicy(file, text, own)
+	if err != nil {
+		return refused(err)
+	}
+	c := edge.Checked{Policy: policy, Watched: policy.Watched, Voters: policy.Voters}
+	if have.Decided { // what it purges was worked out before it was decided
+		return c
+	}
+	before, known := have.Policy.(*setup.ControlPolicy)
+	if !known {
+		before = own.BaseControlPolicy()
+	}
+	if c.Scopes, err = policy.Narrowed(file, before, have.Bindings); err != nil {
+		return refused(err)
+	}
+	return c
+}
+
+// refused is the word on a policy that can't be taken.
+func refused(err error) edge.Checked {
+	why := err.Error()
+	var r fleet.Remedied
+	if errors.As(err, &r) {
+		why += "; " + r.Remedy()
+	}
+	return edge.Checked{Why: why}
+}
--- a/cmd/railrelay-fleet/plan.go
+++ b/cmd/railrelay-fleet/plan.go
@@ -35,6 +35,9 @@
 			if err != nil {
 				return err
 			}
+			if own.Control() {
+				return fmt.Errorf("%s is of a control process, which has no teams or engines to check a policy against: name a controller's set-up", d.setup)
+			}
 			text, err := os.ReadFile(args[0])
 			if err != nil {
 				return err
@@ -90,7 +93,9 @@
 		return nil, w, fmt.Errorf("the controller tells no status: %s", status.Why)
 	}
 	for _, m := range status.Status.Members {
-		w.Controllers = append(w.Controllers, m.Member)
+		if m.Clients != "" { // one of the control role takes no queries
+			w.Controllers = append(w.Controllers, m.Member)
+		}
 	}
 	w.Bindings = status.Status.Bindings
 	w.Engines, err = engines(own, listed)
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -67,6 +67,7 @@
 type Have struct {
 	Policy   any // in force, as far as is known here; nil: the set-up's own
 	Bindings []fleet.Binding
+	Decided  bool // the text is that of the policy in force: it can't be withdrawn any more
 }
 
 // toCheck is a policy's text to be checked.
@@ -308,7 +309,9 @@
 		case node.Store:
 			e.stores <- f.Kept // agreement has one under way at a time: there is room
 		case node.Check:
-			e.toCheck = append(e.toCheck, toCheck{f.Change, f.Text, e.have})
+			have := e.have
+			have.Decided = strings.HasPrefix(f.Change, inForce)
+			e.toCheck = append(e.toCheck, toCheck{f.Change, f.Text, have})
 		case node.Order:
 			e.order(f.Order)
 		case node.Told:
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -26,6 +26,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/relay"
 	"railrelay.dev/railrelay/internal/run"
 	"railrelay.dev/railrelay/internal/setup"
@@ -43,9 +44,10 @@
 
 // Joined is one controller's part in the fleet.
 type Joined struct {
-	Peers run.Peers                       // what the reducer takes from it and tells it
-	Serve func(ctx context.Context) error // until ctx ends; closes all that was opened
-	Again func() error                    // reads the key file again
+	Peers  run.Peers                               // what the reducer takes from it and tells it
+	Serve  func(ctx context.Context) error         // until ctx ends; closes all that was opened
+	Again  func() error                            // reads the key file again
+	Status func(ctx context.Context) *fleet.Status // how this process sees the fleet; nil: no word before ctx ended
 }
 
 // Status is an error that ends the program with a status of its own.
@@ -60,12 +62,12 @@
 // Unwrap gives what it is of.
 func (s Status) Unwrap() error { return s.error }
 
-// Main is the program. fleet is nil in the one that can't take part in any.
-func Main(fleet *Fleet) {
+// Main is the program. part is nil in the one that can't take part in any.
+func Main(part *Fleet) {
 	// before all else: a signal that nobody has asked for ends the program
 	signals := make(chan os.Signal, 64)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	if err := commands(signals, fleet).Execute(); err != nil {
+	if err := commands(signals, part).Execute(); err != nil {
 		var status Status
 		if errors.As(err, &status) {
 			if status.error != nil {
@@ -96,11 +98,11 @@
 }
 
 // commands is the command line. Without arguments it serves, as it always did.
-func commands(signals <-chan os.Signal, fleet *Fleet) *cobra.Command {
+func commands(signals <-chan os.Signal, part *Fleet) *cobra.Command {
 	path := ""
 	start := func(*cobra.Command, []string) error {
 		if path != "" {
-			return serveSetup(path, signals, fleet)
+			return serveSetup(path, signals, part)
 		}
 		return servePlatform(signals)
 	}
@@ -133,8 +135,8 @@
 		fmt.Fprintln(c.OutOrStdout(), "railrelay", built())
 	}}
 	root.AddCommand(serve, check, version, spoolCommand())
-	if fleet != nil {
-		root.AddCommand(fleet.Command())
+	if part != nil {
+		root.AddCommand(part.Command())
 	} else {
 		root.AddCommand(&cobra.Command{Use: "fleet", Short: "See and change what the fleet has decided", DisableFlagParsing: true,
 			RunE: func(*cobra.Command, []string) error { return become() }})
@@ -174,6 +176,12 @@
 	return zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("name", name).Logger()
 }
 
+// limit keeps the program within a number of cores and within an amount of memory, in MB.
+func limit(cores, memoryMB float64) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
+	debug.SetMemoryLimit(int64(memoryMB * (1 << 20) * 3 / 4))
+}
+
 // listen runs a controller until it is done, and beside it its part in a fleet, if it has one.
 func listen(address string, cores float64, means relay.Means, disk *store.Keeper, asked func(zerolog.Logger) <-chan relay.Event,
 	joined Joined, log zerolog.Logger) error {
@@ -181,8 +189,7 @@
 		return errors.New("no address to listen on")
 	}
 	means.Trace = log.GetLevel() <= zerolog.DebugLevel
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
-	debug.SetMemoryLimit(int64(means.MemoryMB * (1 << 20) * 3 / 4))
+	limit(cores, means.MemoryMB)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -225,16 +232,19 @@
 }
 
 // serveSetup serves by the product's YAML.
-func serveSetup(path string, signals <-chan os.Signal, fleet *Fleet) error {
+func serveSetup(path string, signals <-chan os.Signal, part *Fleet) error {
 	started := time.Now()
 	have, err := setup.Load(path)
 	if err != nil {
 		return err
 	}
-	if have.Fleet != nil && fleet == nil {
+	if have.Fleet != nil && part == nil {
 		return become()
 	}
 	log := logger(have.Name, have.Log)
+	if have.Control() {
+		return serveControl(have, path, started, signals, part, log)
+	}
 	means := have.Means(started)
 	disk, err := have.OpenSpool(&means, log)
 	if err != nil {
@@ -245,25 +255,34 @@
 	}
 	var joined Joined
 	if have.Fleet != nil {
-		if joined, err = fleet.Join(have, &means, log); err != nil {
+		if joined, err = part.Join(have, &means, log); err != nil {
 			return err
 		}
 	}
 	return listen(have.Listen, have.Cores(), means, disk, func(log zerolog.Logger) <-chan relay.Event {
 		return follow(signals, func() (relay.Event, error) {
-			next, err := setup.Load(path)
+			next, err := reread(have, path, joined, log)
 			if err != nil {
 				return relay.Event{}, err
 			}
-			for _, what := range have.Fixed(next) {
-				log.Log().Str("what", what).Msg("can't be changed while running")
-			}
-			if joined.Again != nil {
-				if err := joined.Again(); err != nil {
-					log.Log().Err(err).Msg("the fleet's keys are kept as they were")
-				}
-			}
 			return relay.Event{Kind: relay.Reload, Feed: next.Feed, Fair: next.Shape()}, nil
 		}, log)
 	}, joined, log)
 }
+
+// reread reads a set-up and the fleet's keys again, and says what can't be changed.
+func reread(have *setup.Setup, path string, joined Joined, log zerolog.Logger) (*setup.Setup, error) {
+	next, err := setup.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, what := range have.Fixed(next) {
+		log.Log().Str("what", what).Msg("can't be changed while running")
+	}
+	if joined.Again != nil {
+		if err := joined.Again(); err != nil {
+			log.Log().Err(err).Msg("the fleet's keys are kept as they were")
+		}
+	}
+	return next, nil
+}
