Relays of the set-up are begun with, seen with processes and without

Cause: nothing held that fleet.relay and fleet.relays reach the core, nor that a check is told what is decided; both were seen taken out without a test failing. Change: begin() makes of a set-up what the core begins with, with a test of its own; a test of the edge for Have.Decided; the processes' test has a relay, which is killed with the leader.

--- a/cmd/railrelay-fleet/control_test.go
+++ b/cmd/railrelay-fleet/control_test.go
@@ -12,6 +12,7 @@
 
 	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/fleet/edge"
+	"railrelay.dev/railrelay/internal/fleet/node"
 	"railrelay.dev/railrelay/internal/setup"
 )
 
@@ -20,15 +21,16 @@
 	controllers   = 2
 )
 
-// apart starts voters that are set apart for control, and controllers that follow them.
-func apart(t *testing.T) (voting, serving []*member) {
+// apart starts processes that are set apart for control, three voters and one that only
+// relays, and controllers, which ask that one or, in its place, the first voter.
+func apart(t *testing.T) (voting, serving []*member, relay *member) {
 	t.Helper()
 	dir, from := t.TempDir(), feed(t)
 	keys := filepath.Join(dir, "keys")
 	if err := os.WriteFile(keys, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	voters, at := "", free(t, 2*controlVoters+3*controllers)
+	voters, at := "", free(t, 2*controlVoters+2+3*controllers)
 	next := func() (address string) {
 		address, at = at[0], at[1:]
 		return address
@@ -39,35 +41,43 @@
 		peers[name] = next()
 		voters += fmt.Sprintf("    - {name: %s, address: %q}\n", name, peers[name])
 	}
-	begin := func(name, role, peer, parts string) *member {
+	begin := func(name, peer, parts, part string) *member {
 		m := &member{t: t, name: name, setup: filepath.Join(dir, name+".yaml")}
-		text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  role: %s\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
-			"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n  voters:\n%s", name, parts, role, peer, next(), filepath.Join(dir, name), keys, voters)
+		text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
+			"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n%s  voters:\n%s", name, parts, peer, next(), filepath.Join(dir, name), keys, part, voters)
 		if err := os.WriteFile(m.setup, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		m.begin()
 		return m
 	}
+	const control, relays = "  role: control\n", "  role: control\n  relay: true\n"
 	for i := range controlVoters {
-		name := fmt.Sprintf("v%d", i)
-		voting = append(voting, begin(name, setup.RoleControl, peers[name], ""))
+		name, part := fmt.Sprintf("v%d", i), control
+		if i == 0 {
+			part = relays
+		}
+		voting = append(voting, begin(name, peers[name], "", part))
 	}
+	at0 := next()
+	relay = begin("r0", at0, "", relays)
 	for i := range controllers {
 		parts := fmt.Sprintf("listen: %s\nfeed: %s\ngroups: [{name: lookup, effect: read-only}]\n"+
 			"engines: {controllers: %d, kinds: [{name: std, cores: 8, memory_mb: 4096}], locations: [linz, steyr], location: steyr}\n"+
 			"fairness: {fields: {team: team}, trusted: [127.0.0.0/8], teams: [{name: a, weight: 1}, {name: b, weight: 1}]}\n", next(), from, controllers)
-		serving = append(serving, begin(fmt.Sprintf("c%d", i), setup.RoleController, next(), parts))
+		part := fmt.Sprintf("  relays: [{name: r0, address: %q}, {name: v0, address: %q}]\n", at0, peers["v0"])
+		serving = append(serving, begin(fmt.Sprintf("c%d", i), next(), parts, part))
 	}
-	return voting, serving
+	return voting, serving, relay
 }
 
-// Three voters without clients, engines or feed lead two controllers: a change is in force
-// on all and what it leaves outside is purged; a controller's word that it can't take one
-// counts; a voter that led is killed and another leads the next change.
+// Three voters without clients, engines or feed lead two controllers, which ask through a
+// relay: a change is in force on all and what it leaves outside is purged; a controller's
+// word that it can't take one counts; the relay and the voter that leads are killed and
+// another leads the next change.
 func TestControlProcessesLeadControllers(t *testing.T) {
-	voting, serving := apart(t)
-	all := slices.Concat(voting, serving)
+	voting, serving, relay := apart(t)
+	all := append(slices.Concat(voting, serving), relay)
 	for _, m := range all {
 		m.until("its lease and a leader", serves)
 	}
@@ -79,7 +89,7 @@
 		t.Fatalf("%s leads", s.Leader)
 	}
 	for _, m := range s.Members {
-		if m.Votes != isVoter(m.Name) || (m.Clients == "") != isVoter(m.Name) {
+		if m.Votes != isVoter(m.Name) || (m.Clients == "") != (isVoter(m.Name) || m.Name == relay.name) {
 			t.Errorf("%+v", m)
 		}
 	}
@@ -98,7 +108,7 @@
 	if r, status := serving[1].fleet("status", "--id", "first.outside.0"); status != 0 || r.Word != "purged" {
 		t.Fatalf("what the first rules leave outside isn't purged: %d %+v", status, r)
 	}
-	if r, status := apply(serving[0], "second", "2", "groups: [{name: nothing, target: 2s}]\nplacement: []\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "c") {
+	if r, status := apply(serving[0], "second", "2", "groups: [{name: nothing, target: 2s}]\nplacement: []\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "no group is called") {
 		t.Fatalf("that no controller can take: %d %+v", status, r)
 	}
 	if r, status := apply(serving[0], "third", "2", "groups: [{name: lookup, target: 2s}]\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "placement: is missing") {
@@ -106,6 +116,7 @@
 	}
 
 	i := slices.IndexFunc(voting, func(m *member) bool { return m.name == s.Leader })
+	relay.kill()
 	voting[i].kill()
 	rest := slices.Delete(slices.Clone(voting), i, i+1)
 	for _, m := range slices.Concat(rest, serving) {
@@ -123,6 +134,24 @@
 	}
 }
 
+// What the set-up says of relays comes to the fleet's core.
+func TestRelaysOfTheSetUpAreBegunWith(t *testing.T) {
+	for name, want := range map[string]node.Begin{
+		"control.yaml": {},
+		"relay.yaml":   {Relay: true},
+		"relayed.yaml": {Relays: []node.Upstream{{Name: "r0", Address: "127.0.0.1:7620"}, {Name: "r1", Address: "127.0.0.1:7621"}}},
+	} {
+		have, err := setup.Load("../../deploy/fleet/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := begin(have)
+		if b.Relay != want.Relay || !slices.Equal(b.Relays, want.Relays) || len(b.Voters) != 3 || b.Self.Name != have.Name {
+			t.Errorf("%s: %+v", name, b)
+		}
+	}
+}
+
 // heedsSignals has a control process log its counters, read its keys again and end.
 func heedsSignals(t *testing.T, m *member) {
 	t.Helper()
--- a/cmd/railrelay-fleet/join.go
+++ b/cmd/railrelay-fleet/join.go
@@ -17,28 +17,33 @@
 	"railrelay.dev/railrelay/internal/setup"
 )
 
-// join opens the set-up's part in its fleet.
-func join(have *setup.Setup, means *relay.Means, log zerolog.Logger) (program.Joined, error) {
-	f, terms := have.Fleet, have.Fleet.Terms()
-	begin := node.Begin{Self: have.Member(), Lease: terms.Lease, LeaseBound: terms.LeaseBound, Drift: terms.Drift,
-		Election: terms.Election, Heartbeat: terms.Heartbeat, KeepAtMost: terms.Keep}
-	for _, v := range f.Voters {
-		begin.Voters = append(begin.Voters, agree.Voter{Name: v.Name, Address: v.Address})
+// begin is what the set-up's fleet part says of this process, for the fleet's core.
+func begin(have *setup.Setup) node.Begin {
+	part, terms := have.Fleet, have.Fleet.Terms()
+	b := node.Begin{Self: have.Member(), Lease: terms.Lease, LeaseBound: terms.LeaseBound, Drift: terms.Drift,
+		Election: terms.Election, Heartbeat: terms.Heartbeat, KeepAtMost: terms.Keep, Relay: part.Relay}
+	for _, voter := range part.Voters {
+		b.Voters = append(b.Voters, agree.Voter{Name: voter.Name, Address: voter.Address})
 	}
-	for _, relay := range f.Relays {
-		begin.Relays = append(begin.Relays, node.Upstream{Name: relay.Name, Address: relay.Address})
+	for _, relay := range part.Relays {
+		b.Relays = append(b.Relays, node.Upstream{Name: relay.Name, Address: relay.Address})
 	}
-	begin.Relay = f.Relay
+	return b
+}
+
+// join opens the set-up's part in its fleet.
+func join(have *setup.Setup, means *relay.Means, log zerolog.Logger) (program.Joined, error) {
+	f := have.Fleet
 	judge := check
 	if have.Control() {
 		judge = checkControl
 	}
-	e, err := edge.Open(edge.Options{Begin: begin, Fleet: f.Name, Listen: f.Listen, Control: f.Control, Directory: f.Directory, Keys: f.Keys,
+	e, err := edge.Open(edge.Options{Begin: begin(have), Fleet: f.Name, Listen: f.Listen, Control: f.Control, Directory: f.Directory, Keys: f.Keys,
 		Started: means.Started, Log: log, Check: func(change string, text []byte, now edge.Have) edge.Checked { return judge(have, change, text, now) }})
 	if err != nil {
 		return program.Joined{}, remedied(err)
 	}
-	means.Fleet = &relay.Fleet{Word: &fleet.Word{}, HoldMost: terms.Hold}
+	means.Fleet = &relay.Fleet{Word: &fleet.Word{}, HoldMost: f.Terms().Hold}
 	status := func(ctx context.Context) *fleet.Status { return e.Ask(ctx, &fleet.Ask{Kind: "status"}).Status }
 	return program.Joined{Peers: run.Peers{Orders: e.Orders(), Reports: e.Reports()}, Serve: e.Serve, Again: e.Again, Status: status}, nil
 }
--- a/internal/fleet/edge/edge_test.go
+++ b/internal/fleet/edge/edge_test.go
@@ -231,3 +231,29 @@
 		s.saw(t, node.Checked)
 	}
 }
+
+// A check is told whether its policy is in force already: that one can't be withdrawn.
+func TestACheckKnowsWhatIsDecided(t *testing.T) {
+	haves := make(chan Have, 2)
+	e, _, _ := play(t, func(ev node.Event) []node.Effect {
+		if ev.Kind != node.Came {
+			return nil
+		}
+		return []node.Effect{{Kind: node.Check, Change: "in force 3 abc"}, {Kind: node.Check, Change: "c4"}}
+	}, nil)
+	e.check = func(_ string, _ []byte, have Have) Checked {
+		haves <- have
+		return Checked{}
+	}
+	e.got(&node.Message{From: "b"})
+	for _, want := range []bool{true, false} {
+		select {
+		case have := <-haves:
+			if have.Decided != want {
+				t.Errorf("decided: %v, want %v", have.Decided, want)
+			}
+		case <-time.After(patienceMost):
+			t.Fatal("no check is asked for")
+		}
+	}
+}
