--- a/cmd/railrelay-fleet/control_test.go
+++ b/cmd/railrelay-fleet/control_test.go
@@ -19,8 +19,32 @@
 const (
 	controlVoters = 3
 	controllers   = 2
+	controlRole   = "  role: control\n"
+	relayRole     = "  role: control\n  relay: true\n"
 )
 
+// process is what the set-up of one process of a fleet says.
+type process struct {
+	name, dir, peer, control string
+	parts                    string // beside the fleet part
+	part                     string // further lines of the fleet part
+	voters                   string // the lines of voters
+}
+
+// begin starts it.
+func (p process) begin(t *testing.T) *member {
+	t.Helper()
+	m := &member{t: t, name: p.name, setup: filepath.Join(p.dir, p.name+".yaml")}
+	text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
+		"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n%s%s", p.name, p.parts, p.peer, p.control, filepath.Join(p.dir, p.name),
+		filepath.Join(p.dir, "keys"), p.part, p.voters)
+	if err := os.WriteFile(m.setup, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m.begin()
+	return m
+}
+
 // apart starts processes that are set apart for control, three voters and one that only
 // relays, and controllers, which ask that one or, in its place, the first voter.
 func apart(t *testing.T) (voting, serving []*member, relay *member) {
@@ -42,25 +66,17 @@
 		voters += fmt.Sprintf("    - {name: %s, address: %q}\n", name, peers[name])
 	}
 	begin := func(name, peer, parts, part string) *member {
-		m := &member{t: t, name: name, setup: filepath.Join(dir, name+".yaml")}
-		text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
-			"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n%s  voters:\n%s", name, parts, peer, next(), filepath.Join(dir, name), keys, part, voters)
-		if err := os.WriteFile(m.setup, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		m.begin()
-		return m
+		return process{name: name, dir: dir, peer: peer, control: next(), parts: parts, part: part, voters: "  voters:\n" + voters}.begin(t)
 	}
-	const control, relays = "  role: control\n", "  role: control\n  relay: true\n"
 	for i := range controlVoters {
-		name, part := fmt.Sprintf("v%d", i), control
+		name, part := fmt.Sprintf("v%d", i), controlRole
 		if i == 0 {
-			part = relays
+			part = relayRole
 		}
 		voting = append(voting, begin(name, peers[name], "", part))
 	}
 	at0 := next()
-	relay = begin("r0", at0, "", relays)
+	relay = begin("r0", at0, "", relayRole)
 	for i := range controllers {
 		parts := fmt.Sprintf("listen: %s\nfeed: %s\ngroups: [{name: lookup, effect: read-only}]\n"+
 			"engines: {controllers: %d, kinds: [{name: std, cores: 8, memory_mb: 4096}], locations: [linz, steyr], location: steyr}\n"+
@@ -102,7 +118,9 @@
 		}
 		return by.fleet("apply", policy, "--base", base, "--id", id, "--until", "settled")
 	}
-	if r, status := apply(serving[0], "first", "1", "placement: [{name: a-linz, team: a, engines: [linz]}]\n"); status != 0 || r.Word != "settled" || r.Version != 2 {
+	const first = "placement: [{name: a-linz, team: a, engines: [linz]}]\n"
+	planLeavesOutControl(t, serving[0], first)
+	if r, status := apply(serving[0], "first", "1", first); status != 0 || r.Word != "settled" || r.Version != 2 {
 		t.Fatalf("%d %+v", status, r)
 	}
 	if r, status := serving[1].fleet("status", "--id", "first.outside.0"); status != 0 || r.Word != "purged" {
@@ -134,6 +152,53 @@
 	}
 }
 
+// Controllers that voted hand that over to control processes while they serve, by a policy.
+func TestControlProcessesTakeOverTheVotes(t *testing.T) {
+	serving := band(t, controlVoters, "")
+	text, err := os.ReadFile(serving[0].setup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir, at := filepath.Dir(serving[0].setup), free(t, 2*controlVoters)
+	old := string(text[strings.Index(string(text), "  voters:"):])
+	var voting []*member
+	policy := "voters:\n"
+	for i := range controlVoters {
+		p := process{name: fmt.Sprintf("v%d", i), dir: dir, peer: at[2*i], control: at[2*i+1], part: controlRole, voters: old}
+		policy += fmt.Sprintf("  - {name: %s, address: %q}\n", p.name, p.peer)
+		voting = append(voting, p.begin(t))
+	}
+	all := slices.Concat(serving, voting)
+	serving[0].until("all members", func(s *fleet.Status) bool { return serves(s) && len(s.Members) == len(all) })
+	file := filepath.Join(t.TempDir(), "policy.yaml")
+	if err := os.WriteFile(file, []byte(policy), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if r, status := voting[0].fleet("apply", file, "--base", "1", "--id", "votes"); status != 0 || r.Word != "in force" {
+		t.Fatalf("%d %+v", status, r)
+	}
+	for _, m := range all {
+		m.until("a control process as leader", func(s *fleet.Status) bool { return serves(s) && s.Version == 2 && strings.HasPrefix(s.Leader, "v") })
+	}
+	voting[0].until("the votes with control processes only", func(s *fleet.Status) bool {
+		return !slices.ContainsFunc(s.Members, func(m fleet.MemberStatus) bool { return m.Votes != strings.HasPrefix(m.Name, "v") })
+	})
+}
+
+// planLeavesOutControl has a plan name those that take queries only, all of which are in
+// steyr, as outside of a boundary round linz.
+func planLeavesOutControl(t *testing.T, by *member, text string) {
+	t.Helper()
+	policy := filepath.Join(t.TempDir(), "policy.yaml")
+	if err := os.WriteFile(policy, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, status := railrelay(t, "fleet", "plan", policy, "--setup", by.setup)
+	if status != 3 || !strings.Contains(out, "c0,c1") || strings.Contains(out, "v0") || strings.Contains(out, "r0") {
+		t.Errorf("%d %s%s", status, out, errs)
+	}
+}
+
 // What the set-up says of relays comes to the fleet's core.
 func TestRelaysOfTheSetUpAreBegunWith(t *testing.T) {
 	for name, want := range map[string]node.Begin{
