Parts of controllers under an anchor or merged in are refused, too

Cause: the parts that a control process's file has were read of a plain mapping only; a root with an anchor would have let any part through unseen. Change: the anchor is looked through, and a merge key is no part that a control process may have.

--- a/internal/setup/control.go
+++ b/internal/setup/control.go
@@ -42,7 +42,11 @@
 	if len(c.tree.Docs) == 0 {
 		return nil
 	}
-	switch body := c.tree.Docs[0].Body.(type) {
+	body := c.tree.Docs[0].Body
+	if anchor, named := body.(*ast.AnchorNode); named {
+		body = anchor.Value
+	}
+	switch body := body.(type) {
 	case *ast.MappingNode:
 		for _, value := range body.Values {
 			names = append(names, value.Key.GetToken().Value)
--- a/internal/setup/control_test.go
+++ b/internal/setup/control_test.go
@@ -76,6 +76,7 @@
 		{"control.yaml", "log: info", "answers: {fresh: 1s}", "answers", "takes no queries"},
 		{"control.yaml", "log: info", "shares: {field: customer}", "shares", "takes no queries"},
 		{"control.yaml", "log: info", "estimates: {work: weight}", "estimates", "takes no queries"},
+		{"control.yaml", "log: info", "<<: {listen: 127.0.0.1:6560}", "<<", "takes no queries"},
 		{"control.yaml", "log: info", "log: loud", "log", "none of"},
 		{"control.yaml", "memory_mb: 256", "memory_mb: 2", "limits.memory_mb", "under 16"},
 		{"control.yaml", "role: control", "role: control\n  clients: 127.0.0.1:6560", "fleet.clients", "has no clients"},
@@ -109,6 +110,15 @@
 	}
 }
 
+func TestAControlProcessWithPartsUnderAnAnchorIsRefused(t *testing.T) {
+	text := strings.Replace(exampleOf(t, "control.yaml"), "log: info", "listen: 127.0.0.1:6560", 1)
+	anchored := "&all\n" + text
+	_, err := Parse("x.yaml", []byte(anchored))
+	if f := faultAt(err, "listen"); f == nil {
+		t.Errorf("%v", err)
+	}
+}
+
 // faultAt finds the fault of a field among all that an error joins.
 func faultAt(err error, field string) *Fault {
 	var joined interface{ Unwrap() []error }
--- a/internal/setup/placement.go
+++ b/internal/setup/placement.go
@@ -128,7 +128,7 @@
 	Late    *float64 `yaml:"late_share"`
 }
 
-// Unfit: a policy can't be taken by this controller. It unwraps to Faults.
+// Unfit is a policy that this process can't take. It unwraps to Faults.
 type Unfit struct {
 	File   string
 	Faults []error
