--- /dev/null
+++ b/cmd/railrelay-fleet/control_test.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/edge"
+	"railrelay.dev/railrelay/internal/fleet/node"
+	"railrelay.dev/railrelay/internal/setup"
+)
+
+const (
+	controlVoters = 3
+	controllers   = 2
+	controlRole   = "  role: control\n"
+	relayRole     = "  role: control\n  relay: true\n"
+)
+
+// process is what the set-up of one process of a fleet says.
+type process struct {
+	name, dir, peer, control string
+	parts                    string // beside the fleet part
+	part                     string // further lines of the fleet part
+	voters                   string // the lines of voters
+}
+
+// begin starts it.
+func (p process) begin(t *testing.T) *member {
+	t.Helper()
+	m := &member{t: t, name: p.name, setup: filepath.Join(p.dir, p.name+".yaml")}
+	text := fmt.Sprintf("name: %s\nlog: info\n%sfleet:\n  name: trial\n  listen: %s\n  control: %s\n  directory: %s\n  keys: %s\n"+
+		"  lease: 1s\n  election: 300ms\n  heartbeat: 60ms\n%s%s", p.name, p.parts, p.peer, p.control, filepath.Join(p.dir, p.name),
+		filepath.Join(p.dir, "keys"), p.part, p.voters)
+	if err := os.WriteFile(m.setup, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m.begin()
+	return m
+}
+
+// apart starts processes that are set apart for control, three voters and one that only
+// relays, and controllers, which ask that one or, in its place, the first voter.
+func apart(t *testing.T) (voting, serving []*member, relay *member) {
+	t.Helper()
+	dir, from := t.TempDir(), feed(t)
+	keys := filepath.Join(dir, "keys")
+	if err := os.WriteFile(keys, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	voters, at := "", free(t, 2*controlVoters+2+3*controllers)
+	next := func() (address string) {
+		address, at = at[0], at[1:]
+		return address
+	}
+	peers := map[string]string{}
+	for i := range controlVoters {
+		name := fmt.Sprintf("v%d", i)
+		peers[name] = next()
+		voters += fmt.Sprintf("    - {name: %s, address: %q}\n", name, peers[name])
+	}
+	begin := func(name, peer, parts, part string) *member {
+		return process{name: name, dir: dir, peer: peer, control: next(), parts: parts, part: part, voters: "  voters:\n" + voters}.begin(t)
+	}
+	for i := range controlVoters {
+		name, part := fmt.Sprintf("v%d", i), controlRole
+		if i == 0 {
+			part = relayRole
+		}
+		voting = append(voting, begin(name, peers[name], "", part))
+	}
+	at0 := next()
+	relay = begin("r0", at0, "", relayRole)
+	for i := range controllers {
+		parts := fmt.Sprintf("listen: %s\nfeed: %s\ngroups: [{name: lookup, effect: read-only}]\n"+
+			"engines: {controllers: %d, kinds: [{name: std, cores: 8, memory_mb: 4096}], locations: [linz, steyr], location: steyr}\n"+
+			"fairness: {fields: {team: team}, trusted: [127.0.0.0/8], teams: [{name: a, weight: 1}, {name: b, weight: 1}]}\n", next(), from, controllers)
+		part := fmt.Sprintf("  relays: [{name: r0, address: %q}, {name: v0, address: %q}]\n", at0, peers["v0"])
+		serving = append(serving, begin(fmt.Sprintf("c%d", i), next(), parts, part))
+	}
+	return voting, serving, relay
+}
+
+// Three voters without clients, engines or feed lead two controllers, which ask through a
+// relay: a change is in force on all and what it leaves outside is purged; a controller's
+// word that it can't take one counts; the relay and the voter that leads are killed and
+// another leads the next change.
+func TestControlProcessesLeadControllers(t *testing.T) {
+	voting, serving, relay := apart(t)
+	all := append(slices.Concat(voting, serving), relay)
+	for _, m := range all {
+		m.until("its lease and a leader", serves)
+	}
+	isVoter := func(name string) bool {
+		return slices.ContainsFunc(voting, func(m *member) bool { return m.name == name })
+	}
+	s := serving[0].until("all members", func(s *fleet.Status) bool { return serves(s) && len(s.Members) == len(all) })
+	if !isVoter(s.Leader) {
+		t.Fatalf("%s leads", s.Leader)
+	}
+	for _, m := range s.Members {
+		if m.Votes != isVoter(m.Name) || (m.Clients == "") != (isVoter(m.Name) || m.Name == relay.name) {
+			t.Errorf("%+v", m)
+		}
+	}
+
+	policy := filepath.Join(t.TempDir(), "policy.yaml")
+	apply := func(by *member, id, base, text string) (*fleet.Reply, int) {
+		t.Helper()
+		if err := os.WriteFile(policy, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return by.fleet("apply", policy, "--base", base, "--id", id, "--until", "settled")
+	}
+	const first = "placement: [{name: a-linz, team: a, engines: [linz]}]\n"
+	planLeavesOutControl(t, serving[0], first)
+	if r, status := apply(serving[0], "first", "1", first); status != 0 || r.Word != "settled" || r.Version != 2 {
+		t.Fatalf("%d %+v", status, r)
+	}
+	if r, status := serving[1].fleet("status", "--id", "first.outside.0"); status != 0 || r.Word != "purged" {
+		t.Fatalf("what the first rules leave outside isn't purged: %d %+v", status, r)
+	}
+	if r, status := apply(serving[0], "second", "2", "groups: [{name: nothing, target: 2s}]\nplacement: []\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "no group is called") {
+		t.Fatalf("that no controller can take: %d %+v", status, r)
+	}
+	if r, status := apply(serving[0], "third", "2", "groups: [{name: lookup, target: 2s}]\n"); status != 3 || r.Word != "withdrawn" || !strings.Contains(r.Why, "placement: is missing") {
+		t.Fatalf("whose rules no voter knows: %d %+v", status, r)
+	}
+
+	i := slices.IndexFunc(voting, func(m *member) bool { return m.name == s.Leader })
+	relay.kill()
+	voting[i].kill()
+	rest := slices.Delete(slices.Clone(voting), i, i+1)
+	for _, m := range slices.Concat(rest, serving) {
+		m.until("another leader", func(now *fleet.Status) bool { return serves(now) && now.Leader != s.Leader })
+	}
+	if r, status := apply(rest[0], "fourth", "2", "placement: []\n"); status != 0 || r.Word != "settled" || r.Version != 3 {
+		t.Fatalf("after the leader was killed: %d %+v", status, r)
+	}
+	for _, m := range slices.Concat(rest, serving) {
+		m.until("the last version", func(s *fleet.Status) bool { return serves(s) && s.Version == 3 })
+	}
+	heedsSignals(t, rest[0])
+	if out, errs, status := railrelay(t, "fleet", "plan", policy, "--alone", "--setup", rest[1].setup); status != 1 || !strings.Contains(errs, "name a controller's set-up") {
+		t.Errorf("a plan by a control process: %d %s%s", status, out, errs)
+	}
+}
+
+// Controllers that voted hand that over to control processes while they serve, by a policy.
+func TestControlProcessesTakeOverTheVotes(t *testing.T) {
+	serving := band(t, controlVoters, "")
+	text, err := os.ReadFile(serving[0].setup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir, at := filepath.Dir(serving[0].setup), free(t, 2*controlVoters)
+	old := string(text[strings.Index(string(text), "  voters:"):])
+	var voting []*member
+	policy := "voters:\n"
+	for i := range controlVoters {
+		p := process{name: fmt.Sprintf("v%d", i), dir: dir, peer: at[2*i], control: at[2*i+1], part: controlRole, voters: old}
+		policy += fmt.Sprintf("  - {name: %s, address: %q}\n", p.name, p.peer)
+		voting = append(voting, p.begin(t))
+	}
+	all := slices.Concat(serving, voting)
+	serving[0].until("all members", func(s *fleet.Status) bool { return serves(s) && len(s.Members) == len(all) })
+	file := filepath.Join(t.TempDir(), "policy.yaml")
+	if err := os.WriteFile(file, []byte(policy), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if r, status := voting[0].fleet("apply", file, "--base", "1", "--id", "votes"); status != 0 || r.Word != "in force" {
+		t.Fatalf("%d %+v", status, r)
+	}
+	for _, m := range all {
+		m.until("a control process as leader", func(s *fleet.Status) bool { return serves(s) && s.Version == 2 && strings.HasPrefix(s.Leader, "v") })
+	}
+	voting[0].until("the votes with control processes only", func(s *fleet.Status) bool {
+		return !slices.ContainsFunc(s.Members, func(m fleet.MemberStatus) bool { return m.Votes != strings.HasPrefix(m.Name, "v") })
+	})
+}
+
+// planLeavesOutControl has a plan name those that take queries only, all of which are in
+// steyr, as outside of a boundary round linz.
+func planLeavesOutControl(t *testing.T, by *member, text string) {
+	t.Helper()
+	policy := filepath.Join(t.TempDir(), "policy.yaml")
+	if err := os.WriteFile(policy, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, status := railrelay(t, "fleet", "plan", policy, "--setup", by.setup)
+	if status != 3 || !strings.Contains(out, "c0,c1") || strings.Contains(out, "v0") || strings.Contains(out, "r0") {
+		t.Errorf("%d %s%s", status, out, errs)
+	}
+}
+
+// What the set-up says of relays comes to the fleet's core.
+func TestRelaysOfTheSetUpAreBegunWith(t *testing.T) {
+	for name, want := range map[string]node.Begin{
+		"control.yaml": {},
+		"relay.yaml":   {Relay: true},
+		"relayed.yaml": {Relays: []node.Upstream{{Name: "r0", Address: "127.0.0.1:7620"}, {Name: "r1", Address: "127.0.0.1:7621"}}},
+	} {
+		have, err := setup.Load("../../deploy/fleet/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := begin(have)
+		if b.Relay != want.Relay || !slices.Equal(b.Relays, want.Relays) || len(b.Voters) != 3 || b.Self.Name != have.Name {
+			t.Errorf("%s: %+v", name, b)
+		}
+	}
+}
+
+// heedsSignals has a control process log its counters, read its keys again and end.
+func heedsSignals(t *testing.T, m *member) {
+	t.Helper()
+	m.cmd.Process.Signal(syscall.SIGUSR1)
+	if line := m.hears(`"message":"counters"`); !strings.Contains(line, `"version":3`) || !strings.Contains(line, `"holds_lease":true`) {
+		t.Error(line)
+	}
+	m.cmd.Process.Signal(syscall.SIGHUP)
+	m.hears("the configuration was read again")
+	m.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(patienceMost):
+		t.Fatal("it doesn't end")
+	}
+	if !m.cmd.ProcessState.Success() {
+		t.Error(m.cmd.ProcessState)
+	}
+}
+
+// A policy that is in force is never refused by a control process, whatever is known of
+// the rules before: it couldn't be withdrawn any more.
+func TestAControlProcessTakesWhatIsInForce(t *testing.T) {
+	own, err := setup.Load("../../deploy/fleet/control.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := checkControl(own, "first", []byte("placement: [{name: a, team: x, engines: [linz]}]"), edge.Have{})
+	if before.Why != "" || len(before.Scopes) != 1 || before.Scopes[0].Team != "x" {
+		t.Fatalf("%+v", before)
+	}
+	unstated := []byte("groups: [{name: lookup, target: 2s}]")
+	if c := checkControl(own, "second", unstated, edge.Have{Policy: before.Policy}); !strings.Contains(c.Why, "placement: is missing") || !strings.Contains(c.Why, "apply it again") {
+		t.Errorf("%+v", c)
+	}
+	if c := checkControl(own, "in force 3", unstated, edge.Have{Policy: before.Policy, Decided: true}); c.Why != "" || c.Policy == nil {
+		t.Errorf("%+v", c)
+	}
+	if c := checkControl(own, "third", []byte("placement: 3"), edge.Have{Decided: true}); c.Why == "" {
+		t.Errorf("no policy at all is taken: %+v", c)
+	}
+}
