--- a/internal/fleet/node/gather_test.go
+++ b/internal/fleet/node/gather_test.go
@@ -72,7 +72,13 @@
 			t.Errorf("%+v", to.grant)
 		}
 	}
-	if late := g.renewed(0, "a", "disk a", renewOf("a", 2, 1)); late != nil {
+	g.renewed(0, "a", "disk a", renewOf("a", 2, 2))
+	g.next(0)
+	g.renewed(0, "a", "disk a", renewOf("a", 3, 1))
+	if grants := g.given(3); len(grants) != 0 {
+		t.Errorf("a run is granted what the one before asked for: %+v", grants[0].grant)
+	}
+	if late := g.renewed(0, "a", "disk a", renewOf("a", 3, 1)); late != nil {
 		t.Error("a doubled renewal is an ask")
 	}
 }
