Planted faults are files under testdata, laid over by go test -overlay

Cause: the eight faults that tests must find were build tags in production packages (kept_*, planted_*, look_planted, unrecorded*, astray*, sound.go), and decisions read their switches. Change: what a fault breaks is a small file of its own, which says only what is right (node/fence.go, barrier.go, erasure.go; peers/mac.go; run/look.go; answers/purge.go; relay/recorded.go; decide/boundary.go). Measured: each of the eight test programs fails with its named line and each sound one passes, run singly; tests of decide, answers, relay, run, fleet/... and the laboratory's of planted faults pass. `make planted` as a whole: not run yet.

--- a/Makefile
+++ b/Makefile
@@ -35,10 +35,10 @@
 	if [ "$(IN)" = together ]; then $(MAKE) -s bin/planted; fi
 	bin/raillab measure $(IN) --seed $(SEED)
 
-# Tests built with one planted fault each, which must be found and named, and without.
+# Tests built with one planted fault each (testdata/planted, laid over by go test -overlay),
+# which must be found and named, and without.
 .PHONY: planted bin/planted
 bin/planted:
-	mkdir -p bin/planted
-	bin/raillab planted --list | xargs -P 4 -L 1 sh -c 'exec go test -c -tags $$0 -o bin/planted/$$0.test $$1'
+	bin/raillab planted --build
 planted: build bin/planted
 	bin/raillab planted
--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -78,19 +78,16 @@
 	many.Flags().StringVar(&crowd.Program, "program", program, "the controller")
 	many.Flags().IntVar(&crowd.Controllers, "controllers", 50, "processes")
 	many.Flags().DurationVar(&crowd.Rest, "rest", 10*time.Second, "how long to look at them at rest")
-	list := false
+	build := false
 	sought := &cobra.Command{Use: "planted", Short: "play the tests that have one planted fault each", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if list {
-				for _, b := range lab.PlantedBuilds() {
-					fmt.Fprintln(c.OutOrStdout(), b.Tag, b.Package)
-				}
-				return nil
+			if build {
+				return lab.BuildPlanted(c.Context(), ".", planted)
 			}
 			return lab.FindPlanted(c.Context(), c.OutOrStdout(), planted)
 		}}
 	sought.Flags().StringVar(&planted, "planted", "bin/planted", "where they are")
-	sought.Flags().BoolVar(&list, "list", false, "only name tags and packages")
+	sought.Flags().BoolVar(&build, "build", false, "only build them, from the tree in the working directory")
 	from, plays := uint64(1), 2000
 	fleets := &cobra.Command{Use: "fleets", Short: "play drawn fleets in virtual time, and say how the first broke a rule", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/answers/sound.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !planted_draw
-
-package answers
-
-const plantedDraw = false
--- /dev/null
+++ b/internal/fleet/node/erasure.go
@@ -0,0 +1,25 @@
+package node
+
+import "railrelay.dev/railrelay/internal/fleet"
+
+// erasure sums what the disks of all controllers have erased for a purge, and names those
+// that haven't confirmed it, controllers that are down included. Only a forgotten one is
+// not waited for: its disk is destroyed.
+func (c *Core) erasure(purge string) (sum fleet.Counts, awaited []string) {
+	for _, name := range c.members() {
+		if c.state.Members[name].Forgotten {
+			continue
+		}
+		p := c.peers[name]
+		if p == nil || p.r == nil { // it is down, or hasn't been heard of by this leader
+			awaited = append(awaited, name)
+			continue
+		}
+		erased, confirmed := p.r.Wiped[purge]
+		sum.Add(erased)
+		if !confirmed {
+			awaited = append(awaited, name)
+		}
+	}
+	return sum, awaited
+}
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -351,14 +351,14 @@
 			withdraw(fmt.Sprintf("not stopped by %s within %v", list(wait), most))
 			return
 		}
-		if len(wait) == 0 || !waitForClosed {
+		if barrierPassed(wait) {
 			c.once("force "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Force, ID: u.ID}) })
 		}
 		c.wait(u.ID, wait)
 	case record.Decided:
 		// one that was down while it was checked and can't take it serves nothing by it
 		wait := c.missing(c.b.Lease, func(r *Renew) bool { return r.Version >= u.Version || r.Ready[u.ID] != "" })
-		if len(wait) == 0 || !waitForClosed {
+		if barrierPassed(wait) {
 			c.once("settle "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Settle, ID: u.ID}) })
 		}
 		c.wait(u.ID, wait)
@@ -381,24 +381,7 @@
 		}
 		c.wait(run.ID, wait)
 	case fleet.Unreachable:
-		var wait []string
-		sum := fleet.Counts{}
-		for _, name := range c.members() {
-			if c.state.Members[name].Forgotten {
-				continue
-			}
-			p := c.peers[name]
-			if p == nil || p.r == nil {
-				if waitForDown {
-					wait = append(wait, name)
-				}
-				continue
-			}
-			n, done := p.r.Wiped[run.ID]
-			if sum.Add(n); !done {
-				wait = append(wait, name)
-			}
-		}
+		sum, wait := c.erasure(run.ID)
 		if len(wait) == 0 {
 			c.once("erased "+run.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Erased, ID: run.ID, Counts: &sum}) })
 		}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -96,11 +96,7 @@
 		}
 	}
 	c.bury()
-	if !fenceOnRestart && c.state.Index > 0 && c.refused == "" { // planted: it goes on by what it knew
-		c.caught = true
-		c.reconcile()
-		c.do(Effect{Kind: Order, Order: fleet.Order{Kind: fleet.Renewed, Until: b.Lease, UntilBound: b.LeaseBound}})
-	}
+	c.resume()
 	c.settle()
 	return c, c.out, nil
 }
--- a/internal/lab/planted.go
+++ b/internal/lab/planted.go
@@ -9,43 +9,38 @@
 	"path"
 	"path/filepath"
 	"runtime"
-	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
 )
 
-// Plant is a fault that a build can be made with by a tag, the tests that must find it,
-// and how it is named there. The same tests pass in a build without the tag.
-type Plant struct{ Tag, Fault, Package, Run, Named string }
+// Plant is a fault, where it is planted, the tests that must find it, and how they name
+// it. Its files are in Dir/testdata/planted/Name: each is a copy, with the fault, of the
+// file of that name in Dir, which it replaces in a build (go test -overlay). The same tests
+// pass in a build without it.
+type Plant struct {
+	Name    string // of its build, and of its directory of files
+	Fault   string // in words
+	Dir     string // of the package that has the fault, from the root of the tree
+	Package string // of the tests, as the go command takes it
+	Run     string // the tests, as -test.run takes them
+	Named   string // what the failing test says
+}
 
 // Planted are all of them. `make planted` builds and plays them.
 var Planted = []Plant{
-	{"planted_fence", "no fence on restart", "./internal/lab", "^TestStartedCutOff$", "mixed:"},
-	{"planted_force", "in force before all closed", "./internal/lab", "^TestBriefSchedules$", "mixed:"},
-	{"planted_down", "purge confirmed without those down", "./internal/lab", "^TestBriefSchedules$", "confirmed_wrongly:"},
-	{"planted_write", "lease not looked at before writing", "./internal/run", "^TestTheWordIsAskedRightBeforeAWrite$", `: "free by 7 free too", [`},
-	{"planted_draw", "drawn answer kept over a purge", "./internal/answers", "^TestDrawnOverAPurge$", "what was drawn before a purge is served after it"},
-	{"planted_copy", "a copy past the boundary", "./decide", "^TestNoEngineOutsideGetsABoundQuery$", "and it may be at ["},
-	{"planted_follow", "followed binding not recorded first", "./internal/relay", "^TestALoadIsSentOnceWhatItBindsIsRecorded$", "sent before the record has it"},
-	{"planted_mac", "MAC not checked", "./internal/fleet/peers", "^(TestAStrangersAskIsRefused|TestAMACIsForItsPurposeAndItsBytes)$", "a wrong MAC was accepted"},
-}
-
-// Build is tests to build, as TAG.test: the name of a sound one's tag is no tag of the tree.
-type Build struct{ Tag, Package string }
-
-// PlantedBuilds are what must be built for FindPlanted.
-func PlantedBuilds() (l []Build) {
-	for _, x := range Planted {
-		l = append(l, Build{x.Tag, x.Package})
-		if b := (Build{x.sound(), x.Package}); !slices.Contains(l, b) {
-			l = append(l, b)
-		}
-	}
-	return l
+	{"fence", "no fence on restart", "internal/fleet/node", "./internal/lab", "^TestStartedCutOff$", "mixed:"},
+	{"force", "in force before all closed", "internal/fleet/node", "./internal/lab", "^TestBriefSchedules$", "mixed:"},
+	{"down", "purge confirmed without those down", "internal/fleet/node", "./internal/lab", "^TestBriefSchedules$", "confirmed_wrongly:"},
+	{"write", "lease not looked at before writing", "internal/run", "./internal/run", "^TestTheWordIsAskedRightBeforeAWrite$", `: "free by 7 free too", [`},
+	{"draw", "drawn answer kept over a purge", "internal/answers", "./internal/answers", "^TestDrawnOverAPurge$", "what was drawn before a purge is served after it"},
+	{"copy", "a copy past the boundary", "decide", "./decide", "^TestNoEngineOutsideGetsABoundQuery$", "and it may be at ["},
+	{"follow", "followed binding not recorded first", "internal/relay", "./internal/relay", "^TestALoadIsSentOnceWhatItBindsIsRecorded$", "sent before the record has it"},
+	{"mac", "MAC not checked", "internal/fleet/peers", "./internal/fleet/peers", "^(TestAStrangersAskIsRefused|TestAMACIsForItsPurposeAndItsBytes)$", "a wrong MAC was accepted"},
 }
 
+// sound is the name of the build of its tests without a fault.
 func (x Plant) sound() string { return "sound_" + path.Base(x.Package) }
 
 // play plays a plant's tests as a build of that name has them.
@@ -71,7 +66,7 @@
 
 // find plays them as built with it, and gives the line that names the fault.
 func (x Plant) find(ctx context.Context, dir string) (named string, err error) {
-	out, err := x.play(ctx, dir, x.Tag)
+	out, err := x.play(ctx, dir, x.Name)
 	var ended *exec.ExitError
 	if !errors.As(err, &ended) {
 		return "", fmt.Errorf("its tests pass, or can't be run: %v: %.300s", err, out)
@@ -123,13 +118,13 @@
 		} else {
 			what = "NOT FOUND: " + strings.ReplaceAll(errs[i].Error(), "\n", " ")
 		}
-		fmt.Fprintf(t, "%s\t%s\t%.1f s\t%.160s\n", x.Tag, x.Fault, took[i].Seconds(), what)
+		fmt.Fprintf(t, "%s\t%s\t%.1f s\t%.160s\n", x.Name, x.Fault, took[i].Seconds(), what)
 	}
 	t.Flush()
 	return found, len(Planted), strings.Split(strings.TrimRight(text.String(), "\n"), "\n")
 }
 
-// FindPlanted plays all in dir, as PlantedBuilds says, and tells what was found; an error
+// FindPlanted plays all that BuildPlanted has put into dir, and tells what was found; an error
 // if one was not.
 func FindPlanted(ctx context.Context, out io.Writer, dir string) error {
 	found, of, lines := findPlanted(ctx, dir)
--- /dev/null
+++ b/internal/lab/planted_build.go
@@ -0,0 +1,106 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// buildsAtOnce bounds how many test programs are built at the same time.
+const buildsAtOnce = 4
+
+// overlay is what the go command reads for -overlay: files that stand for others in a build.
+type overlay struct {
+	Replace map[string]string // by the path of what is replaced, both absolute
+}
+
+// BuildPlanted builds, into dir, the tests of each planted fault with it, as NAME.test, and
+// once for each package without any. root is the root of the tree.
+func BuildPlanted(ctx context.Context, root, dir string) error {
+	return buildPlants(ctx, root, dir, Planted)
+}
+
+func buildPlants(ctx context.Context, root, dir string, plants []Plant) error {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o777); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(buildsAtOnce)
+	isBuilt := map[string]bool{}
+	for _, plant := range plants {
+		group.Go(func() error { return plant.build(ctx, root, dir) })
+		if sound := plant.sound(); !isBuilt[sound] {
+			isBuilt[sound] = true
+			group.Go(func() error { return buildTests(ctx, root, dir, sound, plant.Package) })
+		}
+	}
+	return group.Wait()
+}
+
+// build builds its tests with the fault.
+func (x Plant) build(ctx context.Context, root, dir string) error {
+	replaced, err := x.overlay(root)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(replaced)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(dir, x.Name+".json")
+	if err := os.WriteFile(file, text, 0o666); err != nil {
+		return err
+	}
+	return buildTests(ctx, root, dir, x.Name, x.Package, "-overlay", file)
+}
+
+// overlay tells which of its files stand for which of the tree.
+func (x Plant) overlay(root string) (*overlay, error) {
+	root, err := filepath.Abs(root)
+	if err != nil {
+		return nil, err
+	}
+	files, err := x.files(root)
+	if err != nil {
+		return nil, err
+	}
+	replaced := &overlay{Replace: map[string]string{}}
+	for _, file := range files {
+		replaced.Replace[x.replaces(root, file)] = file
+	}
+	return replaced, nil
+}
+
+// files are the paths of its files below root, in order: at least one.
+func (x Plant) files(root string) ([]string, error) {
+	files, err := filepath.Glob(filepath.Join(root, x.Dir, "testdata", "planted", x.Name, "*.go"))
+	if err == nil && len(files) == 0 {
+		err = fmt.Errorf("the planted fault %s has no file in %s", x.Name, x.Dir)
+	}
+	return files, err
+}
+
+// replaces is the path of the production file that one of its files is a copy of.
+func (x Plant) replaces(root, file string) string {
+	return filepath.Join(root, x.Dir, filepath.Base(file))
+}
+
+// buildTests builds a package's tests as NAME.test in dir.
+func buildTests(ctx context.Context, root, dir, name, tests string, flags ...string) error {
+	args := append([]string{"test", "-c", "-o", filepath.Join(dir, name+".test")}, flags...)
+	build := exec.CommandContext(ctx, "go", append(args, tests)...)
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		return fmt.Errorf("building %s: %w: %s", name, err, out)
+	}
+	return nil
+}
--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -12,53 +12,152 @@
 	"testing"
 )
 
-// Every fault that the tree can be built with is in the table, and no other.
+const (
+	repository         = "../.."
+	plantedAtMostLines = 100 // of a file that a fault replaces
+	changedAtMostLines = 6   // removed by the fault, and as many added
+)
+
+// Every fault that the tree has is in the table and has its files, and no other; and
+// nothing of them is in what a build has without an overlay.
 func TestEveryPlantIsInTheTable(t *testing.T) {
-	tag := regexp.MustCompile(`(?m)^//go:build (planted_\w+)$`)
-	var tree, table []string
-	err := filepath.WalkDir("../..", func(name string, e fs.DirEntry, err error) error {
-		if err != nil || e.IsDir() || !strings.HasSuffix(name, ".go") {
+	ofTree := map[string]bool{}
+	plantedTag := regexp.MustCompile(`(?m)^//go:build .*planted`)
+	err := filepath.WalkDir(repository, func(name string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
 			return err
 		}
+		if dir, file, is := strings.Cut(filepath.ToSlash(name), "/testdata/planted/"); is {
+			fault, _, _ := strings.Cut(file, "/")
+			ofTree[strings.TrimPrefix(dir, repository+"/")+" "+fault] = true
+			if strings.Count(file, "/") != 1 || !strings.HasSuffix(file, ".go") {
+				t.Errorf("%s is no Go file of one fault's directory", name)
+			}
+			return nil
+		}
+		if !strings.HasSuffix(name, ".go") {
+			return nil
+		}
 		text, err := os.ReadFile(name)
-		if m := tag.FindSubmatch(text); m != nil {
-			tree = append(tree, string(m[1]))
+		if plantedTag.Match(text) {
+			t.Errorf("%s has a fault by a build tag", name)
 		}
 		return err
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	var tree, table []string
+	for fault := range ofTree {
+		tree = append(tree, fault)
+	}
 	for _, x := range Planted {
-		table = append(table, x.Tag)
+		table = append(table, x.Dir+" "+x.Name)
 	}
 	slices.Sort(table)
 	slices.Sort(tree)
-	if tree = slices.Compact(tree); !slices.Equal(tree, table) || len(table) < 8 {
+	if !slices.Equal(tree, table) || len(table) < 8 {
 		t.Errorf("in the tree: %v, in the table: %v", tree, table)
 	}
 }
 
+// What a fault replaces is small, and but for a few lines it is the same: a change of the
+// one that leaves out the other is told here.
+func TestPlantsFollowWhatTheyReplace(t *testing.T) {
+	for _, x := range Planted {
+		files, err := x.files(repository)
+		if err != nil {
+			t.Error(err)
+		}
+		for _, file := range files {
+			if err := followsProduction(file, x.replaces(repository, file)); err != nil {
+				t.Errorf("%s: %v", x.Name, err)
+			}
+		}
+	}
+}
+
+// followsProduction compares a planted file with the one that it replaces.
+func followsProduction(planted, production string) error {
+	faulty, err := os.ReadFile(planted)
+	if err != nil {
+		return err
+	}
+	good, err := os.ReadFile(production)
+	if err != nil {
+		return err
+	}
+	was, is := strings.Split(string(good), "\n"), strings.Split(string(faulty), "\n")
+	if len(was) > plantedAtMostLines {
+		return fmt.Errorf("%s has %d lines: move what the fault breaks into a small file", production, len(was))
+	}
+	removed, added := changedLines(was, is)
+	switch {
+	case removed+added == 0:
+		return fmt.Errorf("%s has no fault", planted)
+	case removed > changedAtMostLines || added > changedAtMostLines:
+		return fmt.Errorf("%s removes %[3]d lines of %[2]s and adds %[4]d: it doesn't follow a change there", planted, production, removed, added)
+	case !strings.Contains(string(faulty), "planted fault: "):
+		return fmt.Errorf("%s doesn't say what its fault is", planted)
+	}
+	return nil
+}
+
+// changedLines counts the lines of each that are not in the longest sequence of lines that
+// both have in common.
+func changedLines(was, is []string) (removed, added int) {
+	common := make([][]int, len(was)+1) // length of that sequence, of was[i:] and is[j:]
+	for i := range common {
+		common[i] = make([]int, len(is)+1)
+	}
+	for i := len(was) - 1; i >= 0; i-- {
+		for j := len(is) - 1; j >= 0; j-- {
+			if was[i] == is[j] {
+				common[i][j] = common[i+1][j+1] + 1
+			} else {
+				common[i][j] = max(common[i+1][j], common[i][j+1])
+			}
+		}
+	}
+	return len(was) - common[0][0], len(is) - common[0][0]
+}
+
+func TestChangedLines(t *testing.T) {
+	for _, c := range []struct {
+		was, is        string
+		removed, added int
+	}{
+		{"a b c", "a b c", 0, 0},
+		{"a b c", "a x c", 1, 1},
+		{"a b c", "a c", 1, 0},
+		{"a c", "a b c", 0, 1},
+		{"a b c d e", "a x c y e", 2, 2},
+		{"a a", "a a a", 0, 1},
+		{"", "a b", 0, 2},
+	} {
+		removed, added := changedLines(strings.Fields(c.was), strings.Fields(c.is))
+		if removed != c.removed || added != c.added {
+			t.Errorf("%q, %q: %d removed and %d added, want %d and %d", c.was, c.is, removed, added, c.removed, c.added)
+		}
+	}
+}
+
 // Those that are quickly built and played.
 func TestPlantedAreFound(t *testing.T) {
 	dir := t.TempDir()
 	for _, x := range Planted {
-		if x.Tag != "planted_draw" && x.Tag != "planted_mac" {
+		if x.Name != "draw" && x.Name != "mac" {
 			continue
 		}
-		for _, tag := range []string{x.Tag, x.sound()} {
-			cmd := exec.Command("go", "test", "-c", "-tags", tag, "-o", filepath.Join(dir, tag+".test"), x.Package)
-			cmd.Dir = "../.."
-			if out, err := cmd.CombinedOutput(); err != nil {
-				t.Fatalf("%v: %s", err, out)
-			}
+		if err := buildPlants(t.Context(), repository, dir, []Plant{x}); err != nil {
+			t.Fatal(err)
 		}
 		named, err := x.find(t.Context(), dir)
 		if err := errors.Join(err, x.passes(t.Context(), dir)); err != nil {
-			t.Errorf("%s: %v", x.Tag, err)
+			t.Errorf("%s: %v", x.Name, err)
 		}
-		t.Log(x.Tag, named)
-		x.Tag = x.sound() // which has no fault, and must not count as found
+		t.Log(x.Name, named)
+		x.Name = x.sound() // which has no fault, and must not count as found
 		if _, err := x.find(t.Context(), dir); err == nil {
 			t.Errorf("%s is found where it isn't", x.Package)
 		}
--- a/internal/relay/placing.go
+++ b/internal/relay/placing.go
@@ -109,16 +109,15 @@
 		return false
 	}
 	need, err := p.needs(q)
-	switch {
-	case err != nil:
+	if err != nil {
 		p.conflicts++
 		p.killed(q, err.Error())
 		return false
-	case need != nil:
+	}
+	if need != nil {
 		p.ask(need)
-		if unrecorded {
-			return true
-		}
+	}
+	if unrecorded(need, err) {
 		p.hold(q, from) // release tries it again once the record has it
 		return false
 	}
@@ -307,14 +306,11 @@
 		return true
 	}
 	v, site := p.judged(q), p.site(e.location)
-	if decide.Astray && len(q.subs) > 1 {
-		return true
-	}
 	if v.Bound && (!v.Take || !v.May(site)) {
 		p.barred++
 		return false
 	}
-	if need, err := p.needs(q); v.Bound && !unrecorded && (need != nil || err != nil) {
+	if need, err := p.needs(q); v.Bound && unrecorded(need, err) {
 		p.barred++ // a repeat, and a rule came since that follows what it takes along
 		return false
 	}
--- a/internal/relay/placing_test.go
+++ b/internal/relay/placing_test.go
@@ -11,7 +11,6 @@
 
 	"pgregory.net/rapid"
 
-	"railrelay.dev/railrelay/decide"
 	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/residency"
 )
@@ -247,7 +246,7 @@
 			look()
 		}
 	})
-	if sent < 1000 && !decide.Astray {
+	if sent < 1000 {
 		t.Fatalf("only %d bound submissions: nothing was tried", sent)
 	}
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -489,18 +489,6 @@
 	}
 }
 
-// mayWrite asks the fleet's word, by the clock as it is now: the process may have been
-// stopped since the reducer asked. If it says yes, wrote must follow.
-func (l *loop) mayWrite(g guard) bool {
-	return !lookBeforeWrite || l.word.Enter(time.Since(l.start), g.version, g.bound)
-}
-
-func (l *loop) wrote() {
-	if lookBeforeWrite {
-		l.word.Leave()
-	}
-}
-
 // part takes from the queue what goes out by one guard, or up to the first.
 func (w *wire) part(p []byte) ([]byte, guard) {
 	var g guard
