What staticcheck finds is mended, and doc comments begin with the name they are of

Cause: staticcheck is to be clean in `make lint`. Change: 18 findings: unused fields, functions and values (most in tests), a result order, a loop for an append, a receiver with two names. `c.known[x] = c.known[x]`, which puts a key into a map, says so; the test that compared play() with play() compares two named runs. 62 doc comments are of the form "Name ...". No behaviour is another. Measured: go vet and staticcheck with and without -tags debug are clean; tests of decide, answers, spool, store, residency, check, engines, fair, fleet/..., relay, setup and standin/... pass.

--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -447,7 +447,7 @@
 	}
 	io.WriteString(list, event(2, false, entry("e1", e.address(), "DRAINING"))+"\n2\n")
 	list.Close()
-	list = <-f.conns
+	<-f.conns
 	if line := <-f.lines; line != "SUB 2" {
 		t.Fatal(line)
 	}
--- a/decide/door.go
+++ b/decide/door.go
@@ -260,7 +260,7 @@
 	return len(e.out), true
 }
 
-// Full: a query of the group is held for want of room, and one more would be
+// Full reports whether a query of the group is held for want of room: one more would be
 // held behind it. What is held for a load or its key's turn fills nothing.
 func (g *Gateway) Full(group int) bool {
 	return group >= 0 && group < len(g.groups) && g.groups[group].full
@@ -316,9 +316,7 @@
 	g.step()
 }
 
-func (g *Gateway) at(t time.Duration, do func()) { g.due.Add(t, do) }
-
-// of is the same for what is due to a query, and leaves with it.
+// of has something done for a query when it is due, unless the query has left by then.
 func (g *Gateway) of(q *query, t time.Duration, do func()) { q.dues = append(q.dues, g.due.Add(t, do)) }
 
 // step ends every call in: what is due is done, what can go is let go, and the
--- a/decide/retell.go
+++ b/decide/retell.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// Dropped: it was answered by its adapter, and nothing of it has run. Its client has
-// not left, so nothing is learned of how long clients wait.
+// Dropped tells that a query was answered by its adapter, and nothing of it has run. Its
+// client has not left, so nothing is learned of how long clients wait.
 func (g *Gateway) Dropped(now time.Duration, id string) {
 	g.now = now
 	if q := g.queries[id]; q != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -173,8 +173,6 @@
 	out               int
 	over, begun       bool
 	priority, grant   int
-	mayHaveRunAt      time.Duration
-	mayHaveRunOn      *engine
 	avoid             *engine
 	looks             []*engine // looked at for this query
 	lookedAt          time.Duration
--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -235,8 +235,8 @@
 	}
 }
 
-// Finished: who leads has its answer, which must not be changed any more. It names all
-// that followed and are answered by it, too.
+// Finished tells that who leads has its answer, which must not be changed any more. It
+// names all that followed and are answered by it, too.
 func (c *Cache) Finished(now time.Duration, a *Ask, pages [][]byte) (others []*Ask) {
 	c.at(now)
 	r := a.run
@@ -257,8 +257,8 @@
 	return others
 }
 
-// Left: it wants no answer any more, or got another than finished. If it led, who
-// follows next leads: that one is named and has to go its way now.
+// Left tells that an ask wants no answer any more, or got another than finished. If it
+// led, who follows next leads: that one is named and has to go its way now.
 func (c *Cache) Left(now time.Duration, a *Ask) (next *Ask) {
 	c.at(now)
 	r := a.run
@@ -434,8 +434,8 @@
 	return c.blind > 0 || len(tables) == 0 && len(c.loads) > 0 || slices.ContainsFunc(tables, func(t int64) bool { return c.loads[t] > 0 })
 }
 
-// Loading: a query that changes tables was taken; none: it can't be told which. Until
-// Loaded nothing of these is served or kept. Runs of these tables are kept no more; who
+// Loading tells that a query that changes tables was taken; none: it isn't known which.
+// Until Loaded nothing of these is served or kept. Runs of these tables are kept no more; who
 // leads or follows one asked before the load and is answered by it.
 func (c *Cache) Loading(now time.Duration, tables []int64) {
 	c.at(now)
@@ -447,7 +447,7 @@
 	c.strike(func(r *run) bool { return meets(r.lead.Tables, tables) })
 }
 
-// Loaded: nothing of a query that changes tables is out any more.
+// Loaded tells that nothing of a query that changes tables is out any more.
 func (c *Cache) Loaded(now time.Duration, tables []int64) {
 	c.at(now)
 	c.add(tables, -1)
--- a/internal/answers/answers_test.go
+++ b/internal/answers/answers_test.go
@@ -32,7 +32,6 @@
 	began time.Duration
 	index uint64
 	loads [4]int
-	over  bool
 }
 
 // world is all that really happened.
@@ -44,7 +43,6 @@
 	loads  [4]int // begun and ended, by table group
 	inHand []int64
 	drops  []drop
-	asks   []*asker
 	out    []*asker // neither answered nor left
 	served int
 }
@@ -52,7 +50,6 @@
 type drop struct {
 	index uint64
 	scope fleet.Scope
-	wall  int64
 }
 
 // page is what an engine tells: who asked, and when it read what.
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -107,20 +107,20 @@
 	}
 }
 
-// Left: its client takes no answer any more.
+// Left notes that the client of a query takes no answer any more.
 func (h *History) Left(now time.Duration, id string) {
 	if q := h.queries[id]; q != nil {
 		q.left = true
 	}
 }
 
-// Submitted: it was sent to an engine, which began to run it at once.
+// Submitted notes that a query was sent to an engine, which began to run it at once.
 func (h *History) Submitted(now time.Duration, id, engine string, _ bool) {
 	h.Written(now, id, engine)
 	h.Began(now, id, engine)
 }
 
-// Written: it left for an engine, where it may come later or never.
+// Written notes that a query left for an engine, where it may come later or never.
 func (h *History) Written(now time.Duration, id, engine string) {
 	q := h.queries[id]
 	if q == nil {
@@ -135,7 +135,7 @@
 	}
 }
 
-// Began: an engine began to run it, however long after it was sent.
+// Began notes that an engine began to run a query, however long after it was sent.
 func (h *History) Began(now time.Duration, id, engine string) {
 	h.Sent++
 	q := h.queries[id]
@@ -188,7 +188,7 @@
 	}
 }
 
-// Ended: an engine has it no more; ok if it came to a good end.
+// Ended notes that an engine has a query no more; ok if it came to a good end.
 func (h *History) Ended(now time.Duration, id, engine string, ok bool) {
 	if q := h.queries[id]; q != nil {
 		for _, r := range q.runs {
@@ -199,7 +199,7 @@
 	}
 }
 
-// Answered: the client was told. rows is what it got, made what engines make of it.
+// Answered notes what a client was told. rows is what it got, made what engines make of it.
 func (h *History) Answered(now time.Duration, id string, as Answer, rows, made []byte) {
 	q := h.queries[id]
 	switch {
--- a/internal/check/fleet.go
+++ b/internal/check/fleet.go
@@ -180,9 +180,9 @@
 	}
 }
 
-// Acted: a controller took, released or submitted a query by a version. asked is when
-// its client asked; what was asked for after a later version was seen is judged without
-// slack.
+// Acted notes that a controller took, released or submitted a query by a version. asked is
+// when its client asked; what was asked for after a later version was seen is judged
+// without slack.
 func (f *Fleet) Acted(now, asked time.Duration, controller, query string, version uint64) {
 	f.made()
 	f.Acts++
@@ -220,8 +220,8 @@
 
 func final(word string) bool { return word == "in force" || word == "withdrawn" || word == "refused" }
 
-// Changed: an operator got a word on a change, at the first asking or a later one.
-// "unknown" is no word, and a change that is settled has been in force.
+// Changed notes that an operator got a word on a change, at the first asking or a later
+// one. "unknown" is no word, and a change that is settled has been in force.
 func (f *Fleet) Changed(now time.Duration, by, id, word string, version uint64) {
 	f.made()
 	step := f.Note(now, fmt.Sprintf("%s tells of %s: %s, version %d", by, id, word, version), id, by)
@@ -255,14 +255,14 @@
 	}
 }
 
-// PurgeAsked: a purge was asked for; what was drawn before is its.
+// PurgeAsked notes that a purge was asked for; what was drawn before is its.
 func (f *Fleet) PurgeAsked(now time.Duration, id string, scope fleet.Scope) {
 	f.made()
 	f.Note(now, "purge "+id+" of "+scope.Team+" asked for", id)
 	f.purges[id] = &purge{scope: scope, asked: now, unreachable: sight{at: never}, purged: sight{at: never}}
 }
 
-// PurgeTold: who asked was told unreachable or purged; other words are none.
+// PurgeTold notes that who asked was told unreachable or purged; other words are none.
 func (f *Fleet) PurgeTold(now time.Duration, by, id, word string, counts *fleet.Counts) {
 	f.made()
 	step := f.Note(now, fmt.Sprintf("%s tells of purge %s: %s", by, id, word), id, by)
@@ -294,7 +294,7 @@
 	}
 }
 
-// Drawn: an engine began to make an answer, whose bytes bear the query's name.
+// Drawn notes that an engine began to make an answer, whose bytes bear the query's name.
 func (f *Fleet) Drawn(now time.Duration, query, team string, tables ...int64) {
 	f.made()
 	f.act(now, "an engine begins "+query, query)
@@ -310,8 +310,8 @@
 	return len(p.scope.Tables) == 0 || slices.ContainsFunc(p.scope.Tables, func(t int64) bool { return slices.Contains(d.tables, t) })
 }
 
-// Served: bytes drawn by source came out of a controller's keeping, for what was asked
-// at a time: a page, or an answer that bears another query's name.
+// Served notes that bytes drawn by source came out of a controller's keeping, for what was
+// asked at a time: a page, or an answer that bears another query's name.
 func (f *Fleet) Served(now, asked time.Duration, controller, source string) {
 	f.made()
 	step := f.act(now, controller+" serves what was drawn by "+source, controller, source)
@@ -323,7 +323,7 @@
 	}
 }
 
-// Held: a controller's disk was looked at and holds bytes drawn by source.
+// Held notes that a controller's disk was looked at and holds bytes drawn by source.
 func (f *Fleet) Held(now time.Duration, controller, source string) {
 	f.made()
 	for id, p := range f.purges {
@@ -334,13 +334,13 @@
 	}
 }
 
-// Rules: by a change, these could be in force from now on.
+// Rules notes that by a change these could be in force from now on.
 func (f *Fleet) Rules(now time.Duration, change string, rules ...Rule) {
 	f.rules = append(f.rules, ruled{change, rules, now, never})
 }
 
-// RulesAre: a change was told to be in force; those before it hold no more for what is
-// asked from now on. One that was withdrawn never did.
+// RulesAre notes that a change was told to be in force; the rules before it hold no more
+// for what is asked from now on. One that was withdrawn never did.
 func (f *Fleet) RulesAre(now time.Duration, change string, inForce bool) {
 	i := slices.IndexFunc(f.rules, func(r ruled) bool { return r.change == change })
 	if i < 0 {
@@ -357,7 +357,7 @@
 	}
 }
 
-// Loosed: a team's queries may run at further sites from now on, until Fastened.
+// Loosed notes that a team's queries may run at further sites from now on, until Fastened.
 func (f *Fleet) Loosed(now time.Duration, team string, sites ...string) {
 	f.loosed = append(f.loosed, loosed{team, sites, now, never})
 }
@@ -371,8 +371,8 @@
 	}
 }
 
-// Ran: an engine at a site runs a team's query on tables, asked for at a time. Any set
-// of rules that could be in force from then to now may allow it.
+// Ran notes that an engine at a site runs a team's query on tables, asked for at a time.
+// Any set of rules that could be in force from then to now may allow it.
 func (f *Fleet) Ran(now, asked time.Duration, controller, query, team, site string, tables ...int64) {
 	step := f.act(now, fmt.Sprintf("%s of %s runs at %s, by %s", query, team, site, controller), query, team)
 	bound, allowed, any := false, false, false
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -31,7 +31,7 @@
 	return finish(dst, statement)
 }
 
-// Sendable: a value can stand in a field as it is, without an end of the line or of itself in it.
+// Sendable reports whether a value can stand in a field as it is, without an end of the line or of itself in it.
 func Sendable(value []byte) bool {
 	for _, b := range value {
 		if b <= ' ' || b > '~' {
@@ -75,7 +75,7 @@
 	Ends(outcome decide.Outcome)
 }
 
-// Fits: the answer is one to the call for a page (0: the news, Submit's too).
+// Fits reports whether the answer is one to the call for a page (0: the news, Submit's too).
 // What does not fit is spoilt, or belongs to another call: it says nothing.
 func Fits(page, status int, field func(string) string, body []byte) bool {
 	switch {
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -701,7 +701,7 @@
 	c.done.full(c.now, busy > 0)
 }
 
-// Started: its first submission went out.
+// Started tells that the first submission of a query went out.
 func (c *Core) Started(now time.Duration, w *Waiter) {
 	c.at(now)
 	if w.state != passed {
@@ -726,7 +726,7 @@
 	c.Total.Worst = max(c.Total.Worst, had)
 }
 
-// How a query came out.
+// End is how a query came out.
 type End int
 
 const (
@@ -736,8 +736,8 @@
 	Left
 )
 
-// Ended: it was answered or its client left, and nothing of it runs any more.
-// work is the thread time that was told, 0 for none; then what it was charged
+// Ended tells that a query was answered or its client left, and nothing of it runs any
+// more. work is the thread time that was told, 0 for none; then what it was charged
 // while it ran stands. lost is for how long submissions of it ran that told none.
 func (c *Core) Ended(now time.Duration, w *Waiter, end End, work, lost time.Duration) {
 	c.at(now)
@@ -891,10 +891,10 @@
 	return false
 }
 
-// Lowered: its priority is to be the least for now.
+// Lowered reports whether the priority of a query is to be the least for now.
 func (w *Waiter) Lowered() bool { return w.lowered }
 
-// Waits: it was taken in and not handed on yet.
+// Waits reports whether a query was taken in and not handed on yet.
 func (w *Waiter) Waits() bool { return w.state == waits }
 
 // Reload follows another shape with the same lanes. What waits or runs goes on
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -44,7 +44,7 @@
 	Heartbeat time.Duration
 }
 
-// What an Event tells.
+// EventKind is what an Event tells.
 type EventKind int
 
 const (
@@ -67,7 +67,7 @@
 	Snapshot *Snapshot // Index and Data; the rest is filled in here
 }
 
-// What an Effect asks for.
+// EffectKind is what an Effect asks for.
 type EffectKind int
 
 const (
--- a/internal/fleet/agree/core.go
+++ b/internal/fleet/agree/core.go
@@ -311,7 +311,7 @@
 	return c.names[s.Lead], s.GetTerm()
 }
 
-// Leads: this is the leader, as far as it knows. Another may lead already: see Confirm.
+// Leads reports whether this is the leader, as far as it knows. Another may lead already: see Confirm.
 func (c *Core) Leads() bool { return c.leading }
 
 // Voters are those that vote, by name. While some are being replaced both the old and
--- a/internal/fleet/agree/core_test.go
+++ b/internal/fleet/agree/core_test.go
@@ -285,8 +285,9 @@
 
 // ask proposes until it is seen decided, and asks each now and then who leads.
 func (p *play) ask(data string) {
-	p.known[data] = p.known[data]
-	if p.known[data] {
+	known := p.known[data]
+	p.known[data] = known // it is one of those asked for from now on
+	if known {
 		return
 	}
 	if l := p.leader(); l != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,10 +140,10 @@
 // Leave ends what Enter began.
 func (w *Word) Leave() { w.inside.Add(-1) }
 
-// Idle: nothing is being written that was decided before it was closed.
+// Idle reports whether nothing is being written that was decided before it was closed.
 func (w *Word) Idle() bool { return w.inside.Load() == 0 }
 
-// What an Order asks the reducer for. Orders come in the order that the record has them.
+// OrderKind is what an Order asks the reducer for. Orders come in the order that the record has them.
 type OrderKind int
 
 const (
@@ -186,7 +186,7 @@
 	From   []int64 `cbor:"3,keyasint" json:"from"`
 }
 
-// What a Report tells the fleet's side.
+// ReportKind is what a Report tells the fleet's side.
 type ReportKind int
 
 const (
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -35,7 +35,7 @@
 // Upstream is a relay as a controller reaches it.
 type Upstream struct{ Name, Address string }
 
-// What an Event tells.
+// EventKind is what an Event tells.
 type EventKind int
 
 const (
@@ -62,7 +62,7 @@
 	Handle  uint64
 }
 
-// What an Effect asks for.
+// EffectKind is what an Effect asks for.
 type EffectKind int
 
 const (
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -115,9 +115,7 @@
 			r.Ready = map[string]string{u.ID: k.why}
 		}
 	}
-	for _, id := range sorted(c.here) {
-		r.Unreached = append(r.Unreached, id)
-	}
+	r.Unreached = append(r.Unreached, sorted(c.here)...)
 	r.Wiped = maps.Clone(c.wiped)
 	for _, to := range upstreams {
 		c.send(to.Name, to.Address, &Message{Renew: r})
--- a/internal/fleet/record/state.go
+++ b/internal/fleet/record/state.go
@@ -38,7 +38,7 @@
 	Settled bool     // what it left outside is gone, too
 }
 
-// Over: nothing more becomes of it but being settled.
+// Over reports whether nothing more becomes of a change but being settled.
 func (c *Change) Over() bool { return c.Phase == InForce || c.Phase == Withdrawn || c.Phase == Refused }
 
 // Run is one purge.
--- a/internal/lab/fairness_test.go
+++ b/internal/lab/fairness_test.go
@@ -116,7 +116,7 @@
 		}
 		return text
 	}
-	if play() != play() {
+	if once, again := play(), play(); once != again {
 		t.Fatal("two runs of one seed differ")
 	}
 }
--- a/internal/lab/spool.go
+++ b/internal/lab/spool.go
@@ -576,7 +576,6 @@
 			return fmt.Errorf("result %d: error %v, answer of kind %d %s", n, err, a.Kind, a.Why)
 		}
 		drawn += time.Since(begin)
-		begin = time.Now()
 		want, got := xxhash.New(), xxhash.New()
 		for i := range rows {
 			want.WriteString(engine.WideRow(id, i, wide))
--- a/internal/must/debug.go
+++ b/internal/must/debug.go
@@ -2,7 +2,7 @@
 
 package must
 
-// Debug: checks that cost much are made.
+// Debug is true: checks that cost much are made.
 const Debug = true
 
 // Hold panics if what has to hold does not.
--- a/internal/must/release.go
+++ b/internal/must/release.go
@@ -2,7 +2,7 @@
 
 package must
 
-// Debug: checks that cost much are left out.
+// Debug is false: checks that cost much are left out.
 const Debug = false
 
 // Hold counts if what has to hold does not, and tells whether it does.
--- a/internal/relay/endings_test.go
+++ b/internal/relay/endings_test.go
@@ -189,10 +189,11 @@
 	s := newStage(t, 1, 256, map[string]string{"may.probe": "false"})
 	a := s.query(s.connect(), "lookup", "", 5*time.Second, 1)
 	s.reply(s.one("POST", a.id), "runs")
-	h := s.one("GET", a.id)
+	s.one("GET", a.id)
 	s.step(Event{Kind: Stop})
 	s.until(s.now + 900*time.Millisecond)
-	if h = s.one("GET", a.id); h.s == nil || s.quit {
+	h := s.one("GET", a.id)
+	if h.s == nil || s.quit {
 		t.Fatal("it runs no more")
 	}
 	s.leave(a)
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -194,7 +194,7 @@
 	r.gate.ListEngine(id, e.location, e.kind, cell, state, started, startedMs != 0)
 }
 
-// EventEnds: what a whole list leaves out is gone.
+// EventEnds ends an event of the feed: what a whole list leaves out is gone.
 func (r *Relay) EventEnds() {
 	for _, e := range r.engines {
 		if r.feed.whole && e.state != decide.Gone && e.named != r.feed.last {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,7 +26,7 @@
 	"railrelay.dev/railrelay/internal/terms"
 )
 
-// What an Event tells.
+// Kind is what an Event tells.
 type Kind int
 
 const (
@@ -64,7 +64,7 @@
 	Report *fleet.Report // with Untold
 }
 
-// What an Effect asks for.
+// Verb is what an Effect asks for.
 type Verb int
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -74,13 +74,12 @@
 
 // mill is an engine.
 type mill struct {
-	id, address, state  string
-	site                string
-	silent, dead        bool
-	cut                 bool // nothing comes through; what was written lies on the way until the link heals
-	lying               []*held
-	runs                map[string]*sub
-	calls, most, kinder int
+	id, address, state string
+	site               string
+	silent, dead       bool
+	cut                bool // nothing comes through; what was written lies on the way until the link heals
+	lying              []*held
+	runs               map[string]*sub
 }
 
 // sub is one submission as its engine sees it.
@@ -446,8 +445,6 @@
 	}
 }
 
-func str(v string) string { return string(rune(0xa0+len(v))) + v }
-
 func fix(v string) []byte { return append([]byte{byte(0xa0 + len(v))}, v...) }
 
 // query has a client ask for something.
--- a/internal/residency/errors.go
+++ b/internal/residency/errors.go
@@ -7,7 +7,7 @@
 	"railrelay.dev/railrelay/internal/fleet"
 )
 
-// Conflict: rules leave no site for a query.
+// Conflict tells that rules leave no site for a query.
 type Conflict struct {
 	What  string // engine or controller
 	Team  string
@@ -23,7 +23,7 @@
 	return "split the query, or give these rules a site in common with `fleet apply`"
 }
 
-// Outside: this controller is outside the boundary of a query.
+// Outside tells that this controller is outside the boundary of a query.
 type Outside struct {
 	Team, Site string
 	Rules      []string
@@ -43,7 +43,8 @@
 	return "send this team's queries to " + strings.Join(o.Controllers, ", ")
 }
 
-// Untold: the tables of a load can't be told, and a rule follows what it would take along.
+// Untold tells that the tables of a load can't be found out, and a rule follows what it
+// would take along.
 type Untold struct{ Team, Rule string }
 
 func (u *Untold) Error() string {
@@ -55,7 +56,7 @@
 	return "write each table with its schema's name, as in sales_3.orders, or bind all tables of the team"
 }
 
-// Unbound: what a load binds could not be recorded before it had to be sent.
+// Unbound tells that what a load binds could not be recorded before it had to be sent.
 type Unbound struct {
 	Team   string
 	Tables []int64
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -105,7 +105,7 @@
 	Conflict *Conflict
 }
 
-// May: an engine of this site may have it.
+// May reports whether an engine of this site may have the query.
 func (v *Verdict) May(site string) bool {
 	return v.Conflict == nil && within(v.Engines, site)
 }
@@ -245,7 +245,7 @@
 	})
 }
 
-// Recorded: the record has a binding, though no picture has shown it yet.
+// Recorded tells that the record has a binding, though no picture has shown it yet.
 func (c *Core) Recorded(b fleet.Binding) {
 	if !has(c.picture.Bindings, b) && !has(c.ahead, b) {
 		c.ahead = append(c.ahead, b)
@@ -265,7 +265,7 @@
 // Stamp changes with all that verdicts depend on: an older verdict must be asked for anew.
 func (c *Core) Stamp() uint64 { return c.stamp }
 
-// Bound: the team has a rule at all. Of others nothing need be found out.
+// Bound reports whether the team has a rule at all. Of others nothing need be found out.
 func (c *Core) Bound(team string) bool { return len(c.teams[team]) > 0 }
 
 // Judge says where a team's query on some tables may be. known: these are all the
@@ -359,7 +359,7 @@
 // Crossed lists the latest crossings, and how many there were in all.
 func (c *Core) Crossed() ([]Crossing, int) { return slices.Clone(c.crossed), c.crossing }
 
-// Outside: by the rules themselves, without any emergency, this runs where it may not.
+// Outside reports whether by the rules themselves, without any emergency, this runs where it may not.
 func (c *Core) Outside(team string, tables []int64, known bool, site string) bool {
 	rules := c.teams[team]
 	if len(rules) == 0 {
--- a/internal/spool/purge.go
+++ b/internal/spool/purge.go
@@ -8,10 +8,10 @@
 	"railrelay.dev/railrelay/internal/fleet"
 )
 
-// ErrPurged: it was purged while it was taken in, or while its first page was read.
+// ErrPurged tells that a result was purged while it was taken in, or while its first page was read.
 var ErrPurged = Refusal("what is kept of its team was purged before its result was whole")
 
-// Purged: a purge took it.
+// Purged reports whether a purge took the result.
 func (r *Result) Purged() bool { return r.purged }
 
 // Purge gives up what is kept of a scope and was asked for before a place in the record.
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -530,7 +530,8 @@
 	c.promise(r, tell)
 }
 
-// Whole: its last page was taken. tell hears whether it is promised, perhaps at once.
+// Whole tells that the last page of a result was taken. tell hears whether it is promised,
+// perhaps at once.
 func (c *Core) Whole(now time.Duration, r *Result, tell func(error)) {
 	c.at(now)
 	r.promised = tell
@@ -595,8 +596,8 @@
 	c.fetch(r, 0, tell)
 }
 
-// Pages, Bytes and Rows are what a result holds; Kept is how long it lasts unless it
-// is read.
+// Pages is how many pages a result holds, beside its Bytes and Rows; Kept is how long it
+// lasts unless it is read.
 func (r *Result) Pages() int   { return max(r.count, len(r.pages)) }
 func (r *Result) Bytes() int64 { return r.bytes }
 func (r *Result) Rows() int64  { return r.rows }
@@ -766,7 +767,7 @@
 // ErrNone is all that is told of a token or page that opens nothing.
 var ErrNone = Refusal("no such page")
 
-// ErrBusy: too many pages are being read from disk.
+// ErrBusy tells that too many pages are being read from disk.
 var ErrBusy = Refusal("too many pages are being read")
 
 // Read hands out a page to whoever holds its result's token, now or once it was read
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -376,12 +376,12 @@
 func TestTokens(t *testing.T) {
 	c := usualCore(t)
 	r, good := whole(t, c, "linz")
-	read := func(token, team string, page int) (err error, macs int) {
+	read := func(token, team string, page int) (macs int, err error) {
 		before := c.keys.macs
 		c.Read(c.now, []byte(token), team, page, func(_ []byte, e error) { err = e })
-		return err, c.keys.macs - before
+		return c.keys.macs - before, err
 	}
-	if err, _ := read(good, "linz", 1); err != nil {
+	if _, err := read(good, "linz", 1); err != nil {
 		t.Fatal(err)
 	}
 	_, other := whole(t, c, "steyr")
@@ -394,17 +394,17 @@
 		bad[fmt.Sprint("byte ", i, " changed")] = [2]string{base64.RawURLEncoding.EncodeToString(p), "linz"}
 	}
 	for what, x := range bad {
-		if err, macs := read(x[0], x[1], 1); err != ErrNone || macs != 1 {
+		if macs, err := read(x[0], x[1], 1); err != ErrNone || macs != 1 {
 			t.Errorf("%s: %v after %d macs", what, err, macs)
 		}
 	}
 	for _, page := range []int{-1, 2, 1 << 30} {
-		if err, macs := read(good, "linz", page); err != ErrNone || macs != 1 {
+		if macs, err := read(good, "linz", page); err != ErrNone || macs != 1 {
 			t.Errorf("page %d: %v", page, err)
 		}
 	}
 	c.now += c.Idle // past its life, and not swept yet
-	if err, macs := read(good, "linz", 1); err != ErrNone || macs != 1 || r.gone {
+	if macs, err := read(good, "linz", 1); err != ErrNone || macs != 1 || r.gone {
 		t.Error("past its life: ", err)
 	}
 }
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -60,7 +60,7 @@
 	return append(binary.BigEndian.AppendUint16(append(dst, 0xda), uint16(len(s))), s...)
 }
 
-// What an Answer is.
+// Kind is what an Answer is.
 type Kind int
 
 const (
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -391,7 +391,7 @@
 	m.share()
 }
 
-// Restart: the process is a new and cold one, and knows nothing of what ran.
+// Restart makes the process a new and cold one, which knows nothing of what ran.
 func (m *Model) Restart(now time.Duration) {
 	m.Advance(now)
 	for _, s := range slices.Clone(m.active) {
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -39,7 +39,7 @@
 	lock *os.File
 }
 
-// ErrInUse: another program has the directory.
+// ErrInUse tells that another program has the directory.
 var ErrInUse = errors.New("the directory is in use by another program")
 
 // Hold takes a directory, made if it isn't there. ErrInUse if another program has it.
--- a/internal/store/index.go
+++ b/internal/store/index.go
@@ -27,7 +27,7 @@
 	Close() error
 }
 
-// ErrNone: there is no such result or page.
+// ErrNone tells that there is no such result or page.
 var ErrNone = errors.New("no such result")
 
 // Bolt is an index in an embedded store.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -73,7 +73,7 @@
 	odd    bool  // there is more in its file than its size says
 }
 
-func (s *segment) name() string { return fmt.Sprintf("%016x.seg", s.number) }
+func (g *segment) name() string { return fmt.Sprintf("%016x.seg", g.number) }
 
 // Store is one directory's results.
 type Store struct {
@@ -642,7 +642,7 @@
 	return m, err
 }
 
-// ErrSpoilt: a page is not what was written. It is never handed out.
+// ErrSpoilt tells that a page is not what was written. It is never handed out.
 var ErrSpoilt = errors.New("the page is spoilt")
 
 // Fetch reads a page of a result that was promised, or is being taken.
