--- /dev/null
+++ b/internal/lab/fleet_controllers.go
@@ -0,0 +1,242 @@
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"railrelay.dev/railrelay/internal/check"
+	"railrelay.dev/railrelay/internal/relay"
+	"railrelay.dev/railrelay/internal/standin/caller"
+	"railrelay.dev/railrelay/internal/standin/engine"
+	"railrelay.dev/railrelay/internal/standin/feed"
+	"railrelay.dev/railrelay/internal/standin/world"
+)
+
+type fleetController struct {
+	*fleetRun
+	n       int
+	r       *relay.Relay
+	history check.History
+	ends    map[*relay.Link]*fleetEnd
+	stalled time.Duration
+	waiting []func() // what came while it stood still
+	woken   int
+	feed    *fleetEnd
+	fed     int
+	client  *fleetEnd
+	in      []byte
+	open    map[uint32]*world.Asked
+	ways    []*fleetWay
+}
+
+func (c *fleetController) asked(id string) *world.Asked {
+	for _, a := range c.open {
+		if a.ID == id {
+			return a
+		}
+	}
+	return nil
+}
+
+func (f *fleetRun) start(n int) {
+	c := &fleetController{fleetRun: f, n: n, ends: map[*relay.Link]*fleetEnd{}, open: map[uint32]*world.Asked{}, stalled: -1, fed: f.log.Last()}
+	facts := map[string]string{}
+	for k, v := range f.facts {
+		facts[k] = v
+	}
+	facts["own.number"] = strconv.Itoa(n)
+	ms := func(name string) time.Duration { return time.Duration(number(facts[name])) * time.Millisecond }
+	c.history = check.History{KeyRest: ms("key.rest"), Rests: true, Grace: ms("drain.grace"), Most: int(number(facts["submissions.most"])),
+		Alone: facts["may.copy"] != "true"}
+	for i := range int(number(facts["groups"])) {
+		at := fmt.Sprintf("group.%d.", i)
+		c.history.Group(facts[at+"name"], facts[at+"effect"], facts[at+"in-order"] == "true")
+	}
+	for range f.Engines {
+		c.ways = append(c.ways, &fleetWay{delay: time.Duration(100+f.rng.IntN(2000)) * time.Microsecond})
+	}
+	f.all = append(f.all, c)
+	r, effects := relay.New(relay.Means{Seed: f.rng.Uint64(), MemoryMB: 256, Sockets: 512, Feed: "feed", Known: f.log.Known(), Facts: facts,
+		Started: time.UnixMilli(fleetEpoch), Manners: []relay.Manners{{From: Homes, Open: 100_000, Messages: 100_000, Idle: time.Minute}}})
+	c.r = r
+	c.perform(effects)
+}
+
+// connects has the clients' connection stand: one that says nothing is ended.
+func (c *fleetController) connects() {
+	if c.client == nil || c.client.gone {
+		c.client = &fleetEnd{link: &relay.Link{From: Home}, client: true}
+		c.ends[c.client.link] = c.client
+		end := c.client
+		c.deliver(func() { c.step(relay.Event{Kind: relay.Accepted, Link: end.link}) })
+	}
+}
+
+func number(text string) float64 {
+	x, _ := strconv.ParseFloat(text, 64)
+	return x
+}
+
+// asks has clients ask at a rate. Queries of one key come 60 ms apart at the least.
+func (c *fleetController) asks(kinds []Kind, rate float64) {
+	var next func()
+	msg := uint32(0)
+	last := map[string]time.Duration{}
+	next = func() {
+		if c.now >= c.Long {
+			return
+		}
+		x, k := c.rng.Float64(), kinds[0]
+		for _, one := range kinds {
+			if k = one; x < one.Share {
+				break
+			}
+			x -= one.Share
+		}
+		msg++
+		id := fmt.Sprintf("%04x%012x", c.n, msg)
+		work := engine.Work{Threads: k.Threads, MemoryMB: k.MemoryMB, Tables: int64(c.rng.IntN(20)), Load: k.Load, Rows: k.Rows}
+		work.CPU = time.Duration(float64(k.CPU) * math.Exp(c.rng.NormFloat64()*k.Spread-k.Spread*k.Spread/2))
+		work.Disk = time.Duration(float64(work.CPU) / k.Threads * k.Disk)
+		patience := k.Patience/2 + time.Duration(c.rng.Int64N(int64(k.Patience/2)))
+		fields := []string{"trace", id, "patience", fmt.Sprint(patience.Milliseconds())}
+		key, at := "", c.now
+		if k.Load {
+			key = fmt.Sprintf("k%d", c.rng.IntN(4))
+			fields = append(fields, "entity", key)
+			at = max(c.now, last[key]+60*time.Millisecond)
+			last[key] = at
+		}
+		m := msg
+		c.fleetRun.at(at, func() {
+			a := &world.Asked{ID: id, Group: k.Name, Msg: m, At: c.now, Until: c.now + patience, Work: work}
+			c.open[m], c.byID[id] = a, c
+			c.out.Asked++
+			c.connects()
+			end := c.client
+			p := caller.Call(nil, m, k.Name, engine.Statement(work), fields...)
+			c.deliver(func() {
+				// taken once it is read: a patience that passed while it stood still is the client's
+				c.history.Asked(c.now, id, k.Name, key, max(a.Until, c.now)+c.stood(a.At))
+				began := time.Now()
+				c.gets(end, p)
+				c.out.Arrivals += time.Since(began)
+			})
+		})
+		c.after(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	c.after(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+}
+
+// stood is how much later than it came something was read.
+func (c *fleetController) stood(at time.Duration) time.Duration { return c.now - at }
+
+// deliver has something come to the controller, now or once it goes on.
+func (c *fleetController) deliver(do func()) {
+	if c.now < c.stalled {
+		c.waiting = append(c.waiting, do)
+		return
+	}
+	do()
+}
+
+func (c *fleetController) event(ev relay.Event) { c.deliver(func() { c.step(ev) }) }
+
+func (c *fleetController) step(ev relay.Event) { c.perform(c.r.Step(c.now, ev)) }
+
+func (c *fleetController) gets(e *fleetEnd, p []byte) {
+	for len(p) > 0 && !e.gone {
+		n := copy(e.link.In.Space(), p)
+		p = p[n:]
+		c.step(relay.Event{Kind: relay.Got, Link: e.link, N: n})
+	}
+}
+
+func (c *fleetController) perform(effects []relay.Effect) {
+	for _, fx := range effects {
+		e := c.ends[fx.Link]
+		switch fx.Verb {
+		case relay.Dial:
+			c.dial(fx.Link, fx.Address, fx.Within)
+		case relay.Write:
+			if e == nil || e.gone {
+				break
+			}
+			p := bytes.Clone(fx.Bytes)
+			if e.e != nil {
+				c.writes(e, p)
+				break
+			}
+			c.after(0, func() { c.wrote(e, len(p)) })
+			if e.client {
+				c.hears(p)
+			} else if !e.up {
+				e.up = true
+				n, _ := feed.Asked(p)
+				c.fed, c.feed = min(n, c.fed), e
+				c.follows(e, c.Lag/4)
+				c.beat(e)
+			}
+		case relay.Close:
+			if e != nil {
+				e.aborted = e.aborted || fx.Abort
+				c.after(0, func() { c.lose(e) })
+			}
+		case relay.Wake:
+			c.woken++
+			mine := c.woken
+			c.after(fx.Within, func() {
+				c.deliver(func() {
+					if mine == c.woken {
+						c.step(relay.Event{Kind: relay.Woken})
+					}
+				})
+			})
+		}
+	}
+}
+
+// hears is a client's side of what a controller writes.
+func (c *fleetController) hears(p []byte) {
+	c.in = append(c.in, p...)
+	for {
+		ans, n, err := caller.Read(c.in)
+		if err != nil {
+			c.history.Broken(c.now, err.Error())
+			return
+		}
+		if n == 0 {
+			return
+		}
+		c.in = bytes.Clone(c.in[n:])
+		if ans.Kind == caller.Told {
+			continue
+		}
+		a := c.open[ans.Msg]
+		if a == nil {
+			c.history.Broken(c.now, fmt.Sprintf("rule 1: an answer to %d that nobody waits for", ans.Msg))
+			continue
+		}
+		c.say("%s answered: %d", a.ID, ans.Kind)
+		delete(c.open, ans.Msg)
+		at := c.now
+		if c.now-c.stalled < 50*time.Millisecond { // nothing can be answered while it stands still
+			at = min(at, a.Until)
+		}
+		c.history.Answered(at, a.ID, check.Answer(ans.Kind), ans.Rows, world.Rows(a))
+	}
+}
+
+func (c *fleetController) goesOn() {
+	if c.now < c.stalled {
+		return
+	}
+	waiting := c.waiting
+	c.waiting = nil
+	for _, do := range waiting {
+		do()
+	}
+}
