--- /dev/null
+++ b/internal/lab/together_processes.go
@@ -0,0 +1,188 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/peers"
+)
+
+// process is one controller.
+type process struct {
+	name, site               string
+	address, listen, control string
+	peer                     string
+	running                  *exec.Cmd
+	stopped                  bool
+	ended                    chan struct{}
+	log                      *os.File
+}
+
+func (g *gathering) setup(p *process) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name: %s\nlisten: %s\nfeed: %s\nseed: %x\nlog: info\nlimits: {cores: 1, memory_mb: 128, sockets: 1024}\n", p.name, p.address,
+		g.feed.Addr(), g.Seed)
+	f := trialEngine()
+	sites := []string{"east", "west"}
+	for k := range marks {
+		sites = append(sites, fmt.Sprint("m", k))
+	}
+	fmt.Fprintf(&b, "engines:\n  controllers: %d\n  kinds: [{name: std, cores: %g, memory_mb: %g}]\n  locations: [%s]\n  location: %s\n", len(g.members),
+		f.Cores, f.MemoryMB, strings.Join(sites, ", "), p.site)
+	b.WriteString(`groups:
+  - {name: lookup, target: 1s, timeout: 30s, effect: read-only}
+  - {name: report, target: 1s, timeout: 30s, effect: read-only}
+  - {name: load, target: 2s, timeout: 30s, effect: mutating, in_order: true, load: true}
+clients:
+  - {name: all, addresses: [127.0.0.0/8], open: 4096, messages: 20000, idle: 1m}
+fairness:
+  fields: {team: team}
+  trusted: [127.0.0.0/8]
+  default: others
+  teams: [{name: linz, weight: 2}, {name: steyr, weight: 1}, {name: mark, weight: 1}, {name: others, weight: 1}]
+`)
+	fmt.Fprintf(&b, "spool: {field: pages, directory: %q, memory_mb: 8, disk_mb: 512, team_share: 1, team_results: 10000}\n", g.path(p.name+"-spool"))
+	fmt.Fprintf(&b, "fleet:\n  name: together\n  listen: %s\n  address: %s\n  control: %s\n  directory: %q\n  keys: %q\n  lease: %v\n  lease_bound: %v\n"+
+		"  election: 300ms\n  heartbeat: 60ms\n  hold: 4s\n  keep: 256\n  voters:\n", p.listen, p.peer, p.control, g.path(p.name+"-fleet"), g.path("keys"),
+		g.Lease, g.Lease/2)
+	for _, v := range g.members[:min(g.Voters, len(g.members))] {
+		fmt.Fprintf(&b, "    - {name: %s, address: %q}\n", v.name, v.peer)
+	}
+	b.WriteString(placementText(0))
+	return b.String()
+}
+
+// begin starts a controller from what its directories hold.
+func (g *gathering) begin(p *process) error {
+	cmd := exec.CommandContext(g.ctx, g.Program, "serve", "--setup", g.path(p.name+".yaml"))
+	cmd.Stderr = p.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	g.mu.Lock()
+	g.fleet.Note(g.since(), p.name+" starts", p.name)
+	p.running, p.ended, p.stopped = cmd, ended, false
+	g.mu.Unlock()
+	return nil
+}
+
+func (g *gathering) note(p *process, what string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.faults[what]++
+	g.fleet.Note(g.since(), p.name+" is "+what, p.name)
+}
+
+func (g *gathering) kill(p *process) {
+	if p.running == nil {
+		return
+	}
+	g.note(p, "killed")
+	p.running.Process.Kill()
+	<-p.ended
+	p.running = nil
+}
+
+func (g *gathering) pause(p *process) {
+	g.note(p, "stopped")
+	p.running.Process.Signal(syscall.SIGSTOP)
+	p.stopped = true
+}
+
+func (g *gathering) resume(p *process) {
+	p.running.Process.Signal(syscall.SIGCONT)
+	p.stopped = false
+}
+
+// ask puts something to a controller's operators' listener.
+func (g *gathering) ask(p *process, a *fleet.Ask) (*fleet.Reply, error) {
+	ctx, stop := context.WithTimeout(g.ctx, time.Duration(a.Wait)*time.Millisecond+2*time.Second)
+	defer stop()
+	return peers.AskControl(ctx, p.control, g.keys, a)
+}
+
+func (g *gathering) status(p *process) *fleet.Status {
+	r, err := g.ask(p, &fleet.Ask{Kind: "status", Wait: 500})
+	if err != nil || r.Status == nil {
+		return &fleet.Status{}
+	}
+	return r.Status
+}
+
+// eventually waits for something to come true.
+func (g *gathering) eventually(within time.Duration, what string, so func() bool) error {
+	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
+		if so() {
+			return nil
+		}
+		if time.Now().After(end) || g.ctx.Err() != nil {
+			return fmt.Errorf("after %v: not %s; %s", within, what, g.last())
+		}
+	}
+}
+
+// last is how all controllers see the fleet, and the end of their logs: why something
+// has not come.
+func (g *gathering) last() string {
+	var b strings.Builder
+	for _, p := range g.members {
+		s := g.status(p)
+		if s.Name == "" {
+			_, err := g.ask(p, &fleet.Ask{Kind: "status", Wait: 500})
+			fmt.Fprintf(&b, "\n%s can't be asked: %v", p.name, err)
+		}
+		fmt.Fprintf(&b, "\n%s: leader %s, index %d, version %d, serves %v, lease %d ms, change %+v", p.name, s.Leader, s.Index, s.Version, s.Serves, s.LeaseMS, s.Change)
+		if text, err := os.ReadFile(g.path(p.name + ".log")); err == nil {
+			lines := slices.DeleteFunc(strings.Split(strings.TrimSpace(string(text)), "\n"), func(l string) bool {
+				return strings.Contains(l, `"query"`)
+			})
+			fmt.Fprintf(&b, "\n    %s", strings.Join(lines[max(0, len(lines)-6):], "\n    "))
+		}
+	}
+	return b.String()
+}
+
+func (g *gathering) allServe(within time.Duration) error {
+	for _, p := range g.members {
+		if err := g.eventually(within, p.name+" serves", func() bool { return g.status(p).Serves }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// leader is who leads by what most say.
+func (g *gathering) leader() *process {
+	for range 100 {
+		for _, p := range g.members {
+			if p.running == nil || p.stopped {
+				continue
+			}
+			s := g.status(p)
+			for _, l := range g.members {
+				if l.name == s.Leader && l.running != nil && !l.stopped {
+					return l
+				}
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return g.members[0]
+}
+
+// follower is one that doesn't vote.
+func (g *gathering) follower() *process {
+	return g.members[g.Voters+g.rng.IntN(g.Followers)]
+}
