--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -12,128 +12,6 @@
 	"time"
 )
 
-// Waiter is a query as fairness knows it: its owner keeps it inside its own
-// record, so that one in and one out allocate nothing.
-type Waiter struct {
-	Of    any // its owner's record
-	Lane  int
-	Team  int           // as Whose tells
-	Key   int64         // its order's key, -1: none
-	Chain int64         // its table group, used in chained lanes
-	Until time.Duration // its client waits no longer
-	// Again names the call that this one repeats, 0 for none: it keeps that one's
-	// age and what was charged for it.
-	Again uint64
-	// Ask: its client wants to be told anew when its wait changes by much.
-	Ask bool
-	// Self is what a repeat of this one will name, 0: nothing.
-	Self uint64
-
-	Arrived time.Duration // an earlier one if it repeats a call
-	entered time.Duration
-	seq     uint64
-	leaf    *node
-	state   state
-	est     float64 // thread seconds it is thought to take
-	raw     float64 // seconds until its start, before what the lane's last ones taught
-	charged float64
-	credit  float64 // charged for what it repeats
-	began   time.Duration
-	seenAt  time.Duration
-	remains float64 // of est
-	served  float64 // what service was when it was handed on
-	seen    float64 // of its work as it runs, for the capacity
-	ran     float64 // seconds since it began, as far as they were counted
-	lowered bool
-
-	Estimate time.Duration // first told
-	told     time.Duration // when it was last told to start
-	ahead    float64       // of its team before it, with all that had gone
-	listed   bool
-
-	prev, next   *Waiter // in its leaf's list, or among the running
-	older, newer *Waiter // in its lane, all that wait
-	inLeaf       bool
-	links        [2]link // its places in the lines of its key and its chain
-	parked       bool    // its turn came, and one of its chain that can't go has to go first
-}
-
-type state uint8
-
-const (
-	away state = iota
-	waits
-	passed  // handed to the decisions, not sent yet
-	running // sent
-)
-
-type link struct {
-	line       *line
-	prev, next *Waiter
-}
-
-// line keeps the order in which queries of a key, or loads of a table group, came.
-type line struct {
-	first, last *Waiter
-	id          lineID
-	parked      int // of a chain
-}
-
-type lineID struct {
-	kind int // 0: key, 1: chain
-	id   int64
-}
-
-// list is what may go of a leaf in a lane, oldest first, or what runs.
-type list struct{ first, last *Waiter }
-
-// insert puts a query behind another, nil for the front.
-func (l *list) insert(w, at *Waiter) {
-	w.prev = at
-	if at != nil {
-		w.next, at.next = at.next, w
-	} else {
-		w.next, l.first = l.first, w
-	}
-	if w.next != nil {
-		w.next.prev = w
-	} else {
-		l.last = w
-	}
-}
-
-func (l *list) remove(w *Waiter) {
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		l.first = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		l.last = w.prev
-	}
-	w.prev, w.next = nil, nil
-}
-
-// lane is the state of one resource group.
-type lane struct {
-	Lane
-	oldest, newest *Waiter // of all that wait
-	waiting        int
-	busy, wasBusy  bool // it is at its capacity
-	full           bool // the decisions would take no more when last asked
-	cost           mean // thread seconds of a query
-	stretch        mean // time taken over time alone
-	run            mean // seconds from start to end
-	profile        profile
-	handed         int     // handed on and not sent
-	passed         float64 // thread seconds of those
-	teams          int     // with a query that may go
-	comes          rate    // of those let in
-	trim           trim
-}
-
 // Counts are what happened to a team's queries.
 type Counts struct {
 	Asked, Started, Finished, Deferred, Killed, Left, Repeated, Lowered int
@@ -212,54 +90,6 @@
 	return c
 }
 
-func (c *Core) reshape(shape Shape) {
-	if shape.Age <= 0 {
-		shape.Age = DefaultAge
-	}
-	if shape.Waiting <= 0 {
-		shape.Waiting = DefaultWaiting
-	}
-	if shape.Overrun <= 1 {
-		shape.Overrun = DefaultOverrun
-	}
-	if shape.Tell <= 0 {
-		shape.Tell = DefaultTell
-	}
-	c.shape, c.plans, c.children = shape, nil, nil
-	c.plan(shape.Teams, "", -1)
-	named := false
-	for _, p := range c.plans {
-		named = named || p.leaf && p.Name == shape.Default
-	}
-	if !named { // whoever belongs to no team
-		c.plan([]Team{{Name: "others", Weight: 1}}, "", -1)
-	}
-	c.who = newWho(&c.shape, c.plans)
-	if c.lanes == nil {
-		c.lanes = make([]lane, len(shape.Lanes))
-		c.pairs = make([][2]float64, len(shape.Lanes)*len(shape.Lanes))
-	}
-	for i, l := range shape.Lanes {
-		c.lanes[i].Lane = l
-	}
-	c.root.heaps[within], c.root.heaps[beyond] = make([]heap, len(c.lanes)), make([]heap, len(c.lanes))
-	c.root.ready = make([]int, len(c.lanes))
-	c.root.backlog = make([]float64, len(c.lanes))
-	c.root.clocks = make([]clock, len(c.lanes)+1)
-}
-
-func (c *Core) plan(l []Team, path string, parent int) {
-	for _, t := range l {
-		at := len(c.plans)
-		c.plans = append(c.plans, plan{Team: t, path: path + t.Name, parent: parent, leaf: len(t.Teams) == 0})
-		c.children = append(c.children, nil)
-		if parent >= 0 {
-			c.children[parent] = append(c.children[parent], at)
-		}
-		c.plan(t.Teams, path+t.Name+"/", at)
-	}
-}
-
 // Whose is the team's number by what a call names, where its address may name a
 // team, or by its address.
 func (c *Core) Whose(from netip.Addr, named []byte) int { return c.who.Whose(from, named) }
@@ -402,39 +232,6 @@
 	return (m.value*m.count + all*trust) / (m.count + trust)
 }
 
-// append puts a query at the lane's end, by age: a repeat stands further ahead.
-func (l *lane) append(w *Waiter) {
-	at := l.newest
-	for at != nil && at.Arrived > w.Arrived {
-		at = at.older
-	}
-	w.older = at
-	if at != nil {
-		w.newer, at.newer = at.newer, w
-	} else {
-		w.newer, l.oldest = l.oldest, w
-	}
-	if w.newer != nil {
-		w.newer.older = w
-	} else {
-		l.newest = w
-	}
-}
-
-func (l *lane) remove(w *Waiter) {
-	if w.older != nil {
-		w.older.newer = w.newer
-	} else {
-		l.oldest = w.newer
-	}
-	if w.newer != nil {
-		w.newer.older = w.older
-	} else {
-		l.newest = w.older
-	}
-	w.older, w.newer = nil, nil
-}
-
 // join puts a query at the end of a line: no age and no weight passes there.
 func (c *Core) join(w *Waiter, kind int, id int64) {
 	at := lineID{kind, id}
@@ -492,13 +289,6 @@
 	}
 }
 
-// mayGo: its key's turn is its own. Who stands behind another of its chain may
-// have a turn: the other goes on it.
-func (w *Waiter) mayGo() bool {
-	x := w.links[0].line
-	return x == nil || x.first == w
-}
-
 // offer puts a query into its team's list, in the order of age.
 func (c *Core) offer(w *Waiter) {
 	n := w.leaf
@@ -518,10 +308,6 @@
 	}
 }
 
-func older(a, b *Waiter) bool {
-	return a.Arrived < b.Arrived || a.Arrived == b.Arrived && a.seq < b.seq
-}
-
 func (c *Core) withdraw(w *Waiter) {
 	if !w.inLeaf {
 		return
@@ -531,176 +317,6 @@
 	c.less(w.leaf, w.Lane)
 }
 
-// Next is the query that goes next in a lane, nil if none waits that may. The
-// decisions must be ready for one more: it is theirs from here on.
-//
-// Where the one whose turn it is stands behind another of its chain, that one goes
-// on its turn: it has to go first, and its own team's turn may be far.
-func (c *Core) Next(now time.Duration, i int) *Waiter {
-	c.at(now)
-	l := &c.lanes[i]
-	if l.waiting == 0 || l.handed >= handedMost {
-		return nil
-	}
-	for {
-		w := l.oldest
-		if c.now-w.Arrived < c.shape.Age || !w.inLeaf {
-			if w = c.turn(i); w == nil || c.makesWay(w) {
-				return nil
-			}
-		}
-		b := w.behind()
-		switch {
-		case b == nil:
-			c.release(w, l)
-			return w
-		case b.inLeaf && b.Lane == i:
-			c.release(b, l)
-			return b
-		}
-		c.withdraw(w) // until the one before it may go, or is gone
-		w.parked = true
-		w.links[1].line.parked++
-	}
-}
-
-// behind is the one of its chain that has to go before it, nil if none has.
-func (w *Waiter) behind() *Waiter {
-	if x := w.links[1].line; x != nil && x.first != w {
-		return x.first
-	}
-	return nil
-}
-
-// unpark offers those again that stood behind a line's first.
-func (c *Core) unpark(x *line) {
-	for w := x.first; w != nil && x.parked > 0; w = w.links[1].next {
-		if w.parked {
-			w.parked = false
-			x.parked--
-			c.offer(w)
-		}
-	}
-}
-
-// turn walks down to the team whose turn it is: of those within their budgets,
-// if any of them has a query that may go, the one with the least tag.
-func (c *Core) turn(i int) *Waiter {
-	n := c.root
-	for n.lists == nil {
-		h := n.heaps[within][i]
-		if len(h) == 0 {
-			h = n.heaps[beyond][i]
-		}
-		if len(h) == 0 {
-			return nil
-		}
-		n = h[0]
-	}
-	return n.lists[i].first
-}
-
-// makesWay: there is room for it in its lane, but it would be taken from others'
-// queries that find none in theirs. The engines are full then, and a team that is
-// ahead of its share, or beyond its budget, leaves the next of it to them.
-func (c *Core) makesWay(w *Waiter) bool {
-	if !c.contended(w.Lane) {
-		return false
-	}
-	return w.leaf.lead(len(c.lanes)) > c.lead(w.leaf)
-}
-
-// contended: a query waits in another lane because engines have no room for it.
-func (c *Core) contended(but int) bool {
-	for i := range c.lanes {
-		if l := &c.lanes[i]; i != but && l.full && l.waiting > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// lead is how far a team may be ahead of its share before it makes way: for a
-// query of its usual work at the least, or it could never have one.
-func (c *Core) lead(n *node) float64 {
-	return max(leadMost*n.share()*c.capacity(), 1e-3)
-}
-
-// leadMost is in seconds of a team's share of the engines.
-const leadMost = 3.0
-
-func (c *Core) release(w *Waiter, l *lane) {
-	c.unqueue(w, l)
-	w.state = passed
-	c.went(w.Lane, w.est)
-	if l.Chained {
-		c.linked(w, l)
-	}
-	if l.busy {
-		c.level.add(c.remains(), 100)
-	}
-	c.inFlight += w.est
-	c.threads += l.Threads
-	w.remains, w.served = w.est, c.service
-	w.charged = max(0, w.est-w.credit)
-	c.charge(w.leaf, w.Lane, w.charged)
-	l.handed++
-	l.passed += w.est
-	c.running.insert(w, c.running.last)
-}
-
-// unqueue takes a query out of all that it waits in.
-func (c *Core) unqueue(w *Waiter, l *lane) {
-	c.withdraw(w)
-	l.remove(w)
-	c.part(w, 1) // the decisions keep a chain's order from here on; a key's turn comes with its end
-	l.waiting--
-	c.waiting--
-	w.leaf.waiting--
-	w.leaf.gone[w.Lane] += w.est
-	for x := w.leaf; x.parent != nil; x = x.parent {
-		x.queued--
-		if x.backlog[w.Lane] -= w.est; x.lists != nil && x.waiting == 0 {
-			x.backlog[w.Lane] = 0 // sums of what came and went don't quite meet
-		}
-	}
-	if c.root.backlog[w.Lane] -= w.est; l.waiting == 0 {
-		c.root.backlog[w.Lane] = 0
-	}
-}
-
-// handedMost bounds those that the decisions hold for other reasons than room:
-// locked tables, chains.
-const handedMost = 256
-
-func (l *lane) unpass(w *Waiter) {
-	if l.handed--; l.handed == 0 {
-		l.passed = 0
-	} else {
-		l.passed -= w.est
-	}
-}
-
-// Full tells whether the decisions would take no more of a lane.
-func (c *Core) Full(now time.Duration, i int, full bool) {
-	c.at(now)
-	l := &c.lanes[i]
-	// one goes whenever there is room for it: the lane is at its capacity until
-	// there is room and nobody left for it
-	if l.busy = full || l.busy && l.waiting > 0; l.busy == l.wasBusy {
-		l.full = full
-		return
-	}
-	l.full, l.wasBusy = full, l.busy
-	busy := 0
-	for k := range c.lanes {
-		if c.lanes[k].busy {
-			busy++
-		}
-	}
-	c.done.full(c.now, busy > 0)
-}
-
 // Started tells that the first submission of a query went out.
 func (c *Core) Started(now time.Duration, w *Waiter) {
 	c.at(now)
@@ -870,9 +486,6 @@
 	c.again.drop(c.now)
 }
 
-// worth is what a query of the lane is worth for its work.
-func (l *lane) worth() float64 { return l.Value / l.cost.or(max(1e-4, l.Usual.Seconds())) }
-
 // raiseAfter is how long nobody has waited when what makes way is raised again:
 // where engines are nearly full somebody waits every other moment.
 const raiseAfter = 2 * time.Second
@@ -891,107 +504,6 @@
 	return false
 }
 
-// Lowered reports whether the priority of a query is to be the least for now.
-func (w *Waiter) Lowered() bool { return w.lowered }
-
-// Waits reports whether a query was taken in and not handed on yet.
-func (w *Waiter) Waits() bool { return w.state == waits }
-
-// Reload follows another shape with the same lanes. What waits or runs goes on
-// with its age, in its team if that is still there and else as the default team's;
-// teams keep what they were charged and their budgets' state.
-func (c *Core) Reload(now time.Duration, shape Shape) {
-	c.at(now)
-	var all []*Waiter
-	for i := range c.lanes {
-		for w := c.lanes[i].oldest; w != nil; w = w.newer {
-			all = append(all, w)
-		}
-	}
-	queued := len(all)
-	for w := c.running.first; w != nil; w = w.next {
-		all = append(all, w)
-	}
-	type kept struct {
-		lead     []float64
-		tokens   float64
-		tokensAt time.Duration
-		counts   Counts
-		cost     []mean
-		rate     []rate
-	}
-	had := map[string]kept{}
-	names := make([]string, len(c.plans))
-	for i := range c.plans {
-		p := &c.plans[i]
-		names[i] = p.Name
-		if n := p.at; n != nil {
-			lead := make([]float64, len(n.tags))
-			for k := range lead {
-				lead[k] = n.tags[k] - n.parent.mean(k)
-			}
-			had[p.path] = kept{lead, n.tokens, n.tokensAt, n.counts, n.cost, n.rate}
-		}
-	}
-	for len(c.debtors) > 0 {
-		c.payAll(time.Hour)
-	}
-	c.idleFirst, c.idleLast, c.refills, c.nodes = nil, nil, nil, 0
-	c.root = &node{weight: 1}
-	c.reshape(shape)
-	for i := range c.lanes {
-		c.lanes[i].teams, c.lanes[i].profile = 0, profile{}
-	}
-	for i := range c.plans {
-		p := &c.plans[i]
-		was, ok := had[p.path]
-		if !ok {
-			continue
-		}
-		n := c.node(i)
-		n.tags, n.counts, n.tokensAt = was.lead, was.counts, was.tokensAt
-		if n.budget > 0 {
-			n.tokens = min(n.burst, was.tokens)
-		}
-		if p.leaf && was.cost != nil {
-			n.cost, n.rate = was.cost, was.rate
-		}
-	}
-	var offered []*Waiter
-	for i, w := range all {
-		team, ok := c.who.names[names[w.Team]]
-		if !ok {
-			team = c.who.usual
-		}
-		w.Team, w.leaf = team, c.node(team)
-		n := w.leaf
-		c.occupy(n)
-		if i >= queued {
-			continue
-		}
-		n.waiting++
-		w.ahead = n.backlog[w.Lane]
-		c.queue(w)
-		if w.inLeaf {
-			offered = append(offered, w)
-		}
-		w.prev, w.next, w.inLeaf = nil, nil, false
-	}
-	// only now: one that is offered may bring back those parked behind it, which must
-	// be in their new teams by then
-	for _, w := range offered {
-		if !w.inLeaf {
-			c.offer(w)
-		}
-	}
-	for i := range c.plans { // a budget used up before is so still
-		if n := c.plans[i].at; n != nil && n.budget > 0 {
-			c.refill(n)
-			c.judge(n)
-		}
-	}
-}
-
 // Teams hands over each team's counts, in the order set up.
 func (c *Core) Teams(each func(path string, waiting int, n Counts)) {
 	for i := range c.plans {
