--- a/internal/lab/spool.go
+++ b/internal/lab/spool.go
@@ -7,17 +7,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"railrelay.dev/railrelay/internal/standin/caller"
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/world"
@@ -35,137 +31,6 @@
 	return text
 }
 
-// patience is what clients wait for an answer.
-const patience = 12 * time.Second
-
-// reader is a client's connection that takes one answer at a time.
-type reader struct {
-	net.Conn
-	in   []byte
-	msg  uint32
-	pace int // bytes a second, 0: as fast as they come
-}
-
-func dial(address string, pace int) (*reader, error) {
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if pace > 0 {
-		c.(*net.TCPConn).SetReadBuffer(4096)
-	}
-	return &reader{Conn: c, pace: pace}, nil
-}
-
-func (r *reader) answer(ctx context.Context) (caller.Answer, error) {
-	p := make([]byte, 64<<10)
-	if r.pace > 0 {
-		p = p[:r.pace/4]
-	}
-	for {
-		if a, n, err := caller.Read(r.in); err != nil || n > 0 {
-			r.in = slices.Clone(r.in[n:])
-			return a, err
-		}
-		if r.pace > 0 {
-			select {
-			case <-ctx.Done():
-				return caller.Answer{}, ctx.Err()
-			case <-time.After(time.Second / 4):
-			}
-		}
-		n, err := r.Read(p)
-		if r.in = append(r.in, p[:n]...); err != nil {
-			return caller.Answer{}, err
-		}
-	}
-}
-
-// ask asks for a result of so many rows, by pages or whole.
-func (r *reader) ask(id string, rows int, paged bool, patience time.Duration) error {
-	r.msg++
-	fields := []string{"trace", id, "patience", strconv.FormatInt(patience.Milliseconds(), 10)}
-	if paged {
-		fields = append(fields, "pages", "1")
-	}
-	_, err := r.Write(caller.Call(nil, r.msg, "report", engine.Statement(engine.Work{Threads: 1, CPU: 2 * time.Millisecond, MemoryMB: 10, Rows: rows}), fields...))
-	return err
-}
-
-func (r *reader) page(ctx context.Context, token string, page int) (caller.Answer, error) {
-	r.msg++
-	if _, err := r.Write(caller.Page(nil, r.msg, token, strconv.Itoa(page))); err != nil {
-		return caller.Answer{}, err
-	}
-	return r.answer(ctx)
-}
-
-// promised is a result that a client was told it has.
-type promised struct {
-	id    string
-	rows  int
-	first []byte
-	about map[string]string
-}
-
-// whole reads a promised result's other pages and compares all with what engines make.
-func (p *promised) whole(ctx context.Context, r *reader) (lost, corrupt bool) {
-	n, _ := strconv.Atoi(p.about["pages"])
-	got := slices.Clone(p.first)
-	for i := 1; i < n; i++ {
-		a, err := r.page(ctx, p.about["token"], i)
-		if err != nil || a.Kind != caller.Finished {
-			return true, false
-		}
-		got = append(got, a.Rows...)
-	}
-	return false, !bytes.Equal(got, world.Rows(&world.Asked{ID: p.id, Work: engine.Work{Rows: p.rows}}))
-}
-
-// rid keeps when engines had done a query and when they were rid of it.
-type rid struct {
-	mu       sync.Mutex
-	done     map[string]time.Time
-	released map[string]time.Time
-}
-
-func (x *rid) hear(_ int, s *engine.Server) {
-	s.Model.Ended = func(id string, how engine.Outcome, _ time.Duration) {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		if how == engine.Good {
-			x.done[id] = time.Now()
-		}
-	}
-	s.Released = func(id string, _ time.Duration) {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		if _, again := x.released[id]; !again {
-			x.released[id] = time.Now()
-		}
-	}
-}
-
-// p99 is how long engines kept what they had done; what they were not told to forget
-// they keep until they forget it by themselves.
-func (x *rid) p99(forgets time.Duration) float64 {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var l []time.Duration
-	for id, at := range x.done {
-		if r, ok := x.released[id]; ok {
-			l = append(l, r.Sub(at))
-		} else {
-			l = append(l, forgets)
-		}
-	}
-	if len(l) == 0 {
-		return 0
-	}
-	slices.Sort(l)
-	return l[len(l)*99/100].Seconds()
-}
-
 // resident is a program's memory in MB.
 func resident(pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -519,90 +384,3 @@
 	}
 	return nil
 }
-
-// Large draws so many results, each of so many MB, through a program of 64 MB, one
-// after another, and reads each to its end; all are kept. It takes long and much disk.
-func Large(ctx context.Context, out io.Writer, program string, results, size int) error {
-	const wide = 4000
-	rows := size << 20 / (wide + 28)
-	f := trialEngine()
-	f.PageBytes, f.Wide = 48_000, wide
-	t := &Trial{Program: program, Engines: 1, Seed: 1, Log: os.Stderr}
-	s, err := newStage(ctx, program, 1, f, t.Log, func(int, *engine.Server) {})
-	if err != nil {
-		return err
-	}
-	defer s.close()
-	text := strings.Replace(spoolSetup(t, s, filepath.Join(s.dir, "spool")), "disk_mb: 2048", fmt.Sprintf("disk_mb: %d, result_mb: %d, idle: 2h", size*(results+2)*5/4, 2*size), 1)
-	if err := s.begin(text); err != nil {
-		return err
-	}
-	most := 0.0
-	done := make(chan struct{})
-	var sampled sync.WaitGroup
-	sampled.Add(1)
-	pid := s.running.Process.Pid
-	go func() {
-		defer sampled.Done()
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(50 * time.Millisecond):
-				most = max(most, resident(pid))
-			}
-		}
-	}()
-	finish := sync.OnceFunc(func() {
-		close(done)
-		sampled.Wait()
-	})
-	defer finish()
-	spooled := int64(0)
-	var drawn, read time.Duration
-	for n := range results {
-		r, err := dial(s.address, 0)
-		if err != nil {
-			return err
-		}
-		defer r.Close()
-		id := fmt.Sprintf("%016x", 0xc0000+n)
-		begin := time.Now()
-		if err := r.ask(id, rows, true, 30*time.Second); err != nil {
-			return err
-		}
-		a, err := r.answer(ctx)
-		if err != nil || a.Kind != caller.Finished {
-			return fmt.Errorf("result %d: error %v, answer of kind %d %s", n, err, a.Kind, a.Why)
-		}
-		drawn += time.Since(begin)
-		want, got := xxhash.New(), xxhash.New()
-		for i := range rows {
-			want.WriteString(engine.WideRow(id, i, wide))
-		}
-		pages, _ := strconv.Atoi(a.About["pages"])
-		size := int64(len(a.Rows))
-		got.Write(a.Rows)
-		begin = time.Now()
-		for i := 1; i < pages; i++ {
-			b, err := r.page(ctx, a.About["token"], i)
-			if err != nil || b.Kind != caller.Finished {
-				return fmt.Errorf("result %d, page %d of %d: %v, %s", n, i, pages, err, b.Why)
-			}
-			got.Write(b.Rows)
-			size += int64(len(b.Rows))
-			if i%30 == 0 { // as one address may
-				time.Sleep(2 * time.Millisecond)
-			}
-		}
-		read += time.Since(begin)
-		spooled += size
-		if got.Sum64() != want.Sum64() {
-			return fmt.Errorf("result %d of %d bytes is not what its engine made", n, size)
-		}
-	}
-	finish()
-	mb := float64(spooled) / (1 << 20)
-	fmt.Fprintf(out, "measured results=%d spooled_mb=%.0f draw_mb_s=%.0f read_mb_s=%.0f rss_mb=%.1f\n", results, mb, mb/drawn.Seconds(), mb/read.Seconds(), most)
-	return s.end()
-}
