--- a/internal/fleet/peers/mac.go
+++ b/internal/fleet/peers/mac.go
@@ -1,7 +1,13 @@
-//go:build !planted_mac
-
 package peers
 
-// checkMAC: the keyed MAC is looked at. The build tag planted_mac leaves that out, to
-// show that the tests find it.
-const checkMAC = true
+import "crypto/hmac"
+
+// check reports whether sum is the MAC of body for this purpose by any of the keys. It
+// compares in constant time, and with all keys whichever fits.
+func (k Keys) check(what string, body, sum []byte) bool {
+	ok := false
+	for _, key := range k {
+		ok = hmac.Equal(mac(key, what, body), sum) || ok
+	}
+	return ok
+}
