A relay that answers by itself is a planted fault; emergencies outlast a leader without rules

Cause: the relays' promise needs a test that finds its breach; and a control process that leads without knowing the controllers' own placement rules ended emergencies under way with no purge behind them (outlived, node/lead.go).

--- a/cmd/railrelay-fleet/control_test.go
+++ b/cmd/railrelay-fleet/control_test.go
@@ -245,14 +245,14 @@
 		t.Fatal(err)
 	}
 	before := checkControl(own, "first", []byte("placement: [{name: a, team: x, engines: [linz]}]"), edge.Have{})
-	if before.Why != "" || len(before.Scopes) != 1 || before.Scopes[0].Team != "x" {
+	if before.Why != "" || before.RulesUnknown || len(before.Scopes) != 1 || before.Scopes[0].Team != "x" {
 		t.Fatalf("%+v", before)
 	}
 	unstated := []byte("groups: [{name: lookup, target: 2s}]")
 	if c := checkControl(own, "second", unstated, edge.Have{Policy: before.Policy}); !strings.Contains(c.Why, "placement: is missing") || !strings.Contains(c.Why, "apply it again") {
 		t.Errorf("%+v", c)
 	}
-	if c := checkControl(own, "in force 3", unstated, edge.Have{Policy: before.Policy, Decided: true}); c.Why != "" || c.Policy == nil {
+	if c := checkControl(own, "in force 3", unstated, edge.Have{Policy: before.Policy, Decided: true}); c.Why != "" || c.Policy == nil || !c.RulesUnknown {
 		t.Errorf("%+v", c)
 	}
 	if c := checkControl(own, "third", []byte("placement: 3"), edge.Have{Decided: true}); c.Why == "" {
--- a/cmd/railrelay-fleet/join.go
+++ b/cmd/railrelay-fleet/join.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return refused(err)
 	}
-	c := edge.Checked{Policy: policy, Watched: policy.Watched, Voters: policy.Voters}
+	c := edge.Checked{Policy: policy, Watched: policy.Watched, Voters: policy.Voters, RulesUnknown: !policy.Known}
 	if have.Decided { // what it purges was worked out before it was decided
 		return c
 	}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -82,8 +82,11 @@
 	Why     string // it can't be taken here
 	Policy  any
 	Watched []fleet.Watched
-	Scopes  []fleet.Scope
-	Voters  []string
+	// RulesUnknown: it leaves the placement rules to the controllers' own set-ups, which
+	// this process doesn't know.
+	RulesUnknown bool
+	Scopes       []fleet.Scope
+	Voters       []string
 }
 
 // Edge is one controller's part in the fleet, running.
@@ -205,7 +208,8 @@
 			select {
 			case f := <-e.checks:
 				c := e.check(f.change, f.text, f.have)
-				ev := node.Event{Kind: node.Checked, Change: f.change, Why: c.Why, Policy: c.Policy, Watched: c.Watched, Scopes: c.Scopes, Voters: c.Voters}
+				ev := node.Event{Kind: node.Checked, Change: f.change, Why: c.Why, Policy: c.Policy, Watched: c.Watched, Scopes: c.Scopes, Voters: c.Voters,
+					RulesUnknown: c.RulesUnknown}
 				select {
 				case e.checked <- ev:
 				case <-ctx.Done():
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -55,11 +55,14 @@
 	Why     string
 	Policy  any
 	Watched []fleet.Watched
-	Scopes  []fleet.Scope // Checked: what of it is outside now that was inside by the policy before
-	Voters  []string      // Checked: who votes by this policy, as name=address; none: as before
-	Report  fleet.Report
-	Ask     *fleet.Ask
-	Handle  uint64
+	// RulesUnknown: Checked; the rules in force by this policy are those of controllers'
+	// own set-ups, and this process doesn't know them.
+	RulesUnknown bool
+	Scopes       []fleet.Scope // Checked: what of it is outside now that was inside by the policy before
+	Voters       []string      // Checked: who votes by this policy, as name=address; none: as before
+	Report       fleet.Report
+	Ask          *fleet.Ask
+	Handle       uint64
 }
 
 // EffectKind is what an Effect asks for.
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -428,9 +428,11 @@
 }
 
 // outlived ends emergencies whose rule is in force no more: nobody watches for their end,
-// and a rule of that name to come would begin with its boundary open.
+// and a rule of that name to come would begin with its boundary open. A control process
+// that doesn't know the controllers' own rules can't tell, and leaves that to a leader
+// that does.
 func (c *Core) outlived() {
-	if c.open != c.state.Version {
+	if c.open != c.state.Version || c.rulesUnknown() {
 		return
 	}
 	watched := c.watched()
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -57,6 +57,8 @@
 	sum     uint64
 	policy  any
 	watched []fleet.Watched
+	// rulesUnknown: there may be rules that watched doesn't name
+	rulesUnknown bool
 }
 
 // checking is a policy that the set-up is asked about.
@@ -264,6 +266,12 @@
 	return nil
 }
 
+// rulesUnknown: rules may be in force that this process doesn't know.
+func (c *Core) rulesUnknown() bool {
+	have := c.policies[c.state.Version]
+	return have != nil && have.rulesUnknown
+}
+
 // check has a policy held against this controller's own set-up.
 func (c *Core) check(change string, version uint64, text []byte) {
 	c.checks[change] = &checking{version: version, sum: xxhash.Sum64(text)}
@@ -278,7 +286,7 @@
 	k.done, k.why, k.scopes, k.voters = true, ev.Why, ev.Scopes, ev.Voters
 	c.news, c.stirred = true, true
 	if ev.Why == "" {
-		c.policies[k.version] = &taken{k.sum, ev.Policy, ev.Watched}
+		c.policies[k.version] = &taken{sum: k.sum, policy: ev.Policy, watched: ev.Watched, rulesUnknown: ev.RulesUnknown}
 	} else if strings.HasPrefix(ev.Change, "in force ") {
 		c.wrong(&fleet.UnfitError{Version: k.version, Why: ev.Why})
 	}
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -57,17 +57,18 @@
 
 type actor struct {
 	*stage
-	name   string
-	begin  Begin
-	core   *Core
-	run    int // which start of it, 0: it is down
-	starts int
-	disk   agree.Kept
-	wake   time.Duration
-	word   fleet.Word
-	orders []fleet.Order
-	checks []string // asked for, and done
-	idle   string   // a change that it never comes to check
+	name         string
+	begin        Begin
+	core         *Core
+	run          int // which start of it, 0: it is down
+	starts       int
+	disk         agree.Kept
+	wake         time.Duration
+	word         fleet.Word
+	orders       []fleet.Order
+	checks       []string // asked for, and done
+	idle         string   // a change that it never comes to check
+	rulesUnknown bool     // of the controllers' own set-ups: it is a control process
 	// outside is how much it tells to run outside as it opens.
 	outside int
 }
@@ -158,7 +159,7 @@
 				if string(e.Text) == "bad for "+a.name {
 					why = "no such group"
 				}
-				ev := Event{Kind: Checked, Change: e.Change, Why: why, Policy: string(e.Text)}
+				ev := Event{Kind: Checked, Change: e.Change, Why: why, Policy: string(e.Text), RulesUnknown: a.rulesUnknown}
 				if voters, ok := strings.CutPrefix(string(e.Text), "voters "); ok {
 					ev.Voters = strings.Fields(voters)
 				}
@@ -655,3 +656,23 @@
 	s.until(5*time.Second, "it is on", func() bool { return len(l.core.state.Emergencies) > 0 })
 	s.until(5*time.Second, "it is over", func() bool { return len(l.core.state.Emergencies) == 0 })
 }
+
+// A leader that doesn't know the rules of the controllers' set-ups ends no emergency by them.
+func TestAnEmergencyByRulesThatTheLeaderDoesntKnowGoesOn(t *testing.T) {
+	s := newStage(t, 15, 3, 0, 500*time.Millisecond)
+	for _, name := range s.names { // started anew with it
+		s.all[name].rulesUnknown = true
+		s.all[name].start()
+	}
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	l := s.leader()
+	l.core.out = nil
+	l.core.propose(&fleet.Entry{Kind: fleet.Emergency, Name: "r"})
+	l.perform(l.core.out)
+	s.until(5*time.Second, "it is on", func() bool { return len(l.core.state.Emergencies) > 0 })
+	for end := s.now + 3*time.Second; s.now < end; s.next() {
+		if len(l.core.state.Emergencies) == 0 {
+			t.Fatal("it is over")
+		}
+	}
+}
--- a/internal/fleet/node/relay.go
+++ b/internal/fleet/node/relay.go
@@ -31,16 +31,6 @@
 	}
 }
 
-// gatherFrom takes the renewal of a controller that asks through this relay.
-func (c *Core) gatherFrom(name, disk string, r *Renew) {
-	from := c.gatherer.renewed(c.now, name, disk, r)
-	if from == nil {
-		return
-	}
-	from.follower.told(r, c.now, c.every())
-	c.behind = c.behind || from.next <= c.state.Index
-}
-
 // silentAfter is how long a controller may not ask before it is covered no more.
 func (c *Core) silentAfter() time.Duration { return 2 * c.every() }
 
--- a/internal/lab/planted.go
+++ b/internal/lab/planted.go
@@ -37,6 +37,7 @@
 	{"draw", "drawn answer kept over a purge", "internal/answers", "./internal/answers", "^TestDrawnOverAPurge$", "what was drawn before a purge is served after it"},
 	{"copy", "a copy past the boundary", "decide", "./decide", "^TestNoEngineOutsideGetsABoundQuery$", "and it may be at ["},
 	{"follow", "followed binding not recorded first", "internal/relay", "./internal/relay", "^TestALoadIsSentOnceWhatItBindsIsRecorded$", "sent before the record has it"},
+	{"relay", "a relay that answers a renewal by itself", "internal/fleet/node", "./internal/lab", "^TestBriefSchedulesWithRelays$", "mixed:"},
 	{"mac", "MAC not checked", "internal/fleet/peers", "./internal/fleet/peers", "^(TestAStrangersAskIsRefused|TestAMACIsForItsPurposeAndItsBytes)$", "a wrong MAC was accepted"},
 }
 
--- a/internal/lab/schedules_test.go
+++ b/internal/lab/schedules_test.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// The same with relays.
+func TestBriefSchedulesWithRelays(t *testing.T) {
+	l := &Plan{}
+	l.Random(2900, 16, 8, 3, 5*time.Second, 3)
+	for i := range l.Schedules {
+		l.Schedules[i].Relays = 2
+	}
+	p := l.Play(3, time.Time{})
+	if sound(t, p); p.Changes < 10 || p.Purges < 10 {
+		t.Fatal("too little arose")
+	}
+}
+
 // Followers that were away for changes and start while they are cut off decide nothing
 // by what they knew.
 func TestStartedCutOff(t *testing.T) {
