Hollow controllers: the real core, edge and wire, hundreds in one process

Change: internal/standin/hollow runs controllers with a record in memory and the idle reducer, behind links that take their time; a process of them is driven by JSON lines. An Edge may be opened with another store, listener and dialer, and without operators. The wire counts the bytes of its connections beside those of frames. Measured: the unit tests of hollow, edge and peers pass.

--- a/internal/fleet/edge/open.go
+++ b/internal/fleet/edge/open.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
 	"railrelay.dev/railrelay/internal/fleet/disk"
 	"railrelay.dev/railrelay/internal/fleet/node"
 	"railrelay.dev/railrelay/internal/fleet/peers"
@@ -22,12 +23,27 @@
 	Begin     node.Begin // without Self.Disk, Seed, Boot and Kept, which are drawn and read here
 	Fleet     string
 	Listen    string // where peers come in
-	Control   string // where operators come in
+	Control   string // where operators come in; "": they don't
 	Directory string
 	Keys      string    // the key file
 	Started   time.Time // what all spans count from: the reducer's own
 	Check     func(change string, text []byte, have Have) Checked
 	Log       zerolog.Logger
+
+	// OpenStore opens what keeps the record in place of the disk at Directory; nil: that disk.
+	OpenStore func() (Store, disk.Found, error)
+	// Listener is where peers come in, in place of Listen, which is not used then; nil: none.
+	// It is closed with the edge, and where Open fails.
+	Listener net.Listener
+	// Dial connects to peers in place of the network's own; nil: that.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Store keeps a controller's part of the record. Write returns once it is synced; after
+// an error nothing more is written.
+type Store interface {
+	Write(agree.Kept) error
+	Close() error
 }
 
 // ListenError is an address that can't be listened on.
@@ -52,6 +68,9 @@
 // held, or the listeners; nothing is left open then.
 func Open(o Options) (e *Edge, err error) {
 	var undo []func() error
+	if o.Listener != nil {
+		undo = append(undo, o.Listener.Close)
+	}
 	defer func() {
 		if err != nil {
 			for _, do := range undo {
@@ -63,14 +82,15 @@
 	if err != nil {
 		return nil, err
 	}
-	store, found, err := disk.Open(o.Directory, func() string { return fmt.Sprintf("%016x", draw()) })
+	open := o.OpenStore
+	if open == nil {
+		open = o.openDisk
+	}
+	store, found, err := open()
 	if err != nil {
 		return nil, err
 	}
 	undo = append(undo, store.Close)
-	if err := store.Claim(o.Begin.Self.Name); err != nil {
-		return nil, err
-	}
 	listen := func(what, address string) (net.Listener, error) {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -79,13 +99,17 @@
 		undo = append(undo, l.Close)
 		return l, nil
 	}
-	inward, err := listen("peers", o.Listen)
-	if err != nil {
-		return nil, err
+	inward := o.Listener
+	if inward == nil {
+		if inward, err = listen("peers", o.Listen); err != nil {
+			return nil, err
+		}
 	}
-	desk, err := listen("operators", o.Control)
-	if err != nil {
-		return nil, err
+	var operators net.Listener
+	if o.Control != "" {
+		if operators, err = listen("operators", o.Control); err != nil {
+			return nil, err
+		}
 	}
 	b := o.Begin
 	b.Self.Disk, b.Seed, b.Boot, b.Kept = found.Disk, draw(), draw(), found.Kept
@@ -103,27 +127,60 @@
 		local = at.IP
 	}
 	w, err := peers.Open(peers.Options{Local: local, Fleet: o.Fleet, Self: b.Self.Name, Boot: b.Boot, Keys: keys, Listener: inward, Got: e.got,
-		OnRefused: refused, Seed: draw()})
+		OnRefused: refused, Seed: draw(), Dial: o.Dial})
 	if err != nil {
 		return nil, err
 	}
 	undo = append(undo, w.Close)
-	d, err := peers.Control(desk, keys, func(ctx context.Context, a *fleet.Ask) (*fleet.Reply, error) { return e.Ask(ctx, a), nil }, refused)
-	if err != nil {
-		return nil, err
+	closeAll, setKeys := []func() error{w.Close, store.Close}, []func(peers.Keys) error{w.SetKeys}
+	line := o.Log.Info().Str("peers", inward.Addr().String()).Str("disk", b.Self.Disk)
+	if operators != nil {
+		d, err := peers.Control(operators, keys, func(ctx context.Context, a *fleet.Ask) (*fleet.Reply, error) { return e.Ask(ctx, a), nil }, refused)
+		if err != nil {
+			return nil, err
+		}
+		closeAll, setKeys = append([]func() error{d.Close}, closeAll...), append(setKeys, d.SetKeys)
+		line = line.Str("operators", operators.Addr().String())
 	}
-	e.wire, e.close = w, func() error { return errors.Join(d.Close(), w.Close(), store.Close()) }
+	e.wire, e.close = w, func() error { return eachOf(closeAll) }
 	e.keys = func() error {
 		keys, err := peers.ReadKeys(o.Keys)
 		if err != nil {
 			return err
 		}
-		return errors.Join(w.SetKeys(keys), d.SetKeys(keys))
+		for _, set := range setKeys {
+			err = errors.Join(err, set(keys))
+		}
+		return err
 	}
-	o.Log.Info().Str("peers", inward.Addr().String()).Str("operators", desk.Addr().String()).Str("disk", b.Self.Disk).Msg("fleet: listening")
+	line.Msg("fleet: listening")
 	return e, nil
 }
 
+// openDisk opens the disk at Directory and claims it for this controller's name.
+func (o *Options) openDisk() (Store, disk.Found, error) {
+	store, found, err := disk.Open(o.Directory, func() string { return fmt.Sprintf("%016x", draw()) })
+	if err != nil {
+		return nil, disk.Found{}, err
+	}
+	if err := store.Claim(o.Begin.Self.Name); err != nil {
+		store.Close()
+		return nil, disk.Found{}, err
+	}
+	return store, found, nil
+}
+
+// eachOf does all, and joins their errors.
+func eachOf(list []func() error) (err error) {
+	for _, do := range list {
+		err = errors.Join(err, do())
+	}
+	return err
+}
+
+// Counts are what the peers' wire has counted since the start, by name.
+func (e *Edge) Counts() map[string]int { return e.wire.Counts() }
+
 // Again reads the key file anew.
 func (e *Edge) Again() error { return e.keys() }
 
--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -60,6 +60,8 @@
 	Seed    uint64        // for the back-off
 
 	Local net.IP // connections to peers come from this address; nil: as the system chooses
+	// Dial connects to peers in place of a net.Dialer, for links that a test shapes; nil: none does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Wire sends messages to peers and takes theirs. A message may be lost, doubled or
@@ -84,6 +86,7 @@
 	gate   *gate
 
 	tally
+	meter meter
 }
 
 // item is an encoded message that waits.
@@ -133,12 +136,20 @@
 	if o.Local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: o.Local}
 	}
+	dial := dialer.DialContext
+	if o.Dial != nil {
+		dial = o.Dial
+	}
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			defer context.AfterFunc(w.ctx, cancel)()
-			return dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return w.meter.conn(c), nil
 		},
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     o.Idle,
@@ -148,7 +159,7 @@
 	mux.HandleFunc("POST "+pathFleet, w.take)
 	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * o.Timeout, IdleTimeout: 2 * o.Idle,
 		MaxHeaderBytes: 8 << 10, ErrorLog: quiet, ConnState: follow(&w.conns)}
-	w.serving.Go(func() { w.server.Serve(o.Listener) })
+	w.serving.Go(func() { w.server.Serve(w.meter.listener(o.Listener)) })
 	return w, nil
 }
 
@@ -181,9 +192,14 @@
 
 // Counts are what was done since the start: messages sent (and answered), got, dropped
 // (a ring was full, or its peer away for too long), lost (sent, and no answer came),
-// bytes_out and bytes_in of frames, cut (frames that ended too early), failed (POSTs
-// without an answer), and refused_REASON.
-func (w *Wire) Counts() map[string]int { return w.tally.all() }
+// bytes_out and bytes_in of frames, conn_bytes_out and conn_bytes_in of connections with
+// all that HTTP adds, cut (frames that ended too early), failed (POSTs without an
+// answer), and refused_REASON.
+func (w *Wire) Counts() map[string]int {
+	counts := w.tally.all()
+	counts["conn_bytes_out"], counts["conn_bytes_in"] = int(w.meter.out.Load()), int(w.meter.in.Load())
+	return counts
+}
 
 // Send puts a message into the ring of a peer and returns at once. If the ring is full
 // its oldest message goes. The message must not be changed until Send returns; it is
--- /dev/null
+++ b/internal/standin/hollow/hollow_test.go
@@ -0,0 +1,225 @@
+package hollow
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+	"railrelay.dev/railrelay/internal/fleet/peers"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+// play is a process of hollow controllers inside the test.
+type play struct {
+	t        *testing.T
+	commands *json.Encoder
+	events   chan Event
+	keys     peers.Keys
+	control  string
+	serving  map[string]uint64 // by which version, as far as events were read
+}
+
+// begin starts five controllers, three of which vote; the first has an operators' listener.
+func begin(t *testing.T, block int) *play {
+	file := filepath.Join(t.TempDir(), "keys")
+	if err := os.WriteFile(file, []byte(strings.Repeat("5e", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	keys, err := peers.ReadKeys(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := Config{Fleet: "hollow", Keys: file, Lease: time.Second, Election: 200 * time.Millisecond, Heartbeat: 40 * time.Millisecond,
+		WriteDelay: time.Millisecond, Seed: 7, Places: map[string]Place{}, Links: Links{Zone: time.Millisecond, Regions: 5 * time.Millisecond, Jitter: 0.1}}
+	for i := range 5 {
+		host := fmt.Sprintf("127.78.%d.%d", block, i+1)
+		m := Member{Name: fmt.Sprint("h", i), Listen: freePort(t, host), Place: Place{Region: []string{"east", "west"}[i/3], Zone: fmt.Sprint("z", i%2)}}
+		if i == 0 {
+			m.Control = freePort(t, host)
+		}
+		config.Places[host] = m.Place
+		config.Controllers = append(config.Controllers, m)
+		if i < 3 {
+			config.Voters = append(config.Voters, Peer{m.Name, m.Listen})
+		}
+	}
+	in, commands := io.Pipe()
+	events, out := io.Pipe()
+	p := &play{t: t, commands: json.NewEncoder(commands), events: make(chan Event, 1000), keys: keys, control: config.Controllers[0].Control, serving: map[string]uint64{}}
+	done := make(chan error, 1)
+	go func() { done <- Run(t.Context(), in, out); out.Close() }()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for lines := bufio.NewScanner(events); lines.Scan(); {
+			var e Event
+			if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+				t.Error(err)
+			}
+			p.events <- e
+		}
+	}()
+	t.Cleanup(func() {
+		commands.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		<-read
+	})
+	if err := p.commands.Encode(config); err != nil {
+		t.Fatal(err)
+	}
+	p.do(Command{Do: Start})
+	p.until(func(Event) bool { return len(p.serving) == 5 })
+	return p
+}
+
+func freePort(t *testing.T, host string) string {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (p *play) do(c Command) {
+	p.t.Helper()
+	if err := p.commands.Encode(c); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// until reads events until one after which so is true.
+func (p *play) until(so func(Event) bool) Event {
+	p.t.Helper()
+	for wait := time.After(patience); ; {
+		select {
+		case e := <-p.events:
+			switch e.Kind {
+			case Serving:
+				p.serving[e.Name] = e.Version
+			case Ended:
+				delete(p.serving, e.Name)
+			case Failed:
+				p.t.Fatalf("%+v", e)
+			}
+			if so(e) {
+				return e
+			}
+		case <-wait:
+			p.t.Fatalf("it never came; serving are %v", p.serving)
+		}
+	}
+}
+
+// apply changes the policy and gives the version.
+func (p *play) apply(id string, base uint64) *fleet.Reply {
+	p.t.Helper()
+	ctx, stop := context.WithTimeout(p.t.Context(), patience)
+	defer stop()
+	r, err := peers.AskControl(ctx, p.control, p.keys, &fleet.Ask{Kind: "apply", ID: id, Base: base, Policy: []byte("# " + id), Wait: 15000})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return r
+}
+
+func (p *play) allBy(version uint64, names int) func(Event) bool {
+	return func(Event) bool {
+		n := 0
+		for _, v := range p.serving {
+			if v == version {
+				n++
+			}
+		}
+		return n == names
+	}
+}
+
+func TestAChangeIsInForceOnAll(t *testing.T) {
+	p := begin(t, 1)
+	if r := p.apply("first", 1); r.Word != "in force" || r.Version != 2 {
+		t.Fatalf("%+v", r)
+	}
+	e := p.until(p.allBy(2, 5))
+	if e.Policy != digest([]byte("# first")) {
+		t.Errorf("it serves by the policy %x", e.Policy)
+	}
+	p.do(Command{Do: Report, Round: 3, Names: []string{"h4"}})
+	e = p.until(func(e Event) bool { return e.Kind == Counted })
+	if c := e.Counts; e.Name != "h4" || e.Round != 3 || c.BytesOut < 500 || c.BytesIn < 500 || c.MessagesOut < 3 || c.MessagesIn < 3 {
+		t.Errorf("%+v %+v", e, c)
+	}
+}
+
+func TestAPausedControllerServesNoLongerThanItsLease(t *testing.T) {
+	p := begin(t, 2)
+	at := time.Now()
+	p.do(Command{Do: Pause, Names: []string{"h4"}})
+	e := p.until(func(e Event) bool { return e.Name == "h4" && e.Kind == Ended })
+	if over := time.Unix(0, e.At).Sub(at); e.Why != "lease" || over > 1100*time.Millisecond {
+		t.Errorf("it served for %v more: %+v", over, e)
+	}
+	if r := p.apply("without it", 1); r.Word != "in force" {
+		t.Fatalf("%+v", r)
+	}
+	p.do(Command{Do: Resume, Names: []string{"h4"}})
+	e = p.until(func(e Event) bool { return e.Name == "h4" && e.Kind == Serving })
+	if e.Version != 2 {
+		t.Errorf("it serves by version %d after the change", e.Version)
+	}
+}
+
+func TestAStoppedControllerStartsFromItsStore(t *testing.T) {
+	p := begin(t, 3)
+	p.do(Command{Do: Stop, Names: []string{"h1", "h3"}})
+	p.until(func(Event) bool { return len(p.serving) == 3 })
+	if r := p.apply("while two are down", 1); r.Word != "in force" {
+		t.Fatalf("%+v", r)
+	}
+	p.do(Command{Do: Start})
+	p.until(p.allBy(2, 5))
+}
+
+func TestRegionsThatAreCutHearNothingOfEachOther(t *testing.T) {
+	p := begin(t, 4)
+	p.do(Command{Do: Cut})
+	p.until(func(Event) bool { return len(p.serving) == 3 })
+	if p.serving["h3"] != 0 || p.serving["h4"] != 0 {
+		t.Errorf("serving: %v", p.serving)
+	}
+	p.do(Command{Do: Heal})
+	p.until(p.allBy(1, 5))
+}
+
+func TestWhatIsKeptIsWhatADiskWouldKeep(t *testing.T) {
+	record := func(index, term uint64) agree.Record { return agree.Record{Index: index, Term: term} }
+	kept := Merge(agree.Kept{}, agree.Kept{Hard: []byte("a"), Records: []agree.Record{record(1, 1), record(2, 1), record(3, 1)}})
+	next := Merge(kept, agree.Kept{Records: []agree.Record{record(2, 2)}})
+	if len(next.Records) != 2 || next.Records[1].Term != 2 || string(next.Hard) != "a" || kept.Records[1].Term != 1 {
+		t.Errorf("%+v, and before it %+v", next, kept)
+	}
+	next = Merge(next, agree.Kept{Hard: []byte("b"), Snapshot: &agree.Snapshot{Index: 2}, Records: []agree.Record{record(2, 2), record(3, 2)}})
+	if len(next.Records) != 2 || next.Snapshot.Index != 2 || string(next.Hard) != "b" {
+		t.Errorf("%+v", next)
+	}
+	if next = Merge(next, agree.Kept{Snapshot: &agree.Snapshot{Index: 9}}); len(next.Records) != 0 {
+		t.Errorf("%+v", next)
+	}
+}
--- /dev/null
+++ b/internal/standin/hollow/path.go
@@ -0,0 +1,144 @@
+package hollow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Place is where a controller stands.
+type Place struct {
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+}
+
+// Links are the times that links take one way, and by how much a time varies.
+type Links struct {
+	Zone    time.Duration `json:"zone"`    // between two in one zone
+	Region  time.Duration `json:"region"`  // between two zones of a region
+	Regions time.Duration `json:"regions"` // between two regions
+	Jitter  float64       `json:"jitter"`  // the part of a time by which it may be longer
+}
+
+// OneWay is the time between two places, without jitter.
+func (l Links) OneWay(a, b Place) time.Duration {
+	switch {
+	case a.Region != b.Region:
+		return l.Regions
+	case a.Zone != b.Zone:
+		return l.Region
+	}
+	return l.Zone
+}
+
+// gate holds up all of a controller's connections while it is paused, and those to the
+// other regions while these are cut off.
+type gate struct {
+	mu      sync.Mutex
+	paused  bool
+	cut     bool
+	changed chan struct{} // closed by the next change
+}
+
+func newGate() *gate { return &gate{changed: make(chan struct{})} }
+
+func (g *gate) set(change func(*gate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// pass waits until bytes may pass; false if ended came first.
+func (g *gate) pass(abroad bool, ended <-chan struct{}) bool {
+	for {
+		g.mu.Lock()
+		held, changed := g.paused || g.cut && abroad, g.changed
+		g.mu.Unlock()
+		if !held {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ended:
+			return false
+		}
+	}
+}
+
+// shapedConn is a connection through the gate and a link that takes its time. What one
+// side writes in one call comes after one delay: a message is not held up by its pieces.
+type shapedConn struct {
+	net.Conn
+	gate   *gate
+	abroad bool
+	delay  func() time.Duration
+	once   sync.Once
+	ended  chan struct{}
+}
+
+func (c *shapedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.wait()
+	}
+	return n, err
+}
+
+func (c *shapedConn) Write(p []byte) (int, error) {
+	c.wait()
+	return c.Conn.Write(p)
+}
+
+func (c *shapedConn) wait() {
+	if c.gate.pass(c.abroad, c.ended) {
+		time.Sleep(c.delay())
+	}
+}
+
+func (c *shapedConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// shapedListener shapes the connections that it accepts.
+type shapedListener struct {
+	net.Listener
+	shape func(net.Conn) net.Conn
+}
+
+func (l *shapedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.shape(c), nil
+}
+
+// dialer connects from an address through links.
+type dialer struct {
+	local  net.IP
+	direct map[string]string // where an address leads in truth, past a proxy for others
+	shape  func(net.Conn) net.Conn
+	gate   *gate
+	abroad func(address string) bool
+}
+
+const dialTimeout = time.Second
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if to := d.direct[address]; to != "" {
+		address = to
+	}
+	if !d.gate.pass(d.abroad(address), ctx.Done()) {
+		return nil, ctx.Err()
+	}
+	plain := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: d.local}}
+	c, err := plain.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.shape(c), nil
+}
