--- /dev/null
+++ b/internal/lab/many_record.go
@@ -0,0 +1,124 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
+	"railrelay.dev/railrelay/internal/fleet/record"
+	"railrelay.dev/railrelay/internal/standin/hollow"
+)
+
+// recordBuilder makes what the disk of a fleet's only voter holds, by way of its own
+// agreement in virtual time.
+type recordBuilder struct {
+	name   string
+	core   *agree.Core
+	state  *record.State
+	now    time.Duration
+	kept   agree.Kept
+	leads  bool
+	stores int // under way
+}
+
+// newRecordBuilder gives one whose voter leads.
+func newRecordBuilder(name string) (*recordBuilder, error) {
+	core, effects, err := agree.New(agree.Begin{Self: name, Voters: []agree.Voter{{Name: name, Address: "127.0.0.1:1"}}, Seed: 1,
+		Election: time.Second, Heartbeat: 100 * time.Millisecond})
+	if err != nil {
+		return nil, err
+	}
+	b := &recordBuilder{name: name, core: core, state: record.NewState()}
+	if err := b.perform(effects); err != nil {
+		return nil, err
+	}
+	for !b.leads {
+		if b.now = max(b.now+time.Millisecond, core.Due()); b.now > time.Minute {
+			return nil, errors.New("a voter that is alone doesn't lead")
+		}
+		if err := b.step(agree.Event{Kind: agree.Tick}); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// step takes an event in, and stores at once what comes of it.
+func (b *recordBuilder) step(event agree.Event) error { return b.perform(b.core.Step(b.now, event)) }
+
+func (b *recordBuilder) perform(effects []agree.Effect) error {
+	err := b.take(effects)
+	for err == nil && b.stores > 0 {
+		b.stores--
+		err = b.take(b.core.Step(b.now, agree.Event{Kind: agree.Stored}))
+	}
+	return err
+}
+
+func (b *recordBuilder) take(effects []agree.Effect) error {
+	for _, e := range effects {
+		switch e.Kind {
+		case agree.Store:
+			b.kept = hollow.Merge(b.kept, *e.Kept)
+			b.stores++
+		case agree.Decided:
+			data := e.Record.Data
+			if e.Record.Conf {
+				data = nil
+			}
+			if err := b.state.Apply(e.Record.Index, data); err != nil {
+				return err
+			}
+		case agree.Led:
+			b.leads = e.Leader == b.name
+		}
+	}
+	return nil
+}
+
+// decide puts entries into the record, one after the other.
+func (b *recordBuilder) decide(entries ...*fleet.Entry) error {
+	for _, e := range entries {
+		if err := b.step(agree.Event{Kind: agree.Propose, Data: record.Encode(e)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change puts a whole change of policy into the record: four entries.
+func (b *recordBuilder) change() error {
+	id := fmt.Sprint("change-", b.state.Index)
+	policy := fmt.Appendf(nil, "fairness: {teams: [{name: a, weight: %d}, {name: b, weight: 1}]}\n", b.state.Version%9+1)
+	return b.decide(&fleet.Entry{Kind: fleet.Propose, ID: id, By: "operator", Base: b.state.Version, Policy: policy},
+		&fleet.Entry{Kind: fleet.Close, ID: id}, &fleet.Entry{Kind: fleet.Force, ID: id}, &fleet.Entry{Kind: fleet.Settle, ID: id})
+}
+
+// compact has a snapshot replace the log so far.
+func (b *recordBuilder) compact() error {
+	return b.step(agree.Event{Kind: agree.Compacted, Snapshot: &agree.Snapshot{Index: b.state.Index, Data: b.state.Encode()}})
+}
+
+const entriesAfterSnapshot = 2000 // that a long record has in its log
+
+// longRecord is what the disk of a fleet's only voter holds after so many entries of
+// changes of policy, all but the last in a snapshot.
+func longRecord(name string, entries int) (agree.Kept, error) {
+	b, err := newRecordBuilder(name)
+	if err != nil {
+		return agree.Kept{}, err
+	}
+	for b.state.Index < uint64(entries) {
+		if err := b.change(); err != nil {
+			return agree.Kept{}, err
+		}
+		if b.state.Index >= uint64(entries-entriesAfterSnapshot) && b.kept.Snapshot == nil {
+			if err := b.compact(); err != nil {
+				return agree.Kept{}, err
+			}
+		}
+	}
+	return b.kept, nil
+}
