raillab scale: real and hollow controllers before idle engines, at rest and in faults

Cause: what a fleet of 580 costs can't be seen with a process for each. Change: internal/lab/scale*.go starts real controllers, the rest hollow, behind links with the round trips of zones and regions; it looks at each role at rest, while the policy changes and during faults, and judges who served by what. cmd/raillab has a file for each command; an interrupted play ends what it started.

--- /dev/null
+++ b/cmd/raillab/fleets.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+)
+
+func fleets() *cobra.Command {
+	var from uint64
+	var plays int
+	c := &cobra.Command{Use: "fleets", Short: "play drawn fleets in virtual time, and say how the first broke a rule", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		runs, ordered, late, broken, first := lab.Hunt(c.Context(), from, plays, time.Hour)
+		fmt.Fprintf(c.OutOrStdout(), "runs=%d rules_broken=%d order_checked=%d late_deliveries=%d\n", runs, broken, ordered, late)
+		if first == nil {
+			return nil
+		}
+		first.Explain(c.OutOrStdout())
+		return fmt.Errorf("seed %d breaks a rule", first.Seed)
+	}
+	c.Flags().Uint64Var(&from, "seed", 1, "of the first")
+	c.Flags().IntVar(&plays, "plays", 2000, "how many")
+	return c
+}
--- /dev/null
+++ b/cmd/raillab/many.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+)
+
+func many() *cobra.Command {
+	play := lab.Many{Lease: 2 * time.Second, Changes: 5, Entries: 100_000}
+	c := &cobra.Command{Use: "many", Short: "a fleet of many processes: what each costs, how soon a change is in force on all", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		cost, err := play.Measure(c.Context())
+		if err == nil {
+			play.Print(c.OutOrStdout(), cost)
+		}
+		return err
+	}
+	c.Flags().StringVar(&play.Program, "program", programDefault, "the controller")
+	c.Flags().IntVar(&play.Controllers, "controllers", 50, "processes")
+	c.Flags().DurationVar(&play.Rest, "rest", 10*time.Second, "how long to look at them at rest")
+	return c
+}
--- /dev/null
+++ b/cmd/raillab/measure.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+)
+
+func measure() *cobra.Command {
+	var seed uint64
+	var detail bool
+	var program, planted string
+	c := &cobra.Command{Use: "measure NAME", Short: "run a measurement, in under 50 s", Args: cobra.ExactArgs(1),
+		ValidArgs: []string{"fair", "spool", "together", "fleet", "scale"}}
+	c.RunE = func(c *cobra.Command, args []string) error {
+		switch args[0] {
+		case "fair":
+			return lab.MeasureFair(c.OutOrStdout(), seed, detail)
+		case "spool":
+			return lab.MeasureSpool(c.Context(), c.OutOrStdout(), program, seed)
+		case "together":
+			return lab.MeasureTogether(c.Context(), c.OutOrStdout(), program, planted, seed, detail)
+		case "fleet":
+			return lab.MeasureFleet(c.Context(), c.OutOrStdout(), program, seed)
+		case "scale":
+			return lab.MeasureScale(c.Context(), c.OutOrStdout(), program, seed)
+		}
+		return fmt.Errorf("no measurement is called %q: there are %v", args[0], c.ValidArgs)
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, seedAbout)
+	c.Flags().StringVar(&program, "program", programDefault, "the controller")
+	c.Flags().StringVar(&planted, "planted", plantedDefault, "where the tests with planted faults are")
+	c.Flags().BoolVar(&detail, "detail", false, "say more of each part")
+	return c
+}
--- /dev/null
+++ b/cmd/raillab/remedy.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// remedy says what can be done about an error, where it knows.
+func remedy(out io.Writer, err error) {
+	var remedied fleet.Remedied
+	if errors.As(err, &remedied) {
+		fmt.Fprintln(out, "Remedy:", remedied.Remedy())
+	}
+}
--- /dev/null
+++ b/cmd/raillab/scale.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+	"railrelay.dev/railrelay/internal/standin/hollow"
+)
+
+func scale() *cobra.Command {
+	s := lab.UsualScale(programDefault, 580)
+	c := &cobra.Command{Use: "scale", Args: cobra.NoArgs, Short: "a fleet of real and hollow controllers: what each role costs, how soon a change is in force, in faults too",
+		Long: "Starts real controllers and hollow ones (the real core and wire, a record in memory, no queries)\n" +
+			"before idle engines, looks at them at rest, changes the policy, and changes it during faults:\n\n  " +
+			strings.Join(lab.ScaleFaults(), "\n  ")}
+	c.RunE = func(c *cobra.Command, _ []string) error { return s.Run(c.Context(), c.OutOrStdout()) }
+	f := c.Flags()
+	f.StringVar(&s.Program, "program", s.Program, "the controller")
+	f.IntVar(&s.Controllers, "controllers", s.Controllers, "of the fleet, 2 to 1200")
+	f.IntVar(&s.Real, "real", s.Real, "of them are processes before all engines, 1024 at the most; the others are hollow")
+	f.IntVar(&s.Voters, "voters", s.Voters, "of the real ones vote: 1, 3, 5 or 7")
+	f.IntVar(&s.Relays, "relays", s.Relays, "of the real ones that don't vote gather the renewals of others; 0: none does")
+	f.BoolVar(&s.SetAside, "set-aside", s.SetAside, "voters and relays stand on machines set aside for control")
+	f.IntVar(&s.Engines, "engines", s.Engines, "in the feed")
+	f.Uint64Var(&s.Seed, "seed", s.Seed, seedAbout)
+	f.DurationVar(&s.Lease, "lease", s.Lease, "of the fleet")
+	f.DurationVar(&s.Settle, "settle", s.Settle, "waited before anything is measured")
+	f.DurationVar(&s.Rest, "rest", s.Rest, "how long to look at it at rest")
+	f.IntVar(&s.Changes, "changes", s.Changes, "of policy, at rest")
+	f.IntVar(&s.Large, "large", s.Large, "of these are large")
+	f.IntVar(&s.PolicyBytes, "policy-bytes", s.PolicyBytes, "of a policy")
+	f.IntVar(&s.LargeBytes, "large-bytes", s.LargeBytes, "of a large one")
+	f.StringSliceVar(&s.Faults, "faults", s.Faults, "in this order")
+	f.IntVar(&s.Compare, "compare", s.Compare, "controllers by which hollow ones are held against real ones; 0: they aren't")
+	f.BoolVar(&s.Linked, "links", s.Linked, "links take the times of zones and regions")
+	return c
+}
+
+// hollowProcess is what a scale run starts for its hollow controllers.
+func hollowProcess() *cobra.Command {
+	return &cobra.Command{Use: "hollow", Hidden: true, Short: "run hollow controllers, as told on standard input", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return hollow.Run(c.Context(), c.InOrStdin(), c.OutOrStdout())
+		}}
+}
--- /dev/null
+++ b/cmd/raillab/speed.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+)
+
+func speed() *cobra.Command {
+	var program string
+	var turns int
+	c := &cobra.Command{Use: "speed", Short: "queries a second with fairness on and off, on sockets", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		_, err := lab.SpeedOnSockets(c.Context(), c.OutOrStdout(), program, 3*time.Second, turns)
+		return err
+	}
+	c.Flags().StringVar(&program, "program", programDefault, "the controller")
+	c.Flags().IntVar(&turns, "turns", 3, "of three seconds each, on and off")
+	return c
+}
--- /dev/null
+++ b/cmd/raillab/try.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/lab"
+)
+
+func try() *cobra.Command {
+	trial := &lab.Trial{Engines: 6, Log: os.Stderr}
+	c := &cobra.Command{Use: "try", Short: "start stand-in engines, a feed and a controller with teams, and look", Args: cobra.NoArgs}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		fmt.Fprintf(c.OutOrStdout(), "%d stand-in engines, a feed and a controller with teams; %v of queries, the last team floods\n", trial.Engines, trial.Long)
+		rows, err := trial.Run(c.Context())
+		if err == nil {
+			lab.PrintRows(c.OutOrStdout(), rows)
+		}
+		return err
+	}
+	c.Flags().StringVar(&trial.Program, "program", programDefault, "the controller")
+	c.Flags().DurationVar(&trial.Long, "for", 20*time.Second, "how long to ask")
+	c.Flags().Uint64Var(&trial.Seed, "seed", 1, seedAbout)
+	return c
+}
--- a/internal/lab/many_process.go
+++ b/internal/lab/many_process.go
@@ -105,8 +105,7 @@
 	program   string
 	setupFile string
 	directory string // of its record
-	control   string
-	keys      peers.Keys
+	operator
 	onApplied func(applied) // may be nil
 
 	command  *exec.Cmd
@@ -175,16 +174,22 @@
 // answers says whether it can be asked anything.
 func (p *controllerProcess) answers() bool { return p.command != nil && !p.paused }
 
-// ask puts something to its operators' listener.
-func (p *controllerProcess) ask(ctx context.Context, a *fleet.Ask) (*fleet.Reply, error) {
+// operator asks one controller as its operators do. It may be used by several goroutines.
+type operator struct {
+	control string // the controller's address for operators
+	keys    peers.Keys
+}
+
+// ask puts something to the controller.
+func (o operator) ask(ctx context.Context, a *fleet.Ask) (*fleet.Reply, error) {
 	ctx, stop := context.WithTimeout(ctx, time.Duration(a.Wait)*time.Millisecond+2*time.Second)
 	defer stop()
-	return peers.AskControl(ctx, p.control, p.keys, a)
+	return peers.AskControl(ctx, o.control, o.keys, a)
 }
 
 // status is how it sees the fleet; an empty one if it can't be asked.
-func (p *controllerProcess) status(ctx context.Context) *fleet.Status {
-	if r, err := p.ask(ctx, &fleet.Ask{Kind: "status", Wait: 500}); err == nil && r.Status != nil {
+func (o operator) status(ctx context.Context) *fleet.Status {
+	if r, err := o.ask(ctx, &fleet.Ask{Kind: "status", Wait: 500}); err == nil && r.Status != nil {
 		return r.Status
 	}
 	return &fleet.Status{}
--- /dev/null
+++ b/internal/lab/scale_hollow.go
@@ -0,0 +1,139 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"railrelay.dev/railrelay/internal/standin/hollow"
+)
+
+const hollowAtMost = 200 // controllers in one process
+
+// perHollowProcess is how many controllers each hollow process has at the most.
+func (s Scale) perHollowProcess() int { return min(hollowAtMost, s.Controllers-s.Real) }
+
+// hollowProcess is a process of hollow controllers, driven by this one.
+type hollowProcess struct {
+	names   []string
+	command *exec.Cmd
+	input   io.WriteCloser
+	ended   chan struct{}
+
+	mu      sync.Mutex
+	failed  []hollow.Event
+	counted map[int]map[string]*hollow.Counts // by round and name
+}
+
+// startHollow starts a process; its controllers are only prepared. onEvent is given what
+// they tell of serving, on one goroutine.
+func startHollow(ctx context.Context, laboratory string, config hollow.Config, onEvent func(hollow.Event)) (*hollowProcess, error) {
+	command := exec.CommandContext(ctx, laboratory, "hollow")
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	command.Stderr = os.Stderr
+	input, err := command.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	p := &hollowProcess{command: command, input: input, ended: make(chan struct{}), counted: map[int]map[string]*hollow.Counts{}}
+	for _, c := range config.Controllers {
+		p.names = append(p.names, c.Name)
+	}
+	go p.read(output, onEvent)
+	if err := json.NewEncoder(input).Encode(config); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *hollowProcess) read(output io.Reader, onEvent func(hollow.Event)) {
+	defer close(p.ended)
+	for lines := bufio.NewScanner(output); lines.Scan(); {
+		var e hollow.Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			e = hollow.Event{Kind: hollow.Failed, Why: err.Error()}
+		}
+		switch e.Kind {
+		case hollow.Failed:
+			p.mu.Lock()
+			p.failed = append(p.failed, e)
+			p.mu.Unlock()
+		case hollow.Counted:
+			p.mu.Lock()
+			if p.counted[e.Round] == nil {
+				p.counted[e.Round] = map[string]*hollow.Counts{}
+			}
+			p.counted[e.Round][e.Name] = e.Counts
+			p.mu.Unlock()
+		default:
+			onEvent(e)
+		}
+	}
+	p.command.Wait()
+}
+
+// do sends a command on to those of its names that are in this process; none: all.
+func (p *hollowProcess) do(command hollow.Command) error {
+	if len(command.Names) > 0 {
+		command.Names = slices.DeleteFunc(slices.Clone(command.Names), func(name string) bool { return !slices.Contains(p.names, name) })
+		if len(command.Names) == 0 {
+			return nil
+		}
+	}
+	return json.NewEncoder(p.input).Encode(command)
+}
+
+// failure is the first thing that a controller of it couldn't do.
+func (p *hollowProcess) failure() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.failed) > 0 {
+		return fmt.Errorf("hollow controller %s: %s", p.failed[0].Name, p.failed[0].Why)
+	}
+	return nil
+}
+
+const countWithin = 10 * time.Second
+
+// counts asks all for their sums, under a round that wasn't used before.
+func (p *hollowProcess) counts(round int) (map[string]*hollow.Counts, error) {
+	if err := p.do(hollow.Command{Do: hollow.Report, Round: round}); err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(countWithin); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		all := p.counted[round]
+		whole := len(all) == len(p.names)
+		if whole {
+			delete(p.counted, round)
+		}
+		p.mu.Unlock()
+		if whole {
+			return all, nil
+		}
+	}
+	return nil, fmt.Errorf("hollow controllers didn't tell their sums within %v", countWithin)
+}
+
+// close ends the process and waits for it.
+func (p *hollowProcess) close() {
+	p.input.Close()
+	p.command.Process.Kill()
+	<-p.ended
+}
--- /dev/null
+++ b/internal/lab/scale_limits.go
@@ -0,0 +1,158 @@
+package lab
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// ScaleSizeError is a size that a scale run can't have.
+type ScaleSizeError struct {
+	What string
+	Size int
+	Why  string
+}
+
+func (e *ScaleSizeError) Error() string { return fmt.Sprintf("%s: %d %s", e.What, e.Size, e.Why) }
+
+// Remedy says what to do.
+func (e *ScaleSizeError) Remedy() string {
+	return "give another number: raillab scale --help says which are possible"
+}
+
+// ScaleRoomError is a machine that hasn't enough of something for the size asked for.
+type ScaleRoomError struct {
+	What         string
+	Needed, Have int
+	Unit         string
+	Raise        string // how to have more of it
+}
+
+func (e *ScaleRoomError) Error() string {
+	return fmt.Sprintf("%s: about %d %s are needed for this size, %d may be used", e.What, e.Needed, e.Unit, e.Have)
+}
+
+// Remedy says what to do.
+func (e *ScaleRoomError) Remedy() string {
+	return e.Raise + ", or ask for fewer controllers or engines"
+}
+
+// ScaleErrors is one of each error of scale runs, for the test that walks all of them.
+func ScaleErrors() []fleet.Remedied {
+	return []fleet.Remedied{&ScaleSizeError{"controllers", 0, "is under 2"}, &ScaleRoomError{"memory", 9, 5, "MB", "free some"}}
+}
+
+const (
+	realAtMost        = 1024
+	controllersAtMost = 1200 // the record is for 1,024 beside its voters; the curve is looked at a little beyond
+	enginesAtMost     = 10_000
+
+	// What one of a kind takes, rounded up from what was seen.
+	realMB                = 30
+	realMBPerEngine       = 0.02
+	engineConnectionMB    = 0.04
+	hollowMB              = 1.5
+	laboratoryMB          = 150
+	hollowDescriptors     = 12
+	laboratoryDescriptors = 500
+)
+
+// check refuses what can't be played, before anything starts.
+func (s Scale) check() error {
+	switch {
+	case s.Controllers < 2:
+		return &ScaleSizeError{"controllers", s.Controllers, "is under 2: a fleet has more than one"}
+	case s.Real > realAtMost:
+		return &ScaleSizeError{"real", s.Real, fmt.Sprintf("is over %d processes", realAtMost)}
+	case s.Controllers > controllersAtMost:
+		return &ScaleSizeError{"controllers", s.Controllers, fmt.Sprintf("is over %d", controllersAtMost)}
+	case s.Real > s.Controllers:
+		return &ScaleSizeError{"real", s.Real, fmt.Sprintf("is over the %d controllers", s.Controllers)}
+	case !slices.Contains([]int{1, 3, 5, 7}, s.Voters):
+		return &ScaleSizeError{"voters", s.Voters, "isn't 1, 3, 5 or 7"}
+	case s.Voters > s.Real:
+		return &ScaleSizeError{"voters", s.Voters, fmt.Sprintf("is over the %d real controllers: voters are real", s.Real)}
+	case s.Relays == 1:
+		return &ScaleSizeError{"relays", s.Relays, "leaves no second one: a controller knows two"}
+	case s.Relays > s.Real-s.Voters:
+		return &ScaleSizeError{"relays", s.Relays, fmt.Sprintf("is over the %d real controllers that don't vote", s.Real-s.Voters)}
+	case s.Engines < 1 || s.Engines > enginesAtMost:
+		return &ScaleSizeError{"engines", s.Engines, fmt.Sprintf("isn't between 1 and %d", enginesAtMost)}
+	case s.Large > s.Changes:
+		return &ScaleSizeError{"large", s.Large, fmt.Sprintf("is over the %d changes", s.Changes)}
+	}
+	for _, name := range s.Faults {
+		if scaleFaults[name] == nil {
+			return &ScaleFaultError{name}
+		}
+	}
+	if err := s.checkDescriptors(); err != nil {
+		return err
+	}
+	return s.checkMemory()
+}
+
+// descriptors are those of the process that needs the most: this one holds the engines'
+// ends of all connections.
+func (s Scale) descriptors() int {
+	own := s.Engines + s.Real*s.Engines + laboratoryDescriptors + 4*s.Real*s.Real
+	return max(own, hollowDescriptors*s.perHollowProcess(), 2*s.Controllers+s.Engines+laboratoryDescriptors)
+}
+
+func (s Scale) checkDescriptors() error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if needed := s.descriptors(); uint64(needed) > limit.Cur {
+		return &ScaleRoomError{"file descriptors", needed, int(limit.Cur), "descriptors a process", "raise ulimit -n"}
+	}
+	return nil
+}
+
+// memoryMB is what the whole run should take.
+func (s Scale) memoryMB() int {
+	perReal := realMB + float64(s.Engines)*(realMBPerEngine+engineConnectionMB)
+	return laboratoryMB + int(float64(s.Real)*perReal+float64(s.Controllers-s.Real)*hollowMB)
+}
+
+// checkMemory lets a run take what is available, and half of the machine's at the most.
+func (s Scale) checkMemory() error {
+	total, available, err := machineMemory()
+	if err != nil {
+		return err
+	}
+	if have, needed := min(available, total/2), s.memoryMB(); needed > have {
+		return &ScaleRoomError{"memory", needed, have, "MB", "end other programs: half of the machine's memory may be used"}
+	}
+	return nil
+}
+
+// machineMemory is what the machine has, in MB.
+func machineMemory() (total, available int, err error) {
+	f, err := os.Open("/proc/meminfo")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 2 {
+			continue
+		}
+		kilobytes, _ := strconv.Atoi(fields[1])
+		switch fields[0] {
+		case "MemTotal:":
+			total = kilobytes >> 10
+		case "MemAvailable:":
+			available = kilobytes >> 10
+		}
+	}
+	return total, available, nil
+}
--- /dev/null
+++ b/internal/lab/scale_measure.go
@@ -0,0 +1,22 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// UsualScale is a scale run as the capacity page has them, of a size.
+func UsualScale(program string, controllers int) Scale {
+	return Scale{Program: program, Controllers: controllers, Real: min(controllers, 12), Voters: 3, Engines: 740, Seed: 1, Lease: 2 * time.Second,
+		Settle: 5 * time.Second, Rest: 20 * time.Second, Changes: 24, Large: 4, PolicyBytes: 1000, LargeBytes: 100_000,
+		Faults: []string{"killed", "paused", "leader", "zone", "restart", "regions"}, Compare: 40, Linked: true}
+}
+
+// MeasureScale plays the run at full size in short form: under 50 s.
+func MeasureScale(ctx context.Context, out io.Writer, program string, seed uint64) error {
+	s := UsualScale(program, 580)
+	s.Seed, s.Settle, s.Rest, s.Changes, s.Large = seed, time.Second, 4*time.Second, 16, 2
+	s.Faults = []string{"killed", "paused", "leader", "zone"}
+	return s.Run(ctx, out)
+}
--- /dev/null
+++ b/internal/lab/scale_report.go
@@ -0,0 +1,113 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// scaleResult is what a run came to.
+type scaleResult struct {
+	Scale
+	Serve      time.Duration // from the first start until all serve
+	Rest       scaleSpent
+	Whole      scaleSpent
+	Phases     []scalePhase
+	Verdict    scaleVerdict
+	HollowReal float64 // 0: not compared
+	Processes  int
+	MemoryMB   float64 // of all processes together
+	Took       time.Duration
+}
+
+func ownProcess() int { return os.Getpid() }
+
+// tolds are the times of all changes until their word, in order.
+func (r *scaleResult) tolds() (l []time.Duration) {
+	for _, p := range r.Phases {
+		l = append(l, p.tolds()...)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// faults counts the phases with a fault in which something was changed.
+func (r *scaleResult) faults() (n int) {
+	for _, p := range r.Phases {
+		if p.Fault && len(p.Changes) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// print says what was broken, and everything in one line.
+func (r *scaleResult) print(out io.Writer) {
+	for _, what := range r.Verdict.Broken {
+		fmt.Fprintln(out, what)
+	}
+	v, l := r.Verdict, r.tolds()
+	fmt.Fprintf(out, "judged %d spans, %d samples of real ones, %d words; took %.1f s\n", v.Spans, v.Samples, v.Words, r.Took.Seconds())
+	fmt.Fprintf(out, "measured controllers=%d real=%d hollow=%d engines=%d processes=%d memory_mb=%.0f changes=%d faults=%d in_force_p99_ms=%.0f in_force_worst_ms=%.0f "+
+		"controller_bytes=%.0f controller_cpu_ms=%.1f controller_mb=%.1f leader_bytes=%.0f leader_cpu_ms=%.1f hollow_real=%.3f mixed=%d half=%d false_word=%d served_after=%d\n",
+		r.Controllers, r.Real, r.Controllers-r.Real, r.Engines, r.Processes, r.MemoryMB, len(l), r.faults(), inMS(quantile(l, 0.99)), inMS(quantile(l, 1)),
+		r.Whole.Worst.bytes(), r.Whole.Worst.CPU, r.Whole.Worst.MB, r.Whole.Leader.bytes(), r.Whole.Leader.CPU, r.HollowReal,
+		v.Mixed, v.Half, v.FalseWord, v.ServedAfter)
+}
+
+// broken is an error where anything was.
+func (r *scaleResult) broken() error {
+	if v := r.Verdict; v.Mixed+v.Half+v.FalseWord+v.ServedAfter > 0 {
+		return fmt.Errorf("the run broke what must hold: %s", strings.Join(v.Broken[:min(3, len(v.Broken))], "; "))
+	}
+	return nil
+}
+
+// rows are the figures for docs/capacity.csv.
+func (r *scaleResult) rows() (rows []ScaleRow) {
+	add := func(role, what string, value float64, unit string) {
+		rows = append(rows, ScaleRow{role, what, r.Controllers, r.Seed, value, unit})
+	}
+	for _, when := range []struct {
+		name  string
+		spent scaleSpent
+	}{{"at rest", r.Rest}, {"whole run", r.Whole}} {
+		for _, role := range []struct {
+			name string
+			rate scaleRate
+		}{{"leader", when.spent.Leader}, {"voter", when.spent.Voter}, {"relay", when.spent.Relay}, {"controller mean", when.spent.Mean}, {"controller worst", when.spent.Worst}} {
+			if role.rate == (scaleRate{}) {
+				continue
+			}
+			add(role.name, when.name+" sent", role.rate.BytesOut, "bytes/s")
+			add(role.name, when.name+" received", role.rate.BytesIn, "bytes/s")
+			add(role.name, when.name+" messages sent", role.rate.MessagesOut, "1/s")
+			add(role.name, when.name+" messages received", role.rate.MessagesIn, "1/s")
+			add(role.name, when.name+" CPU", role.rate.CPU, "ms/s")
+			add(role.name, when.name+" memory", role.rate.MB, "MB")
+		}
+	}
+	for _, p := range r.Phases {
+		l := p.tolds()
+		if len(l) == 0 {
+			continue
+		}
+		add("operator", p.Name+", told in force, median", inMS(quantile(l, 0.5)), "ms")
+		add("operator", p.Name+", told in force, p99", inMS(quantile(l, 0.99)), "ms")
+		add("operator", p.Name+", told in force, most", inMS(quantile(l, 1)), "ms")
+		if p.Fault {
+			add("controller", p.Name+", all serve again", inMS(p.Back), "ms")
+		}
+		if len(p.Serving) > 0 {
+			add("controller", p.Name+", least share that served in a second", slices.Min(p.Serving), "1")
+		}
+	}
+	add("fleet", "all serve after the first start", inMS(r.Serve), "ms")
+	if r.HollowReal > 0 {
+		add("hollow", "worst ratio of hollow to real", r.HollowReal, "1")
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/lab/scale_usage.go
@@ -0,0 +1,217 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"railrelay.dev/railrelay/internal/standin/hollow"
+)
+
+// scaleSight is what every controller has used up to a moment.
+type scaleSight struct {
+	at     time.Time
+	leader string
+	used   map[string]scaleUse
+}
+
+// scaleUse is what one controller has used since it was started. A hollow one has an
+// equal part of its process.
+type scaleUse struct {
+	processUsage
+	run    int // its process's id: another one has begun to count anew
+	counts hollow.Counts
+	hollow bool
+}
+
+// look sees what all have used. Who can't be asked is left out.
+func (f *scaleFleet) look() (sight scaleSight, err error) {
+	sight = scaleSight{used: map[string]scaleUse{}}
+	leader, err := f.leader()
+	if err != nil {
+		return sight, err
+	}
+	sight.at, sight.leader = time.Now(), leader.name
+	for _, m := range f.real {
+		if !m.process.answers() {
+			continue
+		}
+		status := m.process.status(f.ctx)
+		if status.Name == "" {
+			continue
+		}
+		used, err := usageOf(m.process.command.Process.Pid)
+		if err != nil {
+			return sight, err
+		}
+		sight.used[m.name] = scaleUse{processUsage: used, run: m.process.command.Process.Pid, counts: *hollow.CountsOf(status.Counts, "wire_")}
+	}
+	f.round++
+	for _, p := range f.hollows {
+		counts, err := p.counts(f.round)
+		if err != nil {
+			return sight, err
+		}
+		used, err := usageOf(p.command.Process.Pid)
+		if err != nil {
+			return sight, err
+		}
+		n := len(p.names)
+		share := processUsage{used.CPU / time.Duration(n), used.Resident / float64(n)}
+		for name, c := range counts {
+			sight.used[name] = scaleUse{processUsage: share, run: p.command.Process.Pid, counts: *c, hollow: true}
+		}
+	}
+	return sight, nil
+}
+
+// scaleRate is what a controller spends a second.
+type scaleRate struct {
+	BytesOut, BytesIn       float64 // of connections, with HTTP's headers
+	FramesOut, FramesIn     float64 // bytes of frames alone
+	MessagesOut, MessagesIn float64
+	CPU                     float64 // milliseconds
+	MB                      float64 // resident at the end
+}
+
+// bytes are sent and received ones together.
+func (r scaleRate) bytes() float64 { return r.BytesOut + r.BytesIn }
+
+// scaleSpent is what controllers spent in a span, by roles.
+type scaleSpent struct {
+	Span       time.Duration
+	Seen       int // controllers that ran from its beginning to its end
+	Leader     scaleRate
+	LeaderName string
+	Voter      scaleRate // the mean of those that don't lead
+	Relay      scaleRate // the worst, by each figure
+	Mean       scaleRate // of controllers without another role; CPU and MB of real ones
+	Worst      scaleRate // of all that aren't on machines set aside, by each figure; CPU and MB of real ones
+}
+
+// spentBetween holds two sights against each other. Who was started anew in between is
+// left out.
+func (f *scaleFleet) spentBetween(a, b scaleSight) scaleSpent {
+	spent := scaleSpent{Span: b.at.Sub(a.at), LeaderName: b.leader}
+	var voters, plain, plainReal []scaleRate
+	for _, m := range f.members {
+		x, was := a.used[m.name]
+		y, is := b.used[m.name]
+		if !was || !is || x.run != y.run || y.counts.BytesOut < x.counts.BytesOut {
+			continue
+		}
+		spent.Seen++
+		rate := rateOf(x, y, spent.Span)
+		switch {
+		case m.name == b.leader:
+			spent.Leader = rate
+		case m.votes:
+			voters = append(voters, rate)
+		case m.relay:
+			spent.Relay = worse(spent.Relay, rate)
+		default:
+			plain = append(plain, rate)
+			if !y.hollow {
+				plainReal = append(plainReal, rate)
+			}
+		}
+		if f.setAside(m) {
+			continue
+		}
+		if y.hollow {
+			rate.CPU, rate.MB = 0, 0
+		}
+		spent.Worst = worse(spent.Worst, rate)
+	}
+	spent.Voter, spent.Mean = meanOf(voters), meanOf(plain)
+	realMean := meanOf(plainReal)
+	spent.Mean.CPU, spent.Mean.MB = realMean.CPU, realMean.MB
+	return spent
+}
+
+func rateOf(a, b scaleUse, span time.Duration) scaleRate {
+	seconds := span.Seconds()
+	each := func(x, y int) float64 { return float64(y-x) / seconds }
+	return scaleRate{
+		BytesOut: each(a.counts.BytesOut, b.counts.BytesOut), BytesIn: each(a.counts.BytesIn, b.counts.BytesIn),
+		FramesOut: each(a.counts.FramesOut, b.counts.FramesOut), FramesIn: each(a.counts.FramesIn, b.counts.FramesIn),
+		MessagesOut: each(a.counts.MessagesOut, b.counts.MessagesOut), MessagesIn: each(a.counts.MessagesIn, b.counts.MessagesIn),
+		CPU: inMS(b.CPU-a.CPU) / seconds, MB: b.Resident}
+}
+
+// fields are all figures, for sums and the like.
+func (r *scaleRate) fields() []*float64 {
+	return []*float64{&r.BytesOut, &r.BytesIn, &r.FramesOut, &r.FramesIn, &r.MessagesOut, &r.MessagesIn, &r.CPU, &r.MB}
+}
+
+// worse takes the greater of each figure; bytes out and in are those of the greater sum.
+func worse(a, b scaleRate) scaleRate {
+	most := a
+	for i, x := range b.fields() {
+		own := most.fields()[i]
+		*own = max(*own, *x)
+	}
+	most.BytesOut, most.BytesIn = a.BytesOut, a.BytesIn
+	if b.bytes() > a.bytes() {
+		most.BytesOut, most.BytesIn = b.BytesOut, b.BytesIn
+	}
+	return most
+}
+
+func meanOf(l []scaleRate) (mean scaleRate) {
+	for _, r := range l {
+		for i, x := range r.fields() {
+			*mean.fields()[i] += *x / float64(len(l))
+		}
+	}
+	return mean
+}
+
+// restFor looks at the fleet while nothing happens.
+func (f *scaleFleet) restFor(span time.Duration) (scaleSpent, error) {
+	before, err := f.look()
+	if err != nil {
+		return scaleSpent{}, err
+	}
+	sleep(f.ctx, span)
+	after, err := f.look()
+	if err != nil {
+		return scaleSpent{}, err
+	}
+	return f.spentBetween(before, after), f.ctx.Err()
+}
+
+// processes counts the run's processes with this one, and the memory of all.
+func (f *scaleFleet) processes() (n int, memoryMB float64) {
+	add := func(pid int) {
+		if used, err := usageOf(pid); err == nil {
+			n, memoryMB = n+1, memoryMB+used.Resident
+		}
+	}
+	add(ownProcess())
+	for _, m := range f.real {
+		if m.process.command != nil {
+			add(m.process.command.Process.Pid)
+		}
+	}
+	for _, p := range f.hollows {
+		add(p.command.Process.Pid)
+	}
+	return n, memoryMB
+}
+
+func (s scaleSpent) print(out io.Writer, when string) {
+	fmt.Fprintf(out, "%s, %.1f s, %d controllers seen, a second:\n", when, s.Span.Seconds(), s.Seen)
+	line := func(role string, r scaleRate) {
+		if r == (scaleRate{}) {
+			return
+		}
+		fmt.Fprintf(out, "  %-18s %8.0f bytes out %8.0f in (frames %8.0f %8.0f), %7.1f messages out %7.1f in, %6.1f ms of CPU, %5.1f MB\n", role,
+			r.BytesOut, r.BytesIn, r.FramesOut, r.FramesIn, r.MessagesOut, r.MessagesIn, r.CPU, r.MB)
+	}
+	line("leader "+s.LeaderName, s.Leader)
+	line("voters, mean", s.Voter)
+	line("relays, worst", s.Relay)
+	line("controllers, mean", s.Mean)
+	line("worst not aside", s.Worst)
+}
--- a/internal/standin/hollow/controller.go
+++ b/internal/standin/hollow/controller.go
@@ -98,7 +98,8 @@
 // CountsOf reads the sums of a wire, whose names may have a prefix, as in a status.
 func CountsOf(all map[string]int, prefix string) *Counts {
 	at := func(name string) int { return all[prefix+name] }
-	return &Counts{BytesOut: at("conn_bytes_out"), BytesIn: at("conn_bytes_in"), MessagesOut: at("sent"), MessagesIn: at("got"),
+	return &Counts{BytesOut: at("conn_bytes_out"), BytesIn: at("conn_bytes_in"), FramesOut: at("bytes_out"), FramesIn: at("bytes_in"),
+		MessagesOut: at("sent"), MessagesIn: at("got"),
 		FailedPosts: at("failed"), Dropped: at("dropped")}
 }
 
--- a/internal/standin/hollow/message.go
+++ b/internal/standin/hollow/message.go
@@ -78,6 +78,8 @@
 type Counts struct {
 	BytesOut    int `json:"bytes_out"` // of connections, with HTTP's headers and answers
 	BytesIn     int `json:"bytes_in"`
+	FramesOut   int `json:"frames_out"` // bytes of frames alone
+	FramesIn    int `json:"frames_in"`
 	MessagesOut int `json:"messages_out"`
 	MessagesIn  int `json:"messages_in"`
 	FailedPosts int `json:"failed_posts"`
