--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -92,8 +92,13 @@
 	fmt.Fprintf(out, "%d controllers (%d real, %d hollow, %d vote), %d engines, lease %v: all serve %.1f s after the first was started\n",
 		s.Controllers, s.Real, s.Controllers-s.Real, s.Voters, s.Engines, s.Lease, result.Serve.Seconds())
 	sleep(ctx, s.Settle)
-	whole, err := f.look()
-	if err != nil {
+	sights := make([]scaleSight, 0, len(s.Faults)+3)
+	see := func() error {
+		sight, err := f.look()
+		sights = append(sights, sight)
+		return err
+	}
+	if err := see(); err != nil {
 		return err
 	}
 	if result.Rest, err = f.restFor(s.Rest); err != nil {
@@ -104,6 +109,9 @@
 		return err
 	}
 	for _, name := range s.Faults {
+		if err := see(); err != nil {
+			return err
+		}
 		phase, err := f.playFault(name)
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
@@ -111,11 +119,10 @@
 		phase.print(out)
 		result.Phases = append(result.Phases, phase)
 	}
-	end, err := f.look()
-	if err != nil {
+	if err := see(); err != nil {
 		return err
 	}
-	result.Whole = f.spentBetween(whole, end)
+	result.Whole = f.spentOver(sights...)
 	result.Whole.print(out, "over the whole run")
 	result.Processes, result.MemoryMB = f.processes()
 	if err := f.askAgain(); err != nil {
--- a/internal/lab/scale_faults.go
+++ b/internal/lab/scale_faults.go
@@ -50,7 +50,7 @@
 }
 
 const (
-	samplePause   = 500 * time.Millisecond // between two looks at each real one during a fault
+	samplePause   = time.Second // between two looks at each real one during a fault
 	restartWithin = 10 * time.Second
 	restartMost   = 100
 )
--- a/internal/lab/scale_limits.go
+++ b/internal/lab/scale_limits.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -45,7 +46,8 @@
 
 // ScaleErrors is one of each error of scale runs, for the test that walks all of them.
 func ScaleErrors() []fleet.Remedied {
-	return []fleet.Remedied{&ScaleSizeError{"controllers", 0, "is under 2"}, &ScaleRoomError{"memory", 9, 5, "MB", "free some"}}
+	return []fleet.Remedied{&ScaleSizeError{"controllers", 0, "is under 2"}, &ScaleRoomError{"memory", 9, 5, "MB", "free some"},
+		&ScaleFaultError{"comet"}}
 }
 
 const (
@@ -61,6 +63,7 @@
 	laboratoryMB          = 150
 	hollowDescriptors     = 12
 	laboratoryDescriptors = 500
+	linkDescriptors       = 16 // of a process's connections through links
 )
 
 // check refuses what can't be played, before anything starts.
@@ -87,6 +90,9 @@
 	case s.Large > s.Changes:
 		return &ScaleSizeError{"large", s.Large, fmt.Sprintf("is over the %d changes", s.Changes)}
 	}
+	if s.Compare != 0 && s.Compare < 2*s.Voters {
+		return &ScaleSizeError{"compare", s.Compare, "has fewer real controllers in its half than vote"}
+	}
 	for _, name := range s.Faults {
 		if scaleFaults[name] == nil {
 			return &ScaleFaultError{name}
@@ -101,7 +107,7 @@
 // descriptors are those of the process that needs the most: this one holds the engines'
 // ends of all connections.
 func (s Scale) descriptors() int {
-	own := s.Engines + s.Real*s.Engines + laboratoryDescriptors + 4*s.Real*s.Real
+	own := s.Engines + s.Real*s.Engines + laboratoryDescriptors + linkDescriptors*s.Real
 	return max(own, hollowDescriptors*s.perHollowProcess(), 2*s.Controllers+s.Engines+laboratoryDescriptors)
 }
 
@@ -110,8 +116,14 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return err
 	}
-	if needed := s.descriptors(); uint64(needed) > limit.Cur {
-		return &ScaleRoomError{"file descriptors", needed, int(limit.Cur), "descriptors a process", "raise ulimit -n"}
+	have := int(min(limit.Cur, math.MaxInt32)) // it may have no limit
+	return roomFor("file descriptors", s.descriptors(), have, "descriptors a process", "raise ulimit -n")
+}
+
+// roomFor is an error where less may be used than is needed.
+func roomFor(what string, needed, have int, unit, raise string) error {
+	if needed > have {
+		return &ScaleRoomError{what, needed, have, unit, raise}
 	}
 	return nil
 }
@@ -128,10 +140,7 @@
 	if err != nil {
 		return err
 	}
-	if have, needed := min(available, total/2), s.memoryMB(); needed > have {
-		return &ScaleRoomError{"memory", needed, have, "MB", "end other programs: half of the machine's memory may be used"}
-	}
-	return nil
+	return roomFor("memory", s.memoryMB(), min(available, total/2), "MB", "end other programs: half of the machine's memory may be used")
 }
 
 // machineMemory is what the machine has, in MB.
--- /dev/null
+++ b/internal/lab/scale_test.go
@@ -0,0 +1,158 @@
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// laboratory builds raillab beside the programs.
+func laboratory(t *testing.T) (program, raillab string) {
+	program = both(t)
+	raillab = filepath.Join(filepath.Dir(program), "raillab")
+	if out, err := exec.Command("go", "build", "-o", raillab, "../../cmd/raillab").CombinedOutput(); err != nil {
+		t.Fatal(string(out))
+	}
+	return program, raillab
+}
+
+func TestASmallScaleRun(t *testing.T) {
+	program, raillab := laboratory(t)
+	var rows []ScaleRow
+	s := Scale{Program: program, Laboratory: raillab, Controllers: 14, Real: 4, Voters: 3, Engines: 5, Seed: 3, Lease: time.Second, Rest: time.Second,
+		Changes: 3, Large: 1, PolicyBytes: 1000, LargeBytes: 20_000, Faults: []string{"killed", "regions"}, Linked: true,
+		Record: func(l []ScaleRow) error { rows = l; return nil }}
+	var out bytes.Buffer
+	if err := s.Run(t.Context(), &out); err != nil {
+		t.Fatal(err, out.String())
+	}
+	t.Log(out.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	last := lines[len(lines)-1]
+	for _, part := range []string{"measured controllers=14 real=4 hollow=10 engines=5 processes=6 ", " changes=6 faults=2 ", " mixed=0 half=0 false_word=0 served_after=0"} {
+		if !strings.Contains(last, part) {
+			t.Errorf("%q isn't in %q", part, last)
+		}
+	}
+	for _, role := range []string{"leader", "voter", "controller mean", "controller worst", "operator", "fleet"} {
+		if i := slices.IndexFunc(rows, func(r ScaleRow) bool {
+			return r.Role == role && r.Value > 0 && r.Size == 14 && r.Seed == 3 && r.Unit != ""
+		}); i < 0 {
+			t.Errorf("no figure of role %s", role)
+		}
+	}
+}
+
+func TestASizeThatCantBePlayedIsRefused(t *testing.T) {
+	good := UsualScale("none", 40)
+	for name, spoil := range map[string]func(*Scale){
+		"controllers: 0":    func(s *Scale) { s.Controllers, s.Real = 0, 0 },
+		"controllers: 1 ":   func(s *Scale) { s.Controllers, s.Real = 1, 1 },
+		"controllers: 1201": func(s *Scale) { s.Controllers = 1201 },
+		"real: 1025":        func(s *Scale) { s.Controllers, s.Real = 1100, 1025 },
+		"real: 41":          func(s *Scale) { s.Real = 41 },
+		"voters: 2":         func(s *Scale) { s.Voters = 2 },
+		"voters: 5":         func(s *Scale) { s.Voters, s.Real = 5, 4 },
+		"relays: 10":        func(s *Scale) { s.Relays = 10 },
+		"relays: 1":         func(s *Scale) { s.Relays = 1 },
+		"engines: 0":        func(s *Scale) { s.Engines = 0 },
+		"large: 25":         func(s *Scale) { s.Large = 25 },
+		"compare: 2":        func(s *Scale) { s.Compare = 2 },
+		"file descriptors":  func(s *Scale) { s.Controllers, s.Real, s.Engines = 1000, 1000, 9000 },
+		"memory":            func(s *Scale) { s.Controllers, s.Real, s.Engines = 1000, 1000, 1 },
+		`"comet"`:           func(s *Scale) { s.Faults = []string{"comet"} },
+	} {
+		s := good
+		spoil(&s)
+		err := s.check()
+		var remedied fleet.Remedied
+		if !errors.As(err, &remedied) || remedied.Remedy() == "" || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if err := s.Run(t.Context(), &bytes.Buffer{}); !errors.As(err, &remedied) {
+			t.Errorf("%s was played: %v", name, err)
+		}
+	}
+}
+
+func TestRoomThatAMachineLacks(t *testing.T) {
+	s := UsualScale("none", 580)
+	if err := roomFor("memory", 500, 499, "MB", "free some"); err == nil || !strings.Contains(err.Error(), "500 MB") {
+		t.Error(err)
+	}
+	if err := roomFor("memory", 500, 500, "MB", "free some"); err != nil {
+		t.Error(err)
+	}
+	if n, mb := s.descriptors(), s.memoryMB(); n < 740*12 || n > 20_000 || mb < 500 || mb > 8000 {
+		t.Errorf("%d descriptors, %d MB", n, mb)
+	}
+}
+
+func TestScaleErrorsHaveRemedies(t *testing.T) {
+	texts := map[string]bool{}
+	for _, e := range ScaleErrors() {
+		if e.Error() == "" || e.Remedy() == "" || texts[e.Remedy()] {
+			t.Errorf("%T: %q, remedy %q", e, e.Error(), e.Remedy())
+		}
+		texts[e.Remedy()] = true
+	}
+}
+
+func TestQuantiles(t *testing.T) {
+	l := []time.Duration{1, 2, 3, 4}
+	for q, want := range map[float64]time.Duration{0: 1, 0.25: 1, 0.5: 2, 0.51: 3, 0.99: 4, 1: 4} {
+		if x := quantile(l, q); x != want {
+			t.Errorf("%v at %v, not %v", x, q, want)
+		}
+	}
+	if quantile(nil, 0.5) != 0 {
+		t.Error("of nothing there is one")
+	}
+}
+
+func TestAPolicyHasTheSizeAskedFor(t *testing.T) {
+	for _, size := range []int{0, 1000, 100_000} {
+		if n := len(policyText(3, size)); n < size || n > size+100 {
+			t.Errorf("%d bytes, not %d", n, size)
+		}
+	}
+	if bytes.Equal(policyText(1, 1000), policyText(2, 1000)) {
+		t.Error("two changes have one text")
+	}
+}
+
+func TestTheFurthestRatioIsTold(t *testing.T) {
+	a := scaleSpent{Leader: scaleRate{BytesOut: 100, BytesIn: 100, CPU: 10}, Mean: scaleRate{BytesOut: 10}}
+	b := scaleSpent{Leader: scaleRate{BytesOut: 104, BytesIn: 90, CPU: 10.5}, Mean: scaleRate{BytesOut: 10.2}}
+	if r := worstRatio(a, b); r != 0.9 {
+		t.Error(r)
+	}
+}
+
+func TestSpentOverStretches(t *testing.T) {
+	f := &scaleFleet{members: []*scaleMember{{name: "a", votes: true, process: &controllerProcess{}}, {name: "b", process: &controllerProcess{}}}}
+	zero := time.Now()
+	sight := func(second, run, bytesA, bytesB int, leader string) scaleSight {
+		use := func(run, n int) scaleUse {
+			u := scaleUse{run: run}
+			u.counts.BytesOut = n
+			return u
+		}
+		return scaleSight{at: zero.Add(time.Duration(second) * time.Second), leader: leader, used: map[string]scaleUse{"a": use(run, bytesA), "b": use(1, bytesB)}}
+	}
+	// a leads for 10 s, is killed, and begins to count anew
+	s := f.spentOver(sight(0, 1, 0, 0, "a"), sight(10, 1, 1000, 100, "a"), sight(12, 2, 10, 120, "b"), sight(22, 2, 110, 220, "b"))
+	if s.Leader.BytesOut != (1000+100)/20. { // of a's and of b's turn
+		t.Errorf("the leader sent %v a second", s.Leader.BytesOut)
+	}
+	if s.Worst.BytesOut != 1100/20. || s.Mean.BytesOut != 10 || s.Seen != 2 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/lab/scale_usage.go
+++ b/internal/lab/scale_usage.go
@@ -21,7 +21,6 @@
 	processUsage
 	run    int // its process's id: another one has begun to count anew
 	counts hollow.Counts
-	hollow bool
 }
 
 // look sees what all have used. Who can't be asked is left out.
@@ -59,7 +58,7 @@
 		n := len(p.names)
 		share := processUsage{used.CPU / time.Duration(n), used.Resident / float64(n)}
 		for name, c := range counts {
-			sight.used[name] = scaleUse{processUsage: share, run: p.command.Process.Pid, counts: *c, hollow: true}
+			sight.used[name] = scaleUse{processUsage: share, run: p.command.Process.Pid, counts: *c}
 		}
 	}
 	return sight, nil
@@ -80,8 +79,8 @@
 // scaleSpent is what controllers spent in a span, by roles.
 type scaleSpent struct {
 	Span       time.Duration
-	Seen       int // controllers that ran from its beginning to its end
-	Leader     scaleRate
+	Seen       int       // controllers that ran for at least one stretch of it
+	Leader     scaleRate // whoever led, over the stretches that it led
 	LeaderName string
 	Voter      scaleRate // the mean of those that don't lead
 	Relay      scaleRate // the worst, by each figure
@@ -89,40 +88,91 @@
 	Worst      scaleRate // of all that aren't on machines set aside, by each figure; CPU and MB of real ones
 }
 
-// spentBetween holds two sights against each other. Who was started anew in between is
-// left out.
-func (f *scaleFleet) spentBetween(a, b scaleSight) scaleSpent {
-	spent := scaleSpent{Span: b.at.Sub(a.at), LeaderName: b.leader}
+// scaleTotal sums what one controller spent over the stretches in which it was seen.
+type scaleTotal struct {
+	seconds float64
+	sum     scaleRate // not divided by the seconds yet; MB is the most
+}
+
+func (t *scaleTotal) add(rate scaleRate, seconds float64) {
+	t.seconds += seconds
+	most := max(t.sum.MB, rate.MB)
+	for i, x := range rate.fields() {
+		*t.sum.fields()[i] += *x * seconds
+	}
+	t.sum.MB = most
+}
+
+// rate is the mean over the stretches.
+func (t *scaleTotal) rate() scaleRate {
+	if t.seconds == 0 {
+		return scaleRate{}
+	}
+	mean, most := t.sum, t.sum.MB
+	for _, x := range mean.fields() {
+		*x /= t.seconds
+	}
+	mean.MB = most
+	return mean
+}
+
+// stretch is what a member spent between two sights; false if it wasn't seen at both or
+// was started anew in between.
+func (m *scaleMember) stretch(a, b scaleSight) (rate scaleRate, seen bool) {
+	x, was := a.used[m.name]
+	y, is := b.used[m.name]
+	if !was || !is || x.run != y.run || y.counts.BytesOut < x.counts.BytesOut {
+		return rate, false
+	}
+	return rateOf(x, y, b.at.Sub(a.at)), true
+}
+
+// spentOver holds each sight against the next. A controller's figures are over the
+// stretches in which it ran from begin to end, the leader's over those that it led.
+func (f *scaleFleet) spentOver(sights ...scaleSight) scaleSpent {
+	last := sights[len(sights)-1]
+	spent := scaleSpent{Span: last.at.Sub(sights[0].at), LeaderName: last.leader}
+	var leading scaleTotal
 	var voters, plain, plainReal []scaleRate
 	for _, m := range f.members {
-		x, was := a.used[m.name]
-		y, is := b.used[m.name]
-		if !was || !is || x.run != y.run || y.counts.BytesOut < x.counts.BytesOut {
+		var total scaleTotal
+		for i := 1; i < len(sights); i++ {
+			a, b := sights[i-1], sights[i]
+			rate, seen := m.stretch(a, b)
+			if !seen {
+				continue
+			}
+			total.add(rate, b.at.Sub(a.at).Seconds())
+			if a.leader == m.name && b.leader == m.name {
+				leading.add(rate, b.at.Sub(a.at).Seconds())
+			}
+		}
+		if total.seconds == 0 {
 			continue
 		}
 		spent.Seen++
-		rate := rateOf(x, y, spent.Span)
+		rate := total.rate()
 		switch {
-		case m.name == b.leader:
-			spent.Leader = rate
+		case m.votes && m.name == last.leader:
 		case m.votes:
 			voters = append(voters, rate)
 		case m.relay:
 			spent.Relay = worse(spent.Relay, rate)
 		default:
 			plain = append(plain, rate)
-			if !y.hollow {
+			if m.process != nil {
 				plainReal = append(plainReal, rate)
 			}
 		}
 		if f.setAside(m) {
 			continue
 		}
-		if y.hollow {
+		if m.process == nil { // its part of a process that has many is no figure of one
 			rate.CPU, rate.MB = 0, 0
 		}
 		spent.Worst = worse(spent.Worst, rate)
 	}
+	spent.Leader = leading.rate()
 	spent.Voter, spent.Mean = meanOf(voters), meanOf(plain)
 	realMean := meanOf(plainReal)
 	spent.Mean.CPU, spent.Mean.MB = realMean.CPU, realMean.MB
@@ -178,7 +228,7 @@
 	if err != nil {
 		return scaleSpent{}, err
 	}
-	return f.spentBetween(before, after), f.ctx.Err()
+	return f.spentOver(before, after), f.ctx.Err()
 }
 
 // processes counts the run's processes with this one, and the memory of all.
--- a/internal/standin/hollow/path.go
+++ b/internal/standin/hollow/path.go
@@ -68,32 +68,41 @@
 	}
 }
 
-// shapedConn is a connection through the gate and a link that takes its time. What one
-// side writes in one call comes after one delay: a message is not held up by its pieces.
+// burst is how soon after each other pieces of one message are read or written.
+const burst = 300 * time.Microsecond
+
+// shapedConn is a connection through the gate and a link that takes its time. Pieces that
+// come in one burst are one message: the link's time passes once for all of them.
 type shapedConn struct {
 	net.Conn
-	gate   *gate
-	abroad bool
-	delay  func() time.Duration
-	once   sync.Once
-	ended  chan struct{}
+	gate    *gate
+	abroad  bool
+	delay   func() time.Duration
+	once    sync.Once
+	ended   chan struct{}
+	written time.Time // of the goroutine that writes: when the last piece was
 }
 
+// Read waits for the link's time unless the bytes lay there already: then they came with
+// those before them.
 func (c *shapedConn) Read(p []byte) (int, error) {
+	began := time.Now()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.wait()
+		c.wait(time.Since(began) > burst)
 	}
 	return n, err
 }
 
 func (c *shapedConn) Write(p []byte) (int, error) {
-	c.wait()
-	return c.Conn.Write(p)
+	c.wait(time.Since(c.written) > burst)
+	n, err := c.Conn.Write(p)
+	c.written = time.Now()
+	return n, err
 }
 
-func (c *shapedConn) wait() {
-	if c.gate.pass(c.abroad, c.ended) {
+func (c *shapedConn) wait(delayed bool) {
+	if c.gate.pass(c.abroad, c.ended) && delayed {
 		time.Sleep(c.delay())
 	}
 }
