An interrupted or killed scale run leaves no process and no directory behind

Cause: an interrupt while a fleet started ended in a nil pointer before its directory was removed, and a process that replaced itself by railrelay-fleet lost its parent-death signal. Change: the half-started fleet is closed; railrelay-fleet is started itself.

--- a/internal/lab/many_process.go
+++ b/internal/lab/many_process.go
@@ -114,10 +114,14 @@
 	paused   bool
 }
 
+// fleetSuffix makes of the controller's program that which takes part in fleets.
+const fleetSuffix = "-fleet"
+
 // start begins the process from what its directory holds. It is killed with ctx, and
-// with this process.
+// with this process: therefore the program for fleets is started itself. The lean one
+// would replace itself by it, and the kernel forgets then what it ends with.
 func (p *controllerProcess) start(ctx context.Context) error {
-	command := exec.CommandContext(ctx, p.program, "serve", "--setup", p.setupFile)
+	command := exec.CommandContext(ctx, p.program+fleetSuffix, "serve", "--setup", p.setupFile)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := command.StderrPipe()
 	if err != nil {
--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -73,20 +73,16 @@
 }
 
 // begin starts a fleet and waits until every controller serves.
-func (s Scale) begin(ctx context.Context, number int64) (f *scaleFleet, err error) {
+func (s Scale) begin(ctx context.Context, number int64) (*scaleFleet, error) {
 	place, err := newWorkplace("railrelay-scale")
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(ctx)
-	f = &scaleFleet{Scale: s, workplace: place, ctx: ctx, stop: stop, number: number, byName: map[string]*scaleMember{}, judge: newScaleJudge(), version: 1}
-	defer func() {
-		if err != nil {
-			f.close()
-		}
-	}()
+	f := &scaleFleet{Scale: s, workplace: place, ctx: ctx, stop: stop, number: number, byName: map[string]*scaleMember{}, judge: newScaleJudge(), version: 1}
 	for _, step := range []func() error{f.startEngines, f.plan, f.startReal, f.startHollow, f.awaitAll} {
-		if err = step(); err != nil {
+		if err := step(); err != nil {
+			f.close()
 			return nil, err
 		}
 	}
