--- a/cmd/raillab/scale.go
+++ b/cmd/raillab/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -15,8 +16,20 @@
 		Long: "Starts real controllers and hollow ones (the real core and wire, a record in memory, no queries)\n" +
 			"before idle engines, looks at them at rest, changes the policy, and changes it during faults:\n\n  " +
 			strings.Join(lab.ScaleFaults(), "\n  ")}
-	c.RunE = func(c *cobra.Command, _ []string) error { return s.Run(c.Context(), c.OutOrStdout()) }
+	growth := lab.Growth{Members: 73_000, Changes: 365_000, Steps: 4, Lease: 2 * time.Second}
+	var grow bool
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if grow {
+			growth.Program, growth.Seed = s.Program, s.Seed
+			return growth.Run(c.Context(), c.OutOrStdout())
+		}
+		return s.Run(c.Context(), c.OutOrStdout())
+	}
 	f := c.Flags()
+	f.BoolVar(&grow, "growth", false, "look at a record that has grown over time instead of a fleet of a size")
+	f.IntVar(&growth.Members, "growth-members", growth.Members, "that came and went")
+	f.IntVar(&growth.Changes, "growth-changes", growth.Changes, "of policy")
+	f.IntVar(&growth.Steps, "growth-steps", growth.Steps, "at which a voter is started from the record")
 	f.StringVar(&s.Program, "program", s.Program, "the controller")
 	f.IntVar(&s.Controllers, "controllers", s.Controllers, "of the fleet, 2 to 1200")
 	f.IntVar(&s.Real, "real", s.Real, "of them are processes before all engines, 1024 at the most; the others are hollow")
--- a/internal/lab/many.go
+++ b/internal/lab/many.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/agree"
 	"railrelay.dev/railrelay/internal/fleet/disk"
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/feed"
@@ -119,27 +120,36 @@
 	return nil
 }
 
-// Measure starts all, looks at them at rest, changes the policy some times, and starts
-// one with a long record.
-func (m Many) Measure(ctx context.Context) (cost Cost, err error) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+// oneEngine listens as one idle engine and as the feed that lists it.
+func oneEngine(ctx context.Context) (address string, end func(), err error) {
 	e, err := engine.Listen(ctx, "127.0.0.1:0", trialEngine(), false)
 	if err != nil {
-		return cost, err
+		return "", nil, err
 	}
-	defer e.Close()
 	var list feed.Log
 	list.Tell(true, feed.Engine{ID: "e0", HostPort: e.Addr().String(), Locality: "here", Flavor: "std", Cell: 1, Phase: "SERVING", Size: 1})
 	f, err := feed.Listen(ctx, "127.0.0.1:0", &list)
+	if err != nil {
+		e.Close()
+		return "", nil, err
+	}
+	return f.Addr().String(), func() { f.Close(); e.Close() }, nil
+}
+
+// Measure starts all, looks at them at rest, changes the policy some times, and starts
+// one with a long record.
+func (m Many) Measure(ctx context.Context) (cost Cost, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	address, end, err := oneEngine(ctx)
 	if err != nil {
 		return cost, err
 	}
-	defer f.Close()
-	if err := m.measureAll(ctx, f.Addr().String(), &cost); err != nil {
+	defer end()
+	if err := m.measureAll(ctx, address, &cost); err != nil {
 		return cost, err
 	}
-	return cost, m.measureLongStart(ctx, f.Addr().String(), &cost)
+	return cost, m.measureLongStart(ctx, address, &cost)
 }
 
 func (m Many) measureAll(ctx context.Context, feedAddress string, cost *Cost) error {
@@ -256,34 +266,46 @@
 	return first, last, nil
 }
 
-// measureLongStart starts a voter whose record has Entries, all but the last 2,000 in a
-// snapshot. It is the only one of its fleet that can vote alone: with others' votes
-// missing it would wait for them.
-func (m Many) measureLongStart(ctx context.Context, feedAddress string, cost *Cost) error {
-	f, err := m.prepare(ctx, feedAddress, 1)
+// startFrom starts a voter from a record. It is the only one of its fleet, so that it can
+// vote alone: with others' votes missing it would wait for them.
+func (m Many) startFrom(ctx context.Context, feedAddress string, kept agree.Kept) (f *processFleet, took time.Duration, err error) {
+	f, err = m.prepare(ctx, feedAddress, 1)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
-	defer f.close()
-	p := f.controllers[0]
-	kept, err := longRecord(p.name, m.Entries)
-	if err != nil {
-		return err
+	store, _, err := disk.Open(f.controllers[0].directory, func() string { return "long" })
+	if err == nil {
+		err = errors.Join(store.Write(kept), store.Close())
+	}
+	begin := time.Now()
+	if err == nil {
+		err = f.startAll()
 	}
-	cost.SnapshotSize = len(kept.Snapshot.Data)
-	d, _, err := disk.Open(p.directory, func() string { return "long" })
 	if err != nil {
-		return err
+		f.close()
+		return nil, 0, err
 	}
-	if err := errors.Join(d.Write(kept), d.Close()); err != nil {
+	return f, time.Since(begin), nil
+}
+
+// onlyVoter is the name of the controller that startFrom starts.
+const onlyVoter = "c0"
+
+// measureLongStart starts a voter whose record has Entries, all but the last 2,000 in a
+// snapshot.
+func (m Many) measureLongStart(ctx context.Context, feedAddress string, cost *Cost) error {
+	kept, err := longRecord(onlyVoter, m.Entries)
+	if err != nil {
 		return err
 	}
-	begin := time.Now()
-	if err := f.startAll(); err != nil {
+	cost.SnapshotSize = len(kept.Snapshot.Data)
+	f, took, err := m.startFrom(ctx, feedAddress, kept)
+	if err != nil {
 		return err
 	}
-	cost.Start = time.Since(begin)
-	if s := p.status(ctx); s.Index < uint64(m.Entries) || s.Version < uint64(m.Entries/4) {
+	defer f.close()
+	cost.Start = took
+	if s := f.controllers[0].status(ctx); s.Index < uint64(m.Entries) || s.Version < uint64(m.Entries/entriesOfChange) {
 		return fmt.Errorf("it serves by version %d at entry %d of %d", s.Version, s.Index, m.Entries)
 	}
 	return nil
--- a/internal/lab/many_record.go
+++ b/internal/lab/many_record.go
@@ -88,12 +88,23 @@
 	return nil
 }
 
-// change puts a whole change of policy into the record: four entries.
+// entriesOfChange are those that a change of policy leads to.
+const entriesOfChange = 5
+
+// change puts a whole change of policy into the record.
 func (b *recordBuilder) change() error {
 	id := fmt.Sprint("change-", b.state.Index)
 	policy := fmt.Appendf(nil, "fairness: {teams: [{name: a, weight: %d}, {name: b, weight: 1}]}\n", b.state.Version%9+1)
 	return b.decide(&fleet.Entry{Kind: fleet.Propose, ID: id, By: "operator", Base: b.state.Version, Policy: policy},
-		&fleet.Entry{Kind: fleet.Close, ID: id}, &fleet.Entry{Kind: fleet.Force, ID: id}, &fleet.Entry{Kind: fleet.Settle, ID: id})
+		&fleet.Entry{Kind: fleet.Close, ID: id}, &fleet.Entry{Kind: fleet.Force, ID: id}, &fleet.Entry{Kind: fleet.Settle, ID: id},
+		&fleet.Entry{Kind: fleet.Finish, ID: id})
+}
+
+// comeAndGo puts a controller into the record that joins and whose disk is forgotten.
+func (b *recordBuilder) comeAndGo() error {
+	name := fmt.Sprint("gone-", b.state.Index)
+	member := &fleet.Member{Name: name, Disk: fmt.Sprintf("%016x", b.state.Index), Site: "here", Peer: "10.0.0.1:7600", Clients: "10.0.0.1:7602"}
+	return b.decide(&fleet.Entry{Kind: fleet.Join, ID: name, Name: name, Member: member}, &fleet.Entry{Kind: fleet.Forget, ID: name, Name: name})
 }
 
 // compact has a snapshot replace the log so far.
@@ -101,6 +112,14 @@
 	return b.step(agree.Event{Kind: agree.Compacted, Snapshot: &agree.Snapshot{Index: b.state.Index, Data: b.state.Encode()}})
 }
 
+// compactEvery compacts once the log has so many entries.
+func (b *recordBuilder) compactEvery(entries int) error {
+	if len(b.kept.Records) < entries {
+		return nil
+	}
+	return b.compact()
+}
+
 const entriesAfterSnapshot = 2000 // that a long record has in its log
 
 // longRecord is what the disk of a fleet's only voter holds after so many entries of
--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -20,6 +20,7 @@
 const (
 	zonesOfScale   = 6
 	peerPort       = 7600
+	clientPort     = 7602 // nobody listens there
 	enginePort     = 6565
 	realMemoryMB   = 128
 	realSockets    = 256
@@ -38,7 +39,7 @@
 type scaleMember struct {
 	name    string
 	place   hollow.Place
-	clients string // where clients come in; "": it is hollow
+	clients string // where clients come in
 	listen  string // where it really takes peers in
 	address string // what peers are told
 	votes   bool
@@ -124,6 +125,14 @@
 	return nil
 }
 
+// zonesWithEngines are those that have at least one of so many.
+func zonesWithEngines(engines int) (l []string) {
+	for i := range min(engines, zonesOfScale) {
+		l = append(l, zoneOf(i))
+	}
+	return l
+}
+
 func zoneOf(i int) string { return fmt.Sprint("z", i%zonesOfScale) }
 
 // placeOf has controllers take turns in the zones, and these in the two regions.
@@ -150,7 +159,7 @@
 			f.real = append(f.real, m)
 		} else {
 			m.listen = fmt.Sprintf("%s:%d", f.host(hollowBlock, i), peerPort)
-			m.address = m.listen
+			m.address, m.clients = m.listen, fmt.Sprintf("%s:%d", f.host(hollowBlock, i), clientPort)
 		}
 		f.members = append(f.members, m)
 		f.byName[m.name] = m
@@ -239,12 +248,8 @@
 
 // setupOf is a process's set-up.
 func (f *scaleFleet) setupOf(i int, m *scaleMember) controllerSetup {
-	var zones []string
-	for z := range zonesOfScale {
-		zones = append(zones, zoneOf(z))
-	}
 	s := controllerSetup{Name: m.name, Clients: m.clients, Feed: f.feed.Addr().String(), Controllers: f.Controllers,
-		Zones: zones, Zone: m.place.Zone, MemoryMB: realMemoryMB, Sockets: realSockets + 2*f.Engines, Fleet: "scale", Listen: m.listen, Control: m.process.control,
+		Zones: zonesWithEngines(zonesOfScale), Zone: m.place.Zone, MemoryMB: realMemoryMB, Sockets: realSockets + 2*f.Engines, Fleet: "scale", Listen: m.listen, Control: m.process.control,
 		Directory: m.process.directory, Keys: f.keyFile, Lease: f.Lease, Voters: f.voters()}
 	if m.address != m.listen {
 		s.Address = m.address
@@ -286,7 +291,7 @@
 	if err != nil {
 		return err
 	}
-	config := hollow.Config{Fleet: "scale", Keys: f.keyFile, Voters: f.voters(), Lease: f.Lease, Election: scaleElection, Heartbeat: scaleHeartbeat,
+	config := hollow.Config{Fleet: "scale", Keys: f.keyFile, Voters: f.voters(), Sites: zonesWithEngines(f.Engines), Lease: f.Lease, Election: scaleElection, Heartbeat: scaleHeartbeat,
 		WriteDelay: storeDelay, Seed: f.Seed, Places: map[string]hollow.Place{}, Direct: map[string]string{}}
 	if f.Linked {
 		config.Links = scaleLinks
@@ -301,7 +306,8 @@
 	for from := 0; from < len(rest); from += f.perHollowProcess() {
 		config.Controllers = nil
 		for i, m := range rest[from:min(from+f.perHollowProcess(), len(rest))] {
-			config.Controllers = append(config.Controllers, hollow.Member{Name: m.name, Listen: m.listen, Place: m.place, Relays: f.relaysOf(f.Real+from+i, m)})
+			config.Controllers = append(config.Controllers, hollow.Member{Name: m.name, Listen: m.listen, Clients: m.clients, Place: m.place,
+				Relays: f.relaysOf(f.Real+from+i, m)})
 		}
 		p, err := startHollow(f.ctx, laboratory, config, f.saw)
 		if err != nil {
--- /dev/null
+++ b/internal/lab/scale_growth.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet"
+)
+
+// Growth looks at what time does to a fleet, not size: a record of members that came and
+// went, and of changes of policy.
+type Growth struct {
+	Program string
+	Members int // that came and were forgotten
+	Changes int
+	Steps   int // it is looked at so many times on the way
+	Lease   time.Duration
+	Seed    uint64 // only noted with the figures
+	Record  func([]ScaleRow) error
+}
+
+// Grown is what a voter with a record is like.
+type Grown struct {
+	Members, Changes int
+	Entries          int
+	SnapshotBytes    int
+	FileBytes        int64         // of the record on disk, once it serves
+	Start            time.Duration // from being started until it serves
+	MB               float64       // resident once it serves
+	InForce          time.Duration // a change, from being asked for until the word
+}
+
+const entriesBetweenSnapshots = 50_000
+
+// Run builds the record step by step and starts a voter from it at each.
+func (g Growth) Run(ctx context.Context, out io.Writer) error {
+	if g.Steps < 1 || g.Members < 0 || g.Changes < 0 {
+		return &ScaleSizeError{"growth steps", g.Steps, "is under 1, or members or changes are under 0"}
+	}
+	address, end, err := oneEngine(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	b, err := newRecordBuilder(onlyVoter)
+	if err != nil {
+		return err
+	}
+	var rows []ScaleRow
+	members, changes := 0, 0
+	for step := 0; step <= g.Steps; step++ {
+		for goal := g.Members * step / g.Steps; members < goal; members++ {
+			if err := b.comeAndGo(); err != nil {
+				return err
+			}
+			if err := b.compactEvery(entriesBetweenSnapshots); err != nil {
+				return err
+			}
+		}
+		for goal := g.Changes * step / g.Steps; changes < goal; changes++ {
+			if err := b.change(); err != nil {
+				return err
+			}
+			if err := b.compactEvery(entriesBetweenSnapshots); err != nil {
+				return err
+			}
+		}
+		grown, err := g.look(ctx, address, b)
+		if err != nil {
+			return err
+		}
+		grown.Members, grown.Changes = members, changes
+		fmt.Fprintf(out, "%d members that came and went, %d changes: %d entries, snapshot %d bytes, file %d bytes, serves after %.2f s, %.1f MB, a change in %.0f ms\n",
+			members, changes, grown.Entries, grown.SnapshotBytes, grown.FileBytes, grown.Start.Seconds(), grown.MB, inMS(grown.InForce))
+		rows = append(rows, g.rows(grown)...)
+	}
+	if g.Record != nil {
+		return g.Record(rows)
+	}
+	return nil
+}
+
+// look starts a voter from the record as it is.
+func (g Growth) look(ctx context.Context, feedAddress string, b *recordBuilder) (grown Grown, err error) {
+	if err := b.compact(); err != nil {
+		return grown, err
+	}
+	grown.Entries, grown.SnapshotBytes = int(b.state.Index), len(b.kept.Snapshot.Data)
+	f, took, err := Many{Program: g.Program, Lease: g.Lease}.startFrom(ctx, feedAddress, b.kept)
+	if err != nil {
+		return grown, err
+	}
+	defer f.close()
+	p := f.controllers[0]
+	grown.Start = took
+	used, err := usageOf(p.command.Process.Pid)
+	if err != nil {
+		return grown, err
+	}
+	grown.MB = used.Resident
+	asked := time.Now()
+	r, err := p.ask(ctx, &fleet.Ask{Kind: "apply", ID: "grown", Base: b.state.Version, Policy: policyText(1, 1000), Wait: inForceWithin.Milliseconds()})
+	if err != nil {
+		return grown, err
+	}
+	if r.Word != "in force" {
+		return grown, fmt.Errorf("a change is %s: %s", r.Word, r.Why)
+	}
+	grown.InForce = time.Since(asked)
+	grown.FileBytes, err = sizeOf(p.directory)
+	return grown, err
+}
+
+// sizeOf is what a directory's files have together.
+func sizeOf(directory string) (sum int64, err error) {
+	entries, err := os.ReadDir(directory)
+	for _, e := range entries {
+		about, statErr := os.Stat(filepath.Join(directory, e.Name()))
+		if statErr != nil {
+			return 0, statErr
+		}
+		sum += about.Size()
+	}
+	return sum, err
+}
+
+// rows are its figures; their size is the number of members that came and went.
+func (g Growth) rows(x Grown) (rows []ScaleRow) {
+	add := func(what string, value float64, unit string) {
+		rows = append(rows, ScaleRow{"voter", fmt.Sprintf("grown by %d changes, %s", x.Changes, what), x.Members, g.Seed, value, unit})
+	}
+	add("snapshot", float64(x.SnapshotBytes), "bytes")
+	add("record file", float64(x.FileBytes), "bytes")
+	add("start until it serves", inMS(x.Start), "ms")
+	add("memory", x.MB, "MB")
+	add("a change told in force", inMS(x.InForce), "ms")
+	return rows
+}
--- a/internal/lab/scale_test.go
+++ b/internal/lab/scale_test.go
@@ -156,3 +156,16 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+func TestARecordThatGrows(t *testing.T) {
+	var rows []ScaleRow
+	var out bytes.Buffer
+	g := Growth{Program: both(t), Members: 200, Changes: 300, Steps: 1, Lease: time.Second, Record: func(l []ScaleRow) error { rows = l; return nil }}
+	if err := g.Run(t.Context(), &out); err != nil {
+		t.Fatal(err, out.String())
+	}
+	t.Log(out.String())
+	if len(rows) != 10 || rows[0].Value <= 0 || rows[5].Value <= rows[0].Value || rows[5].Size != 200 {
+		t.Errorf("%+v", rows)
+	}
+}
--- a/internal/standin/hollow/controller.go
+++ b/internal/standin/hollow/controller.go
@@ -69,6 +69,7 @@
 		defer close(c.done)
 		group, ctx := errgroup.WithContext(running)
 		group.Go(func() error { return opened.Serve(ctx) })
+		group.Go(func() error { return c.tellSites(ctx, opened) })
 		group.Go(func() error { return watch.serve(ctx, opened.Orders(), opened.Reports()) })
 		if err := group.Wait(); err != nil && running.Err() == nil {
 			c.tell(Event{Kind: Failed, Name: c.member.Name, At: time.Now().UnixNano(), Why: err.Error()})
@@ -77,6 +78,18 @@
 	return nil
 }
 
+// tellSites reports, once, the sites that a real controller would see engines in.
+func (c *controller) tellSites(ctx context.Context, opened *edge.Edge) error {
+	if len(c.config.Sites) == 0 {
+		return nil
+	}
+	select {
+	case opened.Reports() <- fleet.Report{Kind: fleet.Sites, Sites: c.config.Sites}:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 // kill ends it at once. Its store stays.
 func (c *controller) kill() {
 	if c.running == nil {
@@ -104,7 +117,8 @@
 }
 
 func (c *controller) begin() node.Begin {
-	b := node.Begin{Self: fleet.Member{Name: c.member.Name, Site: c.member.Place.Zone, Peer: c.member.Listen}, Lease: c.config.Lease,
+	b := node.Begin{Self: fleet.Member{Name: c.member.Name, Site: c.member.Place.Zone, Peer: c.member.Listen,
+		Clients: c.member.Clients}, Lease: c.config.Lease,
 		LeaseBound: c.config.Lease, Drift: drift, Election: c.config.Election, Heartbeat: c.config.Heartbeat, KeepAtMost: keepAtMost}
 	for _, v := range c.config.Voters {
 		b.Voters = append(b.Voters, agree.Voter{Name: v.Name, Address: v.Address})
--- a/internal/standin/hollow/message.go
+++ b/internal/standin/hollow/message.go
@@ -16,6 +16,7 @@
 	Links       Links             `json:"links"`
 	Places      map[string]Place  `json:"places"` // of all controllers, by host address
 	Direct      map[string]string `json:"direct"` // where the address of a peer leads, past a proxy
+	Sites       []string          `json:"sites"`  // that all tell to have engines, as real ones do
 	Controllers []Member          `json:"controllers"`
 }
 
@@ -28,7 +29,8 @@
 // Member is one hollow controller.
 type Member struct {
 	Name    string `json:"name"`
-	Listen  string `json:"listen"` // an IP address of its own, and a port
+	Listen  string `json:"listen"`            // an IP address of its own, and a port
+	Clients string `json:"clients,omitempty"` // where its clients would reach it
 	Place   Place  `json:"place"`
 	Relays  []Peer `json:"relays,omitempty"`  // that it asks in place of the leader
 	Control string `json:"control,omitempty"` // where operators come in; none: they don't
--- a/internal/standin/hollow/store.go
+++ b/internal/standin/hollow/store.go
@@ -69,6 +69,9 @@
 	for stay > 0 && merged.Records[stay-1].Index >= next.Records[0].Index {
 		stay--
 	}
-	merged.Records = append(merged.Records[:stay:stay], next.Records...)
+	if stay < len(merged.Records) { // before keeps what is replaced here
+		merged.Records = merged.Records[:stay:stay]
+	}
+	merged.Records = append(merged.Records, next.Records...)
 	return merged
 }
