Changes and purges don't wait for control processes, and what is no relay is passed by

And a process named as a relay that is none, or has an older program, only named the leader in answer, which counted as an answer: its controllers got no lease. Change: the record has the control role (Member.Control; never of a name that was a controller); changes and purges skip such members; a control leader's own refusal is looked at; only a grant makes a relay's route good. On processes not measured yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,9 @@
 	Peer      string `cbor:"4,keyasint" json:"peer"`                        // where its peers reach it
 	Clients   string `cbor:"5,keyasint,omitempty" json:"clients,omitempty"` // where clients reach it
 	Forgotten bool   `cbor:"6,keyasint,omitempty" json:"forgotten,omitempty"`
+	// Control: it takes no queries and keeps no results, so that neither changes nor
+	// purges wait for it. Of a name that was a controller once it is never true.
+	Control bool `cbor:"7,keyasint,omitempty" json:"control,omitempty"`
 }
 
 // Word is what a query looks at: may this controller decide now, and by which version.
--- a/internal/fleet/node/cover.go
+++ b/internal/fleet/node/cover.go
@@ -221,11 +221,16 @@
 		c.update(p, r)
 	}
 	m := c.state.Members[name]
-	if m == nil || *m != r.Member {
-		member := r.Member
+	member := r.Member
+	if m != nil && !m.Control {
+		member.Control = false // as the record has it, for good
+	}
+	if m == nil || *m != member {
 		c.once("join "+name, func() { c.propose(&fleet.Entry{Kind: fleet.Join, ID: name, Name: name, Member: &member}) })
 	}
-	return "", m != nil
+	// changes don't wait for a control process: one that takes queries by now must be
+	// in the record as what it is before it holds a lease
+	return "", m != nil && m.Control == member.Control
 }
 
 // update has a renewal stand for what its controller said before.
--- a/internal/fleet/node/erasure.go
+++ b/internal/fleet/node/erasure.go
@@ -3,11 +3,12 @@
 import "railrelay.dev/railrelay/internal/fleet"
 
 // erasure sums what the disks of all controllers have erased for a purge, and names those
-// that haven't confirmed it, controllers that are down included. Only a forgotten one is
-// not waited for: its disk is destroyed.
+// that haven't confirmed it, controllers that are down included. A forgotten one is not
+// waited for, since its disk is destroyed, and neither is a control process, which keeps
+// no results.
 func (c *Core) erasure(purge string) (sum fleet.Counts, awaited []string) {
 	for _, name := range c.members() {
-		if c.state.Members[name].Forgotten {
+		if m := c.state.Members[name]; m.Forgotten || m.Control {
 			continue
 		}
 		p := c.peers[name]
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -247,10 +247,11 @@
 // bound is the lease by which bound teams and kept results are served.
 func (c *Core) bound() time.Duration { return min(c.b.Lease, c.b.LeaseBound) }
 
-// missing are controllers that may serve and of which something isn't known yet.
+// missing are controllers that may serve and of which something isn't known yet. A
+// control process decides nothing by a policy, whatever lease it holds.
 func (c *Core) missing(lease time.Duration, done func(*Renew) bool) (l []string) {
 	for _, name := range c.members() {
-		if !c.mayHold(name, lease) {
+		if c.state.Members[name].Control || !c.mayHold(name, lease) {
 			continue
 		}
 		if p := c.peers[name]; p == nil || p.r == nil || !done(p.r) {
@@ -341,7 +342,12 @@
 			withdraw(fmt.Sprintf("not checked by %s within %v", list(wait), most))
 			return
 		}
-		if k := c.checks[u.ID]; len(wait) == 0 && k != nil && k.done {
+		k := c.checks[u.ID]
+		if k != nil && k.done && k.why != "" { // a control process, which isn't waited for
+			withdraw(c.b.Self.Name + " can't take it: " + k.why)
+			return
+		}
+		if len(wait) == 0 && k != nil && k.done {
 			c.once("close "+u.ID, func() { c.propose(&fleet.Entry{Kind: fleet.Close, ID: u.ID, Scopes: k.scopes, Voters: k.voters}) })
 		}
 		c.wait(u.ID, wait)
--- a/internal/fleet/node/member.go
+++ b/internal/fleet/node/member.go
@@ -133,8 +133,10 @@
 		c.unwanted(g.Why)
 		return
 	}
-	c.routes.answered(c.routeOf(from), c.now, c.askedAt > 0, relayRetryEach*c.every())
-	c.askedAt = 0
+	if route := c.routeOf(from); g.Given || route == len(c.b.Relays) { // one that is no relay only names the leader
+		c.routes.answered(route, c.now, c.askedAt > 0, relayRetryEach*c.every())
+		c.askedAt = 0
+	}
 	if !g.Given {
 		if g.Leader == c.b.Self.Name { // it led, and another may not know better yet
 			return
--- a/internal/fleet/record/state.go
+++ b/internal/fleet/record/state.go
@@ -134,6 +134,7 @@
 		if have := s.Members[e.Name]; e.Member != nil && (have == nil || have.Disk == e.Member.Disk && !have.Forgotten) {
 			m := *e.Member
 			m.Forgotten = false
+			m.Control = m.Control && (have == nil || have.Control) // what a controller kept may be on its disk yet
 			s.Members[e.Name] = &m
 			s.Seen = s.Index
 		}
--- a/internal/lab/schedule_actors.go
+++ b/internal/lab/schedule_actors.go
@@ -71,7 +71,9 @@
 	}
 	a.core = core
 	p.effects(a, effects)
-	p.in(p.span(0, 20*time.Millisecond), a, func() { p.take(a) })
+	if !a.member.Control {
+		p.in(p.span(0, 20*time.Millisecond), a, func() { p.take(a) })
+	}
 }
 
 // upstreams tells whether a controller is a relay, and otherwise which two it asks
--- a/internal/lab/schedules.go
+++ b/internal/lab/schedules.go
@@ -21,6 +21,7 @@
 	Seed        uint64
 	Controllers int // the first Voters of them vote
 	Voters      int
+	Control     bool          // voters and relays take no queries
 	Relays      int           // the next so many pass on the renewals of those after them, 0: none do
 	Long        time.Duration // in which faults come; after it all is healed and must come right
 	Lease       time.Duration
@@ -140,7 +141,8 @@
 	for i := range s.Controllers {
 		name := fmt.Sprintf("c%d", i)
 		a := &actor{name: name, disk: "disk-" + name, rate: 1 + (p.rng.Float64()-0.5)*0.009, drops: map[string]fleet.Order{}, items: map[string]item{}}
-		a.member = fleet.Member{Name: name, Disk: a.disk, Site: []string{"east", "west"}[i%2], Peer: name + ":1", Clients: name + ":2"}
+		a.member = fleet.Member{Name: name, Disk: a.disk, Site: []string{"east", "west"}[i%2], Peer: name + ":1", Clients: name + ":2",
+			Control: s.Control && i < s.Voters+s.Relays}
 		p.all = append(p.all, a)
 		p.byName[name] = a
 	}
