--- a/internal/lab/scale_report.go
+++ b/internal/lab/scale_report.go
@@ -98,6 +98,17 @@
 		add("operator", p.Name+", told in force, median", inMS(quantile(l, 0.5)), "ms")
 		add("operator", p.Name+", told in force, p99", inMS(quantile(l, 0.99)), "ms")
 		add("operator", p.Name+", told in force, most", inMS(quantile(l, 1)), "ms")
+		if !p.Fault {
+			for _, role := range []struct {
+				name string
+				cost scaleRate
+			}{{"leader", p.Cost.Leader}, {"voter", p.Cost.Voter}, {"controller mean", p.Cost.Controller}} {
+				add(role.name, p.Name+", one sends", role.cost.BytesOut, "bytes")
+				add(role.name, p.Name+", one receives", role.cost.BytesIn, "bytes")
+				add(role.name, p.Name+", one takes CPU", role.cost.CPU, "ms")
+				add(role.name, p.Name+", memory after them", role.cost.MB, "MB")
+			}
+		}
 		if p.Fault {
 			add("controller", p.Name+", all serve again", inMS(p.Back), "ms")
 		}
