Scale runs with the role control and with relays

Change: the set-up of a run's processes knows role: control, relay and relays; hollow controllers ask relays as real ones do.

--- a/cmd/raillab/scale.go
+++ b/cmd/raillab/scale.go
@@ -35,7 +35,7 @@
 	f.IntVar(&s.Real, "real", s.Real, "of them are processes before all engines, 1024 at the most; the others are hollow")
 	f.IntVar(&s.Voters, "voters", s.Voters, "of the real ones vote: 1, 3, 5 or 7")
 	f.IntVar(&s.Relays, "relays", s.Relays, "of the real ones that don't vote gather the renewals of others; 0: none does")
-	f.BoolVar(&s.SetAside, "set-aside", s.SetAside, "voters and relays stand on machines set aside for control")
+	f.BoolVar(&s.SetAside, "set-aside", s.SetAside, "voters have the role control, on machines set aside for it; relays always do")
 	f.IntVar(&s.Engines, "engines", s.Engines, "in the feed")
 	f.Uint64Var(&s.Seed, "seed", s.Seed, seedAbout)
 	f.DurationVar(&s.Lease, "lease", s.Lease, "of the fleet")
--- a/internal/lab/many.go
+++ b/internal/lab/many.go
@@ -80,7 +80,7 @@
 		p := &controllerProcess{name: name, program: m.Program, setupFile: f.path(name + ".yaml"), directory: f.path(name),
 			operator: operator{at(i, 7601), place.keys}, onApplied: f.tell}
 		s := controllerSetup{Name: name, Clients: at(i, 7602), Feed: feedAddress, Controllers: n, Zones: []string{"here"}, Zone: "here", MemoryMB: 64,
-			Sockets: 256, Fleet: "many", Listen: at(i, 7600), Control: p.control, Directory: p.directory, Keys: place.keyFile, Lease: m.Lease, Voters: voters}
+			Sockets: 256, Fleet: "many", Listen: at(i, 7600), Operators: p.control, Directory: p.directory, Keys: place.keyFile, Lease: m.Lease, Voters: voters}
 		if err := os.WriteFile(p.setupFile, []byte(s.text()), 0o600); err != nil {
 			f.close()
 			return nil, err
--- a/internal/lab/many_process.go
+++ b/internal/lab/many_process.go
@@ -32,39 +32,60 @@
 	Fleet       string // the fleet's name
 	Listen      string // where peers come in
 	Address     string // what peers are told in its place; "": Listen
-	Control     string
+	Operators   string // where operators come in
 	Directory   string
 	Keys        string
 	Lease       time.Duration
 	Voters      []hollow.Peer
-	FleetLines  []string // further lines of the fleet part, such as a role
+	Control     bool // it has the role control: no clients, engines or feed
+	Relay       bool
+	Relays      []hollow.Peer // that it asks in place of the leader
 }
 
 // text is the set-up as YAML.
 func (s controllerSetup) text() string {
-	kind := trialEngine()
 	var b strings.Builder
-	fmt.Fprintf(&b, "name: %s\nlisten: %s\nfeed: %s\nlog: info\n", s.Name, s.Clients, s.Feed)
-	fmt.Fprintf(&b, "limits: {cores: 1, memory_mb: %d, sockets: %d}\n", s.MemoryMB, s.Sockets)
-	fmt.Fprintf(&b, "engines: {controllers: %d, kinds: [{name: std, cores: %g, memory_mb: %g}], locations: [%s], location: %s}\n",
-		s.Controllers, kind.Cores, kind.MemoryMB, strings.Join(s.Zones, ", "), s.Zone)
-	b.WriteString("groups: [{name: lookup, target: 1s, timeout: 30s, effect: read-only}]\n")
-	b.WriteString("fairness: {fields: {team: team}, trusted: [127.0.0.0/8], teams: [{name: a, weight: 1}, {name: b, weight: 1}]}\n")
+	fmt.Fprintf(&b, "name: %s\nlog: info\nlimits: {cores: 1, memory_mb: %d, sockets: %d}\n", s.Name, s.MemoryMB, s.Sockets)
+	if !s.Control {
+		s.writeData(&b)
+	}
 	fmt.Fprintf(&b, "fleet:\n  name: %s\n  listen: %s\n  control: %s\n  directory: %q\n  keys: %q\n  lease: %v\n",
-		s.Fleet, s.Listen, s.Control, s.Directory, s.Keys, s.Lease)
+		s.Fleet, s.Listen, s.Operators, s.Directory, s.Keys, s.Lease)
 	if s.Address != "" {
 		fmt.Fprintf(&b, "  address: %s\n", s.Address)
 	}
-	for _, line := range s.FleetLines {
-		fmt.Fprintf(&b, "  %s\n", line)
+	if s.Control {
+		b.WriteString("  role: control\n")
 	}
-	b.WriteString("  voters:\n")
-	for _, v := range s.Voters {
-		fmt.Fprintf(&b, "    - {name: %s, address: %q}\n", v.Name, v.Address)
+	if s.Relay {
+		b.WriteString("  relay: true\n")
 	}
+	writePeers(&b, "voters", s.Voters)
+	writePeers(&b, "relays", s.Relays)
 	return b.String()
 }
 
+// writeData writes what only a controller with clients and engines has.
+func (s controllerSetup) writeData(b *strings.Builder) {
+	kind := trialEngine()
+	fmt.Fprintf(b, "listen: %s\nfeed: %s\n", s.Clients, s.Feed)
+	fmt.Fprintf(b, "engines: {controllers: %d, kinds: [{name: std, cores: %g, memory_mb: %g}], locations: [%s], location: %s}\n",
+		s.Controllers, kind.Cores, kind.MemoryMB, strings.Join(s.Zones, ", "), s.Zone)
+	b.WriteString("groups: [{name: lookup, target: 1s, timeout: 30s, effect: read-only}]\n")
+	b.WriteString("fairness: {fields: {team: team}, trusted: [127.0.0.0/8], teams: [{name: a, weight: 1}, {name: b, weight: 1}]}\n")
+}
+
+// writePeers writes a list of the fleet part, unless it is empty.
+func writePeers(b *strings.Builder, field string, list []hollow.Peer) {
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "  %s:\n", field)
+	for _, peer := range list {
+		fmt.Fprintf(b, "    - {name: %s, address: %q}\n", peer.Name, peer.Address)
+	}
+}
+
 // workplace is a directory for a fleet's set-ups, records and key file.
 type workplace struct {
 	directory string
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -31,7 +31,7 @@
 	Faults      []string // names of scaleFaults, in this order
 	Compare     int      // controllers by which hollow ones are held against real ones; 0: they aren't
 	Linked      bool     // links take the times of regions and zones
-	SetAside    bool     // voters and relays stand on machines set aside for control
+	SetAside    bool     // voters have the role control, on machines set aside for it; relays always do
 	Detail      bool     // say more of each part
 	// Record is given the figures; may be nil.
 	Record func([]ScaleRow) error
--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -249,28 +249,18 @@
 // setupOf is a process's set-up.
 func (f *scaleFleet) setupOf(i int, m *scaleMember) controllerSetup {
 	s := controllerSetup{Name: m.name, Clients: m.clients, Feed: f.feed.Addr().String(), Controllers: f.Controllers,
-		Zones: zonesWithEngines(zonesOfScale), Zone: m.place.Zone, MemoryMB: realMemoryMB, Sockets: realSockets + 2*f.Engines, Fleet: "scale", Listen: m.listen, Control: m.process.control,
-		Directory: m.process.directory, Keys: f.keyFile, Lease: f.Lease, Voters: f.voters()}
+		Zones: zonesWithEngines(zonesOfScale), Zone: m.place.Zone, MemoryMB: realMemoryMB, Sockets: realSockets + 2*f.Engines, Fleet: "scale", Listen: m.listen, Operators: m.process.control,
+		Directory: m.process.directory, Keys: f.keyFile, Lease: f.Lease, Voters: f.voters(), Control: f.setAside(m),
+		Relay: m.relay, Relays: f.relaysOf(i, m)}
 	if m.address != m.listen {
 		s.Address = m.address
 	}
-	if m.relay {
-		s.FleetLines = append(s.FleetLines, "relay: true")
-	}
-	if f.setAside(m) {
-		s.FleetLines = append(s.FleetLines, "role: control")
-	}
-	if relays := f.relaysOf(i, m); len(relays) > 0 {
-		s.FleetLines = append(s.FleetLines, "relays:")
-		for _, r := range relays {
-			s.FleetLines = append(s.FleetLines, fmt.Sprintf("  - {name: %s, address: %q}", r.Name, r.Address))
-		}
-	}
 	return s
 }
 
-// setAside: a controller stands on a machine set aside for control.
-func (f *scaleFleet) setAside(m *scaleMember) bool { return f.SetAside && (m.votes || m.relay) }
+// setAside: a process stands on a machine set aside for control, and has that role. Relays
+// always do.
+func (f *scaleFleet) setAside(m *scaleMember) bool { return m.relay || m.votes && f.SetAside }
 
 func (f *scaleFleet) startReal() error {
 	for _, m := range f.real {
