--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -141,6 +142,18 @@
 	}
 }
 
+// slowDisk: a voter's disk is slowed down, which only a hollow one's can be.
+func (s Scale) slowDisk() bool { return slices.Contains(s.Faults, slowDiskFault) }
+
+// isReal: the controller at an index is a process. With a slow disk the last voter is
+// hollow, and the next controller is a process in its place.
+func (s Scale) isReal(i int) bool {
+	if !s.slowDisk() {
+		return i < s.Real
+	}
+	return i <= s.Real && i != s.Voters-1
+}
+
 // laboratory is the program that runs hollow controllers.
 func (s Scale) laboratory() (string, error) {
 	if s.Laboratory != "" {
--- a/internal/lab/scale_faults.go
+++ b/internal/lab/scale_faults.go
@@ -21,13 +21,14 @@
 
 func init() { // the plays look the table up
 	scaleFaults = map[string]*scaleFault{
-		"killed":  {"a controller is killed", (*scaleFleet).controllerKilled},
-		"paused":  {"a controller is stopped by SIGSTOP past its lease", (*scaleFleet).controllerPaused},
-		"leader":  {"the leader is killed", (*scaleFleet).leaderKilled},
-		"relay":   {"a relay is killed", (*scaleFleet).relayKilled},
-		"zone":    {"a zone's controllers are stopped at once and come back together", (*scaleFleet).zoneStopped},
-		"restart": {"100 controllers, or a sixth, are restarted within 10 s", (*scaleFleet).manyRestarted},
-		"regions": {"the regions hear nothing of each other for two leases", (*scaleFleet).regionsCut},
+		"killed":      {"a controller is killed", (*scaleFleet).controllerKilled},
+		"paused":      {"a controller is stopped by SIGSTOP past its lease", (*scaleFleet).controllerPaused},
+		"leader":      {"the leader is killed", (*scaleFleet).leaderKilled},
+		"relay":       {"a relay is killed", (*scaleFleet).relayKilled},
+		"zone":        {"a zone's controllers are stopped at once and come back together", (*scaleFleet).zoneStopped},
+		"restart":     {"100 controllers, or a sixth, are restarted within 10 s", (*scaleFleet).manyRestarted},
+		slowDiskFault: {fmt.Sprintf("the disk of one voter, a hollow one, takes %v for each write", slowWrite), (*scaleFleet).diskSlowed},
+		"regions":     {"the regions hear nothing of each other for two leases", (*scaleFleet).regionsCut},
 	}
 }
 
@@ -53,6 +54,10 @@
 	samplePause   = time.Second // between two looks at each real one during a fault
 	restartWithin = 10 * time.Second
 	restartMost   = 100
+
+	slowDiskFault = "disk"
+	slowWrite     = 200 * time.Millisecond
+	slowChanges   = 5
 )
 
 // playFault has it befall the fleet, and waits until all serve again.
@@ -69,7 +74,7 @@
 	phase.Back = time.Since(begin)
 	stop()
 	f.running.Wait()
-	if n := f.Controllers - f.Real; n > 0 {
+	if n := len(f.hollow); n > 0 {
 		for at := begin.Add(time.Second); at.Before(time.Now()); at = at.Add(time.Second) {
 			phase.Serving = append(phase.Serving, float64(f.judge.servingAt(at))/float64(n))
 		}
@@ -173,7 +178,7 @@
 
 // zoneStopped ends all of a zone that don't vote or relay, and starts them together.
 func (f *scaleFleet) zoneStopped(phase *scalePhase) error {
-	zone := zoneOf(f.Real - 1)
+	zone := f.real[len(f.real)-1].place.Zone
 	var hollows []string
 	var processes []*scaleMember
 	for _, m := range f.members {
@@ -217,8 +222,10 @@
 // all the while.
 func (f *scaleFleet) manyRestarted(phase *scalePhase) error {
 	var names []string
-	for _, m := range f.members[f.Real:] {
-		names = append(names, m.name)
+	for _, m := range f.hollow {
+		if !m.votes {
+			names = append(names, m.name)
+		}
 	}
 	names = names[:min(len(names), restartMost, f.Controllers/6)]
 	if len(names) == 0 {
@@ -289,3 +296,18 @@
 		}
 	}
 }
+
+// diskSlowed has each write of a voter's record take long, changes the policy some times,
+// and lets it go as before.
+func (f *scaleFleet) diskSlowed(phase *scalePhase) error {
+	voter := f.members[f.Voters-1].name
+	if err := f.tellHollow(hollow.Command{Do: hollow.Delay, Names: []string{voter}, Delay: slowWrite}); err != nil {
+		return err
+	}
+	for range slowChanges {
+		if err := f.changeDuring(phase); err != nil {
+			return err
+		}
+	}
+	return f.tellHollow(hollow.Command{Do: hollow.Delay, Names: []string{voter}, Delay: storeDelay})
+}
--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 // scaleMember is one controller of a scale run.
 type scaleMember struct {
 	name    string
+	index   int // among all
 	place   hollow.Place
 	clients string // where clients come in
 	listen  string // where it really takes peers in
@@ -57,6 +59,7 @@
 	members []*scaleMember
 	byName  map[string]*scaleMember
 	real    []*scaleMember
+	hollow  []*scaleMember
 	hollows []*hollowProcess
 	mesh    *link.Mesh
 	feed    *feed.Listener
@@ -143,16 +146,18 @@
 // plan says who there is, and where.
 func (f *scaleFleet) plan() error {
 	var names []string
-	for i := range f.Real {
-		names = append(names, fmt.Sprint("c", i))
+	for i := range f.Controllers {
+		if f.isReal(i) {
+			names = append(names, fmt.Sprint("c", i))
+		}
 	}
 	if f.Linked {
 		f.mesh = link.NewMesh(names...)
 		f.closers = append(f.closers, func() { f.mesh.Close() })
 	}
 	for i := range f.Controllers {
-		m := &scaleMember{name: fmt.Sprint("c", i), place: placeOf(i), votes: i < f.Voters, relay: i >= f.Voters && i < f.Voters+f.Relays}
-		if i < f.Real {
+		m := &scaleMember{name: fmt.Sprint("c", i), index: i, place: placeOf(i), votes: i < f.Voters, relay: i >= f.Voters && i < f.Voters+f.Relays}
+		if f.isReal(i) {
 			if err := f.planReal(i, m); err != nil {
 				return err
 			}
@@ -160,6 +165,7 @@
 		} else {
 			m.listen = fmt.Sprintf("%s:%d", f.host(hollowBlock, i), peerPort)
 			m.address, m.clients = m.listen, fmt.Sprintf("%s:%d", f.host(hollowBlock, i), clientPort)
+			f.hollow = append(f.hollow, m)
 		}
 		f.members = append(f.members, m)
 		f.byName[m.name] = m
@@ -167,8 +173,8 @@
 	if f.Linked {
 		f.delayLinks()
 	}
-	for i, m := range f.real {
-		if err := os.WriteFile(m.process.setupFile, []byte(f.setupOf(i, m).text()), 0o600); err != nil {
+	for _, m := range f.real {
+		if err := os.WriteFile(m.process.setupFile, []byte(f.setupOf(m).text()), 0o600); err != nil {
 			return err
 		}
 	}
@@ -235,23 +241,23 @@
 }
 
 // relaysOf are the two relays that a controller asks; none for those who vote or relay.
-func (f *scaleFleet) relaysOf(i int, m *scaleMember) (l []hollow.Peer) {
+func (f *scaleFleet) relaysOf(m *scaleMember) (l []hollow.Peer) {
 	if f.Relays == 0 || m.votes || m.relay {
 		return nil
 	}
 	for k := range 2 {
-		r := f.members[f.Voters+(i+k)%f.Relays]
+		r := f.members[f.Voters+(m.index+k)%f.Relays]
 		l = append(l, hollow.Peer{Name: r.name, Address: r.address})
 	}
 	return l
 }
 
 // setupOf is a process's set-up.
-func (f *scaleFleet) setupOf(i int, m *scaleMember) controllerSetup {
+func (f *scaleFleet) setupOf(m *scaleMember) controllerSetup {
 	s := controllerSetup{Name: m.name, Clients: m.clients, Feed: f.feed.Addr().String(), Controllers: f.Controllers,
 		Zones: zonesWithEngines(zonesOfScale), Zone: m.place.Zone, MemoryMB: realMemoryMB, Sockets: realSockets + 2*f.Engines, Fleet: "scale", Listen: m.listen, Operators: m.process.control,
 		Directory: m.process.directory, Keys: f.keyFile, Lease: f.Lease, Voters: f.voters(), Control: f.setAside(m),
-		Relay: m.relay, Relays: f.relaysOf(i, m)}
+		Relay: m.relay, Relays: f.relaysOf(m)}
 	if m.address != m.listen {
 		s.Address = m.address
 	}
@@ -273,8 +279,7 @@
 
 // startHollow starts the processes of hollow controllers, and these.
 func (f *scaleFleet) startHollow() error {
-	rest := f.members[f.Real:]
-	if len(rest) == 0 {
+	if len(f.hollow) == 0 {
 		return nil
 	}
 	laboratory, err := f.laboratory()
@@ -293,11 +298,11 @@
 			config.Direct[m.address] = m.listen
 		}
 	}
-	for from := 0; from < len(rest); from += f.perHollowProcess() {
+	for part := range slices.Chunk(f.hollow, hollowAtMost) {
 		config.Controllers = nil
-		for i, m := range rest[from:min(from+f.perHollowProcess(), len(rest))] {
+		for _, m := range part {
 			config.Controllers = append(config.Controllers, hollow.Member{Name: m.name, Listen: m.listen, Clients: m.clients, Place: m.place,
-				Relays: f.relaysOf(f.Real+from+i, m)})
+				Relays: f.relaysOf(m)})
 		}
 		p, err := startHollow(f.ctx, laboratory, config, f.saw)
 		if err != nil {
@@ -338,7 +343,7 @@
 
 // awaitHollow waits until every hollow controller serves.
 func (f *scaleFleet) awaitHollow(within time.Duration) error {
-	want := f.Controllers - f.Real
+	want := len(f.hollow)
 	for end := time.Now().Add(within); f.judge.servingNow() < want; sleep(f.ctx, scalePollPause) {
 		for _, p := range f.hollows {
 			if err := p.failure(); err != nil {
@@ -362,7 +367,12 @@
 			if !m.process.answers() {
 				continue
 			}
-			if l := f.byName[m.process.status(f.ctx).Leader]; l != nil && l.process != nil && l.process.answers() && l.process.status(f.ctx).Leader == l.name {
+			l := f.byName[m.process.status(f.ctx).Leader]
+			if l != nil && l.process == nil {
+				if err := f.depose(l); err != nil {
+					return nil, err
+				}
+			} else if l != nil && l.process.answers() && l.process.status(f.ctx).Leader == l.name {
 				return l, nil
 			}
 		}
@@ -370,6 +380,13 @@
 	return nil, errors.New("nobody leads")
 }
 
+// depose has a hollow voter that leads be started anew, so that a process leads.
+func (f *scaleFleet) depose(m *scaleMember) error {
+	err := f.tellHollow(hollow.Command{Do: hollow.Stop, Names: []string{m.name}})
+	sleep(f.ctx, 3*scaleElection)
+	return errors.Join(err, f.tellHollow(hollow.Command{Do: hollow.Start, Names: []string{m.name}}))
+}
+
 // close ends all processes and listeners. It may be called twice.
 func (f *scaleFleet) close() {
 	f.stop()
--- a/internal/lab/scale_hollow.go
+++ b/internal/lab/scale_hollow.go
@@ -18,9 +18,6 @@
 
 const hollowAtMost = 200 // controllers in one process
 
-// perHollowProcess is how many controllers each hollow process has at the most.
-func (s Scale) perHollowProcess() int { return min(hollowAtMost, s.Controllers-s.Real) }
-
 // hollowProcess is a process of hollow controllers, driven by this one.
 type hollowProcess struct {
 	names   []string
--- a/internal/lab/scale_limits.go
+++ b/internal/lab/scale_limits.go
@@ -77,6 +77,8 @@
 		return &ScaleSizeError{"controllers", s.Controllers, fmt.Sprintf("is over %d", controllersAtMost)}
 	case s.Real > s.Controllers:
 		return &ScaleSizeError{"real", s.Real, fmt.Sprintf("is over the %d controllers", s.Controllers)}
+	case s.slowDisk() && (s.Voters < 3 || s.Real >= s.Controllers):
+		return &ScaleSizeError{"voters", s.Voters, "leave no hollow one among three, whose disk can be slow"}
 	case !slices.Contains([]int{1, 3, 5, 7}, s.Voters):
 		return &ScaleSizeError{"voters", s.Voters, "isn't 1, 3, 5 or 7"}
 	case s.Voters > s.Real:
@@ -108,7 +110,7 @@
 // ends of all connections.
 func (s Scale) descriptors() int {
 	own := s.Engines + s.Real*s.Engines + laboratoryDescriptors + linkDescriptors*s.Real
-	return max(own, hollowDescriptors*s.perHollowProcess(), 2*s.Controllers+s.Engines+laboratoryDescriptors)
+	return max(own, hollowDescriptors*hollowAtMost, 2*s.Controllers+s.Engines+laboratoryDescriptors)
 }
 
 func (s Scale) checkDescriptors() error {
--- a/internal/lab/scale_test.go
+++ b/internal/lab/scale_test.go
@@ -60,6 +60,7 @@
 		"real: 41":          func(s *Scale) { s.Real = 41 },
 		"voters: 2":         func(s *Scale) { s.Voters = 2 },
 		"voters: 5":         func(s *Scale) { s.Voters, s.Real = 5, 4 },
+		"voters: 1 leave":   func(s *Scale) { s.Voters, s.Faults = 1, []string{"disk"} },
 		"relays: 10":        func(s *Scale) { s.Relays = 10 },
 		"relays: 1":         func(s *Scale) { s.Relays = 1 },
 		"engines: 0":        func(s *Scale) { s.Engines = 0 },
--- a/internal/lab/scale_usage.go
+++ b/internal/lab/scale_usage.go
@@ -154,8 +154,9 @@
 		rate := total.rate()
 		switch {
 		case m.votes && m.name == last.leader:
-		case m.votes:
+		case m.votes && m.process != nil: // a hollow one has no CPU and memory of its own
 			voters = append(voters, rate)
+		case m.votes:
 		case m.relay:
 			spent.Relay = worse(spent.Relay, rate)
 		default:
--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -153,6 +153,7 @@
 }
 
 func TestAChangeIsInForceOnAll(t *testing.T) {
+	t.Parallel()
 	p := begin(t, 1)
 	if r := p.apply("first", 1); r.Word != "in force" || r.Version != 2 {
 		t.Fatalf("%+v", r)
@@ -169,6 +170,7 @@
 }
 
 func TestAPausedControllerServesNoLongerThanItsLease(t *testing.T) {
+	t.Parallel()
 	p := begin(t, 2)
 	at := time.Now()
 	p.do(Command{Do: Pause, Names: []string{"h4"}})
@@ -187,6 +189,7 @@
 }
 
 func TestAStoppedControllerStartsFromItsStore(t *testing.T) {
+	t.Parallel()
 	p := begin(t, 3)
 	p.do(Command{Do: Stop, Names: []string{"h1", "h3"}})
 	p.until(func(Event) bool { return len(p.serving) == 3 })
@@ -198,6 +201,7 @@
 }
 
 func TestRegionsThatAreCutHearNothingOfEachOther(t *testing.T) {
+	t.Parallel()
 	p := begin(t, 4)
 	p.do(Command{Do: Cut})
 	p.until(func(Event) bool { return len(p.serving) == 3 })
