--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -13,6 +13,12 @@
 // Scale is a run of a fleet at a size that one machine couldn't hold as processes: some
 // controllers are real, in front of all engines, the others hollow (package hollow). It is
 // looked at while it rests, while the policy changes, and while it changes during faults.
+//
+// With Linked, what two processes say to each other passes proxies (package link) that
+// take the time of the zones and regions between them; what a hollow controller says or is
+// told waits that long in its own process. Connecting takes no time, nor do operators' asks
+// and what passes between controllers and engines. Bytes are those of connections between
+// peers, with HTTP's headers and without TCP's.
 type Scale struct {
 	Program     string // railrelay-fleet must stand beside it
 	Laboratory  string // this program, which runs hollow controllers; "": as it was started
