--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -6,12 +6,19 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 )
 
 // Scale is a run of a fleet at a size that one machine couldn't hold as processes: some
 // controllers are real, in front of all engines, the others hollow (package hollow). It is
 // looked at while it rests, while the policy changes, and while it changes during faults.
+//
+// With Linked, what two processes say to each other passes proxies (package link) that
+// take the time of the zones and regions between them; what a hollow controller says or is
+// told waits that long in its own process. Connecting takes no time, nor do operators' asks
+// and what passes between controllers and engines. Bytes are those of connections between
+// peers, with HTTP's headers and without TCP's.
 type Scale struct {
 	Program     string // railrelay-fleet must stand beside it
 	Laboratory  string // this program, which runs hollow controllers; "": as it was started
@@ -31,7 +38,7 @@
 	Faults      []string // names of scaleFaults, in this order
 	Compare     int      // controllers by which hollow ones are held against real ones; 0: they aren't
 	Linked      bool     // links take the times of regions and zones
-	SetAside    bool     // voters and relays stand on machines set aside for control
+	SetAside    bool     // voters have the role control, on machines set aside for it; relays always do
 	Detail      bool     // say more of each part
 	// Record is given the figures; may be nil.
 	Record func([]ScaleRow) error
@@ -105,7 +112,7 @@
 		return err
 	}
 	result.Rest.print(out, "at rest")
-	if result.Phases, err = f.changesAtRest(out); err != nil {
+	if result.Phases, err = f.changesAtRest(out, result.Rest); err != nil {
 		return err
 	}
 	for _, name := range s.Faults {
@@ -141,6 +148,18 @@
 	}
 }
 
+// slowDisk: a voter's disk is slowed down, which only a hollow one's can be.
+func (s Scale) slowDisk() bool { return slices.Contains(s.Faults, slowDiskFault) }
+
+// isReal: the controller at an index is a process. With a slow disk the last voter is
+// hollow, and the next controller is a process in its place.
+func (s Scale) isReal(i int) bool {
+	if !s.slowDisk() {
+		return i < s.Real
+	}
+	return i <= s.Real && i != s.Voters-1
+}
+
 // laboratory is the program that runs hollow controllers.
 func (s Scale) laboratory() (string, error) {
 	if s.Laboratory != "" {
