--- /dev/null
+++ b/internal/lab/relays_faults_test.go
@@ -0,0 +1,330 @@
+package lab
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"railrelay.dev/railrelay/internal/fleet/disk"
+	"railrelay.dev/railrelay/internal/standin/link"
+)
+
+// relayRound is one way in which relays fail. After play there is one more change.
+type relayRound struct {
+	name  string
+	play  func(f *relayed)
+	alone bool // only one relay fails, and controllers go on serving meanwhile
+}
+
+// relayRounds are played on one fleet, one after another.
+func relayRounds() []relayRound {
+	return []relayRound{
+		{"a relay killed while a change waits", relayKilled, true},
+		{"a relay killed anywhere in a change", relayKilledAnywhere, true},
+		{"a relay stopped past its lease and woken", relayStopped, true},
+		{"a relay cut from the leader", relayCutFromLeader, true},
+		{"a relay cut from its controllers", relayCutFromControllers, true},
+		{"both relays killed", bothRelaysKilled, false},
+		{"only relays reach the leader", onlyRelaysReachLeader, false},
+		{"a controller cut off while its relay goes on", controllerCutOff, false},
+		{"grants come late", grantsLate, false},
+		{"grants come twice", grantsTwice, true},
+		{"the leader killed while a change waits", leaderKilled, false},
+		{"a relay and the leader killed while a change waits", relayAndLeaderKilled, false},
+		{"a purge while a relay is down", purgeWithoutRelay, true},
+		{"an old run of a relay beside a new one", oldRunBesideNew, true},
+	}
+}
+
+// asks has clients ask every controller: most for queries whose site tells the policy
+// that they were sent by.
+func (f *relayed) asks() {
+	for i := range f.controllers {
+		f.clients.Add(4)
+		go f.client(i, "mark", "lookup", 5*time.Millisecond, false)
+		go f.client(i, "linz", "lookup", 40*time.Millisecond, false)
+		go f.client(i, "linz", "report", 120*time.Millisecond, true)
+		go f.client(i, "steyr", "load", 80*time.Millisecond, false)
+	}
+}
+
+// pastLease waits until leases that were asked for by now are over.
+func (f *relayed) pastLease() { time.Sleep(f.Lease + f.Lease/2) }
+
+// cut has nothing pass between two processes.
+func (f *relayed) cut(a, b *process) {
+	f.mu.Lock()
+	f.faults["link cut"]++
+	f.fleet.Note(f.since(), a.name+" is cut from "+b.name, a.name, b.name)
+	f.mu.Unlock()
+	f.mesh.Cut(a.name, b.name)
+}
+
+// cutFromVoters leaves a controller the relays alone.
+func (f *relayed) cutFromVoters(p *process) {
+	for _, v := range f.voters {
+		f.cut(p, v)
+	}
+}
+
+// restart starts a process that was killed.
+func (f *relayed) restart(p *process) { f.must(f.begin(p)) }
+
+// relayKilled kills the first relay of half of the controllers while a change waits.
+func relayKilled(f *relayed) {
+	relay := f.relays[0]
+	f.midChange(func() { f.kill(relay) }, func() { f.restart(relay) })
+	f.serveAll()
+	f.changes(f.asker())
+	f.restart(relay)
+}
+
+// relayKilledAnywhere kills a relay at several moments after a change was asked for.
+func relayKilledAnywhere(f *relayed) {
+	for _, after := range []time.Duration{0, 3 * time.Millisecond, 8 * time.Millisecond, 15 * time.Millisecond} {
+		relay, by := f.relays[1], f.asker()
+		a := f.change(f.inForce(), 0, false)
+		killed := make(chan struct{})
+		go func() {
+			defer close(killed)
+			time.Sleep(after)
+			f.kill(relay)
+		}()
+		f.comesInForce(by, a)
+		<-killed
+		f.restart(relay)
+		f.serveAll()
+	}
+}
+
+// relayStopped has a relay sleep longer than any lease. What it holds then is old: asks of
+// controllers, answers of the leader, the record.
+func relayStopped(f *relayed) {
+	relay := f.relays[0]
+	f.midChange(func() { f.pause(relay) }, func() { f.resume(relay) })
+	f.pastLease()
+	f.changes(f.asker())
+	f.resume(relay)
+	f.changes(f.asker())
+}
+
+// relayCutFromLeader has a relay hear its controllers, and not the leader.
+func relayCutFromLeader(f *relayed) {
+	f.cut(f.relays[0], f.leading())
+	f.pastLease()
+	f.serveAll(f.relays[0])
+	f.changes(f.asker())
+	f.mesh.Heal()
+}
+
+// relayCutFromControllers has a relay hear the leader, and none of its controllers.
+func relayCutFromControllers(f *relayed) {
+	for _, p := range f.controllers {
+		f.cut(f.relays[0], p)
+	}
+	f.pastLease()
+	f.serveAll()
+	f.changes(f.asker())
+	f.mesh.Heal()
+}
+
+// bothRelaysKilled leaves controllers the leader itself, and then gives them the relays back.
+func bothRelaysKilled(f *relayed) {
+	f.midChange(func() { f.each(f.relays, f.kill) }, func() { f.each(f.relays, f.restart) })
+	f.serveAll()
+	f.pastLease()
+	f.serveAll()
+	f.changes(f.asker())
+	f.each(f.relays, f.restart)
+}
+
+// onlyRelaysReachLeader cuts controllers from all voters: that they serve shows that
+// leases and the record come by the relays. Without these none serves past its lease.
+func onlyRelaysReachLeader(f *relayed) {
+	for _, p := range f.controllers {
+		f.cutFromVoters(p)
+	}
+	f.pastLease()
+	f.serveAll()
+	f.changes(f.asker())
+	f.each(f.relays, f.kill)
+	killed := time.Now()
+	time.Sleep(f.Lease)
+	f.lapsed(killed.Add(f.Lease))
+	f.changes(f.asker())
+	f.each(f.relays, f.restart)
+	f.serveAll()
+	f.changes(f.asker())
+	f.mesh.Heal()
+}
+
+// lapsed fails the test where a controller held a lease after a moment.
+func (f *relayed) lapsed(after time.Time) {
+	f.t.Helper()
+	const looks = 3
+	for range looks {
+		for _, p := range f.controllers {
+			if s, seen := look(f, p); seen && s.asked.After(after) && (s.serves || s.lease > 0) {
+				f.t.Errorf("%s serves (%v), %v after the end of its lease, of which it has %v left", p.name, s.serves, s.asked.Sub(after), s.lease)
+			}
+		}
+	}
+}
+
+// controllerCutOff cuts a controller from all others while its relays go on asking for
+// leases for those they cover. The change doesn't come into force before its lease ends.
+func controllerCutOff(f *relayed) {
+	lost := f.controllers[0]
+	f.note(lost, "cut off")
+	f.mesh.Isolate(lost.name)
+	f.changes(f.asker())
+	f.serveAll(lost)
+	f.changes(f.asker())
+	f.mesh.Heal()
+}
+
+// grantsLate has all that comes to a controller come late. A lease counts from when it was
+// asked for, so no more than the rest of it is ever left.
+func grantsLate(f *relayed) {
+	const late = 600 * time.Millisecond
+	p := f.controllers[0]
+	f.mesh.Set("", p.name, link.Fault{Kind: link.Delay, Way: link.There, By: late})
+	begin := time.Now()
+	f.pastLease() // what was granted before is over
+	f.changes(f.asker())
+	seen := false
+	for _, s := range f.watch.since(begin.Add(f.Lease)) {
+		if s.process != p.name {
+			continue
+		}
+		seen = seen || s.lease > 0
+		if s.lease > f.Lease-late {
+			f.t.Errorf("%s has %v left of a lease of %v, and every grant is %v late", p.name, s.lease, f.Lease, late)
+		}
+	}
+	f.mesh.Heal()
+	if !seen {
+		f.t.Errorf("%s never had a lease that came late", p.name)
+	}
+}
+
+// grantsTwice has all that relays send come to its receiver a second time, by another
+// connection, which the wire refuses.
+func grantsTwice(f *relayed) {
+	refused := func() (sum int) {
+		for _, p := range f.controllers {
+			sum += f.status(p).Counts["wire_refused_replay"]
+		}
+		return sum
+	}
+	before := refused()
+	for _, relay := range f.relays {
+		f.mesh.Set(relay.name, "", link.Fault{Kind: link.Double})
+	}
+	f.awaits("replays of grants that are refused", func() bool { return refused() > before })
+	f.changes(f.asker())
+	f.pastLease()
+	f.serveAll()
+	f.mesh.Heal()
+}
+
+// leaderKilled has another voter lead a change on, of which relays must tell it all anew.
+func leaderKilled(f *relayed) {
+	leader := f.leading()
+	f.midChange(func() { leader = f.leading(); f.kill(leader) }, func() { f.restart(leader) })
+	f.serveAll()
+	f.changes(f.asker())
+	f.restart(leader)
+}
+
+func relayAndLeaderKilled(f *relayed) {
+	leader, relay := f.leading(), f.relays[1]
+	f.midChange(func() { leader = f.leading(); f.kill(relay); f.kill(leader) }, func() { f.restart(relay); f.restart(leader) })
+	f.serveAll()
+	f.changes(f.asker())
+	f.restart(relay)
+	f.restart(leader)
+}
+
+// purgeWithoutRelay has a team's results go while a relay is down: nobody serves them after.
+func purgeWithoutRelay(f *relayed) {
+	relay := f.relays[0]
+	f.kill(relay)
+	f.changes(f.asker())
+	f.restart(relay)
+	took, err := f.purge(f.asker(), "linz", comesWithin)
+	f.must(err)
+	f.t.Logf("purged after %d ms", took.Milliseconds())
+}
+
+// each does something with some processes, one after another.
+func (f *relayed) each(some []*process, do func(p *process)) {
+	for _, p := range some {
+		do(p)
+	}
+}
+
+// oldRunBesideNew starts a relay anew while its last run sleeps. The same directory is
+// refused to the new run; by a copy it runs, at the old one's address, until the old one
+// wakes and both gather for the leader under one name. The fleet takes both for one member,
+// so the old run's own lease, by which it serves nothing, isn't judged.
+func oldRunBesideNew(f *relayed) {
+	old := f.relays[0]
+	f.watch.leave(old)
+	f.pause(old)
+	f.refusesDirectoryInUse(old)
+
+	again := f.secondRun(old, "again")
+	f.must(os.CopyFS(f.path(again.name+"-fleet"), os.DirFS(f.path(old.name+"-fleet"))))
+	f.mesh.Target(old.name, again.listen)
+	f.mesh.Set("", old.name, link.Fault{Kind: link.Reset}) // what is connected goes to the new run from now on
+	f.must(f.begin(again))
+	f.relays[0] = again
+	f.serveAll()
+	f.changes(f.asker())
+	f.resume(old)
+	for range 3 {
+		f.changes(f.asker())
+		f.serveAll()
+	}
+	f.kill(old)
+}
+
+// secondRun is one more process under the name and peers' address of another one.
+func (f *relayed) secondRun(of *process, suffix string) *process {
+	f.t.Helper()
+	run := &process{name: of.name + "-" + suffix, site: of.site, peer: of.peer, listen: f.freeSource(of.name)}
+	var err error
+	run.control, err = freeAddress()
+	f.must(err)
+	run.log, err = os.Create(f.path(run.name + ".log"))
+	f.must(err)
+	f.closers = append(f.closers, func() { run.log.Close() })
+	setup := strings.Replace(f.controlSetup(run, relayFleetPart), "name: "+run.name, "name: "+of.name, 1)
+	f.must(f.write(run, setup))
+	return run
+}
+
+// refusesDirectoryInUse starts a second run with the directory of one that is there, which
+// must end by itself and say why.
+func (f *relayed) refusesDirectoryInUse(first *process) {
+	f.t.Helper()
+	second := f.secondRun(first, "refused")
+	directory := f.path(first.name + "-fleet")
+	setup, err := os.ReadFile(f.path(second.name + ".yaml"))
+	f.must(err)
+	f.must(f.write(second, strings.Replace(string(setup), f.path(second.name+"-fleet"), directory, 1)))
+	f.must(f.begin(second))
+	select {
+	case <-second.ended:
+	case <-time.After(comesWithin):
+		second.running.Process.Kill()
+		f.t.Fatal("a second run has the first one's directory")
+	}
+	said, err := os.ReadFile(f.path(second.name + ".log"))
+	f.must(err)
+	held := &disk.HeldError{Dir: directory}
+	if !strings.Contains(string(said), held.Error()) || !strings.Contains(string(said), held.Remedy()) {
+		f.t.Errorf("a second run says why it ended: %s", said)
+	}
+}
--- /dev/null
+++ b/internal/lab/relays_fleet_test.go
@@ -0,0 +1,328 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"railrelay.dev/railrelay/internal/check"
+	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/fleet/peers"
+	"railrelay.dev/railrelay/internal/standin/link"
+)
+
+const (
+	relayedLease  = time.Second
+	relayedVoters = 3
+	relayedRelays = 2
+	// relayedSlack is how much later than an act an engine of the test may see it: a busy
+	// machine must not look like a broken fleet. What a client asked for after a later
+	// version was seen is judged without it.
+	relayedSlack = 2 * time.Second
+	// comesWithin bounds what has to come: only a fault makes a test wait so long.
+	comesWithin = 40 * time.Second
+	keyOfFleet  = "5e" // a byte of the fleet's key, in hex
+
+	controlFleetPart = "  role: control\n"
+	relayFleetPart   = "  role: control\n  relay: true\n"
+)
+
+// relayed is a fleet of processes of the program: controllers that take queries and ask
+// for their leases through relays, and relays and voters of the control role. There is a
+// link between every two of them. members of the gathering are the controllers, then the
+// voters, the relays, and those that a test starts later.
+type relayed struct {
+	*gathering
+	t           *testing.T
+	controllers []*process // which clients ask
+	voters      []*process
+	relays      []*process
+	later       []*process // which a test sets up and starts by itself
+	watch       *watch
+}
+
+// startRelayed starts a fleet and waits until all of it holds leases. later names
+// processes that a test starts by itself.
+func startRelayed(t *testing.T, controllers int, later ...string) *relayed {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background()) // the test's own ends before logs are shown
+	f := &relayed{t: t, watch: &watch{left: map[string]time.Time{}}, gathering: &gathering{
+		Together: Together{Program: both(t), Seed: 1, Lease: relayedLease}, ctx: ctx, stop: stop, start: time.Now(), dir: t.TempDir(),
+		rng: rand.New(rand.NewPCG(1, 0x7e1a)), quit: make(chan struct{}), asked: map[string]*askedFor{},
+		marks: map[int]marked{0: {"the set-up's", 1}}, next: 1, version: 1, faults: map[string]int{}, known: map[string]string{}}}
+	f.rules = check.History{KeyRest: 300 * time.Millisecond, Grace: time.Second, Most: 3, Slack: relayedSlack}
+	f.rules.Group("lookup", "read-only", false)
+	f.rules.Group("report", "read-only", false)
+	f.rules.Group("load", "mutating", true)
+	f.fleet.Slack = relayedSlack
+	f.fleet.Rules(0, "the set-up's", f.bound())
+	t.Cleanup(f.cleanUp)
+	f.must(f.engines())
+	f.must(f.writeKeys("keys", keyOfFleet))
+	var err error
+	f.keys, err = peers.ReadKeys(f.path("keys"))
+	f.must(err)
+	names := slices.Concat(numbered("c", controllers), numbered("v", relayedVoters), numbered("r", relayedRelays), later)
+	f.mesh = link.NewMesh(names...)
+	f.closers = append(f.closers, f.mesh.Close)
+	for _, name := range names {
+		f.add(name)
+	}
+	f.controllers, f.acts = f.members[:controllers], make([][]mark, controllers)
+	f.voters = f.members[controllers:][:relayedVoters]
+	f.relays = f.members[controllers+relayedVoters:][:relayedRelays]
+	f.later = f.members[controllers+relayedVoters+relayedRelays:]
+	for i, p := range f.members[:len(f.members)-len(f.later)] {
+		f.must(f.write(p, f.setupOf(i, p)))
+		f.must(f.begin(p))
+		f.watch.follow(f, p)
+	}
+	f.serveAll()
+	return f
+}
+
+// numbered are n names with a prefix.
+func numbered(prefix string, n int) (names []string) {
+	for i := range n {
+		names = append(names, fmt.Sprint(prefix, i))
+	}
+	return names
+}
+
+// cleanUp ends all processes, whatever the test came to, and shows their logs if it failed.
+func (f *relayed) cleanUp() {
+	if f.t.Failed() {
+		f.t.Log(f.last())
+	}
+	f.close()
+}
+
+func (f *relayed) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *relayed) writeKeys(file, oneByte string) error {
+	const keyBytes = 32
+	return os.WriteFile(f.path(file), []byte(strings.Repeat(oneByte, keyBytes)), 0o600)
+}
+
+func (f *relayed) write(p *process, setup string) error {
+	return os.WriteFile(f.path(p.name+".yaml"), []byte(setup), 0o600)
+}
+
+// add makes a process that isn't started yet, with its addresses and its place in the mesh.
+func (f *relayed) add(name string) {
+	f.t.Helper()
+	p := &process{name: name, site: "east"}
+	var err error
+	p.address, err = freeAddress()
+	f.must(err)
+	p.control, err = freeAddress()
+	f.must(err)
+	p.listen = f.freeSource(name)
+	f.mesh.Target(name, p.listen)
+	p.peer, err = f.mesh.Front(name)
+	f.must(err)
+	p.log, err = os.Create(f.path(name + ".log"))
+	f.must(err)
+	f.closers = append(f.closers, func() { p.log.Close() })
+	f.members = append(f.members, p)
+}
+
+// freeSource is an address that nobody listens on, by which the mesh knows a process.
+func (f *relayed) freeSource(name string) string {
+	f.t.Helper()
+	l, err := net.Listen("tcp", f.mesh.Source(name)+":0")
+	f.must(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// setupOf is the set-up of the process at a place of members.
+func (f *relayed) setupOf(i int, p *process) string {
+	switch {
+	case slices.Contains(f.controllers, p):
+		return f.controllerSetup(p, f.relaysOf(i)...)
+	case slices.Contains(f.relays, p):
+		return f.controlSetup(p, relayFleetPart)
+	}
+	return f.controlSetup(p, controlFleetPart)
+}
+
+// relaysOf are the relays of the controller of a number: half of all name the one first,
+// half the other one.
+func (f *relayed) relaysOf(number int) []string {
+	first, second := f.relays[number%relayedRelays], f.relays[(number+1)%relayedRelays]
+	return []string{namedAt(first), namedAt(second)}
+}
+
+// namedAt is a process as set-ups name it.
+func namedAt(p *process) string { return fmt.Sprintf("{name: %s, address: %q}", p.name, p.peer) }
+
+// controllerSetup is the set-up of a controller that asks through two relays.
+func (f *relayed) controllerSetup(p *process, relays ...string) string {
+	const noVoters = "  voters:\n"
+	relaysAndVoters := fmt.Sprintf("  relays: [%s]\n%s", strings.Join(relays, ", "), f.voterLines())
+	return strings.Replace(f.setup(p), noVoters, relaysAndVoters, 1)
+}
+
+// controlSetup is the set-up of a process of the control role; role are lines of its fleet part.
+func (f *relayed) controlSetup(p *process, role string) string {
+	return fmt.Sprintf("name: %s\nlog: info\nlimits: {cores: 1, memory_mb: 128}\nfleet:\n  name: together\n%s  listen: %s\n  address: %s\n"+
+		"  control: %s\n  directory: %q\n  keys: %q\n  lease: %v\n  lease_bound: %v\n  election: 300ms\n  heartbeat: 60ms\n  keep: 256\n%s%s",
+		p.name, role, p.listen, p.peer, p.control, f.path(p.name+"-fleet"), f.path("keys"), f.Lease, f.Lease/2, f.voterLines(), placementText(0))
+}
+
+func (f *relayed) voterLines() string {
+	lines := "  voters:\n"
+	for _, v := range f.voters {
+		lines += fmt.Sprintf("    - %s\n", namedAt(v))
+	}
+	return lines
+}
+
+// runs tells whether a process is there and not stopped.
+func runs(p *process) bool { return p.running != nil && !p.stopped }
+
+// awaits waits until something has come true.
+func (f *relayed) awaits(what string, so func() bool) {
+	f.t.Helper()
+	f.must(f.eventually(comesWithin, what, so))
+}
+
+// leading waits for a voter that says of itself that it leads.
+func (f *relayed) leading() (leader *process) {
+	f.t.Helper()
+	f.awaits("a leader", func() bool {
+		for _, p := range f.voters {
+			if runs(p) && f.status(p).Leader == p.name {
+				leader = p
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// asker is a voter that is there and, where another one is, doesn't lead.
+func (f *relayed) asker() *process {
+	f.t.Helper()
+	leader := f.leading()
+	for _, p := range f.voters {
+		if p != leader && runs(p) {
+			return p
+		}
+	}
+	return leader
+}
+
+// serveAll waits until all processes that run, but for some, hold a lease and decide by
+// the last version that was told to be in force.
+func (f *relayed) serveAll(but ...*process) {
+	f.t.Helper()
+	for _, p := range f.members {
+		if p.running == nil || slices.Contains(but, p) {
+			continue
+		}
+		f.awaits(p.name+" serves", func() bool {
+			s := f.status(p)
+			return s.Serves && s.Version >= f.inForce()
+		})
+	}
+}
+
+// inForce is the last version that was told to be in force.
+func (f *relayed) inForce() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// changes has a policy come into force, asked of a process that the leader hears of.
+func (f *relayed) changes(by *process) {
+	f.t.Helper()
+	a := f.change(f.inForce(), 0, false)
+	f.comesInForce(by, a)
+}
+
+// comesInForce asks until there is a word on a change, which must be that it is in force.
+func (f *relayed) comesInForce(by *process, a *fleet.Ask) {
+	f.t.Helper()
+	word := ""
+	f.awaits("a word on "+a.ID, func() bool {
+		word = f.apply(by, a)
+		return word != "unknown"
+	})
+	if word != "in force" {
+		f.t.Fatalf("%s is %s", a.ID, word)
+	}
+}
+
+// midChange calls strike while a change waits for a controller, which is cut off until
+// then, and has the change come to its word. Where the change has had its word before,
+// undo is called and all is done once more.
+func (f *relayed) midChange(strike, undo func()) {
+	f.t.Helper()
+	const triesMost = 5
+	for range triesMost {
+		if f.struckInChange(strike) {
+			return
+		}
+		undo()
+		f.serveAll()
+	}
+	f.t.Fatal("the fault never fell into a change")
+}
+
+func (f *relayed) struckInChange(strike func()) (struck bool) {
+	f.t.Helper()
+	held := f.controllers[len(f.controllers)-1]
+	by, leader := f.asker(), f.leading()
+	a := f.change(f.inForce(), 0, false)
+	f.mesh.Isolate(held.name)
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		f.apply(by, a)
+	}()
+	f.awaits(a.ID+" under way", func() bool { return f.heldBy(leader, a.ID, held.name) || f.hasWord(a.ID) })
+	strike()
+	struck = slices.ContainsFunc(f.voters, func(p *process) bool { return f.isUnderWay(p, a.ID) })
+	f.mesh.Set(held.name, "", link.Fault{})
+	f.mesh.Set("", held.name, link.Fault{})
+	<-asked
+	f.comesInForce(f.asker(), a)
+	return struck
+}
+
+// heldBy tells whether a change waits for a controller, by what the leader says.
+func (f *relayed) heldBy(leader *process, change, held string) bool {
+	c := f.status(leader).Change
+	return c != nil && c.ID == change && slices.Contains(c.Outstanding, held)
+}
+
+// isUnderWay tells whether a process knows of a change that has no word yet.
+func (f *relayed) isUnderWay(p *process, change string) bool {
+	if !runs(p) {
+		return false
+	}
+	c := f.status(p).Change
+	return c != nil && c.ID == change && c.Word == "unknown"
+}
+
+// hasWord tells whether there is a last word on a change.
+func (f *relayed) hasWord(change string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known[change] != ""
+}
