--- a/internal/fleet/remedies_test.go
+++ b/internal/fleet/remedies_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"railrelay.dev/railrelay/internal/answers"
+	"railrelay.dev/railrelay/internal/capacity"
 	"railrelay.dev/railrelay/internal/fleet"
 	"railrelay.dev/railrelay/internal/fleet/agree"
 	"railrelay.dev/railrelay/internal/fleet/disk"
@@ -28,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := slices.Concat(answers.Errors(), fleet.Errors(), agree.Errors(), disk.Errors(), edge.Errors(), peers.Errors(), residency.Errors(), setup.Errors())
+	all := slices.Concat(answers.Errors(), capacity.Errors(), fleet.Errors(), agree.Errors(), disk.Errors(), edge.Errors(), peers.Errors(), residency.Errors(), setup.Errors())
 	known, texts := map[string]bool{}, map[string]string{}
 	for _, e := range all {
 		name := strings.TrimPrefix(fmt.Sprintf("%T", e), "*")
