--- a/internal/capacity/errors.go
+++ b/internal/capacity/errors.go
@@ -59,8 +59,16 @@
 // Remedy says what to do.
 func (e *RoomError) Remedy() string { return "ask for a smaller size, or " + e.Raise }
 
+// SizeError is a size that can't be measured.
+type SizeError struct{ What, Why string }
+
+func (e *SizeError) Error() string { return fmt.Sprintf("the %s: %s", e.What, e.Why) }
+
+// Remedy says what to do.
+func (e *SizeError) Remedy() string { return "ask for one within its bounds; nothing was started" }
+
 // Errors is one of each, for the test that walks all of them.
 func Errors() []fleet.Remedied {
 	return []fleet.Remedied{&FileError{"capacity.csv", 2, "size", "some reason"}, &RowError{"unit", "it is empty"},
-		&RoomError{What: "descriptors", Need: 30000, Has: 20000, Raise: "raise it"}}
+		&RoomError{What: "descriptors", Need: 30000, Has: 20000, Raise: "raise it"}, &SizeError{"engines", "0 is under 1"}}
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -220,6 +220,11 @@
 			t.Errorf("%q: %q", c2, out.String())
 		}
 	}
+	s.Others = func() (int, float64) { return 5, 0.25 }
+	out.Reset()
+	if s.Got(time.Second, c, call("GET", "/stats", nil, nil)); !strings.Contains(out.String(), "X-Load: outstanding:5;utilization:0.2500;") {
+		t.Fatalf("%q", out.String())
+	}
 	s.Silence(time.Second, true)
 	out.Reset()
 	if s.Got(time.Second, c, call("GET", "/ping", nil, nil)); out.Len() > 0 {
@@ -235,6 +240,43 @@
 	}
 }
 
+func TestTrafficByKind(t *testing.T) {
+	s := NewServer(NewModel(figures(), 0, false))
+	c, out := wire(s)
+	length := 0
+	ask := func(now time.Duration, call []byte) int {
+		before := out.Len()
+		length = len(call)
+		s.Got(now, c, call)
+		return out.Len() - before
+	}
+	answer := ask(0, call("GET", "/stats", nil, nil))
+	if got := s.Traffic(); got.Calls[Probes] != 1 || got.In[Probes] != length || got.Out[Probes] != answer || got.Open != 1 || got.Opened != 1 {
+		t.Fatalf("%+v after a probe of %d and %d bytes", got, length, answer)
+	}
+	w := Work{Threads: 1, CPU: 300 * time.Millisecond, Rows: 2}
+	ask(0, call("POST", "/o", map[string]string{"X-Req": "aa", "X-Wait-Ms": "5000"}, Statement(w)))
+	posted, before := length, out.Len()
+	s.Due(250 * time.Millisecond) // it runs on: news
+	told := out.Len() - before
+	ask(260*time.Millisecond, call("GET", "/o/aa/0", nil, nil))
+	asked, before := length, out.Len()
+	s.Due(time.Second) // the result, as an answer to a call for news
+	result := out.Len() - before
+	done := ask(time.Second, call("DELETE", "/o/aa", nil, nil))
+	ended := length
+	got := s.Traffic()
+	if got.In[Queries] != posted || got.Out[News] != told || got.In[News] != asked || got.Out[Queries] != result ||
+		got.In[Orders] != ended || got.Out[Orders] != done || got.Calls[Queries] != 1 || got.Calls[News] != 1 || got.Calls[Orders] != 1 {
+		t.Errorf("%+v: not queries %d %d, news %d %d, orders %d %d", got, posted, result, asked, told, ended, done)
+	}
+	s.Reset(2*time.Second, false)
+	s.Accept(&Conn{})
+	if sum := s.Traffic().Plus(got); sum.Opened != 3 || sum.Open != 2 || sum.In[News] != 2*asked || sum.Out[Orders] != 2*done || sum.Calls[Probes] != 2 {
+		t.Errorf("%+v", sum)
+	}
+}
+
 func TestOnSockets(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	l, err := Listen(context.Background(), "127.0.0.1:0", figures(), false)
--- a/internal/standin/engine/listen.go
+++ b/internal/standin/engine/listen.go
@@ -42,6 +42,13 @@
 	l.arm()
 }
 
+// Traffic is what its connections have carried so far.
+func (l *Listener) Traffic() Traffic {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.server.Traffic()
+}
+
 func (l *Listener) due() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -19,13 +19,17 @@
 	Posted func(id, group string, rank int, at time.Duration)
 	// Released is told of each query that it was told to end or to forget, if it is set.
 	Released func(id string, at time.Duration)
+	// Others is what it runs for controllers that aren't there: its reports have these
+	// queries and this part of its cores beside its own, if it is set.
+	Others func() (held int, cores float64)
 	// Spoil is how many of the next pages are spoilt on their way.
 	Spoil   int
 	conns   []*Conn
 	holding []*Conn // those with a call that is held for news, in turn
 	silent  bool
 	// Calls counts what came, by method.
-	Calls map[string]int
+	Calls   map[string]int
+	traffic Traffic
 }
 
 // Conn is one connection. Write is called with whole answers, Close if the
@@ -38,6 +42,8 @@
 	since time.Duration // when it came
 	held  bool
 	gone  bool
+	call  Kind     // the one answered next
+	count *Traffic // of its engine
 }
 
 // NewServer puts the protocol round a model.
@@ -46,7 +52,11 @@
 }
 
 // Accept adds a connection.
-func (s *Server) Accept(c *Conn) { s.conns = append(s.conns, c) }
+func (s *Server) Accept(c *Conn) {
+	c.count = &s.traffic
+	s.traffic.Opened++
+	s.conns = append(s.conns, c)
+}
 
 // Gone takes one away that ended.
 func (s *Server) Gone(c *Conn) {
@@ -78,6 +88,9 @@
 			return
 		}
 		body := bytes.Clone(rest[:length])
+		c.call = kindOfCall(words[0], words[1])
+		s.traffic.Calls[c.call]++
+		s.traffic.In[c.call] += len(c.in) - len(rest) + length
 		c.in = append([]byte{}, rest[length:]...)
 		s.call(now, c, words[0], words[1], field, body)
 	}
@@ -108,6 +121,10 @@
 		c.answer(200, "", nil)
 	case path == "/stats":
 		held, cores, memory, disks := s.Load(now)
+		if s.Others != nil {
+			others, busy := s.Others()
+			held, cores = held+others, min(1, cores+busy)
+		}
 		c.answer(200, fmt.Sprintf("X-Load: outstanding:%d;utilization:%.4f;x0:%.4f;x1:%.4f\r\n", held, cores, memory, disks), nil)
 	case method == "POST" && path == "/o":
 		id, group := field("X-Req"), field("X-Class")
@@ -282,7 +299,9 @@
 	if status != 204 {
 		p = fmt.Appendf(p, "Content-Length: %d\r\n", len(body))
 	}
-	c.Write(append(append(p, "\r\n"...), body...))
+	p = append(append(p, "\r\n"...), body...)
+	c.count.Out[kindOfAnswer(c.call, status)] += len(p)
+	c.Write(p)
 }
 
 // Statement writes a statement on a table group that tells a stand-in engine
--- a/internal/standin/feed/feed.go
+++ b/internal/standin/feed/feed.go
@@ -86,6 +86,20 @@
 	conns map[net.Conn]int // the last event each was told
 	stop  context.CancelFunc
 	wg    sync.WaitGroup
+	bytes Bytes
+}
+
+// Bytes is what a feed's connections have carried, without the headers of TCP and IP.
+type Bytes struct {
+	In, Out int
+	Events  int // of Out, those that are not the number of each second
+}
+
+// Bytes is what there was so far.
+func (l *Listener) Bytes() Bytes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
 }
 
 // Listen starts a feed on an address; Close ends it.
@@ -115,7 +129,10 @@
 
 func (l *Listener) pass(c net.Conn) {
 	c.SetWriteDeadline(time.Now().Add(time.Second))
-	if _, err := c.Write(l.log.Since(l.conns[c])); err != nil {
+	text := l.log.Since(l.conns[c])
+	l.bytes.Out += len(text)
+	l.bytes.Events += len(text)
+	if _, err := c.Write(text); err != nil {
 		c.Close()
 	}
 	l.conns[c] = l.log.Last()
@@ -133,7 +150,8 @@
 			l.mu.Lock()
 			for c := range l.conns {
 				c.SetWriteDeadline(time.Now().Add(time.Second))
-				c.Write(l.log.Beat())
+				n, _ := c.Write(l.log.Beat())
+				l.bytes.Out += n
 			}
 			l.mu.Unlock()
 		}
@@ -169,6 +187,7 @@
 			}
 			known = true
 			l.mu.Lock()
+			l.bytes.In += len(line)
 			l.conns[c] = last
 			l.pass(c)
 			l.mu.Unlock()
