Figures name the commit also where the build doesn't

Built with -buildvcs=false a program knows no revision, and its rows said "unknown". What git says of the current directory stands in; docs/ is left out, since adding rows changes it.

go test ./internal/capacity passes.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -165,8 +165,8 @@
 			t.Errorf("%q, not %q", got, want)
 		}
 	}
-	if Commit() == "" {
-		t.Error("no commit")
+	if commit := Commit(); commit != unknown && len(commit) < commitLength {
+		t.Errorf("commit %q", commit)
 	}
 }
 
--- a/internal/capacity/origin.go
+++ b/internal/capacity/origin.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os/exec"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 )
 
@@ -25,13 +27,30 @@
 }
 
 // Commit names the source that this program was built from, with "+changes" where it
-// had changes that were not committed, or "unknown", as in a test.
+// had changes that were not committed. Where the build doesn't tell (-buildvcs=false),
+// it is what git says of the current directory, docs/ apart; else "unknown".
 func Commit() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		if commit := commitOf(info.Settings); commit != unknown {
+			return commit
+		}
+	}
+	return checkedOut()
+}
+
+// checkedOut is the commit of the current directory.
+func checkedOut() string {
+	revision, err := exec.Command("git", "rev-parse", "HEAD").Output()
+	if err != nil {
 		return unknown
 	}
-	return commitOf(info.Settings)
+	commit := strings.TrimSpace(string(revision))
+	commit = commit[:min(len(commit), commitLength)]
+	changed, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no", "--", ":/", ":(exclude,top)docs").Output()
+	if err != nil || len(changed) > 0 {
+		commit += "+changes"
+	}
+	return commit
 }
 
 func commitOf(settings []debug.BuildSetting) string {
