--- a/cmd/raillab/main.go
+++ b/cmd/raillab/main.go
@@ -22,7 +22,7 @@
 	// a play that is interrupted ends what it has started
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	root := &cobra.Command{Use: "raillab", Short: "railrelay's laboratory", SilenceUsage: true}
-	root.AddCommand(fleets(), many(), planted(), measure(), try(), speed(), large(), scale(), hollowProcess(), datapath())
+	root.AddCommand(fleets(), many(), planted(), measure(), try(), speed(), large(), scale(), hollowProcess(), datapath(), page())
 	err := root.ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- /dev/null
+++ b/cmd/raillab/page.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"railrelay.dev/railrelay/internal/capacity"
+)
+
+// page fills the tables of the capacity page from the file of figures.
+func page() *cobra.Command {
+	path, file := "docs/CAPACITY.md", "docs/capacity.csv"
+	c := &cobra.Command{Use: "page", Short: "fill the tables of the capacity page from the measured figures", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			rows, err := capacity.Read(file)
+			if err != nil {
+				return err
+			}
+			filled, err := capacity.Fill(string(text), rows)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d figures, %d formulas not measured yet, %d lines changed\n", filled.Figures, filled.Open, len(filled.Changed))
+			return os.WriteFile(path, []byte(filled.Text), 0o644)
+		}}
+	c.Flags().StringVar(&path, "page", path, "the page")
+	c.Flags().StringVar(&file, "csv", file, "the measured figures")
+	return c
+}
--- a/cmd/raillab/scale.go
+++ b/cmd/raillab/scale.go
@@ -18,14 +18,19 @@
 			strings.Join(lab.ScaleFaults(), "\n  ")}
 	growth := lab.Growth{Members: 73_000, Changes: 365_000, Steps: 4, Lease: 2 * time.Second}
 	var grow bool
+	csv := ""
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if grow {
 			growth.Program, growth.Seed = s.Program, s.Seed
 			return growth.Run(c.Context(), c.OutOrStdout())
 		}
+		if csv != "" {
+			s.Record = keepScale(csv, s)
+		}
 		return s.Run(c.Context(), c.OutOrStdout())
 	}
 	f := c.Flags()
+	f.StringVar(&csv, "csv", "", "the file that the figures are added to")
 	f.BoolVar(&grow, "growth", false, "look at a record that has grown over time instead of a fleet of a size")
 	f.IntVar(&growth.Members, "growth-members", growth.Members, "that came and went")
 	f.IntVar(&growth.Changes, "growth-changes", growth.Changes, "of policy")
--- /dev/null
+++ b/internal/capacity/formula.go
@@ -0,0 +1,208 @@
+package capacity
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// NotMeasuredError is a formula that names a figure of which there is no row yet.
+type NotMeasuredError struct{ Key string }
+
+func (e *NotMeasuredError) Error() string { return e.Key + " has no row" }
+
+// FormulaError is a formula that can't be worked out, measured or not.
+type FormulaError struct{ Formula, Why string }
+
+func (e *FormulaError) Error() string { return fmt.Sprintf("%s: %s", e.Formula, e.Why) }
+
+// Remedy says what to do.
+func (e *FormulaError) Remedy() string {
+	return `write figures as "role/what/size", with + - * / and numbers, or as slope("role/what"), intercept("role/what"), ` +
+		`residual("role/what"), exponent("role/what"), line("role/what", size), most("role/what/size"), least("role/what/size")`
+}
+
+// Evaluate works out a formula over rows. A figure, "role/what/size", is the median of
+// its rows; most and least give the largest and smallest of them. slope, intercept,
+// residual, exponent and line fit all rows of "role/what" over their sizes; only those of
+// the sizes that follow, if any do. The error is an *NotMeasuredError or a *FormulaError.
+func Evaluate(formula string, rows []Row) (float64, error) {
+	tree, err := parser.ParseExpr(formula)
+	if err != nil {
+		return 0, &FormulaError{formula, err.Error()}
+	}
+	f := evaluation{formula: formula, rows: rows}
+	value, err := f.of(tree)
+	if err == nil && (math.IsNaN(value) || math.IsInf(value, 0)) {
+		return 0, &FormulaError{formula, "the value is not finite"}
+	}
+	return value, err
+}
+
+// evaluation is one formula being worked out.
+type evaluation struct {
+	formula string
+	rows    []Row
+}
+
+func (f *evaluation) wrong(why string) error { return &FormulaError{f.formula, why} }
+
+func (f *evaluation) of(node ast.Expr) (float64, error) {
+	switch x := node.(type) {
+	case *ast.ParenExpr:
+		return f.of(x.X)
+	case *ast.BinaryExpr:
+		return f.binary(x)
+	case *ast.CallExpr:
+		return f.call(x)
+	case *ast.BasicLit:
+		if x.Kind == token.STRING {
+			values, err := f.figure(x)
+			if err != nil {
+				return 0, err
+			}
+			return stat.Quantile(0.5, stat.Empirical, values, nil), nil
+		}
+		return f.number(x)
+	}
+	return 0, f.wrong("it has something else than figures, numbers, functions and + - * /")
+}
+
+func (f *evaluation) number(x ast.Expr) (float64, error) {
+	literal, ok := x.(*ast.BasicLit)
+	if !ok || literal.Kind != token.INT && literal.Kind != token.FLOAT {
+		return 0, f.wrong("a number is missing")
+	}
+	return strconv.ParseFloat(literal.Value, 64)
+}
+
+func (f *evaluation) binary(x *ast.BinaryExpr) (float64, error) {
+	left, err := f.of(x.X)
+	if err != nil {
+		return 0, err
+	}
+	right, err := f.of(x.Y)
+	if err != nil {
+		return 0, err
+	}
+	switch x.Op {
+	case token.ADD:
+		return left + right, nil
+	case token.SUB:
+		return left - right, nil
+	case token.MUL:
+		return left * right, nil
+	case token.QUO:
+		return left / right, nil
+	}
+	return 0, f.wrong("there is no " + x.Op.String())
+}
+
+func (f *evaluation) call(x *ast.CallExpr) (float64, error) {
+	name, ok := x.Fun.(*ast.Ident)
+	if !ok || len(x.Args) == 0 {
+		return 0, f.wrong("a function without a name or a figure")
+	}
+	switch name.Name {
+	case "most", "least":
+		values, err := f.figure(x.Args[0])
+		if err != nil {
+			return 0, err
+		}
+		if name.Name == "most" {
+			return slices.Max(values), nil
+		}
+		return slices.Min(values), nil
+	case "line":
+		if len(x.Args) < 2 {
+			return 0, f.wrong("line wants a figure and a size")
+		}
+		size, err := f.number(x.Args[1])
+		if err != nil {
+			return 0, err
+		}
+		rows, err := f.curve(x.Args[0], x.Args[2:])
+		return Slope(rows).At(int(size)), err
+	case "slope", "intercept", "residual", "exponent":
+		rows, err := f.curve(x.Args[0], x.Args[1:])
+		if err != nil {
+			return 0, err
+		}
+		line := Slope(rows)
+		return map[string]float64{"slope": line.Slope, "intercept": line.Intercept, "residual": line.Residual,
+			"exponent": Exponent(rows).Exponent}[name.Name], nil
+	}
+	return 0, f.wrong("there is no function " + name.Name)
+}
+
+// parts splits a string literal, a key of so many parts.
+func (f *evaluation) parts(x ast.Expr, n int) ([]string, error) {
+	literal, ok := x.(*ast.BasicLit)
+	if !ok || literal.Kind != token.STRING {
+		return nil, f.wrong("a figure in quotes is missing")
+	}
+	key, err := strconv.Unquote(literal.Value)
+	if err != nil {
+		return nil, f.wrong(err.Error())
+	}
+	parts := strings.Split(key, "/")
+	if len(parts) != n {
+		return nil, f.wrong(fmt.Sprintf("%q has %d parts, not %d", key, len(parts), n))
+	}
+	return parts, nil
+}
+
+// figure is the values of "role/what/size", in order.
+func (f *evaluation) figure(x ast.Expr) ([]float64, error) {
+	parts, err := f.parts(x, 3)
+	if err != nil {
+		return nil, err
+	}
+	size, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return nil, f.wrong(fmt.Sprintf("%q is no size", parts[2]))
+	}
+	var values []float64
+	for _, row := range Select(f.rows, parts[0], parts[1]) {
+		if row.Size == size {
+			values = append(values, row.Value)
+		}
+	}
+	if len(values) == 0 {
+		return nil, &NotMeasuredError{strings.Join(parts, "/")}
+	}
+	slices.Sort(values)
+	return values, nil
+}
+
+// curve is the rows of "role/what", only those of some sizes if any are named; there
+// must be two sizes.
+func (f *evaluation) curve(x ast.Expr, sizes []ast.Expr) ([]Row, error) {
+	parts, err := f.parts(x, 2)
+	if err != nil {
+		return nil, err
+	}
+	var only []int
+	for _, arg := range sizes {
+		size, err := f.number(arg)
+		if err != nil {
+			return nil, err
+		}
+		only = append(only, int(size))
+	}
+	rows := Select(f.rows, parts[0], parts[1])
+	if len(only) > 0 {
+		rows = slices.DeleteFunc(rows, func(row Row) bool { return !slices.Contains(only, row.Size) })
+	}
+	if line := Slope(rows); math.IsNaN(line.Slope) {
+		return nil, &NotMeasuredError{strings.Join(parts, "/") + " at two sizes"}
+	}
+	return rows, nil
+}
