--- a/internal/fleet/remedies_test.go
+++ b/internal/fleet/remedies_test.go
@@ -17,6 +17,7 @@
 	"railrelay.dev/railrelay/internal/fleet/disk"
 	"railrelay.dev/railrelay/internal/fleet/edge"
 	"railrelay.dev/railrelay/internal/fleet/peers"
+	"railrelay.dev/railrelay/internal/lab"
 	"railrelay.dev/railrelay/internal/residency"
 	"railrelay.dev/railrelay/internal/setup"
 )
@@ -29,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := slices.Concat(answers.Errors(), capacity.Errors(), fleet.Errors(), agree.Errors(), disk.Errors(), edge.Errors(), peers.Errors(), residency.Errors(), setup.Errors())
+	all := slices.Concat(answers.Errors(), capacity.Errors(), fleet.Errors(), agree.Errors(), disk.Errors(), edge.Errors(), lab.Errors(), peers.Errors(), residency.Errors(), setup.Errors())
 	known, texts := map[string]bool{}, map[string]string{}
 	for _, e := range all {
 		name := strings.TrimPrefix(fmt.Sprintf("%T", e), "*")
