A relay tells each change once, and a leader that lacks one asks for everything

Change: a gather builds on the one before; one that is lost is noticed by the leader, which asks for everything. Silences are told once, too.

--- a/internal/fleet/node/gather.go
+++ b/internal/fleet/node/gather.go
@@ -13,8 +13,9 @@
 type Gather struct {
 	Boot uint64 // of the relay's run
 	Seq  uint64 // from 1, within the relay's run
-	// Base is the last gather that the relay knows the leader to have: this one tells all
-	// that has changed since. 0: this one tells everything, and replaces what was told.
+	// Base is the gather that went before: this one tells all that has changed since. A
+	// leader that lacks it asks for everything. 0: this is everything, and replaces what
+	// was told.
 	Base    uint64         `cbor:",omitempty"`
 	Renews  []GatheredFrom `cbor:",omitempty"`
 	Silents []Silent       `cbor:",omitempty"`
@@ -61,10 +62,11 @@
 type gatherer struct {
 	boot         uint64
 	seq          uint64 // of the last gather that was sent
-	acked        uint64 // the leader has all up to this gather; 0: it has none
-	leader       string // whom acked is of
+	told         uint64 // the leader is taken to have all up to this gather; 0: nothing
+	everything   uint64 // the last gather that told everything
+	leader       string // whom that was told
 	controllers  map[string]*gathered
-	silents      map[string]silence
+	silents      map[string]time.Duration // who fell silent since the last gather, and when it had asked last
 	sentAt       time.Duration
 	unanswered   bool // no gather since the one at unansweredAt was answered
 	unansweredAt time.Duration
@@ -90,17 +92,11 @@
 	sent   int64
 }
 
-// silence is when a controller was last heard of, and the first gather that tells so.
-type silence struct {
-	heard  time.Duration
-	gather uint64
-}
-
 // unansweredMost bounds the asks that are remembered of a controller.
 const unansweredMost = 16
 
 func newGatherer(boot uint64) *gatherer {
-	return &gatherer{boot: boot, controllers: map[string]*gathered{}, silents: map[string]silence{}}
+	return &gatherer{boot: boot, controllers: map[string]*gathered{}, silents: map[string]time.Duration{}}
 }
 
 // renewed takes a controller's renewal. It returns nil where that is late or doubled.
@@ -159,7 +155,7 @@
 func (g *gatherer) expire(now, span time.Duration) {
 	for name, from := range g.controllers {
 		if now-from.heard > span {
-			g.silents[name] = silence{heard: from.heard, gather: g.seq + 1}
+			g.silents[name] = from.heard
 			delete(g.controllers, name)
 			g.urgent = true
 		}
@@ -169,36 +165,33 @@
 // follows turns to another leader, who has nothing of what was told to the last one.
 func (g *gatherer) follows(leader string) {
 	if g.leader != leader {
-		g.leader, g.acked, g.urgent = leader, 0, true
+		g.leader, g.told, g.urgent = leader, 0, true
 	}
 }
 
-// next makes the next gather: all that has changed since the one that the leader is
-// known to have.
+// next makes the next gather: all that has changed since the last one.
 func (g *gatherer) next(now time.Duration) *Gather {
 	g.seq++
 	g.sentAt, g.urgent, g.waiting = now, false, false
 	if !g.unanswered {
 		g.unanswered, g.unansweredAt = true, now
 	}
-	message := &Gather{Boot: g.boot, Seq: g.seq, Base: g.acked}
+	message := &Gather{Boot: g.boot, Seq: g.seq, Base: g.told}
 	for _, name := range sorted(g.controllers) {
 		from := g.controllers[name]
-		if from.changed > g.acked {
+		if from.changed > g.told {
 			message.Renews = append(message.Renews, GatheredFrom{Name: name, Disk: from.disk, Renew: from.renew})
 		}
 	}
-	if g.acked == 0 { // who isn't named is covered no more
-		return message
-	}
-	for _, name := range sorted(g.silents) {
-		s := g.silents[name]
-		if s.gather <= g.acked {
-			delete(g.silents, name)
-			continue
+	if g.told == 0 { // who isn't named is covered no more
+		g.everything = g.seq
+	} else {
+		for _, name := range sorted(g.silents) {
+			message.Silents = append(message.Silents, Silent{Name: name, Ago: int64(now - g.silents[name])})
 		}
-		message.Silents = append(message.Silents, Silent{Name: name, Ago: int64(now - s.heard)})
 	}
+	clear(g.silents)
+	g.told = g.seq
 	return message
 }
 
@@ -210,17 +203,14 @@
 	}
 	g.unanswered, g.complained = false, false
 	if a.Resync {
-		if from == g.leader {
-			g.acked, g.urgent = 0, true
+		if from == g.leader && a.Seq > g.everything { // it isn't on its way yet
+			g.told, g.urgent = 0, true
 		}
 		return nil
 	}
 	if !a.Given {
 		return nil
 	}
-	if from == g.leader {
-		g.acked = max(g.acked, a.Seq)
-	}
 	withheld := g.withhold(a)
 	for _, name := range sorted(g.controllers) {
 		grant := g.grant(name, a, withheld)
