--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -20,6 +20,7 @@
 
 const (
 	zonesOfScale   = 6
+	regionsOfScale = 2
 	peerPort       = 7600
 	clientPort     = 7602 // nobody listens there
 	enginePort     = 6565
@@ -140,7 +141,7 @@
 
 // placeOf has controllers take turns in the zones, and these in the two regions.
 func placeOf(i int) hollow.Place {
-	return hollow.Place{Region: []string{"east", "west"}[i%2], Zone: zoneOf(i)}
+	return hollow.Place{Region: []string{"east", "west"}[i%regionsOfScale], Zone: zoneOf(i)}
 }
 
 // plan says who there is, and where.
@@ -240,13 +241,20 @@
 	return l
 }
 
-// relaysOf are the two relays that a controller asks; none for those who vote or relay.
+// relaysOf are the two relays that a controller asks, of its own region where there are
+// two; none for those who vote or relay.
 func (f *scaleFleet) relaysOf(m *scaleMember) (l []hollow.Peer) {
 	if f.Relays == 0 || m.votes || m.relay {
 		return nil
 	}
+	all := f.members[f.Voters : f.Voters+f.Relays]
+	near := slices.DeleteFunc(slices.Clone(all), func(r *scaleMember) bool { return r.place.Region != m.place.Region })
+	if len(near) < 2 {
+		near = all
+	}
+	turn := m.index / regionsOfScale // neighbours by number are in different regions
 	for k := range 2 {
-		r := f.members[f.Voters+(m.index+k)%f.Relays]
+		r := near[(turn+k)%len(near)]
 		l = append(l, hollow.Peer{Name: r.name, Address: r.address})
 	}
 	return l
