--- a/cmd/railrelay-fleet/command.go
+++ b/cmd/railrelay-fleet/command.go
@@ -309,12 +309,9 @@
 			fmt.Fprintln(w, "\ncontroller\tsite\tvotes\tholds\trecord\tpeers\tclients")
 		}
 		for _, m := range s.Members {
-			holds := yes(m.Holds)
-			switch {
-			case m.Forgotten:
+			holds := m.Holds.String()
+			if m.Forgotten {
 				holds = "forgotten"
-			case s.Leader != s.Name:
-				holds = "-" // only the leader knows
 			}
 			applied := ""
 			if m.Applied > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -278,9 +278,9 @@
 // MemberStatus is one controller as the leader sees it; elsewhere only what the record says.
 type MemberStatus struct {
 	Member
-	Votes   bool   `json:"votes"`
-	Holds   bool   `json:"holds"` // it may hold a lease
-	Applied uint64 `json:"applied,omitempty"`
+	Votes   bool    `json:"votes"`
+	Holds   Holding `json:"holds"` // it may hold a lease
+	Applied uint64  `json:"applied,omitempty"`
 }
 
 // Watched is a placement rule that names further sites for the loss of all inside.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -588,7 +588,7 @@
 	for _, name := range sorted(c.state.Members) {
 		m := fleet.MemberStatus{Member: *c.state.Members[name], Votes: c.voting(name)}
 		if c.leads {
-			m.Holds = c.mayHold(name, c.b.Lease)
+			m.Holds = fleet.HoldingOf(c.mayHold(name, c.b.Lease))
 			if p := c.peers[name]; p != nil {
 				m.Applied = p.applied
 			}
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -676,3 +676,20 @@
 		}
 	}
 }
+
+// Who holds a lease is known to the leader; others say that they don't know.
+func TestStatusSaysWhereLeasesArentKnown(t *testing.T) {
+	s := newStage(t, 16, 3, 1, 500*time.Millisecond)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	for _, name := range s.names {
+		want := fleet.HoldingUnknown
+		if s.all[name] == s.leader() {
+			want = fleet.HoldingLease
+		}
+		for _, m := range s.all[name].core.Status().Members {
+			if m.Holds != want {
+				t.Errorf("%s says of %s: %v, want %v", name, m.Name, m.Holds, want)
+			}
+		}
+	}
+}
