--- a/cmd/raillab/scale.go
+++ b/cmd/raillab/scale.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"railrelay.dev/railrelay/internal/capacity"
 	"railrelay.dev/railrelay/internal/lab"
 	"railrelay.dev/railrelay/internal/standin/hollow"
 )
@@ -20,13 +21,16 @@
 	var grow bool
 	csv := ""
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		if grow {
-			growth.Program, growth.Seed = s.Program, s.Seed
-			return growth.Run(c.Context(), c.OutOrStdout())
-		}
 		if csv != "" {
+			if err := capacity.Append(csv, nil); err != nil { // a damaged file is told before minutes of work
+				return err
+			}
 			s.Record = keepScale(csv, s)
 		}
+		if grow {
+			growth.Program, growth.Seed, growth.Record = s.Program, s.Seed, s.Record
+			return growth.Run(c.Context(), c.OutOrStdout())
+		}
 		return s.Run(c.Context(), c.OutOrStdout())
 	}
 	f := c.Flags()
--- a/internal/lab/scale_measure.go
+++ b/internal/lab/scale_measure.go
@@ -13,10 +13,22 @@
 		Faults: []string{"killed", "paused", "leader", "zone", "restart", "regions"}, Compare: 40, Linked: true}
 }
 
-// MeasureScale plays the run at full size in short form: under 50 s.
+// relaysOfScale are as many as the capacity page recommends for 580 controllers.
+const relaysOfScale = 4
+
+// WithRelays has voters and relays on machines set aside for control, the relays as
+// processes beside the others, and one of them killed, too.
+func (s Scale) WithRelays() Scale {
+	s.SetAside, s.Relays = true, relaysOfScale
+	s.Real = min(s.Controllers, s.Real+relaysOfScale)
+	s.Faults = append([]string{"relay"}, s.Faults...)
+	return s
+}
+
+// MeasureScale plays the run at full size, with relays, in short form: under 50 s.
 func MeasureScale(ctx context.Context, out io.Writer, program string, seed uint64) error {
 	s := UsualScale(program, 580)
 	s.Seed, s.Settle, s.Rest, s.Changes, s.Large = seed, time.Second, 3*time.Second, 15, 2
-	s.Faults = []string{"killed", "paused", "leader", "zone"}
-	return s.Run(ctx, out)
+	s.Faults = []string{"killed", "leader", "zone"}
+	return s.WithRelays().Run(ctx, out)
 }
