--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,139 @@
+package capacity
+
+import (
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const (
+	pagePath = "../../docs/CAPACITY.md"
+	filePath = "../../docs/capacity.csv"
+)
+
+func readPage(t *testing.T) (string, []Row) {
+	t.Helper()
+	page, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := Read(filePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(page), rows
+}
+
+// The page's tables are what the file of figures gives. One who adds rows fills the page
+// anew: bin/raillab page.
+func TestThePageAgreesWithTheFigures(t *testing.T) {
+	page, rows := readPage(t)
+	filled, err := Fill(page, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, is := strings.Split(page, "\n"), strings.Split(filled.Text, "\n")
+	for _, line := range filled.Changed {
+		t.Errorf("line %d says\n%s\nand %s gives\n%s", line, was[line-1], filePath, is[line-1])
+	}
+	const least = 40 // a page without tables would agree with anything
+	if filled.Figures < least {
+		t.Errorf("only %d figures were checked", filled.Figures)
+	}
+	t.Logf("%d figures, %d formulas not measured yet", filled.Figures, filled.Open)
+}
+
+// Each figure of the page, spoilt in a copy, is found on its line; so is a figure of the
+// file that is another.
+func TestAWrongFigureOnThePageIsFound(t *testing.T) {
+	page, rows := readPage(t)
+	lines := strings.Split(page, "\n")
+	spoilt := 0
+	var columns []string
+	for i, line := range lines {
+		cells, is := cellsOf(line)
+		if !is || columns == nil || isRule(cells) {
+			if columns = nil; is {
+				columns = cells
+			}
+			if is && isRule(cells) && i > 0 {
+				columns, _ = cellsOf(lines[i-1])
+			}
+			continue
+		}
+		for at, column := range columns {
+			if _, number := numberOf(cells[at]); column != neededColumn && column != ratioColumn || !number {
+				continue
+			}
+			bad := append([]string{}, cells...)
+			bad[at] = "9" + bad[at] // 1.05 becomes 91.05
+			copied := append([]string{}, lines...)
+			copied[i] = "| " + strings.Join(bad, " | ") + " |"
+			spoilt++
+			filled, err := Fill(strings.Join(copied, "\n"), rows)
+			if err != nil || !reflect.DeepEqual(filled.Changed, []int{i + 1}) || filled.Text != page {
+				t.Errorf("line %d, %s spoilt to %q: lines %v found, %v", i+1, column, bad[at], filled.Changed, err)
+			}
+		}
+	}
+	if spoilt < 40 {
+		t.Errorf("only %d figures were spoilt", spoilt)
+	}
+	for i := range rows {
+		rows[i].Value *= 2
+	}
+	if filled, err := Fill(page, rows); err != nil || len(filled.Changed) < 20 {
+		t.Errorf("with all figures doubled %d lines differ, %v", len(filled.Changed), err)
+	}
+}
+
+// overAllowance are the lines of a page's tables with a ratio over 1, by their formula:
+// those of the table of what is missing, and all others.
+func overAllowance(page string) (missing, others map[string]string) {
+	missing, others = map[string]string{}, map[string]string{}
+	into := others
+	var columns []string
+	for line := range strings.SplitSeq(page, "\n") {
+		if line == MissingHeading {
+			into = missing
+		}
+		cells, is := cellsOf(line)
+		switch {
+		case !is:
+			columns = nil
+		case columns == nil:
+			columns = cells
+		default:
+			ratio, source := slices.Index(columns, ratioColumn), slices.Index(columns, sourceColumn)
+			if ratio < 0 || source < 0 {
+				continue
+			}
+			if value, _ := numberOf(cells[ratio]); value > 1 {
+				into[cells[source]] = line
+			}
+		}
+	}
+	return missing, others
+}
+
+// What is over its allowance anywhere on the page stands in the table of what is missing,
+// and nothing else does.
+func TestAllThatIsMissingIsListed(t *testing.T) {
+	page, _ := readPage(t)
+	missing, others := overAllowance(page)
+	if len(missing) == 0 {
+		t.Error("nothing is listed as missing")
+	}
+	for formula, line := range others {
+		if missing[formula] == "" {
+			t.Errorf("over its allowance, and not listed under %q:\n%s", MissingHeading, line)
+		}
+	}
+	for formula, line := range missing {
+		if others[formula] == "" {
+			t.Errorf("listed as missing, and in no other table:\n%s", line)
+		}
+	}
+}
