--- a/cmd/raillab/page.go
+++ b/cmd/raillab/page.go
@@ -27,6 +27,13 @@
 				return err
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%d figures, %d formulas not measured yet, %d lines changed\n", filled.Figures, filled.Open, len(filled.Changed))
+			unlisted, within := capacity.Missing(filled.Text)
+			for _, line := range unlisted {
+				fmt.Fprintln(c.OutOrStdout(), "over its allowance, to be listed as missing:", line)
+			}
+			for _, line := range within {
+				fmt.Fprintln(c.OutOrStdout(), "listed as missing, and within its allowance:", line)
+			}
 			return os.WriteFile(path, []byte(filled.Text), 0o644)
 		}}
 	c.Flags().StringVar(&path, "page", path, "the page")
--- a/internal/capacity/fill_test.go
+++ b/internal/capacity/fill_test.go
@@ -22,6 +22,24 @@
 	}
 }
 
+func TestMissing(t *testing.T) {
+	const columns = "| Figure | Ratio | Source |\n| --- | --- | --- |\n"
+	const others = columns + "| a | 2 | `1` |\n| b | 1.01 | `2` |\n| c | 1 | `3` |\n| d | - | `4` |\n"
+	const listed = "\n" + MissingHeading + "\n\n" + columns
+	for _, c := range []struct{ page, unlisted, within string }{
+		{others + listed + "| a | 2 | `1` |\n| b | 1.01 | `2` |\n| d | - | `4` |\n", "", ""},
+		{others + listed + "| a | 2 | `1` |\n", "| b | 1.01 | `2` |", ""},
+		{others + listed + "| a | 2 | `1` |\n| b | 1.01 | `2` |\n| c | 1 | `3` |\n", "", "| c | 1 | `3` |"},
+		{others + listed + "| a | 2 | `1` |\n| b | 1.01 | `2` |\n| e | 3 | `5` |\n", "", "| e | 3 | `5` |"},
+		{others, "| a | 2 | `1` || b | 1.01 | `2` |", ""},
+	} {
+		unlisted, within := Missing(c.page)
+		if strings.Join(unlisted, "") != c.unlisted || strings.Join(within, "") != c.within {
+			t.Errorf("%s\n%q and %q, not %q and %q", c.page, unlisted, within, c.unlisted, c.within)
+		}
+	}
+}
+
 func TestFill(t *testing.T) {
 	rows := []Row{figure(10, 1000), figure(20, 2000), figure(20, 2600), figure(20, 2100)}
 	const head = "text\n| Figure | Needed | Allowed | Ratio | Source |\n| --- | --- | --- | --- | --- |\n"
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -20,10 +19,6 @@
 	sourceColumn  = "Source"
 )
 
-// MissingHeading stands before the table that is kept in order, the worst ratio first and
-// rows without a ratio last.
-const MissingHeading = "## What is missing, in order"
-
 // What stands where there is no figure.
 const (
 	notMeasured = "not measured"
@@ -94,35 +89,6 @@
 	return filled, nil
 }
 
-// sortMissing puts the rows of the table under MissingHeading in order.
-func sortMissing(lines []string) {
-	heading := slices.Index(lines, MissingHeading)
-	if heading < 0 {
-		return
-	}
-	isRow := func(line string) bool { _, is := cellsOf(line); return is }
-	header := heading + slices.IndexFunc(lines[heading:], isRow)
-	if header < heading {
-		return
-	}
-	columns, _ := cellsOf(lines[header])
-	ratio := slices.Index(columns, ratioColumn)
-	first := min(header+2, len(lines)) // behind the rule
-	last := first
-	for last < len(lines) && isRow(lines[last]) {
-		last++
-	}
-	ratioOf := func(line string) float64 {
-		cells, _ := cellsOf(line)
-		if ratio < 0 || ratio >= len(cells) {
-			return 0
-		}
-		value, _ := numberOf(cells[ratio])
-		return value
-	}
-	slices.SortStableFunc(lines[first:last], func(a, b string) int { return cmp.Compare(ratioOf(b), ratioOf(a)) })
-}
-
 // cellsOf splits a table's line; false if it is none.
 func cellsOf(line string) ([]string, bool) {
 	if !strings.HasPrefix(line, "|") || !strings.HasSuffix(line, "|") || len(line) < 2 {
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"reflect"
-	"slices"
 	"strings"
 	"testing"
 )
@@ -89,51 +88,15 @@
 	}
 }
 
-// overAllowance are the lines of a page's tables with a ratio over 1, by their formula:
-// those of the table of what is missing, and all others.
-func overAllowance(page string) (missing, others map[string]string) {
-	missing, others = map[string]string{}, map[string]string{}
-	into := others
-	var columns []string
-	for line := range strings.SplitSeq(page, "\n") {
-		if line == MissingHeading {
-			into = missing
-		}
-		cells, is := cellsOf(line)
-		switch {
-		case !is:
-			columns = nil
-		case columns == nil:
-			columns = cells
-		default:
-			ratio, source := slices.Index(columns, ratioColumn), slices.Index(columns, sourceColumn)
-			if ratio < 0 || source < 0 {
-				continue
-			}
-			if value, _ := numberOf(cells[ratio]); value > 1 {
-				into[cells[source]] = line
-			}
-		}
-	}
-	return missing, others
-}
-
 // What is over its allowance anywhere on the page stands in the table of what is missing,
 // and nothing else does.
 func TestAllThatIsMissingIsListed(t *testing.T) {
 	page, _ := readPage(t)
-	missing, others := overAllowance(page)
-	if len(missing) == 0 {
-		t.Error("nothing is listed as missing")
+	unlisted, within := Missing(page)
+	for _, line := range unlisted {
+		t.Errorf("over its allowance, and not listed under %q:\n%s", MissingHeading, line)
 	}
-	for formula, line := range others {
-		if missing[formula] == "" {
-			t.Errorf("over its allowance, and not listed under %q:\n%s", MissingHeading, line)
-		}
-	}
-	for formula, line := range missing {
-		if others[formula] == "" {
-			t.Errorf("listed as missing, and in no other table:\n%s", line)
-		}
+	for _, line := range within {
+		t.Errorf("listed as missing, and over its allowance in no other table:\n%s", line)
 	}
 }
