--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"railrelay.dev/railrelay/internal/fleet"
-	"railrelay.dev/railrelay/internal/fleet/agree"
 	"railrelay.dev/railrelay/internal/fleet/record"
 )
 
