A relay whose leader is lost asks another voter besides

A relay that doesn't vote asked the dead leader for three intervals, 1.5 s, before it tried another (Core.direct), and its controllers with it. Change: a relay whose renewal is unanswered for half an interval asks a voter besides.

--- a/internal/fleet/node/route.go
+++ b/internal/fleet/node/route.go
@@ -38,11 +38,16 @@
 // upstreams are whom the next renewal goes to: by the current route; while that doesn't
 // answer, by another one besides; and from time to time by the first, if it isn't current.
 func (c *Core) upstreams() (to []Upstream) {
-	if len(c.b.Relays) == 0 || c.vote != nil || c.leads {
+	switch {
+	case c.vote != nil || c.leads:
+		return c.direct()
+	case c.b.Relay && c.unanswered() && len(c.voters) > 0: // many wait for it to find who leads now
+		return append(c.direct(), c.nextVoter())
+	case len(c.b.Relays) == 0:
 		return c.direct()
 	}
 	to = c.by(c.routes.current)
-	if c.askedAt > 0 && c.now-c.askedAt >= c.every()/2 {
+	if c.unanswered() {
 		others := len(c.b.Relays)
 		step := 1 + c.routes.tried%others
 		c.routes.tried++
@@ -57,6 +62,9 @@
 	return to
 }
 
+// unanswered: the last renewal should have been answered by now.
+func (c *Core) unanswered() bool { return c.askedAt > 0 && c.now-c.askedAt >= c.every()/2 }
+
 // by is whom a route leads to.
 func (c *Core) by(route int) []Upstream {
 	if route < len(c.b.Relays) {
@@ -67,13 +75,19 @@
 
 // direct is the leader or, where that isn't known or doesn't answer, a voter that may know.
 func (c *Core) direct() []Upstream {
-	to := c.leader
-	if to == "" || c.askedAt > 0 && c.now-c.askedAt > 3*c.every() {
-		c.hint++
-		if len(c.voters) == 0 {
-			return nil
-		}
-		to = c.voters[c.hint%len(c.voters)].Name
+	known := c.leader != "" && (c.askedAt == 0 || c.now-c.askedAt <= 3*c.every())
+	switch {
+	case known:
+		return []Upstream{{Name: c.leader, Address: c.addressOf(c.leader)}}
+	case len(c.voters) == 0:
+		return nil
 	}
-	return []Upstream{{Name: to, Address: c.addressOf(to)}}
+	return []Upstream{c.nextVoter()}
+}
+
+// nextVoter is another voter each time. There must be some.
+func (c *Core) nextVoter() Upstream {
+	c.hint++
+	name := c.voters[c.hint%len(c.voters)].Name
+	return Upstream{Name: name, Address: c.addressOf(name)}
 }
