One linked list for fair queues, answers and the spool in place of five written by hand

Cause: duplicates named the same insert and remove of a doubly linked list in fair (a leaf's list, a lane, idle teams), answers and spool. Change: internal/linked is container/list with elements that are fields of their values, so that nothing is allocated.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -25,6 +25,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/linked"
 )
 
 // Limits are the cache's figures. All must be set but Groups.
@@ -105,24 +106,24 @@
 
 // kept is one answer.
 type kept struct {
-	hash       uint64
-	team       *team
-	group      int
-	statement  []byte
-	tables     []int64
-	pages      [][]byte
-	size       int64
-	ends       time.Duration
-	wall       int64  // when its run began
-	index      uint64 // of the record then
-	used       uint64 // the higher the later
-	older, new *kept  // of its team, by use
+	hash      uint64
+	team      *team
+	group     int
+	statement []byte
+	tables    []int64
+	pages     [][]byte
+	size      int64
+	ends      time.Duration
+	wall      int64                // when its run began
+	index     uint64               // of the record then
+	used      uint64               // the higher the later
+	inUse     linked.Element[kept] // of its team's byUse
 }
 
 type team struct {
-	name        string
-	bytes       int64
-	first, last *kept // the longest unused first
+	name  string
+	bytes int64
+	byUse linked.List[kept] // the longest unused first
 }
 
 // Counts are counted since the start.
@@ -346,8 +347,8 @@
 	over := false
 	for _, t := range c.teams {
 		o := float64(t.bytes) > c.Team*float64(c.Memory)
-		if least == nil || o && !over || o == over && t.first.used < least.used {
-			least, over = t.first, o
+		if least == nil || o && !over || o == over && t.byUse.First().Value.used < least.used {
+			least, over = t.byUse.First().Value, o
 		}
 	}
 	return least
@@ -357,39 +358,19 @@
 	c.serial++
 	k.used = c.serial
 	t := k.team
-	if k.older = t.last; t.last != nil {
-		t.last.new = k
-	} else {
-		t.first = k
-	}
-	t.last = k
-}
-
-func (c *Cache) unlink(k *kept) {
-	t := k.team
-	if k.older != nil {
-		k.older.new = k.new
-	} else {
-		t.first = k.new
-	}
-	if k.new != nil {
-		k.new.older = k.older
-	} else {
-		t.last = k.older
-	}
-	k.older, k.new = nil, nil
+	t.byUse.Append(&k.inUse, k)
 }
 
 func (c *Cache) touch(k *kept) {
-	c.unlink(k)
+	k.team.byUse.Remove(&k.inUse)
 	c.link(k)
 }
 
 func (c *Cache) drop(k *kept) {
-	c.unlink(k)
+	k.team.byUse.Remove(&k.inUse)
 	c.bytes -= k.size
 	c.count--
-	if k.team.bytes -= k.size; k.team.first == nil {
+	if k.team.bytes -= k.size; k.team.byUse.First() == nil {
 		delete(c.teams, k.team.name)
 	}
 	l := slices.DeleteFunc(c.kept[k.hash], func(x *kept) bool { return x == k })
@@ -401,8 +382,8 @@
 // those are the answers kept for which something holds, in the order of their last use.
 func (c *Cache) those(holds func(k *kept) bool) (l []*kept) {
 	for _, t := range c.teams {
-		for k := t.first; k != nil; k = k.new {
-			if holds(k) {
+		for e := t.byUse.First(); e != nil; e = e.Next() {
+			if k := e.Value; holds(k) {
 				l = append(l, k)
 			}
 		}
--- a/internal/answers/answers_test.go
+++ b/internal/answers/answers_test.go
@@ -137,7 +137,7 @@
 	byTeam, n := int64(0), 0
 	for _, t := range w.c.teams {
 		byTeam += t.bytes
-		for k := t.first; k != nil; k = k.new {
+		for e := t.byUse.First(); e != nil; e = e.Next() {
 			n++
 		}
 	}
--- a/internal/fair/estimate.go
+++ b/internal/fair/estimate.go
@@ -485,10 +485,10 @@
 // handed may end meanwhile.
 func (c *Core) Each(do func(w *Waiter)) {
 	for i := range c.lanes {
-		for w := c.lanes[i].oldest; w != nil; {
-			next := w.newer
-			do(w)
-			w = next
+		for e := c.lanes[i].byAge.First(); e != nil; {
+			next := e.Next()
+			do(e.Value)
+			e = next
 		}
 	}
 }
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -10,6 +10,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"railrelay.dev/railrelay/internal/linked"
 )
 
 // Counts are what happened to a team's queries.
@@ -75,9 +77,9 @@
 	running  list    // in the order they were handed on
 	asking   []*Waiter
 
-	debtors             []*node
-	idleFirst, idleLast *node
-	sweptAt             time.Duration
+	debtors []*node
+	idle    linked.List[node] // in the order in which they became so
+	sweptAt time.Duration
 	// Total counts all teams together.
 	Total Counts
 }
@@ -144,7 +146,7 @@
 	// behind others of its team it isn't let in to grow old; a team's first is, since
 	// ageing brings its turn whatever its weight
 	limit := c.shape.Age*3/5 - (w.entered - w.Arrived)
-	if n.lists[w.Lane].first == nil {
+	if n.lists[w.Lane].First() == nil {
 		est = min(est, c.shape.Age)
 		limit = est
 	}
@@ -177,7 +179,7 @@
 	c.waiting++
 	l.waiting++
 	c.queue(w)
-	l.append(w)
+	l.add(w)
 	if l.Ordered && w.Key >= 0 {
 		c.join(w, 0, w.Key)
 	}
@@ -210,9 +212,9 @@
 	c.remember(w)
 	w.state = away
 	if n.busy == 0 {
-		c.fromIdle(n)
+		c.idle.Remove(&n.inIdle)
 		n.idleAt = c.now
-		c.toIdle(n)
+		c.idle.Append(&n.inIdle, n)
 	}
 }
 
@@ -293,14 +295,14 @@
 func (c *Core) offer(w *Waiter) {
 	n := w.leaf
 	l := &n.lists[w.Lane]
-	at := l.last
-	if l.first != nil && older(w, l.first) { // set free by one before it: it is old
+	at := l.Last()
+	if first := l.First(); first != nil && older(w, first.Value) { // set free by one before it: it is old
 		at = nil
 	}
-	for at != nil && older(w, at) {
-		at = at.prev
+	for at != nil && older(w, at.Value) {
+		at = at.Previous()
 	}
-	l.insert(w, at)
+	l.InsertAfter(&w.inTurn, w, at)
 	w.inLeaf = true
 	c.more(n, w.Lane)
 	if x := w.links[1].line; x != nil && x.first == w && x.parked > 0 {
@@ -312,7 +314,7 @@
 	if !w.inLeaf {
 		return
 	}
-	w.leaf.lists[w.Lane].remove(w)
+	w.leaf.lists[w.Lane].Remove(&w.inTurn)
 	w.inLeaf = false
 	c.less(w.leaf, w.Lane)
 }
@@ -365,14 +367,14 @@
 	case waits:
 		c.unqueue(w, l)
 	case passed: // never sent: it took nothing
-		c.running.remove(w)
+		c.running.Remove(&w.inTurn)
 		c.inFlight -= w.remains
 		c.threads -= l.Threads
 		l.unpass(w)
 		c.charge(n, w.Lane, -w.charged)
 		w.charged = 0
 	case running:
-		c.running.remove(w)
+		c.running.Remove(&w.inTurn)
 		c.inFlight -= w.remains
 		c.threads -= l.Threads
 		if took := (c.now - w.began).Seconds(); end == Finished {
@@ -436,10 +438,11 @@
 		}
 	}
 	inFlight, overrun := 0.0, 0.0
-	for w := c.running.first; w != nil; w = w.next {
-		w.leaf.overrun = 0
+	for e := c.running.First(); e != nil; e = e.Next() {
+		e.Value.leaf.overrun = 0
 	}
-	for w := c.running.first; w != nil; w = w.next {
+	for e := c.running.First(); e != nil; e = e.Next() {
+		w := e.Value
 		if w.state != running {
 			w.served = c.service
 			inFlight += w.remains
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -93,7 +93,7 @@
 				t.Fatalf("%s %d waits for ever in lane %d", j.team, j.seq, j.Lane)
 			}
 		}
-		if m.c.Waiting() != 0 || len(m.c.lines)+len(m.c.links) != 0 || m.c.running.first != nil || math.Abs(m.c.root.heavy) > 1e-9 {
+		if m.c.Waiting() != 0 || len(m.c.lines)+len(m.c.links) != 0 || m.c.running.First() != nil || math.Abs(m.c.root.heavy) > 1e-9 {
 			t.Fatalf("%d wait, %d lines, busy %v after all is over", m.c.Waiting(), len(m.c.lines), m.c.root.heavy)
 		}
 		if m.c.nodes != 0 {
--- a/internal/fair/next.go
+++ b/internal/fair/next.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	for {
-		w := l.oldest
+		w := l.byAge.First().Value
 		if c.now-w.Arrived < c.shape.Age || !w.inLeaf {
 			if w = c.turn(i); w == nil || c.makesWay(w) {
 				return nil
@@ -62,7 +62,7 @@
 		}
 		n = h[0]
 	}
-	return n.lists[i].first
+	return n.lists[i].First().Value
 }
 
 // makesWay: there is room for it in its lane, but it would be taken from others'
@@ -111,13 +111,13 @@
 	c.charge(w.leaf, w.Lane, w.charged)
 	l.handed++
 	l.passed += w.est
-	c.running.insert(w, c.running.last)
+	c.running.Append(&w.inTurn, w)
 }
 
 // unqueue takes a query out of all that it waits in.
 func (c *Core) unqueue(w *Waiter, l *lane) {
 	c.withdraw(w)
-	l.remove(w)
+	l.byAge.Remove(&w.inAge)
 	c.part(w, 1) // the decisions keep a chain's order from here on; a key's turn comes with its end
 	l.waiting--
 	c.waiting--
--- a/internal/fair/reload.go
+++ b/internal/fair/reload.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"railrelay.dev/railrelay/internal/linked"
 )
 
 func (c *Core) reshape(shape Shape) {
@@ -59,13 +61,13 @@
 	c.at(now)
 	var all []*Waiter
 	for i := range c.lanes {
-		for w := c.lanes[i].oldest; w != nil; w = w.newer {
-			all = append(all, w)
+		for e := c.lanes[i].byAge.First(); e != nil; e = e.Next() {
+			all = append(all, e.Value)
 		}
 	}
 	queued := len(all)
-	for w := c.running.first; w != nil; w = w.next {
-		all = append(all, w)
+	for e := c.running.First(); e != nil; e = e.Next() {
+		all = append(all, e.Value)
 	}
 	type kept struct {
 		lead     []float64
@@ -91,7 +93,7 @@
 	for len(c.debtors) > 0 {
 		c.payAll(time.Hour)
 	}
-	c.idleFirst, c.idleLast, c.refills, c.nodes = nil, nil, nil, 0
+	c.idle, c.refills, c.nodes = linked.List[node]{}, nil, 0
 	c.root = &node{weight: 1}
 	c.reshape(shape)
 	for i := range c.lanes {
@@ -130,7 +132,7 @@
 		if w.inLeaf {
 			offered = append(offered, w)
 		}
-		w.prev, w.next, w.inLeaf = nil, nil, false
+		w.inTurn, w.inLeaf = linked.Element[Waiter]{}, false
 	}
 	// only now: one that is offered may bring back those parked behind it, which must
 	// be in their new teams by then
--- a/internal/fair/tree.go
+++ b/internal/fair/tree.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"railrelay.dev/railrelay/internal/linked"
 )
 
 // plan is a team as set up, without any state: a team that has nothing to do
@@ -59,9 +61,9 @@
 	refillPos     int
 	waitMost      int
 
-	idleAt             time.Duration
-	idlePrev, idleNext *node
-	counts             Counts
+	idleAt time.Duration
+	inIdle linked.Element[node]
+	counts Counts
 }
 
 const (
@@ -101,7 +103,7 @@
 	}
 	pl.at = n
 	c.nodes++
-	c.toIdle(n)
+	c.idle.Append(&n.inIdle, n)
 	return n
 }
 
@@ -141,7 +143,7 @@
 		if n.busy++; n.busy > 1 {
 			continue
 		}
-		c.fromIdle(n)
+		c.idle.Remove(&n.inIdle)
 		p := n.parent
 		most := debtMost * c.capacity() / (n.weight + p.heavy)
 		for k := range n.tags {
@@ -174,7 +176,7 @@
 			p.heavy = 0
 		}
 		n.idleAt = c.now
-		c.toIdle(n)
+		c.idle.Append(&n.inIdle, n)
 	}
 }
 
@@ -395,43 +397,20 @@
 	c.rise(n)
 }
 
-// Idle nodes stand in the order in which they became so.
-func (c *Core) toIdle(n *node) {
-	if n.idlePrev = c.idleLast; c.idleLast != nil {
-		c.idleLast.idleNext = n
-	} else {
-		c.idleFirst = n
-	}
-	c.idleLast, n.idleNext = n, nil
-}
-
-func (c *Core) fromIdle(n *node) {
-	if n.idlePrev != nil {
-		n.idlePrev.idleNext = n.idleNext
-	} else {
-		c.idleFirst = n.idleNext
-	}
-	if n.idleNext != nil {
-		n.idleNext.idlePrev = n.idlePrev
-	} else {
-		c.idleLast = n.idlePrev
-	}
-	n.idlePrev, n.idleNext = nil, nil
-}
-
 // idleKeeps is how long a team without anything to do keeps its state: its
 // budget's state would be lost, so one that is over it keeps it until refilled.
 const idleKeeps = time.Minute
 
 func (c *Core) dropIdle() {
-	for n := c.idleFirst; n != nil && c.now-n.idleAt >= idleKeeps; n = c.idleFirst {
-		c.fromIdle(n)
+	for e := c.idle.First(); e != nil && c.now-e.Value.idleAt >= idleKeeps; e = c.idle.First() {
+		n := e.Value
+		c.idle.Remove(&n.inIdle)
 		if n.budget > 0 {
 			c.refill(n)
 		}
 		if n.budget > 0 && n.tokens < n.burst || n.lists == nil && c.childrenOf(n) {
 			n.idleAt = c.now
-			c.toIdle(n)
+			c.idle.Append(&n.inIdle, n)
 			continue
 		}
 		if n.refillPos >= 0 {
--- a/internal/fair/waiter.go
+++ b/internal/fair/waiter.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"railrelay.dev/railrelay/internal/linked"
 )
 
 // Waiter is a query as fairness knows it: its owner keeps it inside its own
@@ -43,11 +45,11 @@
 	ahead    float64       // of its team before it, with all that had gone
 	listed   bool
 
-	prev, next   *Waiter // in its leaf's list, or among the running
-	older, newer *Waiter // in its lane, all that wait
-	inLeaf       bool
-	links        [2]link // its places in the lines of its key and its chain
-	parked       bool    // its turn came, and one of its chain that can't go has to go first
+	inTurn linked.Element[Waiter] // in its leaf's list, or among the running
+	inAge  linked.Element[Waiter] // in its lane, all that wait
+	inLeaf bool
+	links  [2]link // its places in the lines of its key and its chain
+	parked bool    // its turn came, and one of its chain that can't go has to go first
 }
 
 type state uint8
@@ -77,36 +79,7 @@
 }
 
 // list is what may go of a leaf in a lane, oldest first, or what runs.
-type list struct{ first, last *Waiter }
-
-// insert puts a query behind another, nil for the front.
-func (l *list) insert(w, at *Waiter) {
-	w.prev = at
-	if at != nil {
-		w.next, at.next = at.next, w
-	} else {
-		w.next, l.first = l.first, w
-	}
-	if w.next != nil {
-		w.next.prev = w
-	} else {
-		l.last = w
-	}
-}
-
-func (l *list) remove(w *Waiter) {
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		l.first = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		l.last = w.prev
-	}
-	w.prev, w.next = nil, nil
-}
+type list = linked.List[Waiter]
 
 // mayGo: its key's turn is its own. Who stands behind another of its chain may
 // have a turn: the other goes on it.
--- a/internal/spool/room.go
+++ b/internal/spool/room.go
@@ -1,8 +1,6 @@
 package spool
 
-import (
-	"time"
-)
+import "time"
 
 // comes: room may come by a time, because something is being written or compacted,
 // or a result's life ends.
@@ -165,11 +163,11 @@
 
 // uncache frees memory of the page set longest unread that is on disk too.
 func (c *Core) uncache() bool {
-	r := c.first
-	if r == nil {
+	first := c.byRead.First()
+	if first == nil {
 		return false
 	}
-	c.forget(r)
+	c.forget(first.Value)
 	return true
 }
 
@@ -177,27 +175,13 @@
 func (c *Core) list(r *Result) {
 	c.unlist(r)
 	r.listed = true
-	if r.older = c.last; c.last != nil {
-		c.last.newer = r
-	} else {
-		c.first = r
-	}
-	c.last = r
+	c.byRead.Append(&r.inRead, r)
 }
 
 func (c *Core) unlist(r *Result) {
 	if !r.listed {
 		return
 	}
-	if r.older != nil {
-		r.older.newer = r.newer
-	} else {
-		c.first = r.newer
-	}
-	if r.newer != nil {
-		r.newer.older = r.older
-	} else {
-		c.last = r.older
-	}
-	r.older, r.newer, r.listed = nil, nil, false
+	c.byRead.Remove(&r.inRead)
+	r.listed = false
 }
