The check of rule 6 stands in the module again; a planted fault may replace lines

Cause: to plant its fault as a small file the check of a query's boundary was moved out of decide/decide.go, which is to hold every decision. Change: it stands in allowed again; a planted fault may be FILE.replace, lines for lines of a large file, which must stand there exactly once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -488,7 +488,7 @@
 	rg := q.rg
 	switch {
 	case e.state != On, // 3: not even within the grace
-		!q.isInside(e),
+		q.inside != nil && !slices.Contains(q.inside, strconv.Itoa(e.location)),
 		len(rg.kinds) > 0 && !slices.Contains(rg.kinds, strconv.Itoa(e.kind)):
 		return false // 6
 	}
--- a/internal/lab/planted.go
+++ b/internal/lab/planted.go
@@ -17,8 +17,9 @@
 
 // Plant is a fault, where it is planted, the tests that must find it, and how they name
 // it. Its files are in Dir/testdata/planted/Name: each is a copy, with the fault, of the
-// file of that name in Dir, which it replaces in a build (go test -overlay). The same tests
-// pass in a build without it.
+// file of that name in Dir, which it replaces in a build (go test -overlay), or, as
+// FILE.replace, says which lines of a large FILE the fault replaces. The same tests pass in
+// a build without it.
 type Plant struct {
 	Name    string // of its build, and of its directory of files
 	Fault   string // in words
