A report's room is shared by all gateways that may have read it

Engines held 14 threads in the mean, a tenth of them over 40; those finished nothing for two seconds and stood empty a second later, one after another. s- was sent 34 queries between 0.50 and 0.75 s, where most were sent 1 to 8: n188 sent it 6 within 10 ms, n213 4 within 1 ms, n194, n245 and n16 3 each within 1 to 11 ms, the last two 13 each in the first second. n245 had sent eight glance and two ledger-entry to s- within 6 ms at 0.419 s, all that had waited for one look. A ledger-entry taken by n178 at 0.421 was on s- from 0.519 to its deadline, heard nothing but 202 and was killed. 62 of 80 engines passed 40.

Cause: `filled` counted of what came since a report one's own queries only (decide.go 402 and 428). A query without a fresh report looks at an engine or two; what comes to the same gateway within a second finds that engine known and free and looks at nothing more (`pick`), until this gateway alone has filled it. Four looks a second, 306 gateways and 80 engines make 15 that hold a report of the same engine, and fill it 15 times.

Change: what one sent since a report is counted for each gateway that is thought to hold one too, by one's own looks a second over the engines (`since`). With few gateways that is next to none. Tests, both failing without it: TestABurstIsNotSentToTheOneEngineSeen, TestNoEngineIsFilledByAllWhoSawItFree (52 looks of 6,400 at engines over 24 threads, 8 with it).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,8 +27,7 @@
 
 // ---- engines coming and going
 
-// restarted: a new process under a known id; what was learned of the old one is
-// void, and by rule 4 it is cold from when it started, not from when we hear.
+// restarted: a new process under a known id; what was learned is void, and it is cold from its start on.
 func (g *Gateway) restarted(e *engine, started time.Duration) {
 	g.forget(e)
 	e.started, e.coldFrom, e.coldUntil = started, started, max(e.coldUntil, started+g.facts.span("cold.span", 0))
@@ -393,13 +392,12 @@
 	return min(1, max(0.25/n, g.usualCount.or(1)/max(1, g.warm)/g.allHeld.value))
 }
 
-// filled guesses how full an engine is with the work of all gateways; 1 is full. A
-// report tells, by whichever is nearest its end, with what one did since; without
-// one it should be as full as those seen of late, or as if all did as this one, by what each is able to.
+// filled guesses how full an engine is with the work of all gateways; 1 is full: by its report, whichever is
+// nearest its end, and what was sent since; else as those seen of late, or as if all did as this one.
 func (g *Gateway) filled(e *engine) float64 {
 	most := threadsPerCore * e.cores * g.able(e)
 	if e.report != nil && g.now-e.reportAt < reportKeeps {
-		return max(g.memoryOn(e), (g.heldOn(e)+e.threads-e.threadsAtReport)/most)
+		return max(g.memoryOn(e), (g.heldOn(e)+g.since(e.threads-e.threadsAtReport))/most)
 	}
 	if g.fillSeen.count > 0 {
 		return g.fillSeen.value + e.threads/most
@@ -425,7 +423,14 @@
 // memoryOn is the same for memory alone, of an engine seen.
 func (g *Gateway) memoryOn(e *engine) float64 {
 	held := g.heldOn(e) * g.usualMemory.value / max(0.1, g.usualThreads.value)
-	return (held + e.memory - e.memoryAtReport) / e.ram
+	return (held + g.since(e.memory-e.memoryAtReport)) / e.ram
+}
+
+// since guesses what all gateways sent to an engine since its report, by one's own: they look as often, and
+// each that looked at it while a report keeps saw the same room and fills it alike.
+func (g *Gateway) since(own float64) float64 {
+	part := min(1, g.rate(g.looked)*reportKeeps.Seconds()/max(1, float64(len(g.on())))) // of engines, seen
+	return own + max(0, own)*part*(max(1, g.facts.num("gateways", 1))-1)
 }
 
 func (g *Gateway) room(e *engine) float64 {
@@ -523,10 +528,9 @@
 	return from + (1-from)*min(1, age.Seconds()/span.Seconds())
 }
 
-// names: among many, a cold engine that a light query's chance allows gets the query. Were
-// it drawn for among all others besides, next to nothing would go there, while what is warm
-// is full. Heavy queries are drawn for: a cold engine stands one or two of them in a window,
-// and chance lets several gateways send theirs at once; so are groups little is known of.
+// names: among many, a cold engine that a light query's chance allows gets the query. Drawn for among all
+// others besides, next to nothing would go there, while what is warm is full. Heavy queries are drawn for: it
+// stands one or two in a window, and several gateways may send at once; so are groups little is known of.
 func (g *Gateway) names(q *query, e *engine) bool {
 	return g.now < e.coldUntil && g.facts.num("gateways", 1) > 1 && g.light(q.rg) && q.rg.work.count >= 10
 }
@@ -535,8 +539,7 @@
 // unevenly traffic lies: each query may go there by a chance that in sum, were all who may to go, makes a
 // part of the limit; a smaller one of heavy queries, none while two pass it. Its own sum holds the busiest.
 func (g *Gateway) coldFits(q *query, e *engine) bool {
-	f := g.facts
-	window := f.span("cold.window", time.Second)
+	f, window := g.facts, g.facts.span("cold.window", time.Second)
 	limit := f.num("cold.multiple", 1) * g.able(e) * 0.85 * e.cores * window.Seconds()
 	work, most, part := g.usual(q.rg), 0.33, 0.3
 	if f.num("gateways", 1) <= 1 {
@@ -706,8 +709,7 @@
 
 func (g *Gateway) heard(e *engine) {
 	if e.silent && g.now-e.heardAt > 4*time.Second {
-		// what comes back from a long silence may be a new process that the list
-		// doesn't name yet; it is warmed up as one, at the cost of some room
+		// it may be a new process that the list doesn't name yet, and is warmed up as one, at the cost of some room
 		e.coldFrom, e.coldUntil = g.now, max(e.coldUntil, g.now+g.facts.span("cold.span", 0))
 		g.act.Log("engine " + e.id + " heard again, taken as cold")
 	}
@@ -820,7 +822,7 @@
 	for _, rg := range g.groups {
 		rg.taken, rg.begun = rg.taken*0.995, rg.begun*(1-tick.Seconds()/flowSpan.Seconds())
 	}
-	g.workRate *= 0.995
+	g.workRate, g.looked = g.workRate*0.995, g.looked*(1-tick.Seconds()/flowSpan.Seconds())
 	took, quota := 0.0, 0.0
 	for _, t := range g.teams {
 		t.took *= 1 - tick.Seconds()/flowSpan.Seconds()
@@ -833,8 +835,7 @@
 	for _, e := range g.on() {
 		e.slow += (1 - e.slow) * 0.01
 		for _, s := range slices.Clone(e.out) {
-			// the quickest thing out should have been heard of; covers machines gone
-			// silent, cut links and long stalls alike
+			// the quickest thing out should have been heard of; covers machines gone, cut links and long stalls
 			limit, mute := seconds(0.6+3*g.expect(s.q)), period*3/2+300*time.Millisecond
 			if period > 0 && (mute < limit || !g.facts.yes("may.probe")) {
 				limit = mute // a note is sure to come in this time, and no look can tell before
@@ -875,7 +876,7 @@
 
 func (g *Gateway) look(e *engine) {
 	if g.facts.yes("may.probe") && (!e.probing || g.now-e.probedAt > 300*time.Millisecond) {
-		e.probing, e.probedAt = true, g.now
+		e.probing, e.probedAt, g.looked = true, g.now, g.looked+1
 		g.act.Probe(e.id)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -308,6 +308,27 @@
 	}
 }
 
+// Queries that wait for one look don't all go to the engine seen free: other gateways saw the same.
+func TestABurstIsNotSentToTheOneEngineSeen(t *testing.T) {
+	w := among(t, 30)
+	w.g.meanWork.add(1, 1)
+	w.g.probeLeft = 6
+	to := map[string]int{}
+	var burst []*asked
+	for i := range 6 {
+		burst = append(burst, w.take(0, int64(i), -1, 5*sec))
+	}
+	for i := 0; i < len(w.probes); i++ {
+		w.pass(ms)
+		w.report(w.probes[i], map[string]float64{"held": 1})
+	}
+	for _, q := range burst {
+		if to[sentTo(q)]++; sentTo(q) == "" || to[sentTo(q)] > 2 {
+			t.Fatalf("sent to %q, %v of six there, %d looks", sentTo(q), to[sentTo(q)], len(w.probes))
+		}
+	}
+}
+
 // Every gateway with one query on every engine is far too many; none at all is no use.
 func TestBoundUnderOneQueryBindsInTheMeanOnHeavyOnes(t *testing.T) {
 	w := among(t, 4)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -501,3 +501,28 @@
 		f.list(m, f.names...)
 	}
 }
+
+// What a report shows as free is read by several gateways while it keeps. Each that filled it alone put several
+// times what an engine can do on one of them at a time.
+func TestNoEngineIsFilledByAllWhoSawItFree(t *testing.T) {
+	const most = 3 * fleetCores // threads
+	defer func(usual []float64) { fleetWork = usual }(fleetWork)
+	fleetWork = []float64{0.05, 0.4, 0.1} // short queries, so that many come while a report keeps
+	f := newFleet(3, 300, 80, 0.7, 5*sec, nil)
+	over, seen := 0, 0
+	for at := sec; at < 5*sec; at += 50 * ms {
+		f.run(at)
+		for _, id := range f.names {
+			threads := 0.0
+			for _, task := range f.engines[id].tasks {
+				threads += task.threads
+			}
+			if seen++; threads > most {
+				over++
+			}
+		}
+	}
+	if t.Logf("over %.0f threads in %d of %d looks", most, over, seen); over*250 > seen {
+		t.Fatal("engines are filled past all they can do")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -261,6 +261,7 @@
 	recent                                mean    // threads, over less
 	lump                                  float64 // the most threads of one query
 	probeLeft                             float64
+	looked                                float64 // engines looked at of late, decaying
 	fillSeen, meanWork                    mean
 	askedAt, seenAt                       time.Duration
 	subscribed                            bool
