--- a/internal/lab/relays_faults_test.go
+++ b/internal/lab/relays_faults_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -27,6 +28,8 @@
 		{"both relays killed", bothRelaysKilled, false},
 		{"only relays reach the leader", onlyRelaysReachLeader, false},
 		{"a controller cut off while its relay goes on", controllerCutOff, false},
+		{"answers come late to a relay, then it is cut off", answersLate, false},
+		{"a relay and its controller cut off together", relayAndControllerCutOff, false},
 		{"grants come late", grantsLate, false},
 		{"grants come twice", grantsTwice, true},
 		{"the leader killed while a change waits", leaderKilled, false},
@@ -49,7 +52,7 @@
 }
 
 // pastLease waits until leases that were asked for by now are over.
-func (f *relayed) pastLease() { time.Sleep(f.Lease + f.Lease/2) }
+func (f *relayed) pastLease() { time.Sleep(f.Lease + f.Lease/4) }
 
 // cut has nothing pass between two processes.
 func (f *relayed) cut(a, b *process) {
@@ -79,20 +82,27 @@
 	f.restart(relay)
 }
 
-// relayKilledAnywhere kills a relay at several moments after a change was asked for.
+// relayKilledAnywhere kills a relay at several moments after a change was asked for, and
+// every other time has the next run begin at once, within the leases of the last one.
 func relayKilledAnywhere(f *relayed) {
-	for _, after := range []time.Duration{0, 3 * time.Millisecond, 8 * time.Millisecond, 15 * time.Millisecond} {
-		relay, by := f.relays[1], f.asker()
+	for i, after := range []time.Duration{0, 3 * time.Millisecond, 8 * time.Millisecond, 15 * time.Millisecond} {
+		relay, by, atOnce := f.relays[1], f.asker(), i%2 == 1
 		a := f.change(f.inForce(), 0, false)
-		killed := make(chan struct{})
+		asked := make(chan struct{})
 		go func() {
-			defer close(killed)
-			time.Sleep(after)
-			f.kill(relay)
+			defer close(asked)
+			f.apply(by, a)
 		}()
+		time.Sleep(after)
+		f.kill(relay)
+		if atOnce {
+			f.restart(relay)
+		}
+		<-asked
 		f.comesInForce(by, a)
-		<-killed
-		f.restart(relay)
+		if !atOnce {
+			f.restart(relay)
+		}
 		f.serveAll()
 	}
 }
@@ -172,9 +182,13 @@
 }
 
 // controllerCutOff cuts a controller from all others while its relays go on asking for
-// leases for those they cover. The change doesn't come into force before its lease ends.
+// leases for those they cover. The change doesn't come into force before its lease ends,
+// though the leader never gave it one by itself and the relays soon cover it no more.
 func controllerCutOff(f *relayed) {
 	lost := f.controllers[0]
+	f.cutFromVoters(lost)
+	f.pastLease()
+	f.serveAll()
 	f.note(lost, "cut off")
 	f.mesh.Isolate(lost.name)
 	f.changes(f.asker())
@@ -183,28 +197,69 @@
 	f.mesh.Heal()
 }
 
+// answersLate has the leader's answers come late to a relay that then can't send gathers
+// any more. An answer counts for those asks only that its gather told of, so the leader
+// knows when the last lease ends that the relay passes on.
+func answersLate(f *relayed) {
+	const late = 300 * time.Millisecond
+	relay, other, leader, p := f.relays[0], f.relays[1], f.leading(), f.controllers[0]
+	f.cutFromVoters(p)
+	f.cut(p, other)
+	f.mesh.Set(leader.name, relay.name, link.Fault{Kind: link.Delay, Way: link.There, By: late})
+	f.pastLease()
+	f.mesh.Set(relay.name, leader.name, link.Fault{Kind: link.Cut, Silent: true})
+	time.Sleep(2 * late) // one answer may have waited for the one before it
+	f.cut(relay, leader)
+	f.changes(f.asker())
+	time.Sleep(late) // who serves on by the version before is seen
+	f.mesh.Heal()
+}
+
+// relayAndControllerCutOff cuts a relay and a controller that reaches nobody else off from
+// the rest. When the relay is back it may have a lease for the controller before either has
+// the record that the lease counts by.
+func relayAndControllerCutOff(f *relayed) {
+	relay, other, p := f.relays[0], f.relays[1], f.controllers[0]
+	f.cutFromVoters(p)
+	f.cut(p, other)
+	f.pastLease()
+	f.serveAll()
+	for _, m := range f.members {
+		if m != p && m != relay {
+			f.cut(relay, m)
+		}
+	}
+	f.changes(f.asker()) // once their leases are over
+	for _, m := range f.members {
+		if m != p {
+			f.mesh.Set(relay.name, m.name, link.Fault{})
+			f.mesh.Set(m.name, relay.name, link.Fault{})
+		}
+	}
+	f.serveAll()
+	f.changes(f.asker())
+	f.mesh.Heal()
+}
+
 // grantsLate has all that comes to a controller come late. A lease counts from when it was
 // asked for, so no more than the rest of it is ever left.
 func grantsLate(f *relayed) {
-	const late = 600 * time.Millisecond
+	const late = 400 * time.Millisecond
 	p := f.controllers[0]
 	f.mesh.Set("", p.name, link.Fault{Kind: link.Delay, Way: link.There, By: late})
 	begin := time.Now()
 	f.pastLease() // what was granted before is over
 	f.changes(f.asker())
-	seen := false
+	end := time.Now()
+	f.mesh.Heal()
+	var longest time.Duration
 	for _, s := range f.watch.since(begin.Add(f.Lease)) {
-		if s.process != p.name {
-			continue
-		}
-		seen = seen || s.lease > 0
-		if s.lease > f.Lease-late {
-			f.t.Errorf("%s has %v left of a lease of %v, and every grant is %v late", p.name, s.lease, f.Lease, late)
+		if s.process == p.name && s.told.Before(end) {
+			longest = max(longest, s.lease)
 		}
 	}
-	f.mesh.Heal()
-	if !seen {
-		f.t.Errorf("%s never had a lease that came late", p.name)
+	if longest == 0 || longest > f.Lease-late {
+		f.t.Errorf("%s had %v left of a lease of %v, and every grant was %v late", p.name, longest, f.Lease, late)
 	}
 }
 
@@ -274,7 +329,7 @@
 	f.pause(old)
 	f.refusesDirectoryInUse(old)
 
-	again := f.secondRun(old, "again")
+	again := f.anotherRun(old, secondRun)
 	f.must(os.CopyFS(f.path(again.name+"-fleet"), os.DirFS(f.path(old.name+"-fleet"))))
 	f.mesh.Target(old.name, again.listen)
 	f.mesh.Set("", old.name, link.Fault{Kind: link.Reset}) // what is connected goes to the new run from now on
@@ -290,26 +345,24 @@
 	f.kill(old)
 }
 
-// secondRun is one more process under the name and peers' address of another one.
-func (f *relayed) secondRun(of *process, suffix string) *process {
+// anotherRun is one more process under the name and peers' address of another one.
+func (f *relayed) anotherRun(of *process, run int) *process {
 	f.t.Helper()
-	run := &process{name: of.name + "-" + suffix, site: of.site, peer: of.peer, listen: f.freeSource(of.name)}
+	p := &process{name: fmt.Sprintf("%s-run%d", of.name, run), site: of.site, peer: of.peer}
+	f.place(p, of.name, run)
 	var err error
-	run.control, err = freeAddress()
-	f.must(err)
-	run.log, err = os.Create(f.path(run.name + ".log"))
+	p.log, err = os.Create(f.path(p.name + ".log"))
 	f.must(err)
-	f.closers = append(f.closers, func() { run.log.Close() })
-	setup := strings.Replace(f.controlSetup(run, relayFleetPart), "name: "+run.name, "name: "+of.name, 1)
-	f.must(f.write(run, setup))
-	return run
+	f.closers = append(f.closers, func() { p.log.Close() })
+	f.must(f.write(p, strings.Replace(f.controlSetup(p, relayFleetPart), "name: "+p.name, "name: "+of.name, 1)))
+	return p
 }
 
 // refusesDirectoryInUse starts a second run with the directory of one that is there, which
 // must end by itself and say why.
 func (f *relayed) refusesDirectoryInUse(first *process) {
 	f.t.Helper()
-	second := f.secondRun(first, "refused")
+	second := f.anotherRun(first, refusedRun)
 	directory := f.path(first.name + "-fleet")
 	setup, err := os.ReadFile(f.path(second.name + ".yaml"))
 	f.must(err)
--- a/internal/lab/relays_fleet_test.go
+++ b/internal/lab/relays_fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,9 @@
 	relayedLease  = time.Second
 	relayedVoters = 3
 	relayedRelays = 2
+	// relayedElection and relayedHeartbeat are those of Together's controllers.
+	relayedElection  = 300 * time.Millisecond
+	relayedHeartbeat = 60 * time.Millisecond
 	// relayedSlack is how much later than an act an engine of the test may see it: a busy
 	// machine must not look like a broken fleet. What a client asked for after a later
 	// version was seen is judged without it.
@@ -45,14 +49,21 @@
 	relays      []*process
 	later       []*process // which a test sets up and starts by itself
 	watch       *watch
+	leaseBound  time.Duration
 }
 
-// startRelayed starts a fleet and waits until all of it holds leases. later names
-// processes that a test starts by itself.
-func startRelayed(t *testing.T, controllers int, later ...string) *relayed {
+// relayedPlan is what a fleet is started with.
+type relayedPlan struct {
+	controllers int
+	leaseBound  time.Duration // of bound teams
+	later       []string      // processes that the test starts by itself
+}
+
+// startRelayed starts a fleet and waits until all of it holds leases.
+func startRelayed(t *testing.T, plan relayedPlan) *relayed {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background()) // the test's own ends before logs are shown
-	f := &relayed{t: t, watch: &watch{left: map[string]time.Time{}}, gathering: &gathering{
+	f := &relayed{t: t, leaseBound: plan.leaseBound, watch: &watch{left: map[string]time.Time{}}, gathering: &gathering{
 		Together: Together{Program: both(t), Seed: 1, Lease: relayedLease}, ctx: ctx, stop: stop, start: time.Now(), dir: t.TempDir(),
 		rng: rand.New(rand.NewPCG(1, 0x7e1a)), quit: make(chan struct{}), asked: map[string]*askedFor{},
 		marks: map[int]marked{0: {"the set-up's", 1}}, next: 1, version: 1, faults: map[string]int{}, known: map[string]string{}}}
@@ -68,17 +79,18 @@
 	var err error
 	f.keys, err = peers.ReadKeys(f.path("keys"))
 	f.must(err)
-	names := slices.Concat(numbered("c", controllers), numbered("v", relayedVoters), numbered("r", relayedRelays), later)
+	names := slices.Concat(numbered("c", plan.controllers), numbered("v", relayedVoters), numbered("r", relayedRelays), plan.later)
 	f.mesh = link.NewMesh(names...)
 	f.closers = append(f.closers, f.mesh.Close)
 	for _, name := range names {
 		f.add(name)
 	}
-	f.controllers, f.acts = f.members[:controllers], make([][]mark, controllers)
-	f.voters = f.members[controllers:][:relayedVoters]
-	f.relays = f.members[controllers+relayedVoters:][:relayedRelays]
-	f.later = f.members[controllers+relayedVoters+relayedRelays:]
-	for i, p := range f.members[:len(f.members)-len(f.later)] {
+	f.controllers, f.acts = f.members[:plan.controllers], make([][]mark, plan.controllers)
+	f.voters = f.members[plan.controllers:][:relayedVoters]
+	f.relays = f.members[plan.controllers+relayedVoters:][:relayedRelays]
+	begun := plan.controllers + relayedVoters + relayedRelays
+	f.later = f.members[begun:]
+	for i, p := range f.members[:begun] {
 		f.must(f.write(p, f.setupOf(i, p)))
 		f.must(f.begin(p))
 		f.watch.follow(f, p)
@@ -123,13 +135,9 @@
 func (f *relayed) add(name string) {
 	f.t.Helper()
 	p := &process{name: name, site: "east"}
-	var err error
-	p.address, err = freeAddress()
-	f.must(err)
-	p.control, err = freeAddress()
-	f.must(err)
-	p.listen = f.freeSource(name)
+	f.place(p, name, firstRun)
 	f.mesh.Target(name, p.listen)
+	var err error
 	p.peer, err = f.mesh.Front(name)
 	f.must(err)
 	p.log, err = os.Create(f.path(name + ".log"))
@@ -138,13 +146,27 @@
 	f.members = append(f.members, p)
 }
 
-// freeSource is an address that nobody listens on, by which the mesh knows a process.
-func (f *relayed) freeSource(name string) string {
-	f.t.Helper()
-	l, err := net.Listen("tcp", f.mesh.Source(name)+":0")
-	f.must(err)
-	defer l.Close()
-	return l.Addr().String()
+const (
+	firstRun = iota // of a process
+	secondRun
+	refusedRun
+
+	// Ports are below those that the system gives to connections: one that was free when
+	// it was drawn could be taken when a process is started, or started anew.
+	portsFrom    = 10_000
+	portBlock    = 16 // of a test's process, at each address
+	portBlocks   = 1_300
+	portsOfARun  = 3
+	peersPort    = 0
+	clientsPort  = 1
+	operatorPort = 2
+)
+
+// place gives a run of a process its addresses, where the mesh knows it by its name.
+func (f *relayed) place(p *process, name string, run int) {
+	ports := portsFrom + os.Getpid()%portBlocks*portBlock + run*portsOfARun
+	at := func(port int) string { return net.JoinHostPort(f.mesh.Source(name), strconv.Itoa(ports+port)) }
+	p.listen, p.address, p.control = at(peersPort), at(clientsPort), at(operatorPort)
 }
 
 // setupOf is the set-up of the process at a place of members.
@@ -172,14 +194,20 @@
 func (f *relayed) controllerSetup(p *process, relays ...string) string {
 	const noVoters = "  voters:\n"
 	relaysAndVoters := fmt.Sprintf("  relays: [%s]\n%s", strings.Join(relays, ", "), f.voterLines())
-	return strings.Replace(f.setup(p), noVoters, relaysAndVoters, 1)
+	setup := strings.Replace(f.setup(p), noVoters, relaysAndVoters, 1)
+	return strings.Replace(setup, boundLine(f.Lease/2), boundLine(f.leaseBound), 1)
 }
 
 // controlSetup is the set-up of a process of the control role; role are lines of its fleet part.
 func (f *relayed) controlSetup(p *process, role string) string {
 	return fmt.Sprintf("name: %s\nlog: info\nlimits: {cores: 1, memory_mb: 128}\nfleet:\n  name: together\n%s  listen: %s\n  address: %s\n"+
-		"  control: %s\n  directory: %q\n  keys: %q\n  lease: %v\n  lease_bound: %v\n  election: 300ms\n  heartbeat: 60ms\n  keep: 256\n%s%s",
-		p.name, role, p.listen, p.peer, p.control, f.path(p.name+"-fleet"), f.path("keys"), f.Lease, f.Lease/2, f.voterLines(), placementText(0))
+		"  control: %s\n  directory: %q\n  keys: %q\n  lease: %v\n%s  election: %v\n  heartbeat: %v\n  keep: 256\n%s%s",
+		p.name, role, p.listen, p.peer, p.control, f.path(p.name+"-fleet"), f.path("keys"), f.Lease, boundLine(f.leaseBound), relayedElection,
+		relayedHeartbeat, f.voterLines(), placementText(0))
+}
+
+func boundLine(leaseBound time.Duration) string {
+	return fmt.Sprintf("  lease_bound: %v\n", leaseBound)
 }
 
 func (f *relayed) voterLines() string {
@@ -281,12 +309,12 @@
 		undo()
 		f.serveAll()
 	}
-	f.t.Fatal("the fault never fell into a change")
+	f.t.Fatalf("no change waited for %s, which had a lease when it was cut off, until the fault struck", f.held().name)
 }
 
 func (f *relayed) struckInChange(strike func()) (struck bool) {
 	f.t.Helper()
-	held := f.controllers[len(f.controllers)-1]
+	held := f.held()
 	by, leader := f.asker(), f.leading()
 	a := f.change(f.inForce(), 0, false)
 	f.mesh.Isolate(held.name)
@@ -305,6 +333,9 @@
 	return struck
 }
 
+// held is the controller that changes are made to wait for.
+func (f *relayed) held() *process { return f.controllers[len(f.controllers)-1] }
+
 // heldBy tells whether a change waits for a controller, by what the leader says.
 func (f *relayed) heldBy(leader *process, change, held string) bool {
 	c := f.status(leader).Change
--- a/internal/lab/relays_strangers_test.go
+++ b/internal/lab/relays_strangers_test.go
@@ -67,7 +67,10 @@
 // are served by their second relay alone.
 func foreignRelays(f *relayed) {
 	for _, x := range foreigners() {
-		f.startForeign(x)
+		f.startForeignRelay(x)
+	}
+	for _, x := range foreigners() {
+		f.startMisled(x)
 	}
 	for _, x := range foreigners() {
 		f.cutFromVoters(f.named(x.controller)) // so that the leader itself can't serve it
@@ -86,12 +89,10 @@
 	f.mesh.Heal()
 }
 
-// startForeign starts a foreign relay, the only voter of its own fleet, and once that
-// leads the controller that names it.
-func (f *relayed) startForeign(x foreign) {
+// startForeignRelay starts a foreign relay, the only voter of its own fleet.
+func (f *relayed) startForeignRelay(x foreign) {
 	f.t.Helper()
-	relay, controller := f.named(x.relay), f.named(x.controller)
-	keyFile := "keys-" + x.relay
+	relay, keyFile := f.named(x.relay), "keys-"+x.relay
 	f.must(f.writeKeys(keyFile, x.key))
 	own := fmt.Sprintf("  voters: [%s]\n", namedAt(relay))
 	setup := f.controlSetup(relay, relayFleetPart)
@@ -101,8 +102,13 @@
 	}
 	f.must(f.write(relay, setup))
 	f.must(f.begin(relay))
-	f.awaits(relay.name+" leads its own fleet", func() bool { return f.foreignStatus(x).Leader == relay.name })
+}
 
+// startMisled starts the controller that names a foreign relay, once that leads its fleet.
+func (f *relayed) startMisled(x foreign) {
+	f.t.Helper()
+	relay, controller := f.named(x.relay), f.named(x.controller)
+	f.awaits(relay.name+" leads its own fleet", func() bool { return f.foreignStatus(x).Leader == relay.name })
 	first := fmt.Sprintf("{name: %s, address: %q}", x.named, relay.peer)
 	f.must(f.write(controller, f.controllerSetup(controller, first, namedAt(f.relays[1]))))
 	f.must(f.begin(controller))
--- a/internal/lab/relays_test.go
+++ b/internal/lab/relays_test.go
@@ -45,7 +45,7 @@
 // Relays fail in each way that processes and links can fail, while a change of policy is
 // under way or right before one.
 func TestRelaysFail(t *testing.T) {
-	f := startRelayed(t, relayedControllers)
+	f := startRelayed(t, relayedPlan{controllers: relayedControllers, leaseBound: relayedLease / 2})
 	f.asks()
 	f.awaits("acts of every controller", f.allActed)
 	f.playAll(relayRounds())
@@ -57,7 +57,7 @@
 // Relays of other fleets are named by mistake, controllers join while a change is under
 // way, and no client asks.
 func TestRelaysAndStrangers(t *testing.T) {
-	f := startRelayed(t, relayedControllers, slices.Concat(foreignNames(), joinerNames())...)
+	f := startRelayed(t, relayedPlan{controllers: relayedControllers, leaseBound: relayedLease / 2, later: slices.Concat(foreignNames(), joinerNames())})
 	f.playAll(strangerRounds())
 	f.judge(nil)
 }
@@ -72,7 +72,7 @@
 			round.play(f)
 			f.serveAll()
 			f.changes(f.asker())
-			f.told(begin, round.alone)
+			f.tellRound(begin, round.alone)
 		})
 		f.t = t
 		if !done {
@@ -81,9 +81,9 @@
 	}
 }
 
-// told logs how long controllers were without a lease and without an act in a round. Where
+// tellRound logs how long controllers were without a lease and without an act in a round. Where
 // a relay alone has failed, they must not be without a lease for long.
-func (f *relayed) told(begin time.Time, alone bool) {
+func (f *relayed) tellRound(begin time.Time, alone bool) {
 	f.t.Helper()
 	const aloneMost = 5 * time.Second // with a lease of 1 s there is no gap, but on a machine that is very busy
 	seen := f.watch.since(begin)
