--- a/internal/lab/scale_changes.go
+++ b/internal/lab/scale_changes.go
@@ -180,9 +180,12 @@
 	return phases, f.spoiltChange()
 }
 
-// changeCost is what one change takes of a controller, beyond what it spends at rest.
+// changeCost is what one change takes of a controller, beyond what it spends at rest. Its
+// figures are sums, not rates; none where that can't be told.
 type changeCost struct {
-	Leader, Voter, Controller scaleRate // sums, not rates; Controller is the mean of those without a role
+	Leader, Voter scaleRate // none where another one led at the end than at the begin
+	Controller    scaleRate // the mean of those without a role
+	LeaderLost    bool
 }
 
 // costOfChange takes what was spent at rest from what was spent while so many changes went on.
@@ -194,7 +197,11 @@
 		cost.MB = busy.MB
 		return cost
 	}
-	return changeCost{each(spent.Leader, rest.Leader), each(spent.Voter, rest.Voter), each(spent.Mean, rest.Mean)}
+	cost := changeCost{Controller: each(spent.Mean, rest.Mean), LeaderLost: spent.Leader == scaleRate{}}
+	if !cost.LeaderLost {
+		cost.Leader, cost.Voter = each(spent.Leader, rest.Leader), each(spent.Voter, rest.Voter)
+	}
+	return cost
 }
 
 // spoiltChange asks for a policy that real controllers can't take: it must be withdrawn.
@@ -265,7 +272,11 @@
 		line := func(r scaleRate) string {
 			return fmt.Sprintf("%.0f bytes out, %.0f in, %.1f ms of CPU", r.BytesOut, r.BytesIn, r.CPU)
 		}
-		fmt.Fprintf(out, "\n  one costs, beyond rest: the leader %s; a controller in the mean %s, %.1f MB by then", line(c.Leader), line(c.Controller), c.Controller.MB)
+		leader := line(c.Leader)
+		if c.LeaderLost {
+			leader = "can't be told, another one leads by now"
+		}
+		fmt.Fprintf(out, "\n  one costs, beyond rest: the leader %s; a controller in the mean %s, %.1f MB by then", leader, line(c.Controller), c.Controller.MB)
 	}
 	fmt.Fprintln(out)
 }
--- a/internal/lab/scale_report.go
+++ b/internal/lab/scale_report.go
@@ -103,12 +103,18 @@
 				name string
 				cost scaleRate
 			}{{"leader", p.Cost.Leader}, {"voter", p.Cost.Voter}, {"controller mean", p.Cost.Controller}} {
+				if role.cost == (scaleRate{}) {
+					continue
+				}
 				add(role.name, p.Name+", one sends", role.cost.BytesOut, "bytes")
 				add(role.name, p.Name+", one receives", role.cost.BytesIn, "bytes")
 				add(role.name, p.Name+", one takes CPU", role.cost.CPU, "ms")
 				add(role.name, p.Name+", memory after them", role.cost.MB, "MB")
 			}
 		}
+		if p.Cost.LeaderLost {
+			add("leader", p.Name+", lost meanwhile", 1, "1")
+		}
 		if p.Fault {
 			add("controller", p.Name+", all serve again", inMS(p.Back), "ms")
 		}
--- a/internal/lab/scale_test.go
+++ b/internal/lab/scale_test.go
@@ -170,3 +170,16 @@
 		t.Errorf("%+v", rows)
 	}
 }
+
+func TestTheCostOfAChange(t *testing.T) {
+	rest := scaleSpent{Leader: scaleRate{BytesOut: 100}, Mean: scaleRate{BytesOut: 10, MB: 20}}
+	busy := scaleSpent{Span: 10 * time.Second, Leader: scaleRate{BytesOut: 160}, Mean: scaleRate{BytesOut: 13, MB: 50}}
+	c := costOfChange(busy, rest, 5)
+	if c.Leader.BytesOut != 120 || c.Controller.BytesOut != 6 || c.Controller.MB != 50 || c.LeaderLost {
+		t.Errorf("%+v", c)
+	}
+	busy.Leader = scaleRate{} // nobody led from begin to end
+	if c = costOfChange(busy, rest, 5); !c.LeaderLost || c.Leader != (scaleRate{}) || c.Controller.BytesOut != 6 {
+		t.Errorf("%+v", c)
+	}
+}
