--- a/internal/lab/scale_fleet.go
+++ b/internal/lab/scale_fleet.go
@@ -295,7 +295,7 @@
 		return err
 	}
 	config := hollow.Config{Fleet: "scale", Keys: f.keyFile, Voters: f.voters(), Sites: zonesWithEngines(f.Engines), Lease: f.Lease, Election: scaleElection, Heartbeat: scaleHeartbeat,
-		WriteDelay: storeDelay, Seed: f.Seed, Places: map[string]hollow.Place{}, Direct: map[string]string{}}
+		WriteDelay: storeDelay, StartWithin: f.Lease / 4, Seed: f.Seed, Places: map[string]hollow.Place{}, Direct: map[string]string{}}
 	if f.Linked {
 		config.Links = scaleLinks
 	}
--- a/internal/standin/hollow/controller.go
+++ b/internal/standin/hollow/controller.go
@@ -49,6 +49,9 @@
 		return nil
 	}
 	c.gate.set(func(g *gate) { g.paused = false })
+	if !c.spread(ctx) {
+		return nil
+	}
 	listener, err := net.Listen("tcp", c.member.Listen)
 	if err != nil {
 		return &edge.ListenError{What: "peers", Address: c.member.Listen, Err: err}
@@ -78,6 +81,17 @@
 	return nil
 }
 
+// spread waits a part of Config.StartWithin; false if ctx ended.
+func (c *controller) spread(ctx context.Context) bool {
+	wait := time.Duration(c.random().Float64() * float64(c.config.StartWithin))
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // tellSites reports, once, the sites that a real controller would see engines in.
 func (c *controller) tellSites(ctx context.Context, opened *edge.Edge) error {
 	if len(c.config.Sites) == 0 {
--- a/internal/standin/hollow/message.go
+++ b/internal/standin/hollow/message.go
@@ -5,13 +5,17 @@
 // Config is what a process of hollow controllers is started with: the first line of its
 // standard input, as JSON.
 type Config struct {
-	Fleet       string            `json:"fleet"`
-	Keys        string            `json:"keys"` // the key file
-	Voters      []Peer            `json:"voters"`
-	Lease       time.Duration     `json:"lease"`
-	Election    time.Duration     `json:"election"`
-	Heartbeat   time.Duration     `json:"heartbeat"`
-	WriteDelay  time.Duration     `json:"write_delay"`
+	Fleet      string        `json:"fleet"`
+	Keys       string        `json:"keys"` // the key file
+	Voters     []Peer        `json:"voters"`
+	Lease      time.Duration `json:"lease"`
+	Election   time.Duration `json:"election"`
+	Heartbeat  time.Duration `json:"heartbeat"`
+	WriteDelay time.Duration `json:"write_delay"`
+	// StartWithin is the time over which starts are spread, by the seed: all at
+	// once would ask for their leases in one moment ever after, which processes that start
+	// together don't, and spare the leader confirmations.
+	StartWithin time.Duration     `json:"start_within"`
 	Seed        uint64            `json:"seed"` // of clock offsets and of the links' jitter
 	Links       Links             `json:"links"`
 	Places      map[string]Place  `json:"places"` // of all controllers, by host address
