--- a/internal/lab/scale_limits.go
+++ b/internal/lab/scale_limits.go
@@ -53,7 +53,7 @@
 	realMB                = 30
 	realMBPerEngine       = 0.02
 	engineConnectionMB    = 0.04
-	hollowMB              = 1.5
+	hollowMB              = 6 // while large policies are changed
 	laboratoryMB          = 150
 	hollowDescriptors     = 12
 	laboratoryDescriptors = 500
