A change doesn't wait for names that were forgotten long ago

And each step of a change went through all of 73,000 names. Change: a forgotten name is waited for only for as long as a lease lasts since this process learned of it (node/roster.go); members are the names that aren't forgotten, kept in order.

--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -13,20 +13,19 @@
 
 // leading is what only counts while this controller leads.
 type leading struct {
-	leads   bool
-	since   time.Duration // it leads
-	steady  bool          // it has applied all that was decided before it led
-	peers   map[string]*peer
-	names   []string // of peers, in order
-	inOrder []string // of all in the record
-	handle  uint64
-	asking  []renewal // in the confirmation that is under way
-	queue   []renewal // for the next
-	tried   map[string]time.Duration
-	waits   map[string][]string // by run: who is waited for
-	lost    map[string]time.Duration
-	found   map[string]time.Duration
-	seenAt  map[string]time.Duration // changes, since when this controller has known of them
+	leads  bool
+	since  time.Duration // it leads
+	steady bool          // it has applied all that was decided before it led
+	peers  map[string]*peer
+	names  []string // of peers, in order
+	handle uint64
+	asking []renewal // in the confirmation that is under way
+	queue  []renewal // for the next
+	tried  map[string]time.Duration
+	waits  map[string][]string // by run: who is waited for
+	lost   map[string]time.Duration
+	found  map[string]time.Duration
+	seenAt map[string]time.Duration // changes, since when this controller has known of them
 
 	covers map[coverKey]*cover // what relays have told
 
@@ -231,8 +230,11 @@
 // that an earlier leader gave are over once their length has passed since this one leads.
 func (c *Core) mayHold(name string, lease time.Duration) bool {
 	m := c.state.Members[name]
-	if lease == fleet.Forever {
-		return m != nil && !m.Forgotten
+	switch {
+	case m != nil && m.Forgotten:
+		return c.forgottenMayHold(name, lease)
+	case lease == fleet.Forever:
+		return m != nil
 	}
 	ends := c.since + c.longer(lease)
 	if p := c.peers[name]; p != nil && p.asked >= 0 {
@@ -250,7 +252,7 @@
 // missing are controllers that may serve and of which something isn't known yet. A
 // control process decides nothing by a policy, whatever lease it holds.
 func (c *Core) missing(lease time.Duration, done func(*Renew) bool) (l []string) {
-	for _, name := range c.members() {
+	for _, name := range c.awaited() {
 		if c.state.Members[name].Control || !c.mayHold(name, lease) {
 			continue
 		}
@@ -261,14 +263,6 @@
 	return l
 }
 
-// members are the names of all in the record, in order.
-func (c *Core) members() []string {
-	if len(c.inOrder) != len(c.state.Members) { // none ever leaves it
-		c.inOrder = sorted(c.state.Members)
-	}
-	return c.inOrder
-}
-
 // busy: something is under way that time alone may move.
 func (c *Core) busy() bool {
 	return !c.steady || len(c.waits) > 0 || len(c.queue) > 0 || c.state.Under() != nil || len(c.watched()) > 0 || len(c.state.Emergencies) > 0
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -32,7 +32,9 @@
 	inside   bool
 	coming   uint64 // the last record that is stored or being stored, where it only follows
 
-	gatherer *gatherer       // nil: this controller is no relay
+	gatherer *gatherer // nil: this controller is no relay
+	roster   roster
+	begun    bool            // the first event has come: before it there is no clock
 	latest   *agree.Snapshot // of the state, for those far behind; nil: none was asked for yet
 
 	member
@@ -66,6 +68,7 @@
 	}
 	c := &Core{b: b, state: record.NewState(), Counts: map[string]int{}}
 	c.member.start()
+	c.enrolAll()
 	c.startRelay()
 	c.voters = b.Voters
 	if s := b.Kept.Snapshot; s != nil {
@@ -131,6 +134,10 @@
 // Step takes an event and gives the effects it leads to, valid until the next.
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(now, c.now)
+	if !c.begun {
+		c.begun = true
+		c.enrolAll() // what was kept holds names that were forgotten until now
+	}
 	c.out = nil
 	switch ev.Kind {
 	case Came:
@@ -334,12 +341,13 @@
 	if r.Conf {
 		data = nil
 	}
-	before := c.state.Version
+	before, members := c.state.Version, len(c.state.Members)
 	if err := c.state.Apply(r.Index, data); err != nil {
 		c.bad = err.(fleet.Remedied)
 		c.wrong(c.bad)
 		return
 	}
+	c.enrol(members)
 	c.term = r.Term
 	c.log = append(c.log, r)
 	c.kept++
@@ -360,6 +368,7 @@
 		return
 	}
 	c.state, c.term, c.log, c.kept = state, s.Term, nil, 0
+	c.enrolAll()
 	c.coming = max(c.coming, s.Index)
 	c.moved()
 }
--- a/internal/fleet/record/state.go
+++ b/internal/fleet/record/state.go
@@ -67,6 +67,8 @@
 	Emergencies map[string]uint64
 	Seen        uint64 // the last entry that a Picture shows
 	Ended       []string
+
+	forgot string // by the entry that was applied last
 }
 
 // endedMost is how many changes and purges that have ended can be asked for again. One
@@ -81,6 +83,10 @@
 
 var encoder, _ = cbor.CoreDetEncOptions().EncMode()
 
+// Forgot is the name that the last entry forgot, "": it forgot none. A state that was
+// decoded forgot none.
+func (s *State) Forgot() string { return s.forgot }
+
 // Encode is the state for a snapshot.
 func (s *State) Encode() []byte {
 	p, err := encoder.Marshal(s)
@@ -115,7 +121,7 @@
 	if index <= s.Index {
 		return nil
 	}
-	s.Index = index
+	s.Index, s.forgot = index, ""
 	if len(data) == 0 {
 		return nil
 	}
@@ -139,6 +145,7 @@
 			s.Seen = s.Index
 		}
 	case fleet.Forget:
+		s.forgot = e.Name
 		if m := s.Members[e.Name]; m != nil {
 			m.Forgotten = true
 		} else { // it never served, and never will
