What is asked of a controller goes to the leader by its relay

Cause: a controller that reaches its relays alone serves, but what operators, customers and loads ask of it went to the leader itself (Core.pass) and was lost; seen by reading, told by the tests on processes. Change: asks go by the relay in use, and a relay passes them on; their ids make doubles harmless. Measured: the test, controllers cut from all voters, fails without it and passes with it.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -265,6 +265,8 @@
 		}
 	case m.Ask != nil && c.leads:
 		c.propose(c.entryOf(m.Ask))
+	case m.Ask != nil && c.relays():
+		c.pass(m.Ask)
 	}
 }
 
--- a/internal/fleet/node/operators.go
+++ b/internal/fleet/node/operators.go
@@ -88,7 +88,13 @@
 func (c *Core) pass(a *fleet.Ask) {
 	if c.leads {
 		c.propose(c.entryOf(a))
-	} else if c.leader != "" {
+		return
+	}
+	if via := c.relayInUse(); via != nil { // which may reach the leader where this controller doesn't
+		c.send(via.Name, via.Address, &Message{Ask: a})
+		return
+	}
+	if c.leader != "" {
 		c.send(c.leader, c.addressOf(c.leader), &Message{Ask: a})
 	}
 }
--- a/internal/fleet/node/relay_test.go
+++ b/internal/fleet/node/relay_test.go
@@ -546,3 +546,22 @@
 	s.until(3*time.Second, "in force", s.change(s.all["f0"], "c1", 1, 1))
 	s.inForce(s.all["f0"], 1)
 }
+
+// What is asked of a controller that reaches its relays alone comes to the leader by them.
+func TestAsksGoByRelays(t *testing.T) {
+	s := relayStage(t, 16, 3, 2, 4, relayLease)
+	s.until(5*time.Second, "all serve", func() bool { return s.serve(s.names...) })
+	for _, voter := range s.names[:3] {
+		for _, follower := range s.names[5:] {
+			s.cutBoth(voter, follower)
+		}
+	}
+	f := s.all["f2"]
+	s.until(3*time.Second, "in force", s.change(f, "c1", 1, 1))
+	s.inForce(f, 1)
+	f.step(Event{Kind: Asked, Handle: 2, Ask: &fleet.Ask{Kind: "bind", ID: "b1", Team: "a", Tables: []int64{1}}})
+	s.until(3*time.Second, "bound", func() bool { return s.word(f, 2) != nil })
+	s.all["r0"].run = 0 // its first
+	s.until(8*time.Second, "in force by the second", s.change(f, "c2", 3, 2))
+	s.inForce(f, 3)
+}
--- a/internal/fleet/node/route.go
+++ b/internal/fleet/node/route.go
@@ -65,6 +65,14 @@
 // unanswered: the last renewal should have been answered by now.
 func (c *Core) unanswered() bool { return c.askedAt > 0 && c.now-c.askedAt >= c.every()/2 }
 
+// relayInUse is the relay that answers renewals, nil: the leader is asked itself.
+func (c *Core) relayInUse() *Upstream {
+	if c.vote != nil || c.routes.current >= len(c.b.Relays) {
+		return nil
+	}
+	return &c.b.Relays[c.routes.current]
+}
+
 // by is whom a route leads to.
 func (c *Core) by(route int) []Upstream {
 	if route < len(c.b.Relays) {
