--- a/internal/lab/relays_fleet_test.go
+++ b/internal/lab/relays_fleet_test.go
@@ -126,6 +126,7 @@
 	f.close()
 }
 
+// must fails the test for an error.
 func (f *relayed) must(err error) {
 	f.t.Helper()
 	if err != nil {
@@ -217,10 +218,12 @@
 		relayedHeartbeat, f.voterLines(), placementText(0))
 }
 
+// boundLine is the line of a set-up that says how long the lease of bound teams is.
 func boundLine(leaseBound time.Duration) string {
 	return fmt.Sprintf("  lease_bound: %v\n", leaseBound)
 }
 
+// voterLines are the lines of a set-up that name the voters.
 func (f *relayed) voterLines() string {
 	lines := "  voters:\n"
 	for _, v := range f.voters {
@@ -323,6 +326,8 @@
 	f.t.Fatalf("no change waited for %s, which had a lease when it was cut off, until the fault struck", f.held().name)
 }
 
+// struckInChange has a change wait for the controller that is held and calls strike. It
+// tells whether the change had no word yet once that was done.
 func (f *relayed) struckInChange(strike func()) (struck bool) {
 	f.t.Helper()
 	held := f.held()
