Processes of tests and measurements listen at addresses that connections never get

With the new tests of relays many more connections are open beside it; the same way of drawing stood in five places.

--- a/cmd/railrelay-fleet/fleet_test.go
+++ b/cmd/railrelay-fleet/fleet_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"railrelay.dev/railrelay/internal/fleet"
+	"railrelay.dev/railrelay/internal/standin/loopback"
 )
 
 const patienceMost = 30 * time.Second // for what has to come; only a fault makes a test wait so long
@@ -52,12 +53,11 @@
 func free(t *testing.T, n int) (l []string) {
 	t.Helper()
 	for range n {
-		at, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := loopback.Address()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer at.Close()
-		l = append(l, at.Addr().String())
+		l = append(l, address)
 	}
 	return l
 }
--- a/internal/lab/datapath_stage.go
+++ b/internal/lab/datapath_stage.go
@@ -18,6 +18,7 @@
 	"railrelay.dev/railrelay/internal/standin/caller"
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/feed"
+	"railrelay.dev/railrelay/internal/standin/loopback"
 )
 
 // datapathStage is one controller before engines and a feed that count what they carry.
@@ -67,7 +68,7 @@
 	if err := s.listen(ctx, engines, d.Seed); err != nil {
 		return s, err
 	}
-	if s.address, err = freeAddress(); err != nil {
+	if s.address, err = loopback.Address(); err != nil {
 		return s, err
 	}
 	if s.dir, err = os.MkdirTemp("", "railrelay-datapath"); err != nil {
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -19,6 +19,7 @@
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/feed"
 	"railrelay.dev/railrelay/internal/standin/link"
+	"railrelay.dev/railrelay/internal/standin/loopback"
 )
 
 // round is one fault while a change is under way, and its end.
@@ -420,11 +421,11 @@
 		stages[on] = s
 		text := t.setup(s.feed, s.address)
 		if on == 1 {
-			peer, err := freeAddress()
+			peer, err := loopback.Address()
 			if err != nil {
 				return 0, err
 			}
-			control, err := freeAddress()
+			control, err := loopback.Address()
 			if err != nil {
 				return 0, err
 			}
--- a/internal/lab/together.go
+++ b/internal/lab/together.go
@@ -20,6 +20,7 @@
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/feed"
 	"railrelay.dev/railrelay/internal/standin/link"
+	"railrelay.dev/railrelay/internal/standin/loopback"
 )
 
 // Together is many processes of the program, a link with faults between every two of
@@ -111,10 +112,10 @@
 	g.closers = append(g.closers, g.mesh.Close)
 	for i, name := range names {
 		p := &process{name: name, site: []string{"east", "west"}[i%2]}
-		if p.address, err = freeAddress(); err != nil {
+		if p.address, err = loopback.Address(); err != nil {
 			return g, err
 		}
-		if p.control, err = freeAddress(); err != nil {
+		if p.control, err = loopback.Address(); err != nil {
 			return g, err
 		}
 		l, err := net.Listen("tcp", g.mesh.Source(name)+":0")
--- a/internal/lab/try.go
+++ b/internal/lab/try.go
@@ -21,6 +21,7 @@
 	"railrelay.dev/railrelay/internal/standin/caller"
 	"railrelay.dev/railrelay/internal/standin/engine"
 	"railrelay.dev/railrelay/internal/standin/feed"
+	"railrelay.dev/railrelay/internal/standin/loopback"
 )
 
 // Trial is a short look at a controller with teams, on sockets of this machine.
@@ -191,7 +192,7 @@
 	}
 	s.closers = append(s.closers, func() { f.Close() })
 	s.feed = f.Addr().String()
-	if s.address, err = freeAddress(); err != nil {
+	if s.address, err = loopback.Address(); err != nil {
 		return s, err
 	}
 	if s.dir, err = os.MkdirTemp("", "railrelay-stage"); err == nil {
@@ -250,15 +251,6 @@
 	}
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // ready waits until a controller says that it is.
 func ready(ctx context.Context, address string) error {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
--- /dev/null
+++ b/internal/standin/loopback/loopback_test.go
@@ -0,0 +1,36 @@
+package loopback
+
+import (
+	"net"
+	"testing"
+)
+
+func TestAddressesAreFreeAndDiffer(t *testing.T) {
+	seen := map[string]bool{}
+	for range 50 {
+		address, err := Address()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[address] {
+			t.Fatal(address, " is given twice")
+		}
+		seen[address] = true
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+	}
+}
+
+func TestProcessesHaveAddressesOfTheirOwn(t *testing.T) {
+	seen := map[string]int{}
+	for process := range 1 << 16 {
+		ip := ipOf(process)
+		if other, had := seen[ip.String()]; had || !ip.IsLoopback() || ip.To4()[3] == 0 || ip.To4()[3] == 255 {
+			t.Fatalf("process %d has %v, as %d", process, ip, other)
+		}
+		seen[ip.String()] = process
+	}
+}
