--- a/internal/lab/datapath_clients.go
+++ b/internal/lab/datapath_clients.go
@@ -131,29 +131,6 @@
 	return true, err
 }
 
-// read takes answers until the connection ends.
-func (a *asker) read() {
-	var in []byte
-	for p := make([]byte, 4<<10); ; {
-		n, err := a.Read(p)
-		if err != nil {
-			return
-		}
-		in = append(in, p[:n]...)
-		for {
-			answer, took, err := caller.Read(in)
-			if err != nil {
-				return
-			}
-			if took == 0 {
-				break
-			}
-			in = append(in[:0], in[took:]...)
-			a.take(answer)
-		}
-	}
-}
-
 func (a *asker) take(answer caller.Answer) {
 	a.mu.Lock()
 	due, is := a.open[answer.Msg]
@@ -190,7 +167,7 @@
 	askers := make([]*asker, len(clients))
 	for i, c := range clients {
 		askers[i] = &asker{Conn: c, number: i, seen: seen, open: map[uint32]time.Time{}}
-		go askers[i].read()
+		go caller.ReadAll(askers[i], askers[i].take)
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	due := time.Now()
--- a/internal/lab/datapath_takeover.go
+++ b/internal/lab/datapath_takeover.go
@@ -85,28 +85,6 @@
 	}
 }
 
-func (l *loads) read() {
-	var in []byte
-	for p := make([]byte, 4<<10); ; {
-		n, err := l.Read(p)
-		if err != nil {
-			return
-		}
-		in = append(in, p[:n]...)
-		for {
-			answer, took, err := caller.Read(in)
-			if err != nil {
-				return
-			}
-			if took == 0 {
-				break
-			}
-			in = append(in[:0], in[took:]...)
-			l.take(answer)
-		}
-	}
-}
-
 func (l *loads) take(answer caller.Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -173,7 +151,7 @@
 	l := &loads{Conn: c, asked: map[uint32]time.Time{}}
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
-	go l.read()
+	go caller.ReadAll(l, l.take)
 	go l.ask(asking)
 	for round := range uint64(takeoverRounds) {
 		if err := d.takeoverOnce(b, way, s, l, came, round); err != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"io"
 	"math"
 	"strconv"
 	"time"
@@ -85,6 +86,33 @@
 var errForm = errors.New("not an answer")
 var errShort = errors.New("not all there")
 
+// readAtOnce is how much ReadAll reads at a time, in bytes.
+const readAtOnce = 4 << 10
+
+// ReadAll hands each answer that comes on a connection to take, until the connection
+// ends or what comes is no answer: the error says which.
+func ReadAll(connection io.Reader, take func(Answer)) error {
+	var in []byte
+	for p := make([]byte, readAtOnce); ; {
+		n, err := connection.Read(p)
+		if err != nil {
+			return err
+		}
+		in = append(in, p[:n]...)
+		for {
+			answer, took, err := Read(in)
+			if err != nil {
+				return err
+			}
+			if took == 0 {
+				break
+			}
+			in = append(in[:0], in[took:]...)
+			take(answer)
+		}
+	}
+}
+
 // Read reads the first message if it is all there: how many bytes it took, 0
 // while it isn't.
 func Read(p []byte) (a Answer, n int, err error) {
