What is made for a planted fault is no Go package of the tree

Cause: after make planted, make lint failed: bin/planted/copy.go, made of decide.go and a planted fault's lines, was vetted as a package. Change: made files end in .overlay.

--- a/internal/lab/planted_build.go
+++ b/internal/lab/planted_build.go
@@ -79,7 +79,7 @@
 	for _, file := range files {
 		production := x.replaces(root, file)
 		if strings.HasSuffix(file, replacementSuffix) {
-			if file, err = replaceLines(production, file, filepath.Join(dir, x.Name+".go")); err != nil {
+			if file, err = replaceLines(production, file, filepath.Join(dir, x.Name+madeSuffix)); err != nil {
 				return nil, err
 			}
 		}
@@ -93,6 +93,9 @@
 const (
 	replacementSuffix = ".go.replace"
 	replacementMark   = "\n----\n"
+	// madeSuffix ends the files that are made: with .go they would be a package of the tree
+	// for who builds into a directory of it.
+	madeSuffix = ".overlay"
 )
 
 // replaceLines writes a production file with a replacement's lines in it, and gives the
