--- a/internal/fleet/node/cover.go
+++ b/internal/fleet/node/cover.go
@@ -20,22 +20,18 @@
 
 // cover is what one run of a relay has told.
 type cover struct {
-	key         coverKey
 	seq         uint64 // of the last gather that was taken
 	controllers map[string]bool
-	withheld    map[string]string // told of, and not covered: why, "": not in the record yet
-	again       map[string]bool   // covered, and to be told once more
-	heard       time.Duration     // when the last gather came
-	asked       time.Duration     // when the last gather came that was granted or may be
+	again       map[string]bool // covered, and to be told once more
+	heard       time.Duration   // when the last gather came
+	asked       time.Duration   // when the last gather came that was granted or may be
 }
 
 // gatheredBy takes a relay's gather.
 func (c *Core) gatheredBy(relay string, g *Gather) {
 	answer := &Gathered{Boot: g.Boot, Seq: g.Seq}
 	if !c.leads {
-		if answer.Leader = c.leader; c.leader == c.b.Self.Name {
-			answer.Leader = ""
-		}
+		answer.Leader = c.otherLeader()
 		c.send(relay, c.addressOf(relay), &Message{Gathered: answer})
 		return
 	}
@@ -47,21 +43,22 @@
 		return
 	}
 	if covers == nil {
-		covers = &cover{key: key, controllers: map[string]bool{}, again: map[string]bool{}, asked: neverAsked}
+		covers = &cover{controllers: map[string]bool{}, again: map[string]bool{}, asked: neverAsked}
 		c.covers[key] = covers
 	}
 	if g.Seq <= covers.seq {
 		return // late, or doubled
 	}
-	c.take(covers, g)
-	c.enqueue(renewal{name: relay, at: c.now, gather: g, covers: covers, withheld: covers.withheld})
+	withheld := c.take(covers, g)
+	c.enqueue(renewal{name: relay, at: c.now, gather: g, covers: covers, withheld: withheld})
 }
 
 // neverAsked is the time of an ask that never was.
 const neverAsked time.Duration = -1
 
-// take brings a cover up to a gather.
-func (c *Core) take(covers *cover, g *Gather) {
+// take brings a cover up to a gather. withheld are those that the gather tells of and
+// that aren't covered, by their names: why, "": not in the record yet.
+func (c *Core) take(covers *cover, g *Gather) (withheld map[string]string) {
 	if g.Base == 0 {
 		c.replace(covers, g)
 	}
@@ -69,12 +66,12 @@
 		ago := time.Duration(float64(s.Ago) * (1 - 2*c.b.Drift))
 		c.uncover(covers, s.Name, c.now-max(0, ago))
 	}
-	covers.withheld = map[string]string{} // a new one: gathers that wait keep theirs
+	withheld = map[string]string{}
 	for _, from := range g.Renews {
 		why, known := c.admit(from.Name, from.Disk, from.Renew, retold)
 		if !known {
 			c.uncover(covers, from.Name, covers.heard)
-			covers.withheld[from.Name] = why
+			withheld[from.Name] = why
 			continue
 		}
 		covers.controllers[from.Name] = true
@@ -82,6 +79,7 @@
 		c.peers[from.Name].next = 0 // the relay passes the record on to it
 	}
 	covers.seq, covers.heard = g.Seq, c.now
+	return withheld
 }
 
 // replace uncovers those that a gather of everything doesn't name.
--- a/internal/fleet/node/follow.go
+++ b/internal/fleet/node/follow.go
@@ -95,7 +95,12 @@
 // snapshot is the state as it is, encoded once for all that are sent it.
 func (c *Core) snapshot() *agree.Snapshot {
 	if c.latest == nil || c.latest.Index != c.state.Index {
-		c.latest = &agree.Snapshot{Index: c.state.Index, Term: c.term, Data: c.state.Encode()}
+		c.latest = c.newSnapshot()
 	}
 	return c.latest
 }
+
+// newSnapshot encodes the state as it is.
+func (c *Core) newSnapshot() *agree.Snapshot {
+	return &agree.Snapshot{Index: c.state.Index, Term: c.term, Data: c.state.Encode()}
+}
--- a/internal/fleet/node/gather_test.go
+++ b/internal/fleet/node/gather_test.go
@@ -265,7 +265,7 @@
 		t.Errorf("%+v", a)
 	}
 	// two gathers in one confirmation: what the first withheld stays withheld for it
-	covers := &cover{key: coverKey{"r0", 78}, controllers: map[string]bool{"new": true}, withheld: map[string]string{}}
+	covers := &cover{controllers: map[string]bool{"new": true}}
 	first := renewal{name: "r0", gather: &Gather{Boot: 77, Seq: 9}, covers: covers, withheld: map[string]string{"new": ""}}
 	l.core.out = nil
 	l.core.grantGather(first, 1)
--- a/internal/fleet/node/lead.go
+++ b/internal/fleet/node/lead.go
@@ -104,11 +104,7 @@
 		return
 	}
 	if !c.leads {
-		leader := c.leader
-		if leader == c.b.Self.Name { // it led until a moment ago
-			leader = ""
-		}
-		answer(&Grant{Leader: leader})
+		answer(&Grant{Leader: c.otherLeader()})
 		return
 	}
 	if p := c.peers[from]; p != nil && r.Seq <= p.runs[r.Boot] && c.identity(from, disk) == "" {
@@ -129,6 +125,15 @@
 	c.enqueue(renewal{name: from, at: c.now, r: r})
 }
 
+// otherLeader is who leads in place of this controller, "": that isn't known, as where it
+// led itself until a moment ago.
+func (c *Core) otherLeader() string {
+	if c.leader == c.b.Self.Name {
+		return ""
+	}
+	return c.leader
+}
+
 // enqueue has a renewal confirmed with the next ones. Of a relay's gathers the last one
 // stands for those before it.
 func (c *Core) enqueue(next renewal) {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -418,7 +418,7 @@
 		return
 	}
 	c.kept = 0
-	s := &agree.Snapshot{Index: c.state.Index, Term: c.term, Data: c.state.Encode()}
+	s := c.newSnapshot()
 	if c.vote != nil {
 		c.agreed(c.vote.Step(c.now, agree.Event{Kind: agree.Compacted, Snapshot: s}))
 	} else {
--- a/internal/fleet/node/relay_test.go
+++ b/internal/fleet/node/relay_test.go
@@ -332,8 +332,8 @@
 	old := s.all["r0"].core
 	s.all["r0"].start()
 	s.until(5*time.Second, "all serve again", func() bool { return s.serve(s.names...) })
-	for _, covers := range l.core.covers {
-		if covers.key.relay == "r0" && covers.key.boot == old.b.Boot {
+	for key, covers := range l.core.covers {
+		if key.relay == "r0" && key.boot == old.b.Boot {
 			old.gatherer.told = covers.seq
 		}
 	}
--- a/internal/fleet/node/testdata/planted/down/erasure.go
+++ b/internal/fleet/node/testdata/planted/down/erasure.go
@@ -3,11 +3,12 @@
 import "railrelay.dev/railrelay/internal/fleet"
 
 // erasure sums what the disks of all controllers have erased for a purge, and names those
-// that haven't confirmed it, controllers that are down included. Only a forgotten one is
-// not waited for: its disk is destroyed.
+// that haven't confirmed it, controllers that are down included. A forgotten one is no
+// member any more, since its disk is destroyed. A control process, which keeps no results,
+// is not waited for.
 func (c *Core) erasure(purge string) (sum fleet.Counts, awaited []string) {
 	for _, name := range c.members() {
-		if m := c.state.Members[name]; m.Forgotten || m.Control {
+		if c.state.Members[name].Control {
 			continue
 		}
 		p := c.peers[name]
