--- a/review/standin/case_endless.go
+++ b/review/standin/case_endless.go
@@ -20,8 +20,8 @@
 	endlessPause     = 4 * time.Millisecond
 )
 
-// playEndless has clients write loads of 40 kB in pieces, beside look-ups of others. With trouble a few of the
-// engines' answers never end.
+// playEndless has clients write loads of 40 kB in pieces, beside look-ups of others. With trouble a few of
+// the engines' answers never end.
 func playEndless(r *record, trouble bool) (int, error) {
 	work := workOf{"gauge-lookup": 25 * time.Millisecond, "station-load": time.Second}
 	engines, c, err := smallDeployment(r, 6, work, settings(lookup(5000), load(25000)))
@@ -73,7 +73,8 @@
 // playLoader writes one load after another, each while the one before may still run. It connects again where
 // its connection has ended.
 func playLoader(open func(name string) (*client, error), name string, end time.Time) {
-	statement := "INSERT INTO levels_%d.days VALUES " + strings.Repeat("(123456789),", endlessStatement/12) + "(0)"
+	rows := strings.Repeat("(123456789),", endlessStatement/12)
+	statement := "INSERT INTO levels_%d.days VALUES " + rows + "(0)"
 	var cl *client
 	for i := 1; time.Now().Before(end); i++ {
 		if cl == nil || cl.isOver() {
--- a/review/standin/case_pipeline.go
+++ b/review/standin/case_pipeline.go
@@ -40,7 +40,7 @@
 			clients = append(clients, cl)
 		}
 		cl.send("forecast-report", "", "SELECT * FROM levels_17.days", 15*time.Second)
-		cl.send("station-load", "b7", "INSERT INTO levels_18.days VALUES (1)", 25*time.Second)
+		cl.send("station-load", fmt.Sprintf("b%d", round), "INSERT INTO levels_18.days VALUES (1)", 25*time.Second)
 		for i := range pipelineBatch {
 			if !trouble {
 				time.Sleep(time.Until(from.Add(time.Duration(i) * pipelinePeriod / pipelineBatch)))
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -140,7 +140,8 @@
 	e.record.line("%s begins an answer to %s that never ends", e.name, path)
 	l.send("HTTP/1.1 200 OK\r\nChunks: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
 	sent := 0
-	for noise, end := strings.Repeat("X-More: "+strings.Repeat("z", 1000)+"\r\n", 16), time.Now().Add(2*time.Second); time.Now().Before(end); {
+	noise := strings.Repeat("X-More: "+strings.Repeat("z", 1000)+"\r\n", 16)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
 		if l.send(noise) != nil {
 			break
 		}
