--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -152,6 +152,8 @@
 	all      []*request
 	endedAt  time.Time
 	endedBy  error
+	// stayAwayUntil is how long the controller's last refusal told the client to stay away.
+	stayAwayUntil time.Time
 }
 
 func connect(r *record, address, name string) (*client, error) {
@@ -255,6 +257,10 @@
 	if first {
 		q.at = time.Now()
 	}
+	var pause int
+	if _, err := fmt.Sscanf(a.problem, "Throttled [pause %d", &pause); err == nil {
+		c.stayAwayUntil = time.Now().Add(time.Duration(pause) * time.Millisecond)
+	}
 	c.mu.Unlock()
 	c.record.line("%s answered %s %q %q", c.name, q.trace, a.problem, firstLine(a.body))
 	if first {
@@ -291,6 +297,13 @@
 	return !c.endedAt.IsZero()
 }
 
+// isToldToStayAway reports whether a refusal told the client to stay away for now.
+func (c *client) isToldToStayAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.stayAwayUntil)
+}
+
 func firstLine(body []byte) string {
 	for i, b := range body {
 		if b == '\n' {
