--- a/review/standin/controller.go
+++ b/review/standin/controller.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	started.Lock()
+	started.folders = append(started.folders, folder)
+	started.Unlock()
 	c := &controller{folder: folder, exited: make(chan error, 1), log: filepath.Join(folder, "log")}
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -133,6 +136,7 @@
 var started struct {
 	sync.Mutex
 	processes []*os.Process
+	folders   []string
 }
 
 // endOnSignal ends all started processes if this program is told to end.
@@ -144,6 +148,10 @@
 		started.Lock()
 		for _, p := range started.processes {
 			p.Kill()
+			p.Wait()
+		}
+		for _, folder := range started.folders {
+			os.RemoveAll(folder)
 		}
 		os.Exit(cannotRun)
 	}()
