Log why a client's connection is closed, and which side holds the buffer memory

Change: client.disconnect takes a typed reason and logs it at info with the calls open and the bytes buffered; a full buffer memory is logged with the bytes of clients and of engines, and so is an engine connection closed for it. The counters have 'unanswered': calls open on connections that were closed.

--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -57,7 +57,7 @@
 		n, err := msgpackrpc.Read(cl.connection.Received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
 		if err != nil {
 			cl.counters.malformed++
-			cl.disconnect(gracefully)
+			cl.disconnect(malformedMessage, gracefully)
 			return
 		}
 		if n == 0 {
@@ -71,7 +71,7 @@
 		cl.messagesSinceSweep++
 		if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
 			cl.counters.disconnected++
-			cl.disconnect(gracefully)
+			cl.disconnect(tooManyMessages, gracefully)
 		}
 	}
 }
@@ -95,13 +95,6 @@
 	return cl
 }
 
-// disconnect closes the connection from the controller's side; its open calls get no answers. For graceful,
-// see closeConnectionWithin.
-func (cl *client) disconnect(graceful bool) {
-	cl.closeConnection(cl.connection, graceful)
-	cl.abandonAllCalls()
-}
-
 func (cl *client) connectionClosed() {
 	cl.connection.Received = bytebuf.Buffer{} // free the memory now: timers of its queries may outlive it
 	cl.clients = slices.DeleteFunc(cl.clients, func(x *client) bool { return x == cl })
--- a/internal/controller/client_bounds.go
+++ b/internal/controller/client_bounds.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -89,19 +90,22 @@
 		switch {
 		case cl.connection.closed:
 			continue
-		case cl.isStalled() || cl.isMessageOverdue():
+		case cl.isStalled():
 			c.counters.disconnected++
-			cl.disconnect(cl.stalledSince < 0) // no grace for a client that reads nothing
+			cl.disconnect(answersUnread, immediately)
+		case cl.isMessageOverdue():
+			c.counters.disconnected++
+			cl.disconnect(messageOverdue, cl.stalledSince < 0) // no grace for a client that reads nothing
 		case cl.isIdle():
 			c.counters.idleClosed++
-			cl.disconnect(gracefully)
+			cl.disconnect(idleTooLong, gracefully)
 		case worst == nil || unread > worst.connection.unwrittenBytes:
 			worst = cl
 		}
 	}
 	if c.unreadBytes > c.maxUnreadBytes && worst != nil {
 		c.counters.disconnected++
-		worst.disconnect(immediately)
+		worst.disconnect(unreadMemoryFull, immediately)
 	}
 }
 
@@ -155,6 +159,7 @@
 // client connection with the largest incomplete message or, if there is none, the engine connection with the
 // largest buffer. Buffers up to the size that every connection may keep do not count.
 func (c *Controller) reclaimBufferMemory() {
+	c.logBufferUse()
 	most := bytebuf.MaxIdleCapacity
 	var worst *client
 	for _, cl := range c.clients {
@@ -165,7 +170,7 @@
 	}
 	if worst != nil {
 		c.counters.disconnected++
-		worst.disconnect(immediately)
+		worst.disconnect(bufferMemoryFull, immediately)
 		return
 	}
 	var largest *engineConnection
@@ -176,6 +181,21 @@
 		}
 	}
 	if largest != nil {
+		c.logMessage(infoLevel, fmt.Sprintf("closing connection %d to engine %s: largest buffer, %d bytes, "+
+			"while the buffer memory is full", largest.number, largest.engine.id, most))
 		c.closeEngineConnection(largest)
 	}
 }
+
+// logBufferUse logs which side holds the memory of the buffers.
+func (c *Controller) logBufferUse() {
+	ofClients, ofEngines := 0, 0
+	for _, cl := range c.clients {
+		ofClients += cl.connection.bufferBytes
+	}
+	for _, ec := range c.pool.connections {
+		ofEngines += ec.connection.bufferBytes
+	}
+	c.logMessage(infoLevel, fmt.Sprintf("buffer memory is full: %d of %d bytes, clients %d, engines %d",
+		c.bufferedBytes, c.maxBufferedBytes, ofClients, ofEngines))
+}
--- a/internal/controller/client_calls.go
+++ b/internal/controller/client_calls.go
@@ -19,7 +19,7 @@
 	if cl.findCall(messageID) != nil {
 		// the answers to the two calls could not be told apart
 		cl.counters.malformed++
-		cl.disconnect(gracefully)
+		cl.disconnect(duplicateMessageID, gracefully)
 		return
 	}
 	call := &queryCall{
@@ -38,7 +38,7 @@
 			return
 		}
 		cl.Invalid(messageID, "too many are open")
-		cl.disconnect(gracefully)
+		cl.disconnect(tooManyOpenQueries, gracefully)
 		return
 	}
 	rc := &rpcCall{client: cl, messageID: messageID}
@@ -77,13 +77,13 @@
 func (cl *client) Invalid(messageID uint32, reason string) {
 	cl.counters.malformed++
 	if cl.findCall(messageID) != nil {
-		cl.disconnect(gracefully)
+		cl.disconnect(duplicateMessageID, gracefully)
 		return
 	}
 	cl.reply(msgpackrpc.AppendFailure(nil, messageID, reason))
 	cl.badCalls++
 	if cl.badCalls > maxBadCalls {
-		cl.disconnect(gracefully)
+		cl.disconnect(tooManyInvalidCalls, gracefully)
 	}
 }
 
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -12,11 +12,13 @@
 // counters count events since the start. docs/oncall.md lists the texts under which they are logged.
 type counters struct {
 	// clients
-	connections   int // accepted
-	disconnected  int // closed by the controller because a limit was exceeded
-	idleClosed    int
-	malformed     int // invalid messages and calls
-	aliveRequests int
+	connections  int // accepted
+	disconnected int // closed by the controller because a limit was exceeded
+	// unansweredCalls are the calls that were open when the controller closed their client's connection.
+	unansweredCalls int
+	idleClosed      int
+	malformed       int // invalid messages and calls
+	aliveRequests   int
 
 	// queries
 	received  int
@@ -68,8 +70,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "taken %d finished %d deferred %d killed %d left %d open %d",
 		counts.received, counts.finished, counts.deferred, counts.killed, counts.abandoned, len(c.queries))
-	fmt.Fprintf(&b, "; clients %d of %d turned off %d idle %d malformed %d",
-		len(c.clients), counts.connections, counts.disconnected, counts.idleClosed, counts.malformed)
+	fmt.Fprintf(&b, "; clients %d of %d turned off %d idle %d malformed %d unanswered %d",
+		len(c.clients), counts.connections, counts.disconnected, counts.idleClosed, counts.malformed,
+		counts.unansweredCalls)
 	counts.addEngines(&b, c)
 	fmt.Fprintf(&b, "; list event %d connections %d faults %d reloads %d",
 		c.discovery.lastEvent, counts.discoveryDials, counts.discoveryFaults, counts.reloads)
