enginehttp: limit the trailers and chunk extensions of an answer

An answer whose trailer never ended was read until the call timed out or all buffers were full: with RAILRELAY_LOG=info one connection to an engine held 16,777,216 bytes. Cause: readChunkedBody limited the data of a chunked body and an unfinished size line, but neither trailers nor the sum of extensions and of leading zeros. Change: a chunkReader counts what is neither data nor needed to delimit it; over 16 kB (maxFramingBytes, the limit of headers) the answer is invalid, whether it has ended or not. Test: TestEndlessChunkFramingIsInvalid failed before for trailers, one long trailer and extensions (the unfinished size line had its limit); a whole answer in one-byte chunks with 10 kB of trailers is still read.

--- a/internal/enginehttp/engines_test.go
+++ b/internal/enginehttp/engines_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// A chunked answer whose trailers, extensions or sizes never ended once filled a connection's buffer with
+// 16 MB, and clients were cut off for it: it is invalid as soon as it brings more framing than allowed.
+func TestEndlessChunkFramingIsInvalid(t *testing.T) {
+	const head = "HTTP/1.1 200 ok\r\nChunks: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	trailer := "X-More: " + strings.Repeat("z", 1000) + "\r\n"
+	for name, text := range map[string]string{
+		"trailers":   head + "0\r\n" + strings.Repeat(trailer, 40),
+		"trailer":    head + "0\r\nX-More: " + strings.Repeat("z", 40<<10),
+		"extensions": head + strings.Repeat("1;"+strings.Repeat("x", 1000)+"\r\na\r\n", 40),
+		"size":       head + strings.Repeat("0", 40<<10),
+	} {
+		for _, step := range []int{997, len(text)} {
+			if _, _, err := handle(text, 0, step); err == nil {
+				t.Errorf("%s without an end, by %d bytes: still waiting for more", name, step)
+			}
+		}
+	}
+	rows := strings.Repeat("a\tb\tc\n", 1000) // in the smallest chunks, with some trailers
+	text := head
+	for i := range len(rows) {
+		text += "1\r\n" + rows[i:i+1] + "\r\n"
+	}
+	text += "0\r\n" + strings.Repeat(trailer, 10) + "\r\n"
+	if got, keepAlive, err := handle(text, 0, len(text)); err != nil || !keepAlive ||
+		got != fmt.Sprintf("finished 0s 0;page 0 of 1 %q", rows) {
+		t.Errorf("a whole answer in small chunks: %v, %v, %.60s", err, keepAlive, got)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("HTTP/1.1 200 ok\r\nChunks: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n", 0)
 	f.Add("HTTP/1.1 202 ok\r\nX-Cache: advance\r\nReading: 1e9\r\nContent-Length: 0\r\n\r\n", 0)
--- a/internal/enginehttp/http.go
+++ b/internal/enginehttp/http.go
@@ -13,10 +13,18 @@
 // length the response doesn't tell.
 var errInvalidResponse = errors.New("invalid HTTP/1.1 response")
 
-// maxHeaderBytes limits how many bytes may arrive without the end of the headers, or of a chunk's size line.
-// Longer headers are accepted if their end has arrived, too. Trailers have no limit.
+// maxHeaderBytes limits how many bytes may arrive without the end of the headers. Longer headers are accepted
+// if their end has arrived, too.
 const maxHeaderBytes = 16 << 10
 
+const (
+	// maxFramingBytes limits the bytes of a chunked body that are neither data nor needed to delimit it:
+	// leading zeros of sizes, chunk extensions and trailers.
+	maxFramingBytes = maxHeaderBytes
+	// chunkSizeBytes is the longest size line, without its line break, that isn't counted as framing.
+	chunkSizeBytes = 8
+)
+
 // Read passes the first response in data to handle. It returns the number of bytes of that response, 0 if
 // the response is incomplete, and whether the connection may carry another request. An interim (1xx)
 // response is consumed without being passed on. maxBytes limits the body. After an error the connection
@@ -77,45 +85,82 @@
 }
 
 // readChunkedBody joins the chunks of a body. It returns the number of encoded bytes, 0 if the body is
-// incomplete.
+// incomplete. Both the data and the framing are limited, so that a body that never ends is an error.
 func readChunkedBody(data []byte, maxBytes int) (body []byte, consumed int, err error) {
-	body = []byte{}
+	r := chunkReader{data: data, body: []byte{}}
 	for {
-		line, _, ok := bytes.Cut(data[consumed:], []byte("\r\n"))
+		line, ok := r.line(chunkSizeBytes)
 		if !ok {
-			if len(data)-consumed > maxHeaderBytes {
-				return nil, 0, errInvalidResponse
-			}
-			return nil, 0, nil
+			return nil, 0, r.err
 		}
-		consumed += len(line) + 2
 		digits, _, _ := bytes.Cut(line, []byte(";"))
 		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
-		if err != nil || len(body)+int(size) > maxBytes {
+		if err != nil || len(r.body)+int(size) > maxBytes {
 			return nil, 0, errInvalidResponse
 		}
 		if size == 0 {
 			break
 		}
-		if len(data)-consumed < int(size)+2 {
-			return nil, 0, nil
-		}
-		body = append(body, data[consumed:consumed+int(size)]...)
-		if consumed += int(size) + 2; string(data[consumed-2:consumed]) != "\r\n" {
-			return nil, 0, errInvalidResponse
+		if !r.chunk(int(size)) {
+			return nil, 0, r.err
 		}
 	}
 	for { // trailers, up to an empty line
-		line, _, ok := bytes.Cut(data[consumed:], []byte("\r\n"))
+		line, ok := r.line(0)
 		if !ok {
-			return nil, 0, nil
+			return nil, 0, r.err
 		}
-		if consumed += len(line) + 2; len(line) == 0 {
-			return body, consumed, nil
+		if len(line) == 0 {
+			return r.body, r.consumed, nil
 		}
 	}
 }
 
+// chunkReader reads the parts of a chunked body.
+type chunkReader struct {
+	data     []byte
+	consumed int    // bytes of data that were read
+	body     []byte // the chunks read so far
+	framing  int    // bytes that count towards maxFramingBytes
+	err      error  // nil while the part read last may still arrive
+}
+
+// line reads a line without its line break. Its bytes beyond the first free ones count as framing. It
+// returns false if the line is incomplete or there is too much framing.
+func (r *chunkReader) line(free int) ([]byte, bool) {
+	line, _, complete := bytes.Cut(r.data[r.consumed:], []byte("\r\n"))
+	if !complete {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+	}
+	framing := r.framing + max(0, len(line)-free)
+	if framing > maxFramingBytes {
+		r.err = errInvalidResponse
+		return nil, false
+	}
+	if !complete {
+		return nil, false
+	}
+	r.framing = framing
+	r.consumed += len(line) + 2
+	return line, true
+}
+
+// chunk appends a chunk of the given size to the body. It returns false if the chunk is incomplete or isn't
+// followed by a line break.
+func (r *chunkReader) chunk(size int) bool {
+	end := r.consumed + size
+	if len(r.data) < end+2 {
+		return false
+	}
+	if string(r.data[end:end+2]) != "\r\n" {
+		r.err = errInvalidResponse
+		return false
+	}
+	r.body = append(r.body, r.data[r.consumed:end]...)
+	r.consumed = end + 2
+	return true
+}
+
 // headerValue returns the value of the first header with this name, "" if there is none.
 func headerValue(headers []byte, name string) string {
 	for l := range bytes.SplitSeq(headers, []byte("\r\n")) {
