Full buffers close no connection on which a client has calls open

Cause: reclaimBufferMemory closed the client with the largest incomplete message first, whatever was open on its connection, and counted the bytes of connections that it had just closed, so that every read until their end was told cost another one. In the log engines held 16.96 MB of 16.97, clients at most 0.2 MB. Change: the largest buffer goes whose end leaves nobody without an answer, of an engine's connection or of a client with no call open; bytes of connections on their way out don't count. A client with open calls that has just filled the largest buffer has its statement discarded as it comes, and the query deferred. Why it works: what is freed is never owed an answer; a deferral is one, and harmless to repeat.

--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -27,6 +27,7 @@
 	idleSince          time.Duration // when the last message came or the last open query was closed
 	badCalls           int
 	messagesSinceSweep int
+	skipped            *skippedQuery // being received, nil: none
 
 	// unread answers, as of the last sweep
 	stalledSince  time.Duration // when the client last read bytes written to it, -1: nothing is unread
@@ -54,6 +55,14 @@
 func (cl *client) readMessages() {
 	readAny := false
 	for !cl.connection.closed {
+		if cl.skipped != nil {
+			if !cl.discardSkipped() {
+				return
+			}
+			cl.messageRead()
+			readAny = true
+			continue
+		}
 		n, err := msgpackrpc.Read(cl.connection.Received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
 		if err != nil {
 			cl.counters.malformed++
@@ -65,14 +74,19 @@
 			return
 		}
 		readAny = true
-		cl.hasSentMessage = true
-		cl.idleSince = cl.now
 		cl.connection.Received.Discard(n)
-		cl.messagesSinceSweep++
-		if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
-			cl.counters.disconnected++
-			cl.disconnect(tooManyMessages, gracefully)
-		}
+		cl.messageRead()
+	}
+}
+
+// messageRead records that a complete message was handled, and disconnects a client that has sent too many.
+func (cl *client) messageRead() {
+	cl.hasSentMessage = true
+	cl.idleSince = cl.now
+	cl.messagesSinceSweep++
+	if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
+		cl.counters.disconnected++
+		cl.disconnect(tooManyMessages, gracefully)
 	}
 }
 
@@ -116,6 +130,9 @@
 	return nil
 }
 
+// hasOpenCalls reports whether the client waits for the answer to a call.
+func (cl *client) hasOpenCalls() bool { return len(cl.calls) > 0 || cl.pageReads > 0 }
+
 func (cl *client) reply(message []byte) { cl.write(cl.connection, message) }
 
 // floodingClient tells a client why its connection is about to be closed.
--- a/internal/controller/client_bounds.go
+++ b/internal/controller/client_bounds.go
@@ -1,11 +1,8 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"time"
-
-	"railrelay.dev/railrelay/internal/bytebuf"
 )
 
 // clientTable holds the connections of clients and the limits on all of them together.
@@ -151,51 +148,6 @@
 }
 
 func (cl *client) isIdle() bool {
-	nothingOpen := cl.messageStartedAt < 0 && len(cl.calls) == 0 && cl.pageReads == 0 && cl.unreadAtSweep == 0
+	nothingOpen := cl.messageStartedAt < 0 && !cl.hasOpenCalls() && cl.unreadAtSweep == 0
 	return nothingOpen && cl.now-cl.idleSince > cl.limits.IdleTimeout
 }
-
-// reclaimBufferMemory frees memory when the buffers of all connections exceed their limit. It closes the
-// client connection with the largest incomplete message or, if there is none, the engine connection with the
-// largest buffer. Buffers up to the size that every connection may keep do not count.
-func (c *Controller) reclaimBufferMemory() {
-	c.logBufferUse()
-	most := bytebuf.MaxIdleCapacity
-	var worst *client
-	for _, cl := range c.clients {
-		if !cl.connection.closed && cl.messageStartedAt >= 0 && cl.connection.bufferBytes > most {
-			worst = cl
-			most = cl.connection.bufferBytes
-		}
-	}
-	if worst != nil {
-		c.counters.disconnected++
-		worst.disconnect(bufferMemoryFull, immediately)
-		return
-	}
-	var largest *engineConnection
-	for _, ec := range c.pool.connections {
-		if !ec.connection.closed && ec.connection.bufferBytes > most {
-			largest = ec
-			most = ec.connection.bufferBytes
-		}
-	}
-	if largest != nil {
-		c.logMessage(infoLevel, fmt.Sprintf("closing connection %d to engine %s: largest buffer, %d bytes, "+
-			"while the buffer memory is full", largest.number, largest.engine.id, most))
-		c.closeEngineConnection(largest)
-	}
-}
-
-// logBufferUse logs which side holds the memory of the buffers.
-func (c *Controller) logBufferUse() {
-	ofClients, ofEngines := 0, 0
-	for _, cl := range c.clients {
-		ofClients += cl.connection.bufferBytes
-	}
-	for _, ec := range c.pool.connections {
-		ofEngines += ec.connection.bufferBytes
-	}
-	c.logMessage(infoLevel, fmt.Sprintf("buffer memory is full: %d of %d bytes, clients %d, engines %d",
-		c.bufferedBytes, c.maxBufferedBytes, ofClients, ofEngines))
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -237,7 +237,7 @@
 	}
 	c.recordBufferSize(conn, conn.Received.Capacity())
 	if c.bufferedBytes > c.maxBufferedBytes {
-		c.reclaimBufferMemory()
+		c.reclaimBufferMemory(conn)
 	}
 }
 
--- a/internal/msgpackrpc/clients.go
+++ b/internal/msgpackrpc/clients.go
@@ -47,6 +47,23 @@
 	return c.pos, nil
 }
 
+// PartialQuery reports whether data is the start of a query call that lacks only bytes of its statement.
+// It returns the call's number and how many bytes are missing.
+func PartialQuery(data []byte, maxBytes int) (messageID uint32, missing int, ok bool) {
+	c := &cursor{data: data, maxValueBytes: uint64(max(maxBytes, 0))}
+	parts, kind, number := c.arrayLength(), c.unsigned(), c.unsigned()
+	c.skip(0) // the method
+	params := c.arrayLength()
+	c.skip(0) // the fields
+	size := c.length(0, 0, 0xc4, 0xc5, 0xc6)
+	isCall := parts == 4 && kind == 0 && number <= math.MaxUint32 && params == 2
+	if c.err != nil || !isCall || size > c.maxValueBytes {
+		return 0, 0, false
+	}
+	missing = int(size) - (len(data) - c.pos)
+	return uint32(number), missing, missing > 0
+}
+
 // readMessage reads one message and returns a function that passes the message to h, nil if the message is
 // ignored. A message other than a call or a notification is an error. A call with invalid content is passed
 // to h, so that the call gets a response.
--- a/internal/msgpackrpc/clients_test.go
+++ b/internal/msgpackrpc/clients_test.go
@@ -255,3 +255,21 @@
 		}
 	})
 }
+
+func TestFindsQueriesThatLackOnlyStatementBytes(t *testing.T) {
+	query := "\x94\x00\xcc\xc8\xa6lookup\x92\x81\xa5trace\xa1x\xc4\x0a0123456789"
+	statementAt := len(query) - 10
+	for n := range len(query) {
+		id, missing, ok := PartialQuery([]byte(query[:n]), 1<<10)
+		if ok != (n >= statementAt) || ok && (id != 200 || missing != len(query)-n) {
+			t.Errorf("%d of %d bytes: number %d, %d missing, %v", n, len(query), id, missing, ok)
+		}
+	}
+	for _, other := range []string{query, query + "\x94", "\x93\x02\xadcancelRequest\x91",
+		"\x94\x01\x05\xa1g\x92\x80\xc4\x0a0",
+		"\x94\x00\x05\xa5alive\x91", "\x94\x00\x05\xa1g\x92\x80\xc5\x7f\xff0", "\x94\x00\x05\xa1g\x92\x80\xaa0"} {
+		if _, _, ok := PartialQuery([]byte(other), 1<<10); ok {
+			t.Errorf("%q was taken for the start of a query", other)
+		}
+	}
+}
