Queries within the open limit are paced, no longer a reason to end the connection

Cause: readMessages counted every message, but the protocol only limits what is open: with answers within 62 ms a sound client sends more. The log names the reason on each of 8 ends, with 9 to 28 calls open. The same bound closed clients that read a result's pages as they came. Change: accepted queries and page reads don't count; a callPacer lets 128 of them start in 250 ms, and the others wait, 62 ms at most by default and at most a quarter of a query's time. A query in the order of its key doesn't wait. A query taken back counts as two messages, so that floods of those end as before. Why it works: the bound on open calls limits how many wait, and no connection ends for sound calls. Tests: TestPipeliningWithinOpenQueriesIsServed and TestQuickPageReaderKeepsItsConnection failed before (closed after 64 look-ups of 64 allowed with 29 open; 128 of 156 pages read).

--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -26,7 +26,9 @@
 	hasSentMessage     bool          // a complete message has arrived
 	idleSince          time.Duration // when the last message came or the last open query was closed
 	badCalls           int
-	messagesSinceSweep int
+	messagesSinceSweep int // without those that only the pacer limits
+	messageCost        int // of the message being read, in messagesSinceSweep
+	pacer              callPacer
 	skipped            *skippedQuery // being received, nil: none
 
 	// unread answers, as of the last sweep
@@ -63,6 +65,7 @@
 			readAny = true
 			continue
 		}
+		cl.messageCost = 1
 		n, err := msgpackrpc.Read(cl.connection.Received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
 		if err != nil {
 			cl.counters.malformed++
@@ -83,7 +86,7 @@
 func (cl *client) messageRead() {
 	cl.hasSentMessage = true
 	cl.idleSince = cl.now
-	cl.messagesSinceSweep++
+	cl.messagesSinceSweep += cl.messageCost
 	if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
 		cl.counters.disconnected++
 		cl.disconnect(tooManyMessages, gracefully)
@@ -100,8 +103,8 @@
 	}
 }
 
-// messageHandler returns the handler for the next message: the client itself or, for the first message over
-// the limit, floodingClient. Further messages would delay all other clients.
+// messageHandler returns the handler for the next message: the client itself or, at the limit,
+// floodingClient. Further messages would delay all other clients.
 func (cl *client) messageHandler() msgpackrpc.Handler {
 	if cl.messagesSinceSweep >= cl.limits.MaxMessagesPerSweep {
 		return &floodingClient{cl}
@@ -135,7 +138,8 @@
 
 func (cl *client) reply(message []byte) { cl.write(cl.connection, message) }
 
-// floodingClient tells a client why its connection is about to be closed.
+// floodingClient tells a client why its connection is about to be closed. It handles queries and page reads
+// as usual: they are limited by how many may be open, and don't close the connection.
 type floodingClient struct{ *client }
 
 func (f *floodingClient) explain(messageID uint32) {
@@ -145,17 +149,6 @@
 	}
 }
 
-// Query implements msgpackrpc.Handler.
-func (f *floodingClient) Query(messageID uint32, _, _ []byte, _ time.Duration, _ []byte, _ bool, _ []byte,
-	_ msgpackrpc.Fields) {
-	f.explain(messageID)
-}
-
-// Page implements msgpackrpc.Handler.
-func (f *floodingClient) Page(messageID uint32, _ []byte, _ int, _ msgpackrpc.Fields) {
-	f.explain(messageID)
-}
-
 // Purge implements msgpackrpc.Handler.
 func (f *floodingClient) Purge(messageID uint32, _ msgpackrpc.Purge, _ msgpackrpc.Fields) {
 	f.explain(messageID)
--- a/internal/controller/client_calls.go
+++ b/internal/controller/client_calls.go
@@ -47,6 +47,8 @@
 	case "":
 		rc.query = q
 		cl.calls = append(cl.calls, rc)
+		cl.messageCost = 0 // its number is limited by MaxOpenQueries
+		cl.dispatchPaced(q, call)
 	case statementMemoryFull:
 		// a memory shortage is not the client's error: as a bad call it could close the connection
 		cl.counters.deferred++
@@ -68,6 +70,7 @@
 func (cl *client) Cancel(messageID uint32) {
 	rc := cl.findCall(messageID)
 	if rc != nil {
+		cl.messageCost = 2 // the query did not count when it came
 		cl.abandonQuery(rc.query)
 	}
 }
--- a/internal/controller/client_limits.go
+++ b/internal/controller/client_limits.go
@@ -22,8 +22,9 @@
 	Prefixes []netip.Prefix
 	// MaxOpenQueries is how many queries may be open on one connection. Default: 32.
 	MaxOpenQueries int
-	// MaxMessagesPerSweep is how many messages one connection may send in a quarter of a second.
-	// Default: 128.
+	// MaxMessagesPerSweep is how many queries and page reads of one connection start in a quarter of a second;
+	// further ones wait. It is also how many other messages the connection may send in that time before it is
+	// closed, where a query that is taken back counts as two. Default: 128.
 	MaxMessagesPerSweep int
 	// IdleTimeout is how long a connection without open queries stays open. Default: 6 s.
 	IdleTimeout time.Duration
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -16,6 +16,7 @@
 	disconnected int // closed by the controller because a limit was exceeded
 	// unansweredCalls are the calls that were open when the controller closed their client's connection.
 	unansweredCalls int
+	pacedCalls      int // queries and page reads that had to wait for the pace of their connection
 	idleClosed      int
 	malformed       int // invalid messages and calls
 	aliveRequests   int
@@ -70,9 +71,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "taken %d finished %d deferred %d killed %d left %d open %d",
 		counts.received, counts.finished, counts.deferred, counts.killed, counts.abandoned, len(c.queries))
-	fmt.Fprintf(&b, "; clients %d of %d turned off %d idle %d malformed %d unanswered %d",
+	fmt.Fprintf(&b, "; clients %d of %d turned off %d idle %d malformed %d unanswered %d paced %d",
 		len(c.clients), counts.connections, counts.disconnected, counts.idleClosed, counts.malformed,
-		counts.unansweredCalls)
+		counts.unansweredCalls, counts.pacedCalls)
 	counts.addEngines(&b, c)
 	fmt.Fprintf(&b, "; list event %d connections %d faults %d reloads %d",
 		c.discovery.lastEvent, counts.discoveryDials, counts.discoveryFaults, counts.reloads)
--- a/internal/controller/receive.go
+++ b/internal/controller/receive.go
@@ -58,8 +58,8 @@
 	return ""
 }
 
-// receiveQuery accepts a call, and dispatches its query before the step ends. It copies the parts of the call
-// that it keeps. For an invalid call, the query is nil and reason is set.
+// receiveQuery accepts a call; the caller dispatches its query. It copies the parts of the call that it
+// keeps. For an invalid call, the query is nil and reason is set.
 func (c *Controller) receiveQuery(owner queryOwner, call *queryCall) (q *query, reason string) {
 	reason = c.validateCall(call)
 	if reason != "" {
@@ -77,9 +77,6 @@
 	if c.caching != nil {
 		c.caching.noteMutation(q)
 	}
-	// dispatch after all received bytes are read: a query that is cancelled in the same read is not sent
-	from := call.from
-	c.enqueueCallback(func() { c.dispatch(q, from) })
 	return q, ""
 }
 
--- a/internal/controller/result_paging.go
+++ b/internal/controller/result_paging.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 
 	"railrelay.dev/railrelay/internal/fairqueue"
@@ -265,6 +266,23 @@
 		return
 	}
 	cl.pageReads++
+	cl.messageCost = 0 // its number is limited by MaxOpenQueries
+	delay := cl.pacer.delay(cl.now, cl.limits)
+	if delay == 0 {
+		cl.readPage(msg, token, number, fields)
+		return
+	}
+	cl.counters.pacedCalls++
+	token, fields = slices.Clone(token), fields.Clone() // they point into the connection's buffer
+	cl.runAfter(delay, func() { cl.readPage(msg, token, number, fields) })
+}
+
+// readPage reads a page for a call that Page has accepted, and answers the call.
+func (cl *client) readPage(msg uint32, token []byte, number int, fields msgpackrpc.Fields) {
+	if cl.connection.closed {
+		cl.pageReads--
+		return
+	}
 	from := CallOrigin{cl.connection.RemoteAddress, fields}
 	owner, tenant := cl.dataOwner(from), cl.tenantOf(from)
 	var tables []int64
--- a/internal/controller/result_paging_test.go
+++ b/internal/controller/result_paging_test.go
@@ -480,6 +480,42 @@
 
 // A page token must be valid only for the tenant that it was issued to, and the work of a spooled query
 // must be charged to its tenant.
+// A client that reads pages as fast as they come keeps its connection. It was once closed at its 129th
+// message in 250 ms.
+func TestQuickPageReaderKeepsItsConnection(t *testing.T) {
+	const parallelReads = 16
+	d := disk.New()
+	s := newSpoolWorld(t, d, disk.NewIndex(d), testLimits(), nil)
+	c := s.client()
+	a := s.ask(c, 70000)
+	s.RunUntil(s.Now + 5*time.Second)
+	pages, next, got := pageCount(a), 1, 0
+	if pages < 150 { // the limit is 128 messages
+		t.Fatalf("%d pages, too few for this test", pages)
+	}
+	var read func()
+	read = func() {
+		if next >= pages {
+			return
+		}
+		next++
+		c.Page(a.Paging["token"], next-1, func(answer client.Answer) {
+			if answer.Kind == client.Finished {
+				got++
+			}
+			read()
+		})
+	}
+	for range parallelReads {
+		read()
+	}
+	s.RunUntil(s.Now + 3*time.Second)
+	if got != pages-1 {
+		t.Errorf("%d of %d pages were read", got, pages-1)
+	}
+	s.checkEnd()
+}
+
 func TestPageTokensAndChargesAreByTenant(t *testing.T) {
 	d := disk.New()
 	tenants := &fairqueue.Config{Tenants: bench.DefaultTenants(), TrustedAddresses: bench.ClientPrefixes}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -149,7 +149,7 @@
 	Name           string   `yaml:"name"`
 	Addresses      []Prefix `yaml:"addresses"`
 	MaxOpenQueries int      `yaml:"open"`     // on a connection; default 32
-	MaxMessages    int      `yaml:"messages"` // on a connection in 250ms; default 128
+	MaxMessages    int      `yaml:"messages"` // on a connection in 250ms: calls that start, others; default 128
 	IdleTimeout    Duration `yaml:"idle"`     // of a connection without an open query; default 6s
 	MessageTimeout Duration `yaml:"message"`  // time in which a message must arrive completely; default 2s
 }
