A late second answer is told by its rows, not served to another query

Cause: nothing in an answer names its query, and a connection carries another query's call once it has rested for 10 ms; copies after 6 ms did no harm, so it is the rest, not the parser. Change: for 50 ms, the network's allowance, a connection remembers which rows it delivered for which query. Equal rows for another query are not taken: the connection is closed, and the query asked for once more on one that has rested for 50 ms. The counters have 'doubled'. Why it works: a copy has the rows of the first; rows that differ can't be its copy.

--- a/internal/controller/attempt.go
+++ b/internal/controller/attempt.go
@@ -55,6 +55,9 @@
 	pollRetryDelay  time.Duration // delay before the next poll after a failed one
 	lastResponseAt  time.Duration // when the last valid response came, or the request was written
 	lastCallText    string        // result of the last call, for the log
+	// avoidsDuplicates is set once a result may have been another query's: further calls use only connections
+	// that can't deliver a duplicate any more.
+	avoidsDuplicates bool
 
 	sentPriority    int  // priority that the engine was last told
 	prioritySending bool // a call that changes the priority is in progress
--- a/internal/controller/connection_pool.go
+++ b/internal/controller/connection_pool.go
@@ -16,7 +16,8 @@
 }
 
 // connectionReuseDelay must pass before a connection carries a call of another query. A duplicate of the
-// engine's last response, sent late, must not be read as the response to that call.
+// engine's last response, sent late, must not be read as the response to that call. A duplicate of a result
+// that comes after this delay is recognised, see recentResults.
 const connectionReuseDelay = 10 * time.Millisecond
 
 // startCall writes a call to an idle or a new connection, or queues the call until there is one. A call to an
@@ -89,19 +90,20 @@
 	return found
 }
 
-// mayCarry reports whether an idle connection may carry a call. Before connectionReuseDelay has passed, it
-// may do so only if a duplicate of the last response cannot be read as the response to this call:
+// mayCarry reports whether an idle connection may carry a call. Before the rest that the call requires has
+// passed, it may do so only if a duplicate of the last response cannot be read as the response to this call:
 //   - a further call of the same attempt: the duplicate does not fit the call, or says the same. Exception:
 //     a cancellation after a change of priority, which the duplicate would confirm;
 //   - a call of any attempt after a successful health check: the duplicate fits no call except another
 //     health check. A query is often sent to an engine right after a health check, and would otherwise
 //     need a second connection.
 func (c *Controller) mayCarry(ec *engineConnection, request *call) bool {
-	if c.now-ec.idleSince >= connectionReuseDelay {
-		return true
-	}
+	rest := c.now - ec.idleSince
 	if request.attempt == nil {
-		return false
+		return rest >= connectionReuseDelay
+	}
+	if rest >= request.attempt.connectionRest() {
+		return true
 	}
 	confirmsCancel := ec.changedPriority && request.method == "DELETE"
 	return ec.lastAttempt == request.attempt && !confirmsCancel || ec.healthChecked
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -251,6 +251,77 @@
 	}
 }
 
+// A duplicate of a result that came 12 ms late, on a connection that carried another query by then, was once
+// served to that query.
+func TestLateDuplicateResponseAnswersNoOtherQuery(t *testing.T) {
+	const result = "HTTP/1.1 200 x\r\nChunks: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
+	for _, late := range []time.Duration{time.Millisecond, 12 * time.Millisecond, maxNetworkDelay} {
+		for _, group := range []string{"lookup", "load"} {
+			h := newHarness(t, 1, 256, nil)
+			conn := h.connect()
+			query := h.sendQuery(conn, "lookup", "", 5*time.Second, 1)
+			query.expectedPayload = "a\tb\tc\n"
+			call := h.waitForCall("POST", query.id)
+			h.finishRun(call.run)
+			h.pendingCalls = nil
+			h.receive(call.connection, []byte(result))
+			answeredAt := h.now
+			h.runUntil(answeredAt + min(late, connectionReuseDelay))
+			other := h.sendQuery(conn, group, "k", 5*time.Second, 1)
+			otherCall := h.waitForCall("POST", other.id)
+			reused := otherCall.connection == call.connection
+			if reused != (late > connectionReuseDelay) {
+				t.Fatalf("after %v: the connection carries the other query: %v", late, reused)
+			}
+			h.runUntil(max(h.now, answeredAt+late))
+			h.receive(call.connection, []byte(result))
+			if other.answer != "" || !call.connection.closed {
+				t.Fatalf("%s after %v: answer %q, connection closed %v", group, late, other.answer,
+					call.connection.closed)
+			}
+			h.finishRun(otherCall.run)
+			h.runUntil(h.now + time.Second)
+			if other.answer != "finished" || len(other.runs) != 1 {
+				t.Fatalf("%s after %v: answer %q after %d runs", group, late, other.answer, len(other.runs))
+			}
+		}
+	}
+}
+
+// Two queries may have the same result: the second is asked for once more, and then served.
+func TestEqualResultsOfTwoQueriesAreServed(t *testing.T) {
+	const result = "HTTP/1.1 200 x\r\nChunks: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
+	h := newHarness(t, 1, 256, nil)
+	conn := h.connect()
+	for i := range 6 {
+		query := h.sendQuery(conn, "load", "k"+strconv.Itoa(i), 5*time.Second, 1)
+		query.expectedPayload = "a\tb\tc\n"
+		call := h.waitForCall("POST", query.id)
+		h.endRun(call.run, false)
+		h.pendingCalls = nil
+		h.receive(call.connection, []byte(result))
+		for range 2 * maxNetworkDelay / time.Millisecond {
+			if query.answer != "" {
+				break
+			}
+			h.runUntil(h.now + time.Millisecond)
+			for _, poll := range append([]*pendingCall{}, h.pendingCalls...) {
+				if poll.method == "GET" && poll.id == query.id {
+					h.pendingCalls = nil
+					h.receive(poll.connection, []byte(result))
+				}
+			}
+		}
+		if query.answer != "finished" || len(query.runs) != 1 {
+			t.Fatalf("query %d: answer %q after %d runs", i, query.answer, len(query.runs))
+		}
+		h.runUntil(h.now + connectionReuseDelay)
+	}
+	if h.controller.counters.duplicateResults == 0 {
+		t.Fatal("no result was asked for once more, so the test proves nothing")
+	}
+}
+
 func TestDuplicateResponseAnswersNoOtherQuery(t *testing.T) {
 	h := newHarness(t, 1, 256, nil)
 	conn := h.connect()
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -38,6 +38,7 @@
 	engineResponses    int
 	progressNotes      int
 	unexpectedMessages int // invalid responses, and entries of the endpoint list that are not understood
+	duplicateResults   int // results that were equal to another query's on the same connection
 	pollRetries        int // failed polls that were retried
 	firstByteDelays    []time.Duration
 
@@ -104,10 +105,10 @@
 			fmt.Fprintf(b, " %s %d", outcomeNames[outcome], count)
 		}
 	}
-	fmt.Fprintf(b, "; engine answers %d notes %d odd %d asked again %d probes %d dials %d"+
+	fmt.Fprintf(b, "; engine answers %d notes %d odd %d doubled %d asked again %d probes %d dials %d"+
 		" links %d of %d waited %d",
-		counts.engineResponses, counts.progressNotes, counts.unexpectedMessages, counts.pollRetries,
-		counts.healthChecks, counts.dials, c.pool.open, c.pool.limit, counts.queuedCalls)
+		counts.engineResponses, counts.progressNotes, counts.unexpectedMessages, counts.duplicateResults,
+		counts.pollRetries, counts.healthChecks, counts.dials, c.pool.open, c.pool.limit, counts.queuedCalls)
 	if counts.rejectedWrites > 0 {
 		fmt.Fprintf(b, " barred %d", counts.rejectedWrites)
 	}
--- a/internal/controller/engine_connection.go
+++ b/internal/controller/engine_connection.go
@@ -24,6 +24,7 @@
 	lastAttempt     *attempt // of the last call
 	changedPriority bool     // the last call changed a priority
 	healthChecked   bool     // the last call was a successful health check
+	recentResults   recentResults
 }
 
 func (ec *engineConnection) isIdle() bool {
@@ -179,12 +180,15 @@
 	received := &ec.connection.Received
 	request := ec.call
 	var finish func() // ends the call with the response; nil: the message was an interim response
-	valid, hasBody, isOK := false, false, false
+	valid, hasBody, isOK, isDuplicate := false, false, false, false
 	n, keepAlive, err := enginehttp.Read(received.Bytes(), maxResponseBytes,
 		func(status int, field func(string) string, body []byte) {
 			valid = request.validResponse(status, field, body)
 			hasBody = len(body) > 0
 			isOK = status == statusOK
+			if valid && isOK && request.attempt != nil {
+				isDuplicate = ec.recentResults.isDuplicate(c.now, request.attempt.query.id, body)
+			}
 			finish = func() { c.finishCall(request, callAnswered, status, field, body) }
 		})
 	if n == 0 && err == nil {
@@ -194,6 +198,10 @@
 	if finish == nil && err == nil {
 		return true
 	}
+	if isDuplicate {
+		c.rejectDuplicate(ec, request)
+		return false
+	}
 	moreBehind := len(received.Bytes()) > 0
 	// bytes after a body mean that its length may be wrong, and that the result may be incomplete
 	if err != nil || !valid || moreBehind && hasBody {
