A discovery connection that falls silent is still read beside the next ones

Cause: watchHeartbeat closed each connection 1.25 s after its last line or its dial, so that none lived until its first line; the feed's record has a new SUB 1 every 1.35 to 1.75 s for as long as it is late. The first line on any makes it the one that is followed, and closes the others. Dials are no more often. Why it works: a line that is late by less than what counts as told has a connection to arrive on.

--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"time"
 
 	"railrelay.dev/railrelay/internal/discovery"
@@ -8,10 +9,12 @@
 )
 
 // discoveryWatch follows the endpoint list. The discovery service sends numbered events on a connection
-// that stays open. A connection that misses a heartbeat, skips an event or sends an unreadable event is
-// replaced by a new one, which requests all events after lastEvent.
+// that stays open. A connection that skips an event or sends an unreadable event is replaced by a new one,
+// which requests all events after lastEvent. One that misses a heartbeat is kept beside the new one for a
+// while: its messages may be late.
 type discoveryWatch struct {
-	connection *Connection // nil if no connection is open or being dialled
+	connection *Connection   // the latest one, nil if none is open or being dialled
+	silent     []*Connection // earlier ones that missed a heartbeat and are still read, the oldest first
 	retryDelay time.Duration
 
 	lastEvent int64 // number of the last applied event
@@ -67,7 +70,10 @@
 		c.write(conn, discovery.AppendSubscribe(nil, d.lastEvent))
 	}
 	conn.onDialFailed = func(bool) { c.reconnectDiscovery(conn) }
-	conn.onClosed = func() { c.reconnectDiscovery(conn) }
+	conn.onClosed = func() {
+		c.removeSilentDiscovery(conn)
+		c.reconnectDiscovery(conn)
+	}
 	conn.onBytes = func() { c.readDiscovery(conn) }
 	c.counters.discoveryDials++
 	c.emit(Effect{
@@ -94,6 +100,13 @@
 // a new connection, and skipped if it is unreadable there too.
 func (c *Controller) readDiscovery(conn *Connection) {
 	d := &c.discovery
+	if d.connection != conn {
+		received := conn.Received.Bytes()
+		if bytes.IndexByte(received, '\n') < 0 && len(received) <= c.maxBufferedBytes {
+			return
+		}
+		c.resumeDiscovery(conn)
+	}
 	for !conn.closed {
 		// one event may list all engines, so the limit of a client's message doesn't apply
 		n, err := discovery.Read(conn.Received.Bytes(), c.maxBufferedBytes, c)
@@ -118,6 +131,7 @@
 		d.lastMessageAt = c.now
 		d.retryDelay = 0
 		conn.Received.Discard(n)
+		c.closeSilentDiscovery()
 	}
 }
 
@@ -134,31 +148,10 @@
 		c.closeConnection(d.connection, immediately)
 		d.connection = nil
 	}
+	c.closeSilentDiscovery()
 	c.connectDiscovery()
 }
 
-// watchHeartbeat replaces a connection that misses a heartbeat, even if neither side closed it. Events sent
-// since may count as delivered, and a drain among them takes effect within a grace period.
-func (c *Controller) watchHeartbeat(conn *Connection) {
-	d := &c.discovery
-	due := d.connectionActiveAt + discoverySilentAfter
-	c.runAt(due, func() {
-		switch {
-		case d.connection != conn:
-		case c.now-d.connectionActiveAt < discoverySilentAfter:
-			c.watchHeartbeat(conn)
-		case c.now > due+maxNetworkDelay:
-			// the process was stalled: read what arrived meanwhile before judging the connection
-			d.connectionActiveAt = c.now + maxNetworkDelay - discoverySilentAfter
-			c.watchHeartbeat(conn)
-		default:
-			c.counters.discoveryFaults++
-			c.closeConnection(conn, immediately)
-			c.reconnectDiscovery(conn)
-		}
-	})
-}
-
 // BeginEvent begins an event. It returns false if the event must not be applied, because it was applied
 // before or an earlier event is missing.
 func (c *Controller) BeginEvent(number int64, complete bool) bool {
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -35,6 +35,7 @@
 	discovery          *fakeConnection
 	lastEventNumber    int64
 	discoveryReachable bool
+	discoverySilent    bool // connections to the discovery come up, but nothing is sent on them by itself
 	exited             bool
 	logLines           []string
 	writeLog           []string
@@ -282,7 +283,12 @@
 	}
 	switch {
 	case engine == nil && h.discoveryReachable:
-		soonest(conn.dialledAt+time.Millisecond, func() { up(); h.listEngines("") })
+		soonest(conn.dialledAt+time.Millisecond, func() {
+			up()
+			if !h.discoverySilent {
+				h.listEngines("")
+			}
+		})
 	case engine == nil || engine.unresponsive || engine.networkCut:
 		soonest(conn.dialledAt+engineResponseDelay, fail(ConnectTimedOut))
 	case engine.refusesConnections:
