A message may take its time while calls are open on its connection

Cause: isMessageOverdue looked at the age of the incomplete message alone. Played again on the code before: the log says 'message not complete in time; open calls: 2' on each of six ends. Change: a message is overdue only while no call is open, and its 2 s count from the last answer at the earliest. With nothing open the limit is as before; the memory that it may hold is bounded as before. Test: TestSlowMessageEndsNoOpenCalls failed before.

--- a/internal/controller/client_bounds.go
+++ b/internal/controller/client_bounds.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// sweepClients closes the connections of clients that do not read their answers, leave a message incomplete,
-// send none, or are idle for too long. If the unread bytes of all clients exceed their limit, it closes the
-// connection with the most.
+// sweepClients closes the connections of clients that do not read their answers, are idle for too long, or
+// leave a message incomplete or send none while no call is open. If the unread bytes of all clients exceed
+// their limit, it closes the connection with the most.
 func (c *Controller) sweepClients() {
 	c.unreadBytes = 0
 	stalled := c.stallDuration()
@@ -143,8 +143,12 @@
 	return cl.stalledSince >= 0 && cl.now-cl.stalledSince > stallTimeout
 }
 
+// isMessageOverdue reports whether a message, or the first one, has not arrived completely in time. A client
+// with open calls may take longer, since closing its connection would leave them without answers; its time
+// counts from when the last of them was answered.
 func (cl *client) isMessageOverdue() bool {
-	return cl.messageStartedAt >= 0 && cl.now-cl.messageStartedAt > cl.limits.MessageTimeout
+	since := max(cl.messageStartedAt, cl.idleSince)
+	return cl.messageStartedAt >= 0 && !cl.hasOpenCalls() && cl.now-since > cl.limits.MessageTimeout
 }
 
 func (cl *client) isIdle() bool {
--- a/internal/controller/client_limits.go
+++ b/internal/controller/client_limits.go
@@ -28,8 +28,8 @@
 	MaxMessagesPerSweep int
 	// IdleTimeout is how long a connection without open queries stays open. Default: 6 s.
 	IdleTimeout time.Duration
-	// MessageTimeout is how long a message may take to arrive completely, from its first byte, or from the
-	// accept for the first message. Default: 2 s.
+	// MessageTimeout is how long a message may take to arrive completely while no call is open, from its first
+	// byte, from the accept for the first message, or from the last answer. Default: 2 s.
 	MessageTimeout time.Duration
 }
 
--- a/internal/controller/client_test.go
+++ b/internal/controller/client_test.go
@@ -73,6 +73,45 @@
 	}
 }
 
+// A client that writes a message slowly, or leaves it incomplete, keeps its connection while calls are open
+// on it. It was once cut off after 2 s, and what was open got no answer.
+func TestSlowMessageEndsNoOpenCalls(t *testing.T) {
+	for _, completes := range []bool{true, false} {
+		h := newHarness(t, 1, 256, nil)
+		conn := h.connect()
+		load := h.sendQuery(conn, "load", "k", 20*time.Second, 1)
+		other := h.sendQuery(conn, "load", "other", 20*time.Second, 2)
+		h.respond(h.waitForCall("POST", load.id), "runs")
+		h.respond(h.waitForCall("POST", other.id), "runs")
+		slow, message := h.longLoad(conn, 100)
+		for i := range message[1:] {
+			h.receive(conn, message[i:i+1])
+			h.runUntil(h.now + 30*time.Millisecond)
+		}
+		if conn.closed {
+			t.Fatal("disconnected while it writes a message, with two calls open")
+		}
+		if completes {
+			h.receive(conn, message[len(message)-1:])
+			h.finish("POST", slow)
+		}
+		h.runUntil(h.now + 3*time.Second)
+		h.finish("GET", load)
+		h.finish("GET", other)
+		if !completes {
+			slow.cancelled = true // never sent completely
+			h.runUntil(h.now + messageTimeout - 100*time.Millisecond)
+			if conn.closed {
+				t.Fatal("disconnected before its time after the last answer")
+			}
+			h.runUntil(h.now + 100*time.Millisecond + 2*sweepInterval)
+		}
+		if conn.closed == completes {
+			t.Fatalf("completes %v: closed %v", completes, conn.closed)
+		}
+	}
+}
+
 func TestIdleClientsAreEvicted(t *testing.T) {
 	h := newHarness(t, 1, 256, nil)
 	var idle []*fakeConnection
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -151,7 +151,7 @@
 	MaxOpenQueries int      `yaml:"open"`     // on a connection; default 32
 	MaxMessages    int      `yaml:"messages"` // on a connection in 250ms: calls that start, others; default 128
 	IdleTimeout    Duration `yaml:"idle"`     // of a connection without an open query; default 6s
-	MessageTimeout Duration `yaml:"message"`  // time in which a message must arrive completely; default 2s
+	MessageTimeout Duration `yaml:"message"`  // for a message to arrive while no call is open; default 2s
 }
 
 // Fairness configures the fair queue, which decides whose query starts next.
