--- a/internal/enginehttp/engines_test.go
+++ b/internal/enginehttp/engines_test.go
@@ -49,7 +49,9 @@
 	answer := func(status int, fields, body string) string {
 		return fmt.Sprintf("HTTP/1.1 %d Some words\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
 	}
-	failed, rejected, neverSent := fmt.Sprintf("ends %d", scheduler.Failed), fmt.Sprintf("ends %d", scheduler.Rejected), fmt.Sprintf("ends %d", scheduler.NeverSent)
+	failed := fmt.Sprintf("ends %d", scheduler.Failed)
+	rejected := fmt.Sprintf("ends %d", scheduler.Rejected)
+	neverSent := fmt.Sprintf("ends %d", scheduler.NeverSent)
 	for _, c := range []struct {
 		page       int
 		text, want string
@@ -127,25 +129,29 @@
 		}
 	}
 	// A line break in an id must not start another header.
-	if got := string(AppendSubmit(nil, "h", "a\r\nPool-Rank: 3", "g", "", 0, 0, 1, nil)); strings.Count(got, "\r\nPool-Rank") != 1 {
+	got := string(AppendSubmit(nil, "h", "a\r\nPool-Rank: 3", "g", "", 0, 0, 1, nil))
+	if strings.Count(got, "\r\nPool-Rank") != 1 {
 		t.Errorf("%q", got)
 	}
-	if load := ParseLoadReport(func(string) string { return "inflight:-3;util:NaN;outstanding:;utilization:Inf" }); len(load) != 0 {
+	load := ParseLoadReport(func(string) string { return "inflight:-3;util:NaN;outstanding:;utilization:Inf" })
+	if len(load) != 0 {
 		t.Error(load)
 	}
-	load := ParseLoadReport(func(string) string { return "inflight:7; util:0.61;new:1;bad" })
+	load = ParseLoadReport(func(string) string { return "inflight:7; util:0.61;new:1;bad" })
 	if len(load) != 2 || load["held"] != 7 || load["cores"] != 0.61 {
 		t.Error(load)
 	}
 }
 
 func TestRefusesResponsesToOtherRequests(t *testing.T) {
-	none, rows := func(string) string { return "" }, func(name string) string { return map[string]string{"Chunks": "1"}[name] }
-	if IsCommandResponse(200, rows, nil) || IsCommandResponse(202, none, nil) || !IsCommandResponse(204, none, nil) || !IsCommandResponse(500, none, nil) {
+	none := func(string) string { return "" }
+	rows := func(name string) string { return map[string]string{"Chunks": "1"}[name] }
+	if IsCommandResponse(200, rows, nil) || IsCommandResponse(202, none, nil) ||
+		!IsCommandResponse(204, none, nil) || !IsCommandResponse(500, none, nil) {
 		t.Error("a poll's response was accepted for a cancellation")
 	}
-	if IsProbeResponse(200, rows, nil) || IsProbeResponse(202, none, nil) || IsProbeResponse(204, none, nil) || !IsProbeResponse(200, none, nil) ||
-		!IsProbeResponse(503, none, nil) {
+	if IsProbeResponse(200, rows, nil) || IsProbeResponse(202, none, nil) || IsProbeResponse(204, none, nil) ||
+		!IsProbeResponse(200, none, nil) || !IsProbeResponse(503, none, nil) {
 		t.Error("a poll's response was accepted for a probe")
 	}
 }
--- a/internal/enginehttp/http.go
+++ b/internal/enginehttp/http.go
@@ -38,50 +38,81 @@
 		}
 		return 0, false, nil
 	}
-	statusLine, headers, _ := bytes.Cut(data[:end], []byte("\r\n"))
-	if len(statusLine) < 12 || !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) || statusLine[8] != ' ' ||
-		len(statusLine) > 12 && statusLine[12] != ' ' {
-		return 0, false, errInvalidResponse
+	head, err := parseHead(data[:end])
+	if err != nil {
+		return 0, false, err
 	}
-	status, err := strconv.Atoi(string(statusLine[9:12]))
+	bodyStart := end + len("\r\n\r\n")
+	body, length, complete, err := head.readBody(data[bodyStart:], maxBytes)
+	if err != nil || !complete {
+		return 0, false, err
+	}
+	consumed := bodyStart + length
+	if head.status < 200 {
+		return consumed, true, nil // an interim response; the final one follows
+	}
+	handle(head.status, head.field, body)
+	return consumed, head.keepsAlive(), nil
+}
+
+// responseHead is the status line and the headers of a response.
+type responseHead struct {
+	status       int
+	minorVersion byte // of HTTP/1, as a digit
+	headers      []byte
+}
+
+// parseHead parses a status line and headers, without the empty line behind them.
+func parseHead(data []byte) (responseHead, error) {
+	const statusAt, statusEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
+	statusLine, headers, _ := bytes.Cut(data, []byte("\r\n"))
+	if len(statusLine) < statusEnd || !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) ||
+		statusLine[statusAt-1] != ' ' || len(statusLine) > statusEnd && statusLine[statusEnd] != ' ' {
+		return responseHead{}, errInvalidResponse
+	}
+	status, err := strconv.Atoi(string(statusLine[statusAt:statusEnd]))
 	if err != nil || status < 100 {
-		return 0, false, errInvalidResponse
+		return responseHead{}, errInvalidResponse
 	}
-	for l := range bytes.SplitSeq(headers, []byte("\r\n")) {
-		if len(headers) > 0 && bytes.IndexByte(l, ':') <= 0 {
-			return 0, false, errInvalidResponse
+	for line := range bytes.SplitSeq(headers, []byte("\r\n")) {
+		if len(headers) > 0 && bytes.IndexByte(line, ':') <= 0 {
+			return responseHead{}, errInvalidResponse
 		}
 	}
-	field := func(name string) string { return headerValue(headers, name) }
-	length := 0
-	body, consumed := []byte(nil), end+4
-	if l := field("Transfer-Encoding"); l != "" {
-		if !strings.EqualFold(l, "chunked") {
-			return 0, false, errInvalidResponse
-		}
-		if body, length, err = readChunkedBody(data[consumed:], maxBytes); err != nil || length == 0 {
-			return 0, false, err
-		}
-	} else if l := field("Content-Length"); l != "" {
-		if length, err = strconv.Atoi(l); err != nil || length < 0 || length > maxBytes {
-			return 0, false, errInvalidResponse
+	return responseHead{status: status, minorVersion: statusLine[statusAt-2], headers: headers}, nil
+}
+
+// field returns the value of a header, "" if there is none.
+func (h responseHead) field(name string) string { return headerValue(h.headers, name) }
+
+// keepsAlive reports whether the connection may carry another request after the response.
+func (h responseHead) keepsAlive() bool {
+	return h.minorVersion == '1' && !strings.EqualFold(h.field("Connection"), "close")
+}
+
+// readBody returns the body at the start of data and the number of its encoded bytes. A body whose length the
+// headers don't tell is an error, as one that ends with the connection can't be told from a truncated one.
+func (h responseHead) readBody(data []byte, maxBytes int) (
+	body []byte, length int, complete bool, err error) {
+	if coding := h.field("Transfer-Encoding"); coding != "" {
+		if !strings.EqualFold(coding, "chunked") {
+			return nil, 0, false, errInvalidResponse
 		}
-	} else if status != 204 && status != 304 && status >= 200 {
-		// A body that ends with the connection can't be told from a truncated one.
-		return 0, false, errInvalidResponse
-	}
-	if consumed += length; len(data) < consumed {
-		return 0, false, nil
+		body, length, err = readChunkedBody(data, maxBytes)
+		return body, length, length > 0, err
 	}
-	if body == nil {
-		body = data[end+4 : consumed]
+	if text := h.field("Content-Length"); text != "" {
+		length, err = strconv.Atoi(text)
+		if err != nil || length < 0 || length > maxBytes {
+			return nil, 0, false, errInvalidResponse
+		}
+	} else if h.status != 204 && h.status != 304 && h.status >= 200 {
+		return nil, 0, false, errInvalidResponse
 	}
-	if status < 200 {
-		return consumed, true, nil // an interim response; the final one follows
+	if len(data) < length {
+		return nil, 0, false, nil
 	}
-	keepAlive := statusLine[7] == '1' && !bytes.EqualFold([]byte(field("Connection")), []byte("close"))
-	handle(status, field, body)
-	return consumed, keepAlive, nil
+	return data[:length], length, true, nil
 }
 
 // readChunkedBody joins the chunks of a body. It returns the number of encoded bytes, 0 if the body is
