--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -57,6 +57,7 @@
 func (cl *client) readMessages() {
 	readAny := false
 	for !cl.connection.closed {
+		cl.messageCost = 1
 		if cl.skipped != nil {
 			if !cl.discardSkipped() {
 				return
@@ -65,7 +66,6 @@
 			readAny = true
 			continue
 		}
-		cl.messageCost = 1
 		n, err := msgpackrpc.Read(cl.connection.Received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
 		if err != nil {
 			cl.counters.malformed++
