--- a/internal/controller/buffer_memory.go
+++ b/internal/controller/buffer_memory.go
@@ -14,10 +14,12 @@
 // deferred; the controller may use no other client's buffer now. Buffers up to the size that every connection
 // may keep do not count.
 func (c *Controller) reclaimBufferMemory(receiver *Connection) {
-	if c.bufferedBytes-c.closingBufferBytes() <= c.maxBufferedBytes {
+	use := c.measureBuffers()
+	if c.bufferedBytes-use.closing <= c.maxBufferedBytes {
 		return
 	}
-	c.logBufferUse()
+	c.logMessage(infoLevel, fmt.Sprintf("buffer memory is full: %d of %d bytes, clients %d, engines %d",
+		c.bufferedBytes, c.maxBufferedBytes, use.clients, use.engines))
 	largest := bytebuf.MaxIdleCapacity
 	free := func() { c.disconnectReceiver(receiver) }
 	consider := func(conn *Connection, release func()) {
@@ -30,7 +32,7 @@
 		switch {
 		case cl.messageStartedAt < 0:
 		case !cl.hasOpenCalls():
-			consider(cl.connection, func() { cl.disconnectForBufferMemory() })
+			consider(cl.connection, cl.disconnectForBufferMemory)
 		case cl.connection == receiver && cl.isSendingStatement():
 			consider(cl.connection, cl.skipQuery)
 		}
@@ -41,21 +43,6 @@
 	free()
 }
 
-// closingBufferBytes returns the bytes in buffers of connections that are being closed, which are free soon.
-func (c *Controller) closingBufferBytes() (bytes int) {
-	for _, cl := range c.clients {
-		if cl.connection.closed {
-			bytes += cl.connection.bufferBytes
-		}
-	}
-	for _, ec := range c.pool.connections {
-		if ec.connection.closed {
-			bytes += ec.connection.bufferBytes
-		}
-	}
-	return bytes
-}
-
 // disconnectReceiver closes the client connection that has just received bytes of a message that can't be
 // skipped.
 func (c *Controller) disconnectReceiver(receiver *Connection) {
@@ -79,17 +66,31 @@
 	c.closeEngineConnection(ec)
 }
 
-// logBufferUse logs which side holds the memory of the buffers.
-func (c *Controller) logBufferUse() {
-	ofClients, ofEngines := 0, 0
+// bufferUse is the memory of buffers in bytes.
+type bufferUse struct {
+	clients, engines int
+	closing          int // of these, of connections that are being closed: free soon
+}
+
+// measureBuffers returns the use of memory by the buffers of clients and engines.
+func (c *Controller) measureBuffers() (use bufferUse) {
 	for _, cl := range c.clients {
-		ofClients += cl.connection.bufferBytes
+		use.clients += cl.connection.bufferBytes
+		use.closing += cl.connection.closingBytes()
 	}
 	for _, ec := range c.pool.connections {
-		ofEngines += ec.connection.bufferBytes
+		use.engines += ec.connection.bufferBytes
+		use.closing += ec.connection.closingBytes()
 	}
-	c.logMessage(infoLevel, fmt.Sprintf("buffer memory is full: %d of %d bytes, clients %d, engines %d",
-		c.bufferedBytes, c.maxBufferedBytes, ofClients, ofEngines))
+	return use
+}
+
+// closingBytes returns the size of the buffer if the connection is being closed.
+func (conn *Connection) closingBytes() int {
+	if conn.closed {
+		return conn.bufferBytes
+	}
+	return 0
 }
 
 // skippedQuery is a query whose statement is discarded as it arrives. It is deferred once it is complete.
--- a/internal/controller/buffer_memory_test.go
+++ b/internal/controller/buffer_memory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,18 +10,10 @@
 
 // longLoad returns a load with a statement of the given size, and its message, of which nothing is sent yet.
 func (h *harness) longLoad(conn *fakeConnection, statementBytes int) (*sentQuery, []byte) {
-	conn.messageCount++
-	id := fmt.Sprintf("%016x", len(h.queries)+1)
-	load := &sentQuery{id: id, group: "load", key: "long" + id, messageID: conn.messageCount, connection: conn,
-		deadline: h.now + 20*time.Second}
-	h.queries = append(h.queries, load)
-	message := append([]byte{0x94, 0, byte(load.messageID)}, fixstr("load")...)
-	message = append(message, 0x92, 0x83)
-	for _, field := range []string{"trace", id, "patience", "20000", "entity", load.key} {
-		message = append(message, fixstr(field)...)
-	}
-	message = binary.BigEndian.AppendUint16(append(message, 0xc5), uint16(statementBytes))
-	return load, append(message, strings.Repeat("x", statementBytes)...)
+	before := h.statement
+	defer func() { h.statement = before }()
+	h.statement = strings.Repeat("x", statementBytes)
+	return h.newQuery(conn, "load", fmt.Sprintf("long%d", len(h.queries)), 20*time.Second, 0)
 }
 
 // clientsWithOpenLoads connects clients that each have a load running at an engine.
@@ -77,8 +68,44 @@
 	}
 }
 
-// While the buffers are full, a query is deferred in place of closing a connection with open calls, and
-// neither an engine's connection that is being closed nor its memory costs another one its connection.
+// A buffer of a connection to an engine goes before those of clients with open calls, and while its
+// connection is being closed, its memory costs no other connection. Each read until its end was known closed
+// one more.
+func TestFullBuffersCloseOneEngineConnection(t *testing.T) {
+	const partialAnswer = "HTTP/1.1 200 x\r\nChunks: 1\r\nContent-Length: 60000\r\n\r\n"
+	h := newHarness(t, 1, 256, nil)
+	h.controller.maxBufferedBytes = 180 << 10
+	clients, loads := clientsWithOpenLoads(h, 2)
+	for _, conn := range clients {
+		_, message := h.longLoad(conn, 40000)
+		h.receive(conn, message[:30000])
+	}
+	reader := h.connect()
+	var calls []*pendingCall
+	for range 2 {
+		lookup := h.sendQuery(reader, "lookup", "", 5*time.Second, 1)
+		calls = append(calls, h.waitForCall("POST", lookup.id))
+	}
+	h.holdsCloses = true
+	for _, call := range calls {
+		h.receive(call.connection, []byte(partialAnswer+strings.Repeat("x", 40000)))
+	}
+	for range 3 { // the end of the connection isn't known yet
+		h.receive(calls[1].connection, []byte("x"))
+		h.cancel(h.sendQuery(reader, "lookup", "", 5*time.Second, 1))
+	}
+	if !calls[0].connection.closed || calls[1].connection.closed {
+		t.Fatalf("connections to the engine closed: %v and %v, want only the first",
+			calls[0].connection.closed, calls[1].connection.closed)
+	}
+	for i, conn := range clients {
+		if conn.closed || loads[i].answer != "" || h.controller.counters.deferred > 0 {
+			t.Fatalf("client %d: closed %v, its load's answer %q", i, conn.closed, loads[i].answer)
+		}
+	}
+}
+
+// While the buffers are full, a query is deferred in place of closing a connection with open calls.
 func TestFullBuffersDeferQueriesOfClientsWithOpenCalls(t *testing.T) {
 	h := newHarness(t, 1, 256, nil)
 	h.controller.maxBufferedBytes = 200 << 10
@@ -113,3 +140,21 @@
 		t.Fatal("the buffers never exceeded their limit, so the test proves nothing")
 	}
 }
+
+// A query whose statement is discarded has to arrive in time like any other, once no call is open.
+func TestDiscardedQueryMustArriveInTime(t *testing.T) {
+	h := newHarness(t, 1, 256, nil)
+	h.controller.maxBufferedBytes = 30 << 10
+	clients, loads := clientsWithOpenLoads(h, 1)
+	query, message := h.longLoad(clients[0], 60000)
+	h.receive(clients[0], message[:50000])
+	if h.controller.bufferedBytes > 30<<10 {
+		t.Fatal("the statement was not discarded, so the test proves nothing")
+	}
+	h.finish("GET", loads[0])
+	query.cancelled = true // never sent completely
+	h.runUntil(h.now + messageTimeout + 2*sweepInterval)
+	if !clients[0].closed {
+		t.Fatal("not disconnected although its message didn't arrive in time")
+	}
+}
--- a/internal/controller/call_pacer.go
+++ b/internal/controller/call_pacer.go
@@ -19,6 +19,13 @@
 	return max(0, p.nextStart-now-sweepInterval)
 }
 
+// paceCall returns how long an accepted call has to wait for the pace of its connection. The call doesn't
+// count towards MaxMessagesPerSweep, since MaxOpenQueries limits how many are accepted.
+func (cl *client) paceCall() time.Duration {
+	cl.messageCost = 0
+	return cl.pacer.delay(cl.now, cl.limits)
+}
+
 // maxPacedShare is the part of a query's timeout that the pacer may take, as a divisor.
 const maxPacedShare = 4
 
@@ -26,7 +33,7 @@
 // the order of its key does not wait: one that came later on another connection could pass it.
 func (cl *client) dispatchPaced(q *query, call *queryCall) {
 	from := call.from
-	delay := min(cl.pacer.delay(cl.now, cl.limits), call.timeout/maxPacedShare)
+	delay := min(cl.paceCall(), call.timeout/maxPacedShare)
 	if delay == 0 || q.key != nil {
 		// dispatch after all received bytes are read: a query that is cancelled in the same read is not sent
 		cl.enqueueCallback(func() { cl.dispatch(q, from) })
--- a/internal/controller/call_pacer_test.go
+++ b/internal/controller/call_pacer_test.go
@@ -10,11 +10,7 @@
 func (h *harness) connectWithLimits(limits ClientLimits) *fakeConnection {
 	limits.Prefixes = []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
 	h.controller.clientLimits = newClientLimitTable([]ClientLimits{limits})
-	conn := &fakeConnection{number: len(h.connections),
-		connection: &Connection{RemoteAddress: netip.MustParseAddr("10.9.9.9")}, isClient: true, established: true}
-	h.connections = append(h.connections, conn)
-	h.step(Event{Kind: ClientAccepted, Connection: conn.connection})
-	return conn
+	return h.connectFrom(netip.MustParseAddr("10.9.9.9"))
 }
 
 // A client that sends each query as soon as fewer than 32 are open keeps its connection. It was once closed
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -58,45 +58,42 @@
 	readAny := false
 	for !cl.connection.closed {
 		cl.messageCost = 1
-		if cl.skipped != nil {
-			if !cl.discardSkipped() {
-				return
-			}
-			cl.messageRead()
-			readAny = true
-			continue
-		}
-		n, err := msgpackrpc.Read(cl.connection.Received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
+		isComplete, err := cl.readMessage()
 		if err != nil {
 			cl.counters.malformed++
 			cl.disconnect(malformedMessage, gracefully)
 			return
 		}
-		if n == 0 {
+		if !isComplete {
 			cl.trackPartialMessage(readAny)
 			return
 		}
 		readAny = true
-		cl.connection.Received.Discard(n)
-		cl.messageRead()
+		cl.hasSentMessage = true
+		cl.idleSince = cl.now
+		cl.messagesSinceSweep += cl.messageCost
+		if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
+			cl.counters.disconnected++
+			cl.disconnect(tooManyMessages, gracefully)
+		}
 	}
 }
 
-// messageRead records that a complete message was handled, and disconnects a client that has sent too many.
-func (cl *client) messageRead() {
-	cl.hasSentMessage = true
-	cl.idleSince = cl.now
-	cl.messagesSinceSweep += cl.messageCost
-	if cl.messagesSinceSweep > cl.limits.MaxMessagesPerSweep {
-		cl.counters.disconnected++
-		cl.disconnect(tooManyMessages, gracefully)
+// readMessage handles the first message received. It returns false if the message is incomplete.
+func (cl *client) readMessage() (bool, error) {
+	if cl.skipped != nil {
+		return cl.discardSkipped(), nil
 	}
+	received := &cl.connection.Received
+	n, err := msgpackrpc.Read(received.Bytes(), cl.maxMessageBytes, cl.messageHandler())
+	received.Discard(n)
+	return n > 0, err
 }
 
 // trackPartialMessage records when the next, still incomplete message began to arrive.
 func (cl *client) trackPartialMessage(readAny bool) {
 	switch {
-	case len(cl.connection.Received.Bytes()) == 0:
+	case cl.skipped == nil && len(cl.connection.Received.Bytes()) == 0:
 		cl.messageStartedAt = -1
 	case readAny || cl.messageStartedAt < 0:
 		cl.messageStartedAt = cl.now
--- a/internal/controller/client_calls.go
+++ b/internal/controller/client_calls.go
@@ -47,7 +47,6 @@
 	case "":
 		rc.query = q
 		cl.calls = append(cl.calls, rc)
-		cl.messageCost = 0 // its number is limited by MaxOpenQueries
 		cl.dispatchPaced(q, call)
 	case statementMemoryFull:
 		// a memory shortage is not the client's error: as a bad call it could close the connection
--- a/internal/controller/connection_pool.go
+++ b/internal/controller/connection_pool.go
@@ -98,17 +98,29 @@
 //     health check. A query is often sent to an engine right after a health check, and would otherwise
 //     need a second connection.
 func (c *Controller) mayCarry(ec *engineConnection, request *call) bool {
-	rest := c.now - ec.idleSince
-	if request.attempt == nil {
-		return rest >= connectionReuseDelay
-	}
-	if rest >= request.attempt.connectionRest() {
+	if c.now-ec.idleSince >= ec.restBefore(request) {
 		return true
 	}
-	confirmsCancel := ec.changedPriority && request.method == "DELETE"
+	if request.attempt == nil {
+		return false
+	}
+	confirmsCancel := ec.lastMethod == "PUT" && request.method == "DELETE"
 	return ec.lastAttempt == request.attempt && !confirmsCancel || ec.healthChecked
 }
 
+// restBefore returns how long a connection must have been idle before it carries any call. The answers to
+// commands look alike, so that a late duplicate can't be recognised as it can among results.
+func (ec *engineConnection) restBefore(request *call) time.Duration {
+	avoidsDuplicates := request.attempt != nil && request.attempt.avoidsDuplicates
+	if avoidsDuplicates || isCommand(ec.lastMethod) && isCommand(request.method) {
+		return duplicateWindow
+	}
+	return connectionReuseDelay
+}
+
+// isCommand reports whether a call with a method changes a priority or cancels an attempt.
+func isCommand(method string) bool { return method == "PUT" || method == "DELETE" }
+
 // isIdleTooLong reports whether the engine may close an idle connection at any moment.
 func (c *Controller) isIdleTooLong(ec *engineConnection) bool {
 	return c.now-ec.idleSince > c.engineIdleTimeout*3/4
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -13,8 +13,8 @@
 // which requests all events after lastEvent. One that misses a heartbeat is kept beside the new one for a
 // while: its messages may be late.
 type discoveryWatch struct {
-	connection *Connection   // the latest one, nil if none is open or being dialled
-	silent     []*Connection // earlier ones that missed a heartbeat and are still read, the oldest first
+	connection *Connection       // the latest one, nil if none is open or being dialled
+	silent     []silentDiscovery // earlier ones that are still read, the oldest first
 	retryDelay time.Duration
 
 	lastEvent int64 // number of the last applied event
--- a/internal/controller/discovery_silence.go
+++ b/internal/controller/discovery_silence.go
@@ -1,6 +1,9 @@
 package controller
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// discoverySilenceLimit is how long a silent connection is kept. Later messages come after their time: an
@@ -32,20 +35,35 @@
 	})
 }
 
+// silentDiscovery is a connection that missed a heartbeat.
+type silentDiscovery struct {
+	connection *Connection
+	closeAt    time.Duration
+}
+
 // keepSilentDiscovery keeps a connection that missed a heartbeat while others are dialled. Its messages may
 // only be late, and would be as late on a new connection. The oldest connection is kept for longest, as its
 // late messages come first.
 func (c *Controller) keepSilentDiscovery(conn *Connection) {
 	d := &c.discovery
-	d.silent = append(d.silent, conn)
+	closeAt := d.connectionActiveAt + discoverySilenceLimit
+	d.silent = append(d.silent, silentDiscovery{conn, closeAt})
 	if len(d.silent) > maxSilentDiscoveries {
-		c.closeConnection(d.silent[1], immediately)
+		c.closeConnection(d.silent[1].connection, immediately)
 		d.silent = slices.Delete(d.silent, 1, 2)
 	}
-	c.runAt(d.connectionActiveAt+discoverySilenceLimit, func() {
-		if c.removeSilentDiscovery(conn) {
-			c.closeConnection(conn, immediately)
+	c.runAt(closeAt, c.closeOverdueDiscovery)
+}
+
+// closeOverdueDiscovery closes the silent connections whose late messages are no longer waited for.
+func (c *Controller) closeOverdueDiscovery() {
+	d := &c.discovery
+	d.silent = slices.DeleteFunc(d.silent, func(x silentDiscovery) bool {
+		isOverdue := c.now >= x.closeAt
+		if isOverdue {
+			c.closeConnection(x.connection, immediately)
 		}
+		return isOverdue
 	})
 }
 
@@ -64,19 +82,15 @@
 
 // closeSilentDiscovery closes the silent connections.
 func (c *Controller) closeSilentDiscovery() {
-	for _, conn := range c.discovery.silent {
-		c.closeConnection(conn, immediately)
+	for _, x := range c.discovery.silent {
+		c.closeConnection(x.connection, immediately)
 	}
 	c.discovery.silent = nil
 }
 
-// removeSilentDiscovery removes a connection from the silent ones. It returns false if it is none of them.
-func (c *Controller) removeSilentDiscovery(conn *Connection) bool {
+// removeSilentDiscovery removes a connection from the silent ones, if it is one of them.
+func (c *Controller) removeSilentDiscovery(conn *Connection) {
 	d := &c.discovery
-	i := slices.Index(d.silent, conn)
-	if i < 0 {
-		return false
-	}
-	d.silent = slices.Delete(d.silent, i, i+1)
-	return true
+	isThis := func(x silentDiscovery) bool { return x.connection == conn }
+	d.silent = slices.DeleteFunc(d.silent, isThis)
 }
--- a/internal/controller/discovery_silence_test.go
+++ b/internal/controller/discovery_silence_test.go
@@ -65,15 +65,6 @@
 	}
 }
 
-func (d *lateDiscovery) openLinks() (open int) {
-	for conn := range d.links {
-		if !conn.closed {
-			open++
-		}
-	}
-	return open
-}
-
 // A drain is applied while all that the discovery sends is late, for as long as the protocol has it count
 // as delivered only later. Each connection was once closed after 1.25 s without a line, before its first
 // arrived.
@@ -99,13 +90,14 @@
 				if h.now > told+delay+50*time.Millisecond {
 					t.Fatalf("reset %v: a drain that comes %v late isn't applied after %v", reset, delay, h.now-told)
 				}
-				if open := d.openLinks(); open > maxSilentDiscoveries+1 {
+				if open := len(h.openDiscoveries()); open > maxSilentDiscoveries+1 {
 					t.Fatalf("%d connections to the discovery", open)
 				}
 			}
 			d.delay = 0
-			if d.runUntil(h.now + 3*time.Second); d.openLinks() != 1 {
-				t.Fatalf("%d connections to the discovery once it is quick again, want 1", d.openLinks())
+			d.runUntil(h.now + 3*time.Second)
+			if open := len(h.openDiscoveries()); open != 1 {
+				t.Fatalf("%d connections to the discovery once it is quick again, want 1", open)
 			}
 		}
 	}
@@ -125,8 +117,47 @@
 	if !first.closed {
 		t.Fatal("a connection that fell silent for good is still open")
 	}
+	before := h.openDiscoveries()
+	if len(before) < 2 {
+		t.Fatal("no silent connection is open, so the test proves nothing")
+	}
 	h.step(Event{Kind: ConfigurationReloaded, DiscoveryAddress: "another"})
-	if len(h.controller.discovery.silent) > 0 {
-		t.Fatal("silent connections to the address before are kept")
+	for _, conn := range before {
+		if !conn.closed {
+			t.Fatal("a connection to the address before is kept")
+		}
+	}
+}
+
+// openDiscoveries returns the open connections to the discovery.
+func (h *harness) openDiscoveries() (open []*fakeConnection) {
+	for _, conn := range h.connections {
+		if conn.address == "feed" && conn.established && !conn.closed {
+			open = append(open, conn)
+		}
+	}
+	return open
+}
+
+// The time of a connection that fell silent, was heard again and fell silent once more counts from when it
+// was last heard.
+func TestResumedDiscoveryIsKeptForItsWholeTime(t *testing.T) {
+	h := newHarness(t, 1, 256, nil)
+	h.runUntil(10 * time.Millisecond)
+	h.discoverySilent = true
+	first := h.discovery
+	h.runUntil(h.now + 2*time.Second)
+	for range 3 {
+		h.receive(first, []byte("1\n"))
+		h.runUntil(h.now + time.Second)
+	}
+	heardAt := h.now - time.Second
+	h.runUntil(heardAt + discoverySilenceLimit - 50*time.Millisecond)
+	if first.closed {
+		t.Fatalf("closed %v or less after it was last heard", h.now-heardAt)
+	}
+	h.runUntil(h.now + 100*time.Millisecond)
+	if !first.closed {
+		t.Fatal("still open after its time")
 	}
 }
--- a/internal/controller/duplicate_result.go
+++ b/internal/controller/duplicate_result.go
@@ -50,11 +50,3 @@
 	c.closeEngineConnection(ec)
 	c.failCall(ec, callMalformedResponse)
 }
-
-// connectionRest returns how long a connection must have been idle before it carries a call of the attempt.
-func (a *attempt) connectionRest() time.Duration {
-	if a.avoidsDuplicates {
-		return duplicateWindow
-	}
-	return connectionReuseDelay
-}
--- a/internal/controller/engine_connection.go
+++ b/internal/controller/engine_connection.go
@@ -20,11 +20,11 @@
 	lastWritten *call
 
 	// decide which call the connection may carry next, see mayCarry
-	idleSince       time.Duration
-	lastAttempt     *attempt // of the last call
-	changedPriority bool     // the last call changed a priority
-	healthChecked   bool     // the last call was a successful health check
-	recentResults   recentResults
+	idleSince     time.Duration
+	lastAttempt   *attempt // of the last call
+	lastMethod    string   // of the last call
+	healthChecked bool     // the last call was a successful health check
+	recentResults recentResults
 }
 
 func (ec *engineConnection) isIdle() bool {
@@ -123,7 +123,7 @@
 	ec.lastWritten = request
 	ec.lastAttempt = request.attempt
 	ec.healthChecked = false
-	ec.changedPriority = request.method == "PUT"
+	ec.lastMethod = request.method
 	if request.attempt != nil && request.extendsRetention {
 		request.attempt.callsInFlight++
 	}
--- a/internal/controller/fair_queue_test.go
+++ b/internal/controller/fair_queue_test.go
@@ -59,10 +59,7 @@
 	s.controller.clientLimits = newClientLimitTable(
 		[]ClientLimits{{Prefixes: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}, MaxMessagesPerSweep: 5000,
 			MaxOpenQueries: 500}})
-	c := &fakeConnection{number: len(s.connections),
-		connection: &Connection{RemoteAddress: netip.MustParseAddr("10.9.9.9")}, isClient: true, established: true}
-	s.connections = append(s.connections, c)
-	s.step(Event{Kind: ClientAccepted, Connection: c.connection})
+	c := s.connectFrom(netip.MustParseAddr("10.9.9.9"))
 	var p []byte
 	for range 10 * maxMessagesPerSweep {
 		p = append(p, "\x94\x00\x01\xa5alive\x91\x80"...)
@@ -79,10 +76,7 @@
 		&fairqueue.Config{Tenants: []fairqueue.Tenant{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}},
 			TrustedAddresses: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}},
 		FieldNames{Tenant: "team", NotifyWait: "tell", RepeatOf: "first"})
-	c := &fakeConnection{number: len(s.connections),
-		connection: &Connection{RemoteAddress: netip.MustParseAddr("10.0.0.1")}, isClient: true, established: true}
-	s.connections = append(s.connections, c)
-	s.step(Event{Kind: ClientAccepted, Connection: c.connection})
+	c := s.connectFrom(netip.MustParseAddr("10.0.0.1"))
 	c.messageCount++
 	a := &sentQuery{id: "00000000000000aa", group: "lookup", messageID: 1, connection: c, deadline: time.Minute}
 	s.queries = append(s.queries, a)
--- a/internal/controller/harness_clients_test.go
+++ b/internal/controller/harness_clients_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"time"
 )
@@ -57,9 +59,12 @@
 }
 
 // connect opens a client connection.
-func (h *harness) connect() *fakeConnection {
-	conn := &fakeConnection{number: len(h.connections), connection: &Connection{}, isClient: true,
-		established: true}
+func (h *harness) connect() *fakeConnection { return h.connectFrom(netip.Addr{}) }
+
+// connectFrom opens a client connection from an address.
+func (h *harness) connectFrom(address netip.Addr) *fakeConnection {
+	conn := &fakeConnection{number: len(h.connections), connection: &Connection{RemoteAddress: address},
+		isClient: true, established: true}
 	h.connections = append(h.connections, conn)
 	h.step(Event{Kind: ClientAccepted, Connection: conn.connection})
 	return conn
@@ -80,6 +85,14 @@
 // sendQuery sends a query on a client connection.
 func (h *harness) sendQuery(conn *fakeConnection, group, key string, timeout time.Duration, tables int,
 	more ...string) *sentQuery {
+	query, message := h.newQuery(conn, group, key, timeout, tables, more...)
+	h.receive(conn, message)
+	return query
+}
+
+// newQuery returns a query and its message, of which nothing is sent yet.
+func (h *harness) newQuery(conn *fakeConnection, group, key string, timeout time.Duration, tables int,
+	more ...string) (*sentQuery, []byte) {
 	conn.messageCount++
 	query := &sentQuery{id: fmt.Sprintf("%016x", len(h.queries)+1), group: group, key: key,
 		messageID: conn.messageCount, connection: conn, deadline: h.now + timeout}
@@ -95,8 +108,8 @@
 		data = append(data, fixstr(field)...)
 	}
 	body := cmp.Or(h.statement, "SELECT * FROM sales_"+strconv.Itoa(tables)+".orders")
-	h.receive(conn, append(append(data, 0xc4, byte(len(body))), body...))
-	return query
+	data = binary.BigEndian.AppendUint16(append(data, 0xc5), uint16(len(body)))
+	return query, append(data, body...)
 }
 
 // cancel cancels an open query.
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -42,6 +42,7 @@
 	maxDescriptors     int
 	statement          string  // statement of the next queries, "": a SELECT
 	pendingEvents      []Event // reported next by the runner
+	holdsCloses        bool    // ConnectionClosed is reported only after a while
 
 	// for controllers with peers
 	reports           []fleet.Report
@@ -226,7 +227,9 @@
 		conn.closed = true
 		h.pendingCalls = slices.DeleteFunc(h.pendingCalls,
 			func(call *pendingCall) bool { return call.connection == conn })
-		h.pendingEvents = append(h.pendingEvents, Event{Kind: ConnectionClosed, Connection: conn.connection})
+		if !h.holdsCloses {
+			h.pendingEvents = append(h.pendingEvents, Event{Kind: ConnectionClosed, Connection: conn.connection})
+		}
 	}
 }
 
--- a/internal/controller/result_paging.go
+++ b/internal/controller/result_paging.go
@@ -266,8 +266,7 @@
 		return
 	}
 	cl.pageReads++
-	cl.messageCost = 0 // its number is limited by MaxOpenQueries
-	delay := cl.pacer.delay(cl.now, cl.limits)
+	delay := cl.paceCall()
 	if delay == 0 {
 		cl.readPage(msg, token, number, fields)
 		return
--- a/internal/controller/result_paging_test.go
+++ b/internal/controller/result_paging_test.go
@@ -478,8 +478,6 @@
 	s.checkEnd()
 }
 
-// A page token must be valid only for the tenant that it was issued to, and the work of a spooled query
-// must be charged to its tenant.
 // A client that reads pages as fast as they come keeps its connection. It was once closed at its 129th
 // message in 250 ms.
 func TestQuickPageReaderKeepsItsConnection(t *testing.T) {
@@ -516,6 +514,8 @@
 	s.checkEnd()
 }
 
+// A page token must be valid only for the tenant that it was issued to, and the work of a spooled query
+// must be charged to its tenant.
 func TestPageTokensAndChargesAreByTenant(t *testing.T) {
 	d := disk.New()
 	tenants := &fairqueue.Config{Tenants: bench.DefaultTenants(), TrustedAddresses: bench.ClientPrefixes}
