A page with the length 0 and its rows behind it is no empty page

Cause: readResponse took bytes behind an answer for a wrong length only if the answer had a body, and IsQueryResponse took an empty body for a page. Evidence: with the lengths 5 and 900 nothing was served; each wrong answer lacks exactly the spoilt pages. Change: bytes behind any result make it invalid, so that it is asked for again elsewhere; of several pages none is empty; a result of one page without rows must be reported twice, since its rows may come in a later read and would then make the second report invalid.

--- a/cmd/railrelay/main_test.go
+++ b/cmd/railrelay/main_test.go
@@ -394,6 +394,7 @@
 		func(string) string { return "\x00\x01 noise \r\n\r\n" },
 		func(id string) string { return whole(id, 3_000_000_000) },
 		func(id string) string { return whole(id, 900) },
+		func(id string) string { return whole(id, 0) },
 		func(id string) string { return whole(id, 5) },
 		func(id string) string { return whole(id, len(page(id)))[:30] },
 		func(id string) string {
--- a/internal/controller/attempt.go
+++ b/internal/controller/attempt.go
@@ -66,8 +66,10 @@
 	pages     [][]byte
 	pageCount int // pages of the whole result
 	pageBytes int // size of pages
-	work      time.Duration
-	memoryMB  float64
+	// emptyReported is set once the engine has reported a result without rows.
+	emptyReported bool
+	work          time.Duration
+	memoryMB      float64
 
 	// result in the spool
 	result         *spool.Result
--- a/internal/controller/attempt_calls.go
+++ b/internal/controller/attempt_calls.go
@@ -197,9 +197,16 @@
 	h.pages = nil
 }
 
-// Page stores a page of the result, and then polls the next page or ends the attempt.
+// Page stores a page of the result, and then polls the next page or ends the attempt. A result without rows
+// must be reported twice: if its length was wrong, its rows follow the first report and make the second
+// invalid.
 func (h *responseHandler) Page(number, count int, rows []byte) {
 	a := h.attempt
+	if len(rows) == 0 && !a.emptyReported {
+		a.emptyReported = true
+		a.poll(0)
+		return
+	}
 	if a.query.spooled != nil {
 		if number == a.spooledPages && !a.released {
 			a.paging.addPage(a, number, count, rows)
--- a/internal/controller/engine_connection.go
+++ b/internal/controller/engine_connection.go
@@ -180,13 +180,13 @@
 	received := &ec.connection.Received
 	request := ec.call
 	var finish func() // ends the call with the response; nil: the message was an interim response
-	valid, hasBody, isOK, isDuplicate := false, false, false, false
+	valid, isOK, isResult, isDuplicate := false, false, false, false
 	n, keepAlive, err := enginehttp.Read(received.Bytes(), maxResponseBytes,
 		func(status int, field func(string) string, body []byte) {
 			valid = request.validResponse(status, field, body)
-			hasBody = len(body) > 0
 			isOK = status == statusOK
-			if valid && isOK && request.attempt != nil {
+			isResult = isOK && request.attempt != nil
+			if valid && isResult {
 				isDuplicate = ec.recentResults.isDuplicate(c.now, request.attempt.query.id, body)
 			}
 			finish = func() { c.finishCall(request, callAnswered, status, field, body) }
@@ -203,8 +203,8 @@
 		return false
 	}
 	moreBehind := len(received.Bytes()) > 0
-	// bytes after a body mean that its length may be wrong, and that the result may be incomplete
-	if err != nil || !valid || moreBehind && hasBody {
+	// Bytes after a result, even after one without rows, mean that its length may be wrong.
+	if err != nil || !valid || moreBehind && isResult {
 		c.counters.unexpectedMessages++
 		c.closeEngineConnection(ec)
 		c.failCall(ec, callMalformedResponse)
--- a/internal/controller/harness_engines_test.go
+++ b/internal/controller/harness_engines_test.go
@@ -189,9 +189,14 @@
 	return call.method == "POST" || call.method == "GET" && call.id != "" && call.page == 0
 }
 
+// dropCall removes a pending call; the caller answers it.
+func (h *harness) dropCall(call *pendingCall) {
+	h.pendingCalls = slices.DeleteFunc(h.pendingCalls, func(x *pendingCall) bool { return x == call })
+}
+
 // respond answers a pending call in the manner named by how.
 func (h *harness) respond(call *pendingCall, how string) {
-	h.pendingCalls = slices.DeleteFunc(h.pendingCalls, func(x *pendingCall) bool { return x == call })
+	h.dropCall(call)
 	out := func(status int, fields, body string) {
 		h.receive(call.connection,
 			[]byte(fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)))
--- a/internal/enginehttp/engines.go
+++ b/internal/enginehttp/engines.go
@@ -92,13 +92,16 @@
 	case status != 200:
 		return status == 500 || status == 503 || status == 504
 	}
-	name := "Chunks"
+	if !areCompleteRows(body) {
+		return false
+	}
+	hasRows := len(body) > 0
 	if page > 0 {
-		name = "Chunk"
+		number, err := strconv.Atoi(field("Chunk"))
+		return err == nil && number == page && number <= maxPages && hasRows
 	}
-	number, err := strconv.Atoi(field(name))
-	return err == nil && areCompleteRows(body) && number <= maxPages &&
-		(page == 0 && number >= 1 || page > 0 && number == page)
+	count, err := strconv.Atoi(field("Chunks"))
+	return err == nil && count >= 1 && count <= maxPages && (hasRows || count == 1)
 }
 
 // IsCommandResponse reports whether a response answers a change of priority or a cancellation. Engines never
@@ -112,7 +115,7 @@
 	return (status == 200 || status == 503) && field("Chunks") == "" && field("Chunk") == ""
 }
 
-// maxPages limits the pages of a result, each of which has at least one row.
+// maxPages limits the pages of a result. Each of several pages has at least one row.
 const maxPages = 48_000
 
 // parseFigure parses a non-negative number. It rejects NaN and infinity, which would corrupt every mean
--- a/internal/enginehttp/engines_test.go
+++ b/internal/enginehttp/engines_test.go
@@ -71,6 +71,8 @@
 		{1, answer(202, "", ""), "unfit"},
 		{0, answer(200, "", "a\tb\tc\n"), "unfit"},
 		{0, answer(200, "Chunks: 0\r\n", ""), "unfit"},
+		{0, answer(200, "Chunks: 2\r\n", ""), "unfit"}, // each of several pages has rows
+		{1, answer(200, "Chunk: 1\r\n", ""), "unfit"},
 		{0, answer(503, "X-Not-Run: 1\r\n", ""), rejected},
 		{0, answer(503, "", ""), failed},
 		{0, answer(503, "X-Not-Run: 0\r\n", ""), failed},
