Memory stays within its limit under hundreds of slow clients

Operators saw a process pass its memory limit with hundreds of clients that wrote slowly, stopped half way through a large request or sent very many short fields. Evidence (heap profiles and the runtime's figures at the peak): buffers and statements at their limits of 4 MB each, statements in up to four copies on their way, 4.6 MB of stacks, 4.3 MB of the runtime's records, 7.4 MB of code; the runtime's limit of 24 MB was passed by 4 MB. No limit was passed but their sum. Change: buffers, statements and unread answers may take an eighth each of what 12 MB for the program and 4 kB a descriptor leave; the runtime's limit is 12 MB below the memory where that is less than three quarters; a write queue takes its bytes over in place of copying them. An event of the list keeps its eighth of all.

--- a/internal/cli/program.go
+++ b/internal/cli/program.go
@@ -183,10 +183,15 @@
 	return zerolog.New(os.Stderr).Level(minLevel).With().Timestamp().Str("name", name).Logger()
 }
 
-// setRuntimeLimits limits the cores of the program, and its memory to three quarters of memoryMB.
+// minRuntimeMB is the least limit that the Go runtime is given, in MB; below it, it would only collect.
+const minRuntimeMB = 12
+
+// setRuntimeLimits limits the cores of the program, and the Go runtime's memory to three quarters of memoryMB
+// or, with little memory, to what the program itself leaves of it.
 func setRuntimeLimits(cores, memoryMB float64) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
-	debug.SetMemoryLimit(int64(memoryMB * (1 << 20) * 3 / 4))
+	runtimeMB := max(minRuntimeMB, min(memoryMB*3/4, memoryMB-controller.ProgramMB))
+	debug.SetMemoryLimit(int64(runtimeMB * (1 << 20)))
 }
 
 // serveController runs a controller, and its fleet member if it has one, until the controller stops.
--- a/internal/controller/attempt_calls.go
+++ b/internal/controller/attempt_calls.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,6 +46,9 @@
 	return wanted
 }
 
+// submissionHeadBytes is room for the request line and the headers of a submission.
+const submissionHeadBytes = 1 << 10
+
 // encodeSubmission appends the request that submits the query to dst. The caller is about to write the
 // request, so encodeSubmission also records the attempt as sent.
 func (a *attempt) encodeSubmission(dst []byte) []byte {
@@ -56,6 +60,7 @@
 		a.counters.recordFirstByte(a.now - a.query.receivedAt)
 	}
 	q := a.query
+	dst = slices.Grow(dst, len(q.statement)+submissionHeadBytes)
 	return enginehttp.AppendSubmit(dst, a.engine.address, q.id, q.groupName, q.idempotencyKey, a.deadline-a.now,
 		q.memoryGrantMB, a.sentPriority, q.statement)
 }
--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -82,19 +82,32 @@
 	minEngineConnections       = 2
 )
 
-// A message may take a 64th of the memory. The bytes that clients have not read, the statements, and the
-// buffers of all connections may take an eighth each.
+// A message may take a 64th of the memory, and an event of the endpoint list an eighth. The bytes that
+// clients have not read, the statements, and the buffers of all connections may take an eighth each of what
+// the program itself and its connections leave.
 const (
 	megabyte             = 1 << 20
 	messageMemoryDivisor = 64
 	sharedMemoryDivisor  = 8
 
+	// ProgramMB is the resident memory in MB that neither the limits on bytes nor the Go runtime's limit
+	// include: the program's code and the C library, and what the runtime needs to collect.
+	ProgramMB = 12
+	// connectionMemory is for the stacks and records of a connection, without its buffers.
+	connectionMemory = 4 << 10
+
 	minMessageBytes   = 64 << 10
 	minUnreadBytes    = 256 << 10
 	minStatementBytes = 256 << 10
 	minBufferedBytes  = 1 << 20
 )
 
+// sharedMemoryBytes returns how many bytes each use of memory that all clients and engines share may take.
+func (c Config) sharedMemoryBytes() int {
+	left := int((c.MemoryMB-ProgramMB)*megabyte) - c.MaxDescriptors*connectionMemory
+	return left / sharedMemoryDivisor
+}
+
 // settingTrue is the value of a boolean setting that is on.
 const settingTrue = "true"
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -123,9 +123,11 @@
 
 	memory := int(c.MemoryMB * megabyte)
 	c.maxMessageBytes = max(minMessageBytes, memory/messageMemoryDivisor)
-	c.maxUnreadBytes = max(minUnreadBytes, memory/sharedMemoryDivisor)
-	c.maxStatementBytes = max(minStatementBytes, memory/sharedMemoryDivisor)
-	c.maxBufferedBytes = max(minBufferedBytes, memory/sharedMemoryDivisor)
+	c.discovery.maxEventBytes = max(minBufferedBytes, memory/sharedMemoryDivisor)
+	shared := c.sharedMemoryBytes()
+	c.maxUnreadBytes = max(minUnreadBytes, shared)
+	c.maxStatementBytes = max(minStatementBytes, shared)
+	c.maxBufferedBytes = max(minBufferedBytes, shared)
 }
 
 func (c *Controller) initOptionalComponents() {
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -17,6 +17,8 @@
 	silent     []silentDiscovery // earlier ones that are still read, the oldest first
 	retryDelay time.Duration
 
+	maxEventBytes int
+
 	lastEvent int64 // number of the last applied event
 	listed    bool  // at least one event was applied
 	// completeEvent is set while the event being read lists all engines; engines not in it are removed.
@@ -102,14 +104,14 @@
 	d := &c.discovery
 	if d.connection != conn {
 		received := conn.Received.Bytes()
-		if bytes.IndexByte(received, '\n') < 0 && len(received) <= c.maxBufferedBytes {
+		if bytes.IndexByte(received, '\n') < 0 && len(received) <= d.maxEventBytes {
 			return
 		}
 		c.resumeDiscovery(conn)
 	}
 	for !conn.closed {
 		// one event may list all engines, so the limit of a client's message doesn't apply
-		n, err := discovery.Read(conn.Received.Bytes(), c.maxBufferedBytes, c)
+		n, err := discovery.Read(conn.Received.Bytes(), d.maxEventBytes, c)
 		if err != nil && d.unreadableAfter == d.lastEvent && n > 0 {
 			d.skippedLines++
 			conn.Received.Discard(n)
--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -198,7 +198,7 @@
 				conn.close()
 				return
 			}
-			if cap(pending) > 4<<10 { // otherwise hundreds of connections would each keep the memory of a result
+			if cap(pending) > maxIdleWriteBuffer { // or hundreds of connections would each keep the memory of a result
 				pending = nil
 			}
 		case closing:
@@ -228,18 +228,22 @@
 	}
 }
 
-// takeWritable moves the first part of the queue to dst: the bytes under the first condition, or the
-// unconditional bytes before it.
+// maxIdleWriteBuffer is the largest capacity, in bytes, that a write queue keeps while it is empty.
+const maxIdleWriteBuffer = 4 << 10
+
+// takeWritable moves the first part of the queue to dst, which is empty: the bytes under the first condition,
+// or the unconditional bytes before it. The whole queue is exchanged for dst instead of being copied.
 func (c *connection) takeWritable(dst []byte) ([]byte, writeCondition) {
 	var condition writeCondition
 	if c.conditions[0].offset == 0 {
 		condition = c.conditions[0]
 		c.conditions = append(c.conditions[:0], c.conditions[1:]...)
 	}
-	n := len(c.writeQueue)
-	if len(c.conditions) > 0 {
-		n = c.conditions[0].offset
+	if len(c.conditions) == 0 {
+		dst, c.writeQueue = c.writeQueue, dst
+		return dst, condition
 	}
+	n := c.conditions[0].offset
 	dst = append(dst, c.writeQueue[:n]...)
 	c.writeQueue = append(c.writeQueue[:0], c.writeQueue[n:]...)
 	for i := range c.conditions {
@@ -248,14 +252,19 @@
 	return dst, condition
 }
 
-// enqueue appends data to the write queue.
+// enqueue appends data to the write queue, which owns data from then on. Only small data is copied: the
+// statements of many queries may be queued at a time.
 func (c *connection) enqueue(data []byte, condition writeCondition) {
 	c.mu.Lock()
 	if condition.isConditional() || len(c.conditions) > 0 {
 		condition.offset = len(c.writeQueue)
 		c.conditions = append(c.conditions, condition)
 	}
-	c.writeQueue = append(c.writeQueue, data...)
+	if len(c.writeQueue) == 0 && len(data) > maxIdleWriteBuffer {
+		c.writeQueue = data
+	} else {
+		c.writeQueue = append(c.writeQueue, data...)
+	}
 	c.mu.Unlock()
 	c.wakeWriter()
 }
--- a/internal/msgpackrpc/clients.go
+++ b/internal/msgpackrpc/clients.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -269,12 +270,16 @@
 	return func() { h.Cancel(uint32(messageID)) }
 }
 
+// resultFrameBytes is room for everything in the response with a result but its rows.
+const resultFrameBytes = 16
+
 // AppendResult appends the response with the result of a finished query, all its pages concatenated.
 func AppendResult(dst []byte, messageID uint32, pages [][]byte) []byte {
 	size := 0
 	for _, p := range pages {
 		size += len(p)
 	}
+	dst = slices.Grow(dst, size+resultFrameBytes)
 	dst = append(appendUnsigned(append(dst, 0x94, 1), messageID), 0xc0, 0x92)
 	dst = appendBinaryHeader(dst, size)
 	for _, p := range pages {
