A query is sent once all that its client has written is read

Callers saw queries of a client sent on after it had closed its connection with much still unread. Over real processes: a client writes a load and 2 MB behind it and closes while the process stands still for 0.2 s; the load was submitted, later than the 0.1 s after which nothing may begin for a client that has gone. Cause: a write waits while its client has unprocessed input, but hasUnprocessedInput tells of a read that was made; between two reads it is unset, and the end is only seen behind all bytes before it. Evidence: with input that one read takes nothing is sent (TestQueryOfDisconnectedClientIsNotSentAfterPause, before as after). Change: the socket is asked, too (hasPendingInput, a peek of one byte), before the write is queued and again after each read of that client, so that the write follows the last of them.

--- a/internal/eventloop/client_disconnect_test.go
+++ b/internal/eventloop/client_disconnect_test.go
@@ -155,12 +155,14 @@
 		permit := controller.NewWritePermit(time.Hour)
 		l.perform([]controller.Effect{{Kind: controller.Write, Connection: engine.handle, Bytes: []byte("POST"),
 			Permit: permit, Client: client.handle}})
+		l.runDeferredWrites(client) // the controller has processed a part of the input
 		if len(engine.writeQueue) > 0 {
 			t.Fatal("queued before the client's input was processed")
 		}
 		if leaves {
 			permit.Revoke()
 		}
+		client.hasUnprocessedInput.Store(false)
 		l.runDeferredWrites(client)
 		if string(engine.writeQueue) != "POST" || len(engine.conditions) != 1 ||
 			engine.conditions[0].permit != permit {
--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -310,6 +310,28 @@
 	return n, ended
 }
 
+// hasPendingInput reports whether the controller hasn't processed all that the peer has sent: the latest
+// read, bytes in the socket's buffer, or the end of the stream.
+func (c *connection) hasPendingInput() bool {
+	if c.hasUnprocessedInput.Load() {
+		return true
+	}
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return pending
+}
+
 // closeGracefully closes the connection once the queue is written and the peer has closed, and in any
 // case after the timeout: a peer that doesn't read, or is idle, would keep the connection open forever.
 func (c *connection) closeGracefully(timeout time.Duration) {
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -153,9 +153,13 @@
 	return done
 }
 
-// runDeferredWrites makes the writes, mostly to engines, that waited until the controller had processed this
-// client's input.
+// runDeferredWrites makes the writes to engines that wait until the controller has processed this client's
+// input, once none is pending. More than one read may take longer than a query may begin after its client has
+// disconnected.
 func (l *loop) runDeferredWrites(client *connection) {
+	if len(l.deferredWrites[client]) == 0 || client.hasPendingInput() {
+		return
+	}
 	for _, write := range l.deferredWrites[client] {
 		write()
 	}
@@ -239,8 +243,8 @@
 			}
 			condition, bytes := writeCondition{policyVersion: effect.PolicyVersion, confined: effect.Confined,
 				retained: effect.RetainedData && l.servingState != nil, permit: effect.Permit}, effect.Bytes
-			if client := l.connections[effect.Client]; client != nil && client.hasUnprocessedInput.Load() {
-				// The client's pending input, perhaps a cancellation, goes to the controller first.
+			if client := l.connections[effect.Client]; client != nil && client.hasPendingInput() {
+				// The client's pending input, perhaps a cancellation or its end, goes to the controller first.
 				l.deferredWrites[client] = append(l.deferredWrites[client], func() { conn.enqueue(bytes, condition) })
 			} else {
 				conn.enqueue(bytes, condition)
