An id of a load that may have run is refused when it comes again

Callers saw an id run twice when it came again after its client had left. Cause: only the ids of open queries are known (validateCall); the query is forgotten once its submission is given up at the engine, whatever it changed until then. Ids of queries that surely didn't run, are read-only or have an idempotency key may come again.

--- a/cmd/railrelay/leaving_client_test.go
+++ b/cmd/railrelay/leaving_client_test.go
@@ -40,3 +40,24 @@
 		}
 	}
 }
+
+// A client disconnects while its load runs, and comes again with the same id. The load was once submitted a
+// second time as soon as the first was given up.
+func TestLoadOfDisconnectedClientIsNotSubmittedAgain(t *testing.T) {
+	e, f := newControlledEngine(t), newFakeFeed(t)
+	c := start(t, f.Addr().String(), 256, "127.0.0.1:0", entry("e1", e.Addr().String(), "SERVING"))
+	for i, delay := range []time.Duration{0, 50 * time.Millisecond, time.Second} {
+		id := fmt.Sprintf("%04d", i)
+		a := c.client()
+		a.query("load", id, "15000", "k"+id)
+		e.waitForSubmissions(t, id, 1)
+		a.Close()
+		time.Sleep(delay)
+		b := c.client()
+		b.query("load", id, "15000", "k"+id)
+		b.expect(1, "Failed why this trace ")
+		if n := len(e.submissions(id)); n != 1 {
+			t.Errorf("again after %v: submitted %d times", delay, n)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -319,7 +319,7 @@
 
 const sweepInterval = 250 * time.Millisecond
 
-// sweep closes idle connections, forgets unused engines and keys, and checks the clients, every
+// sweep closes idle connections, forgets unused engines, keys and ids, and checks the clients, every
 // sweepInterval.
 func (c *Controller) sweep() {
 	c.runAfter(sweepInterval, c.sweep)
@@ -327,4 +327,5 @@
 	c.sweepEngines()
 	c.sweepClients()
 	c.keys.forgetIdle(c.now - max(c.keyReuseDelay, min(c.longestQueryTimeout, maxKeyGap)))
+	c.submitted.forget(c.now - c.longestQueryTimeout)
 }
--- a/internal/controller/query.go
+++ b/internal/controller/query.go
@@ -84,6 +84,7 @@
 // queryTable holds the queries that are not over.
 type queryTable struct {
 	queries           map[string]*query // by id
+	submitted         submittedIDs
 	keys              keyTable
 	statementBytes    int
 	maxStatementBytes int
@@ -240,6 +241,9 @@
 // frees the memory and the key of the query.
 func (c *Controller) releaseQuery(q *query) {
 	delete(c.queries, q.id)
+	if q.mayHaveTakenEffect() {
+		c.submitted.add(q.id, c.now)
+	}
 	if c.paging != nil {
 		c.paging.queryOver(q)
 	}
--- a/internal/controller/receive.go
+++ b/internal/controller/receive.go
@@ -27,6 +27,7 @@
 	keyMissing            = "no entity"
 	idempotencyKeyInvalid = "no such token"
 	duplicateID           = "this trace is in hand"
+	idHasRun              = "this trace has run"
 	// statementMemoryFull is not an error in the call: later, or at another controller, there may be memory.
 	statementMemoryFull = "too much is in hand"
 )
@@ -52,6 +53,8 @@
 		return idempotencyKeyInvalid
 	case c.queries[call.id] != nil:
 		return duplicateID
+	case c.submitted.contains(call.id):
+		return idHasRun
 	case c.statementBytes+len(call.statement) > c.maxStatementBytes:
 		return statementMemoryFull
 	}
