The test of interrupted scale runs waits for processes, not for a time

It slept 300 ms and then counted; beside all other packages' tests the run had started none by then. It now waits until two processes run, 20 s at the most, and signals at once, which is no later in the start than before; what it checks after the signal is unchanged.

--- a/cmd/railrelay-bench/scale_test.go
+++ b/cmd/railrelay-bench/scale_test.go
@@ -22,7 +22,7 @@
 	}
 	for name, test := range map[string]struct {
 		signal syscall.Signal
-		after  string // part of an output line to wait for; "": shortly after the start
+		after  string // part of an output line to wait for; "": until the run has started a process
 		clean  bool   // the run can remove its directory
 	}{
 		"interrupted while it starts": {syscall.SIGINT, "", true},
@@ -43,14 +43,10 @@
 			if err := run.Start(); err != nil {
 				t.Fatal(err)
 			}
-			if test.after == "" {
-				time.Sleep(300 * time.Millisecond)
-			} else {
+			if test.after != "" {
 				awaitLine(t, bufio.NewScanner(out), test.after)
 			}
-			if n := len(processesIn(t, directory)); n < 2 {
-				t.Errorf("only %d processes run before the signal", n)
-			}
+			awaitProcesses(t, directory, 2)
 			run.Process.Signal(test.signal)
 			if err := run.Wait(); err == nil {
 				t.Error("an interrupted run exited with status 0")
@@ -69,6 +65,17 @@
 	}
 }
 
+// awaitProcesses waits until at least count processes have a directory as their TMPDIR.
+func awaitProcesses(t *testing.T, directory string, count int) {
+	t.Helper()
+	const limit = 20 * time.Second // reached only in a failing test
+	for end := time.Now().Add(limit); len(processesIn(t, directory)) < count; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("only %d processes run before the signal", len(processesIn(t, directory)))
+		}
+	}
+}
+
 func awaitLine(t *testing.T, lines *bufio.Scanner, part string) {
 	for lines.Scan() {
 		if strings.Contains(lines.Text(), part) {
