A connection is closed as idle only if nothing of its client waits to be read

Cause: evictClient takes a client for idle, and counts it, by events that were handled. Requests and ends that have arrived and wait for the event loop don't count. Change: a close of an idle connection, displaced for a newcomer, idle for too long or with a message overdue, is conditional (Effect.IfIdle): the event loop peeks at the socket right before; if input or the end is pending it tells the controller (CloseDeclined) before any other event. Such a client neither counts nor is chosen until its input is read.

--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -24,6 +24,7 @@
 	// messageStartedAt is when the current incomplete message began, -1: none; at first the accept time.
 	messageStartedAt   time.Duration
 	hasSentMessage     bool          // a complete message has arrived
+	hasPendingInput    bool          // a close was declined, since bytes or the end of the stream are unread
 	idleSince          time.Duration // when the last message came or the last open query was closed
 	badCalls           int
 	messagesSinceSweep int // without those that only the pacer limits
@@ -55,6 +56,7 @@
 
 // readMessages handles the complete messages received so far.
 func (cl *client) readMessages() {
+	cl.hasPendingInput = false
 	readAny := false
 	for !cl.connection.closed {
 		cl.messageCost = 1
--- a/internal/controller/client_bounds.go
+++ b/internal/controller/client_bounds.go
@@ -49,12 +49,12 @@
 
 // evictClient closes a client's connection if there are more than maxClients: the lowest by evictionOrder,
 // and among equals the one idle for longest. Idle connections cost their owners nothing and must not keep
-// out clients that send queries.
+// out clients that send queries. A client with pending input isn't idle, and may have left: it doesn't count.
 func (c *Controller) evictClient(newcomer *client) {
 	open := 0
 	victim := newcomer
 	for _, cl := range c.clients {
-		if cl.connection.closed {
+		if cl.connection.closed || cl.hasPendingInput {
 			continue
 		}
 		open++
@@ -63,11 +63,19 @@
 			victim = cl
 		}
 	}
-	if open > c.maxClients {
-		c.counters.disconnected++
-		// gracefully: the client may just have been answered, and its next query may be in flight
+	if open <= c.maxClients {
+		return
+	}
+	c.counters.disconnected++
+	if victim == newcomer {
 		c.closeConnectionWithin(victim.connection, gracefully, maxNetworkDelay)
+		return
 	}
+	c.closeIfIdle(victim.connection, maxNetworkDelay, func() {
+		c.counters.disconnected--
+		victim.hasPendingInput = true
+		c.evictClient(newcomer)
+	})
 }
 
 // sweepClients closes the connections of clients that do not read their answers, are idle for too long, or
@@ -91,11 +99,9 @@
 			c.counters.disconnected++
 			cl.disconnect(answersUnread, immediately)
 		case cl.isMessageOverdue():
-			c.counters.disconnected++
-			cl.disconnect(messageOverdue, cl.stalledSince < 0) // no grace for a client that reads nothing
+			cl.disconnectOverdue()
 		case cl.isIdle():
-			c.counters.idleClosed++
-			cl.disconnect(idleTooLong, gracefully)
+			cl.disconnectIfIdle(idleTooLong, &c.counters.idleClosed)
 		case worst == nil || unread > worst.connection.unwrittenBytes:
 			worst = cl
 		}
--- a/internal/controller/connection.go
+++ b/internal/controller/connection.go
@@ -20,6 +20,8 @@
 	// onEndOfStream is called when no more bytes can arrive; nil: the owner waits for onClosed.
 	onEndOfStream func()
 	onClosed      func()
+	// onCloseDeclined is called when closeIfIdle did not close the connection.
+	onCloseDeclined func()
 
 	closed         bool // nothing more is written to or read from the connection
 	unwrittenBytes int  // bytes of Write effects that no BytesWritten has confirmed yet
@@ -76,3 +78,14 @@
 		c.emit(Effect{Kind: Close, Connection: conn, Graceful: graceful, Timeout: within})
 	}
 }
+
+// closeIfIdle closes a connection gracefully, unless input from the peer is pending that has not been
+// received yet. If it is, the connection stays open, and declined is called before any other event is
+// handled.
+func (c *Controller) closeIfIdle(conn *Connection, within time.Duration, declined func()) {
+	if !conn.closed {
+		conn.closed = true
+		conn.onCloseDeclined = declined
+		c.emit(Effect{Kind: Close, Connection: conn, Graceful: true, IfIdle: true, Timeout: within})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -202,6 +202,9 @@
 		conn.onClosed()
 		conn.unwrittenBytes = 0
 		c.recordBufferSize(conn, 0)
+	case CloseDeclined:
+		conn.closed = false
+		conn.onCloseDeclined()
 	case TimerFired:
 		c.timerAt = -1
 	case ShutdownRequested:
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -17,7 +17,8 @@
 	// Write sends Bytes on Connection, after all earlier writes, if the guards of the Effect hold.
 	Write
 	// Close ends Connection. Graceful: once earlier writes are sent and the peer has closed its side, or
-	// after Timeout. Abort: bytes that the peer has not received yet must never arrive.
+	// after Timeout. Abort: bytes that the peer has not received yet must never arrive. IfIdle: not if input
+	// from the peer is pending that the controller has not received; CloseDeclined is reported then.
 	Close
 	// SetTimer requests a TimerFired after Timeout. It replaces the previous request.
 	SetTimer
@@ -43,6 +44,7 @@
 	Bytes      []byte
 	Graceful   bool
 	Abort      bool
+	IfIdle     bool
 
 	Warning    bool
 	Trace      bool
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -44,6 +44,9 @@
 	// WriteRejected reports that a guarded Write on Connection was not performed because its policy
 	// version, lease or permit was no longer valid. ConnectionClosed follows as a separate event.
 	WriteRejected
+	// CloseDeclined reports that a Close of Connection with IfIdle was not performed. No other event comes
+	// between the Close and this one.
+	CloseDeclined
 )
 
 // Event is something that happened, as the runner reports it to Controller.Step. Kind determines which other
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -61,6 +61,7 @@
 	dialledAt                                            time.Duration
 	established, closedByController, closed, dropsWrites bool
 	aborted                                              bool
+	inputPending                                         bool // a close of this connection, if idle, is declined
 	received                                             []byte
 	messageCount                                         int
 }
@@ -191,6 +192,10 @@
 				h.readCalls(conn)
 			}
 		case Close:
+			if effect.IfIdle && conn.inputPending {
+				h.pendingEvents = append([]Event{{Kind: CloseDeclined, Connection: conn.connection}}, h.pendingEvents...)
+				break
+			}
 			h.writeLog = append(h.writeLog, fmt.Sprintf("%v %d close", h.now, conn.number))
 			conn.closedByController, conn.aborted = true, effect.Abort
 			// without Abort the kernel would keep sending
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -36,6 +36,8 @@
 	spoolWork      spoolWorkQueue
 	servingState   *fleet.ServingState // nil outside a fleet
 	fleetChannels  FleetChannels
+	// declinedCloses are the connections whose close was declined, to be handed back to the controller.
+	declinedCloses []*controller.Connection
 	// rejectedReports are the reports that the channel had no room for, to be handed back to the controller.
 	rejectedReports []*fleet.Report
 }
@@ -100,8 +102,7 @@
 		for len(l.rejectedReports) > 0 {
 			report := l.rejectedReports[0]
 			l.rejectedReports = l.rejectedReports[1:]
-			done = l.perform(core.Step(time.Since(l.start),
-				controller.Event{Kind: controller.FleetReportRejected, Report: report})) || done
+			done = l.stepCore(core, controller.Event{Kind: controller.FleetReportRejected, Report: report}) || done
 		}
 		var ev event
 		select {
@@ -143,7 +144,7 @@
 		ev.Kind == controller.ConnectTimedOut {
 		delete(l.connections, ev.Connection)
 	}
-	done = l.perform(core.Step(time.Since(l.start), ev.Event))
+	done = l.stepCore(core, ev.Event)
 	if ev.Kind == controller.BytesReceived || ev.Kind == controller.ConnectionClosed {
 		l.runDeferredWrites(conn)
 	}
@@ -153,6 +154,18 @@
 	return done
 }
 
+// stepCore passes an event to the controller and performs the effects. Closes that were declined go back to
+// the controller before any other event.
+func (l *loop) stepCore(core *controller.Controller, event controller.Event) (done bool) {
+	done = l.perform(core.Step(time.Since(l.start), event))
+	for len(l.declinedCloses) > 0 {
+		declined := controller.Event{Kind: controller.CloseDeclined, Connection: l.declinedCloses[0]}
+		l.declinedCloses = l.declinedCloses[1:]
+		done = l.perform(core.Step(time.Since(l.start), declined)) || done
+	}
+	return done
+}
+
 // runDeferredWrites makes the writes to engines that wait until the controller has processed this client's
 // input, once none is pending. More than one read may take longer than a query may begin after its client has
 // disconnected.
@@ -250,7 +263,9 @@
 				conn.enqueue(bytes, condition)
 			}
 		case controller.Close:
-			if conn != nil && effect.Graceful {
+			if conn != nil && effect.IfIdle && conn.hasPendingInput() {
+				l.declinedCloses = append(l.declinedCloses, effect.Connection)
+			} else if conn != nil && effect.Graceful {
 				conn.closeGracefully(effect.Timeout)
 			} else if conn != nil {
 				conn.terminate(effect.Abort)
