The peer of an idle connection is told of its close at once

Between the check of the socket and the close by the connection's writer the process can be held for its share of a core, and what a client writes then is lost. The loop now shuts its side down right after the check (connection.closeIfIdle); a connection with bytes unread by its peer is closed as before, without the check, since they must be sent first.

--- a/internal/controller/connection.go
+++ b/internal/controller/connection.go
@@ -81,8 +81,12 @@
 
 // closeIfIdle closes a connection gracefully, unless input from the peer is pending that has not been
 // received yet. If it is, the connection stays open, and declined is called before any other event is
-// handled.
+// handled. A peer that leaves bytes unread isn't idle, and may be closed all the same.
 func (c *Controller) closeIfIdle(conn *Connection, within time.Duration, declined func()) {
+	if conn.unwrittenBytes > 0 {
+		c.closeConnectionWithin(conn, gracefully, within)
+		return
+	}
 	if !conn.closed {
 		conn.closed = true
 		conn.onCloseDeclined = declined
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -18,7 +18,8 @@
 	Write
 	// Close ends Connection. Graceful: once earlier writes are sent and the peer has closed its side, or
 	// after Timeout. Abort: bytes that the peer has not received yet must never arrive. IfIdle: not if input
-	// from the peer is pending that the controller has not received; CloseDeclined is reported then.
+	// from the peer is pending that the controller has not received; CloseDeclined is reported then. All earlier
+	// writes must have been sent.
 	Close
 	// SetTimer requests a TimerFired after Timeout. It replaces the previous request.
 	SetTimer
--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -344,6 +344,17 @@
 	c.wakeWriter()
 }
 
+// closeIfIdle closes the connection gracefully, unless input is pending, and reports whether it did. Nothing
+// may be queued for writing. The peer is told at once: what it sends after the check is lost.
+func (c *connection) closeIfIdle(timeout time.Duration) bool {
+	if c.hasPendingInput() {
+		return false
+	}
+	c.closeWrite()
+	c.closeGracefully(timeout)
+	return true
+}
+
 // close closes the connection at once. The kernel still delivers what was written to the socket.
 func (c *connection) close() { c.terminate(false) }
 
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -263,8 +263,10 @@
 				conn.enqueue(bytes, condition)
 			}
 		case controller.Close:
-			if conn != nil && effect.IfIdle && conn.hasPendingInput() {
-				l.declinedCloses = append(l.declinedCloses, effect.Connection)
+			if conn != nil && effect.IfIdle {
+				if !conn.closeIfIdle(effect.Timeout) {
+					l.declinedCloses = append(l.declinedCloses, effect.Connection)
+				}
 			} else if conn != nil && effect.Graceful {
 				conn.closeGracefully(effect.Timeout)
 			} else if conn != nil {
