A declined close during a backlog runs no due timers

Found on reading the change once more: CloseDeclined was stepped without the mark of a backlog, so that timers due after the process stood still would have run before all that had arrived was heard. It carries the mark of its event now. Read, not shown by a run.

--- a/internal/controller/submitted_ids.go
+++ b/internal/controller/submitted_ids.go
@@ -20,7 +20,7 @@
 	overAt time.Duration
 }
 
-// maxSubmittedIDs limits the ids that are remembered: 16,384 take about 2 MB.
+// maxSubmittedIDs limits how many ids are remembered.
 const maxSubmittedIDs = 16 << 10
 
 // add remembers the id of a query that is over.
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -159,7 +159,8 @@
 func (l *loop) stepCore(core *controller.Controller, event controller.Event) (done bool) {
 	done = l.perform(core.Step(time.Since(l.start), event))
 	for len(l.declinedCloses) > 0 {
-		declined := controller.Event{Kind: controller.CloseDeclined, Connection: l.declinedCloses[0]}
+		declined := controller.Event{Kind: controller.CloseDeclined, Connection: l.declinedCloses[0],
+			Backlogged: event.Backlogged} // timers that wait for a backlog wait on
 		l.declinedCloses = l.declinedCloses[1:]
 		done = l.perform(core.Step(time.Since(l.start), declined)) || done
 	}
