The test of a process at an old engine's address allows refusals

Traced: the look-up came while the only engine was gone and the list had not told; a refusal is then right (the protocol: "refused: trying again is harmless"). Now a refusal is allowed, and a load that was refused must not have been submitted to either process, which was not checked before.

--- a/cmd/railrelay/replaced_engine_test.go
+++ b/cmd/railrelay/replaced_engine_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -107,8 +108,9 @@
 					entry("e2", old.address, "SERVING"))+"\n")
 			}()
 			var group sync.WaitGroup
-			for n := range 6 {
-				group.Go(func() { c.sendInTurn([]string{"lookup", "load"}[n%2], n, 3*time.Second) })
+			refused := make([][]string, 6)
+			for n := range refused {
+				group.Go(func() { refused[n] = c.sendInTurn([]string{"lookup", "load"}[n%2], n, 3*time.Second) })
 			}
 			group.Wait()
 			next := <-replaced
@@ -119,6 +121,9 @@
 				if isLoad && submissions[trace] > 1 {
 					t.Errorf("load %s was submitted %d times", trace, submissions[trace])
 				}
+				if isLoad && slices.Contains(slices.Concat(refused...), trace) {
+					t.Errorf("load %s was refused though it may have run", trace)
+				}
 			}
 			if len(old.submitted) == 0 || len(next.submitted) == 0 {
 				t.Fatalf("%d and %d submissions: the test proves nothing", len(old.submitted), len(next.submitted))
@@ -128,17 +133,22 @@
 }
 
 // sendInTurn sends queries of a group for a while, each after the answer to the one before. Their ids start
-// with the client's number. Each must be answered with its own result or, if its engine has ended, fail.
-func (c *controller) sendInTurn(group string, number int, lasts time.Duration) {
+// with the client's number. Each must be answered with its own result or, if its engine has ended, fail or be
+// refused. It returns the traces of those that were refused.
+func (c *controller) sendInTurn(group string, number int, lasts time.Duration) (refused []string) {
 	client := c.client()
 	for i, until := 0, time.Now().Add(lasts); time.Now().Before(until); i++ {
 		id := fmt.Sprintf("%d%03x", number, i)
 		client.lastMessage = 0
 		client.query(group, id, "9000", fmt.Sprint("k", number))
 		_, answer := client.answer()
-		if !strings.HasPrefix(answer, tracePrefix+id) && answer != "Failed why not done" {
+		switch {
+		case strings.HasPrefix(answer, "Throttled"):
+			refused = append(refused, tracePrefix+id)
+		case !strings.HasPrefix(answer, tracePrefix+id) && answer != "Failed why not done":
 			c.t.Errorf("%s %s: answer %q", group, id, answer)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	return refused
 }
