The test of a drain while connecting waits until the drain is processed

It writes the drain to the feed and a query to a client's connection, with nothing that says which is read first; read first, the query goes to the engine that is to drain, where nothing finishes it.

--- a/internal/eventloop/lifecycle_test.go
+++ b/internal/eventloop/lifecycle_test.go
@@ -132,10 +132,16 @@
 			h.engine.calls.wait(1, "POST "+traceID(1))
 			io.WriteString(watch, drain)
 			b := h.connect()
-			b.query("squall", 2, 12*time.Second)
-			other.calls.wait(1, "POST "+traceID(2))
-			other.finish(traceID(2))
-			b.expectResult(2)
+			deadline := time.Now().Add(testTimeout)
+			for n := 2; other.calls.count("POST") == 0; n++ { // until a query shows that the drain was processed
+				if time.Now().After(deadline) {
+					t.Fatal("no query is sent to the other engine")
+				}
+				h.engine.finish(traceID(n))
+				other.finish(traceID(n))
+				b.query("squall", n, 12*time.Second)
+				b.expectResult(n)
+			}
 			h.engine.finish(traceID(1))
 			c.expectResult(1)
 			h.shutDown()
